--- /dev/null
+++ b/examples/fleet.sh
@@ -0,0 +1,98 @@
+# Shell functions that start a small fleet of separate processes on loopback: a fake store, engine and
+# service and one daemon. Sourced by run-demo.sh and by the end-to-end tests.
+# Needs BIN (folder of the programs); sets WORK, CALLERS, ADMIN, STORE and TAMARACK_TOKEN.
+
+BASE_PORT=${BASE_PORT:-$((20000 + ($$ % 400) * 100))}
+STORE=127.0.0.1:$((BASE_PORT + 1))
+ENGINE=127.0.0.1:$((BASE_PORT + 2))
+SERVICE=127.0.0.1:$((BASE_PORT + 3))
+CALLERS=127.0.0.1:$((BASE_PORT + 4))
+ADMIN=127.0.0.1:$((BASE_PORT + 5))
+WORK=$(mktemp -d)
+PIDS=""
+export TAMARACK_TOKEN=demo-operator-token
+
+stop_fleet() {
+    # shellcheck disable=SC2086
+    [ -z "$PIDS" ] || kill -KILL $PIDS 2>/dev/null || true
+    wait 2>/dev/null || true
+    rm -rf "$WORK"
+}
+trap stop_fleet EXIT
+
+# start NAME COMMAND...: runs a program in the background with its log in WORK/NAME.log.
+start() {
+    name=$1
+    shift
+    "$@" >"$WORK/$name.log" 2>&1 &
+    PIDS="$PIDS $!"
+}
+
+# await URL [curl options]: waits until the URL answers.
+await() {
+    url=$1
+    shift
+    curl -s -o /dev/null --retry 60 --retry-delay 1 --retry-all-errors "$@" "$url"
+}
+
+start_fleet() {
+    start store "$BIN/fake-store" --address "$STORE"
+    start engine "$BIN/fake-engine" --address "$ENGINE"
+    start service "$BIN/fake-service" --address "$SERVICE"
+    "$BIN/tamarackctl" keygen >"$WORK/keys"
+    sed -n 's/^private //p' "$WORK/keys" >"$WORK/operator.key"
+    public=$(sed -n 's/^public //p' "$WORK/keys")
+    cat >"$WORK/settings.json" <<JSON
+{
+  "host": "entry-1",
+  "zone": "brest-a",
+  "callers": {"address": "$CALLERS"},
+  "admin": {"address": "$ADMIN", "tokenSha256": "$("$BIN/tamarackctl" hash-key "$TAMARACK_TOKEN")"},
+  "store": {"endpoints": ["$STORE"]},
+  "operators": [{"id": "operator-1", "publicKey": "$public"}],
+  "limits": {"flushIntervalMs": 100}
+}
+JSON
+    "$BIN/tamarackd" --settings "$WORK/settings.json" --check-settings
+    start daemon "$BIN/tamarackd" --settings "$WORK/settings.json"
+    await "http://$ADMIN/v1/status"
+}
+
+# write_bundle FUNDED: writes WORK/bundle.json with that many tokens in the budget.
+write_bundle() {
+    cat >"$WORK/bundle.json" <<JSON
+{
+  "accounts": [{
+    "id": "onboarding",
+    "keys": [{"sha256": "$("$BIN/tamarackctl" hash-key demo-caller-key)", "budget": "onboarding-2026"}]
+  }],
+  "budgets": [{"id": "onboarding-2026", "account": "onboarding", "funded": $1}],
+  "upstreams": [
+    {"id": "engine-1", "zone": "brest-a", "address": "$ENGINE", "models": ["small"]},
+    {"id": "accounts-1", "zone": "brest-a", "address": "$SERVICE", "service": "accounts"}
+  ],
+  "routes": [{"service": "accounts", "idempotent": false, "price": 5}]
+}
+JSON
+}
+
+# submit VERSION: signs and submits WORK/bundle.json and waits until the daemon applies it.
+submit() {
+    "$BIN/tamarackctl" bundle submit --admin "$ADMIN" --version "$1" --operator operator-1 \
+        --key "$WORK/operator.key" "$WORK/bundle.json"
+    for _ in $(seq 100); do
+        "$BIN/tamarackctl" status --admin "$ADMIN" | grep -q "\"bundle_version\":$1" && return 0
+        sleep 0.1
+    done
+    echo "version $1 was not applied" >&2
+    return 1
+}
+
+# chat BODY [curl options]: sends a chat-completion request with the key in CALLER_KEY.
+CALLER_KEY=demo-caller-key
+chat() {
+    body=$1
+    shift
+    curl -s -N -H "Authorization: Bearer $CALLER_KEY" -H "Content-Type: application/json" \
+        "$@" -d "$body" "http://$CALLERS/v1/chat/completions"
+}
--- /dev/null
+++ b/src/adapters/etcd/client.cpp
@@ -0,0 +1,180 @@
+// Calls to the key-value store by the v3 JSON gateway.
+#include "adapters/etcd/client.h"
+
+#include "adapters/crypto/crypto.h"
+#include "adapters/etcd/gateway.h"
+#include "adapters/shardcodec/shardcodec.h"
+
+#include <Poco/JSON/Array.h>
+
+namespace tamarack {
+
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+std::uint64_t numberField(const Object::Ptr &object, const std::string &field)
+{
+    // The gateway writes 64-bit integers as strings and leaves out zeros.
+    return object && object->has(field) ? object->getValue<std::uint64_t>(field) : 0;
+}
+
+VersionedValue decodeRange(const Object::Ptr &range, StoredKind kind)
+{
+    VersionedValue result;
+    const Array::Ptr entries = range ? range->getArray("kvs") : nullptr;
+    if (!entries || entries->empty())
+        return result;
+    const Object::Ptr entry = entries->getObject(0);
+    result.revision_ = Revision {numberField(entry, "mod_revision")};
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(bytes, base64Decode(entry->optValue<std::string>("value", "")));
+            BOOST_LEAF_AUTO(value, decodeStoredValue(kind, bytes));
+            result.value_ = std::move(value);
+            return {};
+        },
+        [] {});
+    return result;
+}
+
+StoredKind kindOf(const StoredValue &value)
+{
+    return static_cast<StoredKind>(value.index());
+}
+
+/// A present value that cannot be decoded must not be taken for an absent one.
+bool isReadable(const VersionedValue &value)
+{
+    return value.revision_ == Revision {} || value.value_.has_value();
+}
+
+StoreReply carryOut(const EtcdSettings &settings, const ReadCall &call)
+{
+    Object body;
+    body.set("key", base64Encode(call.key_.value_));
+    const GatewayReply reply
+        = postJson(settings.endpoints_, "/v3/kv/range", body, settings.timeout_);
+    if (reply.status_ != StoreStatus::Ok)
+        return StoreReply {{}, reply.status_, {}};
+    VersionedValue value = decodeRange(reply.body_, call.kind_);
+    const StoreStatus status = isReadable(value) ? StoreStatus::Ok : StoreStatus::Unavailable;
+    return StoreReply {{}, status, std::move(value)};
+}
+
+Object swapBody(const SwapCall &call)
+{
+    const std::string key = base64Encode(call.key_.value_);
+    Object compare;
+    compare.set("key", key);
+    compare.set("target", "MOD");
+    compare.set("result", "EQUAL");
+    compare.set("mod_revision", std::to_string(call.expected_.value_));
+    Object put;
+    put.set("key", key);
+    put.set("value", base64Encode(encodeStoredValue(call.value_)));
+    if (call.lease_)
+        put.set("lease", std::to_string(call.lease_->value_));
+    Object range;
+    range.set("key", key);
+    Object success;
+    success.set("request_put", put);
+    Object failure;
+    failure.set("request_range", range);
+    Object body;
+    body.set("compare", Array().add(compare));
+    body.set("success", Array().add(success));
+    body.set("failure", Array().add(failure));
+    return body;
+}
+
+StoreReply carryOut(const EtcdSettings &settings, const SwapCall &call)
+{
+    const GatewayReply reply
+        = postJson(settings.endpoints_, "/v3/kv/txn", swapBody(call), settings.timeout_);
+    if (reply.status_ != StoreStatus::Ok)
+        return StoreReply {{}, reply.status_, {}};
+    if (reply.body_->optValue("succeeded", false)) {
+        const Revision revision {numberField(reply.body_->getObject("header"), "revision")};
+        return StoreReply {{}, StoreStatus::Ok, VersionedValue {revision, std::nullopt}};
+    }
+    const Array::Ptr responses = reply.body_->getArray("responses");
+    const Object::Ptr first = responses && !responses->empty() ? responses->getObject(0) : nullptr;
+    VersionedValue value
+        = decodeRange(first ? first->getObject("response_range") : nullptr, kindOf(call.value_));
+    const StoreStatus status = isReadable(value) ? StoreStatus::Conflict : StoreStatus::Unavailable;
+    return StoreReply {{}, status, std::move(value)};
+}
+
+LeaseId grantLease(const EtcdSettings &settings, Seconds timeToLive)
+{
+    Object body;
+    body.set("TTL", std::to_string(timeToLive.count()));
+    const GatewayReply reply
+        = postJson(settings.endpoints_, "/v3/lease/grant", body, settings.timeout_);
+    return reply.status_ == StoreStatus::Ok ? LeaseId {numberField(reply.body_, "ID")} : LeaseId {};
+}
+
+bool keepLease(const EtcdSettings &settings, LeaseId lease)
+{
+    Object body;
+    body.set("ID", std::to_string(lease.value_));
+    const GatewayReply reply
+        = postJson(settings.endpoints_, "/v3/lease/keepalive", body, settings.timeout_);
+    if (reply.status_ != StoreStatus::Ok)
+        return false;
+    return numberField(reply.body_->getObject("result"), "TTL") > 0;
+}
+
+bool revokeLease(const EtcdSettings &settings, LeaseId lease)
+{
+    Object body;
+    body.set("ID", std::to_string(lease.value_));
+    return postJson(settings.endpoints_, "/v3/lease/revoke", body, settings.timeout_).status_
+        == StoreStatus::Ok;
+}
+
+bool waitForChange(const EtcdSettings &settings, const StoreKey &key, Revision seen, Millis limit)
+{
+    Object create;
+    create.set("key", base64Encode(key.value_));
+    create.set("start_revision", std::to_string(seen.value_ + 1));
+    Object body;
+    body.set("create_request", create);
+    bool changed = false;
+    postJsonStream(settings.endpoints_, "/v3/watch", body, limit,
+                   [&changed](const Object::Ptr &line) {
+                       const Object::Ptr result = line->getObject("result");
+                       const Array::Ptr events = result ? result->getArray("events") : nullptr;
+                       changed = events && !events->empty();
+                       return !changed;
+                   });
+    return changed;
+}
+
+} // namespace
+
+StorePort makeEtcdPort(EtcdSettings settings)
+{
+    StorePort port;
+    port.call_ = [settings](const StoreCall &call) {
+        return std::visit(
+            [&settings](const auto &concrete) { return carryOut(settings, concrete); }, call);
+    };
+    port.grantLease_ = [settings](Seconds time) {
+        return grantLease(settings, time);
+    };
+    port.keepLease_ = [settings](LeaseId lease) {
+        return keepLease(settings, lease);
+    };
+    port.revokeLease_ = [settings](LeaseId lease) {
+        return revokeLease(settings, lease);
+    };
+    port.waitForChange_ = [settings](const StoreKey &key, Revision seen, Millis limit) {
+        return waitForChange(settings, key, seen, limit);
+    };
+    return port;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/http/adminserver.cpp
@@ -0,0 +1,113 @@
+// The operators' listener by POCO.
+#include "adapters/http/adminserver.h"
+
+#include "adapters/crypto/crypto.h"
+#include "adapters/http/address.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+
+#include <ostream>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::uint32_t adminConnections = 16;
+constexpr Millis adminIdleLimit {Seconds {10}};
+constexpr std::string_view bearerPrefix = "Bearer ";
+
+/// What all handlers of one listener share.
+struct AdminListener
+{
+    AdminServerSettings settings_;
+    std::function<AdminReply(const AdminCall &)> handle_;
+};
+
+bool isAuthorized(const AdminListener &listener, const Poco::Net::HTTPServerRequest &request)
+{
+    if (request.getURI() == "/metrics" && request.getMethod() == "GET")
+        return true;
+    const std::string header = request.get("Authorization", "");
+    return header.starts_with(bearerPrefix)
+        && sha256Hex(std::string_view(header).substr(bearerPrefix.size()))
+        == listener.settings_.tokenSha256_;
+}
+
+AdminReply answer(const AdminListener &listener, Poco::Net::HTTPServerRequest &request)
+{
+    if (!isAuthorized(listener, request))
+        return AdminReply {401, "application/json",
+                           R"({"error":"the operator token is missing or wrong; pass --token"})"};
+    const bool tooLarge = request.hasContentLength()
+        && request.getContentLength64()
+            > static_cast<std::int64_t>(listener.settings_.maxRequestBytes_);
+    if (tooLarge || request.getChunkedTransferEncoding())
+        return AdminReply {413, "application/json",
+                           R"({"error":"the body is too large or has no Content-Length"})"};
+    AdminCall call {request.getMethod(), request.getURI(), {}};
+    if (request.hasContentLength())
+        Poco::StreamCopier::copyToString(request.stream(), call.body_);
+    return listener.handle_(call);
+}
+
+class AdminHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit AdminHandler(const AdminListener &listener)
+        : listener_(listener)
+    { }
+
+    void handleRequest(Poco::Net::HTTPServerRequest &request,
+                       Poco::Net::HTTPServerResponse &response) override
+    {
+        const AdminReply reply = answer(listener_, request);
+        response.setStatusAndReason(
+            static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status_));
+        response.setContentType(reply.contentType_);
+        response.setContentLength64(static_cast<std::int64_t>(reply.body_.size()));
+        response.send() << reply.body_ << std::flush;
+    }
+
+private:
+    const AdminListener &listener_;
+};
+
+class AdminHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit AdminHandlerFactory(AdminListener listener)
+        : listener_(std::move(listener))
+    { }
+
+    Poco::Net::HTTPRequestHandler *
+    createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+    {
+        return new AdminHandler(listener_);
+    }
+
+private:
+    AdminListener listener_;
+};
+
+} // namespace
+
+CallerServer startAdminServer(const AdminServerSettings &settings,
+                              std::function<AdminReply(const AdminCall &)> handle)
+{
+    CallerServer running;
+    running.threads_
+        = std::make_unique<Poco::ThreadPool>("admin", 2, static_cast<int>(adminConnections) + 2);
+    running.server_ = std::make_unique<Poco::Net::HTTPServer>(
+        new AdminHandlerFactory(AdminListener {settings, std::move(handle)}), *running.threads_,
+        Poco::Net::ServerSocket(Poco::Net::SocketAddress(settings.address_)),
+        serverParams(adminConnections, adminIdleLimit));
+    running.server_->start();
+    return running;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/http/adminserver.h
@@ -0,0 +1,40 @@
+// The operators' listener: HTTP for the administration interface and metrics.
+#pragma once
+
+#include "adapters/http/callerserver.h"
+
+#include <functional>
+#include <string>
+
+namespace tamarack {
+
+/// @brief A call to the administration interface.
+struct AdminCall
+{
+    std::string method_;
+    std::string path_;
+    std::string body_;
+};
+
+/// @brief The answer to a call.
+struct AdminReply
+{
+    int status_ = 200;
+    std::string contentType_ = "application/json";
+    std::string body_;
+};
+
+/// @brief How the operators' listener is set up.
+struct AdminServerSettings
+{
+    std::string address_;
+    /// SHA-256 of the token that all calls but GET /metrics must carry.
+    std::string tokenSha256_;
+    std::size_t maxRequestBytes_ = 64U << 20U;
+};
+
+/// @brief Starts the listener; @a handle is called on its threads.
+CallerServer startAdminServer(const AdminServerSettings &settings,
+                              std::function<AdminReply(const AdminCall &)> handle);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/http/http.h
@@ -0,0 +1,6 @@
+// Public header of the HTTP adapter: the callers' and operators' listeners and the upstream client.
+#pragma once
+
+#include "adapters/http/adminserver.h"
+#include "adapters/http/callerserver.h"
+#include "adapters/http/upstreamclient.h"
--- /dev/null
+++ b/src/adapters/json/fault.h
@@ -0,0 +1,28 @@
+// Faults of a JSON document. A check reports all of them at once.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief One fault of a document.
+struct Fault
+{
+    /// Where it is, such as "accounts[2].priority".
+    std::string path_;
+    /// What is wrong.
+    std::string problem_;
+    /// What to do about it.
+    std::string remedy_;
+};
+
+using Faults = std::vector<Fault>;
+
+/// @brief Formats one fault as "path: problem; remedy".
+std::string formatFault(const Fault &fault);
+
+/// @brief Formats faults, one a line.
+std::string formatFaults(const Faults &faults);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/json/json.h
@@ -0,0 +1,8 @@
+// Public header of the JSON adapter: settings, bundles, manifests and chat messages.
+#pragma once
+
+#include "adapters/json/bundlejson.h"
+#include "adapters/json/chat.h"
+#include "adapters/json/fault.h"
+#include "adapters/json/manifest.h"
+#include "adapters/json/settings.h"
--- /dev/null
+++ b/src/adapters/json/jsonreader.cpp
@@ -0,0 +1,203 @@
+// Reading of JSON objects by POCO.
+#include "adapters/json/jsonreader.h"
+
+#include <Poco/JSON/Parser.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+using Poco::Dynamic::Var;
+
+std::string join(const std::string &path, const std::string &field)
+{
+    return path.empty() ? field : path + '.' + field;
+}
+
+/// Returns the field if it is present; reports a missing required one.
+Var find(const JsonReader &reader, const std::string &field, Need need)
+{
+    if (reader.object_ && reader.object_->has(field) && !reader.object_->isNull(field))
+        return reader.object_->get(field);
+    if (need == Need::Required)
+        addFault(reader, field, "is missing", "add it");
+    return {};
+}
+
+} // namespace
+
+std::string formatFault(const Fault &fault)
+{
+    return fmt::format("{}: {}; {}", fault.path_, fault.problem_, fault.remedy_);
+}
+
+std::string formatFaults(const Faults &faults)
+{
+    std::string text;
+    for (const Fault &fault : faults)
+        text += formatFault(fault) + '\n';
+    return text;
+}
+
+Result<Poco::JSON::Object::Ptr> parseObject(const std::string &text, std::size_t maxBytes)
+{
+    if (text.size() > maxBytes)
+        return fail(
+            ErrorKind::InvalidMessage, "tamarack.json.102",
+            fmt::format("the document has {} bytes; send at most {}", text.size(), maxBytes));
+    try {
+        Poco::JSON::Parser parser;
+        parser.setDepth(maxJsonDepth);
+        const Var root = parser.parse(text);
+        if (root.type() == typeid(Poco::JSON::Object::Ptr))
+            return root.extract<Poco::JSON::Object::Ptr>();
+    } catch (const Poco::Exception &error) {
+        return fail(ErrorKind::InvalidMessage, "tamarack.json.101",
+                    fmt::format("the document is not valid JSON ({}); correct its syntax",
+                                error.displayText()));
+    }
+    return fail(ErrorKind::InvalidMessage, "tamarack.json.103",
+                "the document is not a JSON object; put the fields in one object");
+}
+
+void addFault(const JsonReader &reader, const std::string &field, std::string problem,
+              std::string remedy)
+{
+    reader.faults_->push_back(
+        Fault {join(reader.path_, field), std::move(problem), std::move(remedy)});
+}
+
+std::string readString(const JsonReader &reader, const std::string &field, Need need,
+                       std::string fallback)
+{
+    const Var value = find(reader, field, need);
+    if (value.isEmpty())
+        return fallback;
+    if (!value.isString()) {
+        addFault(reader, field, "is not a string", "write it in double quotes");
+        return fallback;
+    }
+    std::string text = value.extract<std::string>();
+    if (text.empty() && need == Need::Required)
+        addFault(reader, field, "is empty", "fill it in");
+    return text;
+}
+
+std::int64_t readInteger(const JsonReader &reader, const std::string &field, Need need, Range range,
+                         std::int64_t fallback)
+{
+    const Var value = find(reader, field, need);
+    if (value.isEmpty())
+        return fallback;
+    if (!value.isInteger()) {
+        addFault(reader, field, "is not an integer", "write a whole number without quotes");
+        return fallback;
+    }
+    const auto number = value.convert<std::int64_t>();
+    if (number < range.min_ || number > range.max_) {
+        addFault(reader, field, fmt::format("is {}", number),
+                 fmt::format("use a value from {} to {}", range.min_, range.max_));
+        return fallback;
+    }
+    return number;
+}
+
+double readNumber(const JsonReader &reader, const std::string &field, Need need, double min,
+                  double fallback)
+{
+    const Var value = find(reader, field, need);
+    if (value.isEmpty())
+        return fallback;
+    if (!value.isNumeric() || value.isBoolean() || value.convert<double>() < min) {
+        addFault(reader, field, "is not a number in range",
+                 fmt::format("use a number of at least {}", min));
+        return fallback;
+    }
+    return value.convert<double>();
+}
+
+bool readBool(const JsonReader &reader, const std::string &field, Need need, bool fallback)
+{
+    const Var value = find(reader, field, need);
+    if (value.isEmpty())
+        return fallback;
+    if (!value.isBoolean()) {
+        addFault(reader, field, "is not a boolean", "use true or false");
+        return fallback;
+    }
+    return value.convert<bool>();
+}
+
+Millis readMillis(const JsonReader &reader, const std::string &field, Need need, Range range,
+                  Millis fallback)
+{
+    return Millis {readInteger(reader, field, need, range, fallback.count())};
+}
+
+std::vector<std::string> readStrings(const JsonReader &reader, const std::string &field, Need need)
+{
+    std::vector<std::string> texts;
+    const Var value = find(reader, field, need);
+    if (value.isEmpty())
+        return texts;
+    if (value.type() != typeid(Poco::JSON::Array::Ptr)) {
+        addFault(reader, field, "is not an array", "write a list of strings in square brackets");
+        return texts;
+    }
+    for (const Var &element : *value.extract<Poco::JSON::Array::Ptr>()) {
+        if (element.isString())
+            texts.push_back(element.extract<std::string>());
+        else
+            addFault(reader, fmt::format("{}[{}]", field, texts.size()), "is not a string",
+                     "write it in double quotes");
+    }
+    return texts;
+}
+
+JsonReader readObject(const JsonReader &reader, const std::string &field, Need need)
+{
+    const Var value = find(reader, field, need);
+    JsonReader nested {new Poco::JSON::Object, join(reader.path_, field), reader.faults_};
+    if (value.isEmpty())
+        return nested;
+    if (value.type() != typeid(Poco::JSON::Object::Ptr))
+        addFault(reader, field, "is not an object", "write its fields in curly brackets");
+    else
+        nested.object_ = value.extract<Poco::JSON::Object::Ptr>();
+    return nested;
+}
+
+void readObjects(const JsonReader &reader, const std::string &field, Need need,
+                 const std::function<void(const JsonReader &)> &visit)
+{
+    const Var value = find(reader, field, need);
+    if (value.isEmpty())
+        return;
+    if (value.type() != typeid(Poco::JSON::Array::Ptr)) {
+        addFault(reader, field, "is not an array", "write a list of objects in square brackets");
+        return;
+    }
+    std::size_t index = 0;
+    for (const Var &element : *value.extract<Poco::JSON::Array::Ptr>()) {
+        const std::string name = fmt::format("{}[{}]", field, index++);
+        if (element.type() != typeid(Poco::JSON::Object::Ptr))
+            addFault(reader, name, "is not an object", "write its fields in curly brackets");
+        else
+            visit(JsonReader {element.extract<Poco::JSON::Object::Ptr>(), join(reader.path_, name),
+                              reader.faults_});
+    }
+}
+
+void rejectUnknownFields(const JsonReader &reader, const std::vector<std::string> &known)
+{
+    for (const auto &[name, value] : *reader.object_) {
+        if (std::find(known.begin(), known.end(), name) == known.end())
+            addFault(reader, name, "is not a known field", "remove it or correct its spelling");
+    }
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/json/settings.cpp
@@ -0,0 +1,114 @@
+// The settings file of a daemon.
+#include "adapters/json/settings.h"
+
+#include "adapters/json/jsonreader.h"
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t maxSettingsBytes = 1U << 20U;
+constexpr Range timeoutRange {1, 3'600'000};
+
+void readListeners(const JsonReader &root, Settings &settings)
+{
+    const JsonReader callers = readObject(root, "callers", Need::Required);
+    settings.callerAddress_ = readString(callers, "address", Need::Required);
+    settings.callerConnections_ = static_cast<std::uint32_t>(readInteger(
+        callers, "maxConnections", Need::Optional, Range {1, 10'000}, settings.callerConnections_));
+    settings.maxRequestBytes_ = static_cast<std::size_t>(
+        readInteger(callers, "maxRequestBytes", Need::Optional, Range {1024, 1 << 30},
+                    static_cast<std::int64_t>(settings.maxRequestBytes_)));
+    rejectUnknownFields(callers, {"address", "maxConnections", "maxRequestBytes"});
+    const JsonReader admin = readObject(root, "admin", Need::Required);
+    settings.adminAddress_ = readString(admin, "address", Need::Required);
+    settings.adminTokenSha256_ = readString(admin, "tokenSha256", Need::Required);
+    rejectUnknownFields(admin, {"address", "tokenSha256"});
+    const JsonReader peers = readObject(root, "peers", Need::Optional);
+    settings.peerAddress_ = readString(peers, "address", Need::Optional);
+    rejectUnknownFields(peers, {"address"});
+}
+
+void readPlatform(const JsonReader &root, Settings &settings)
+{
+    const JsonReader store = readObject(root, "store", Need::Required);
+    settings.storeEndpoints_ = readStrings(store, "endpoints", Need::Required);
+    if (settings.storeEndpoints_.empty())
+        addFault(store, "endpoints", "is empty", "list at least one IP:port of the store");
+    settings.storePrefix_ = readString(store, "prefix", Need::Optional, settings.storePrefix_);
+    settings.storeTimeout_
+        = readMillis(store, "timeoutMs", Need::Optional, timeoutRange, settings.storeTimeout_);
+    settings.storeWorkers_ = static_cast<std::uint32_t>(
+        readInteger(store, "workers", Need::Optional, Range {1, 64}, settings.storeWorkers_));
+    rejectUnknownFields(store, {"endpoints", "prefix", "timeoutMs", "workers"});
+    const JsonReader hosts = readObject(root, "hostList", Need::Optional);
+    settings.hostListAddress_ = readString(hosts, "address", Need::Optional);
+    rejectUnknownFields(hosts, {"address"});
+    readObjects(root, "operators", Need::Required, [&settings](const JsonReader &reader) {
+        settings.operators_.push_back(
+            TrustedOperator {OperatorId {readString(reader, "id", Need::Required)},
+                             readString(reader, "publicKey", Need::Required)});
+        rejectUnknownFields(reader, {"id", "publicKey"});
+    });
+}
+
+void readLimits(const JsonReader &root, Settings &settings)
+{
+    const JsonReader limits = readObject(root, "limits", Need::Optional);
+    const auto millis = [&limits](const char *field, Millis fallback) {
+        return readMillis(limits, field, Need::Optional, timeoutRange, fallback);
+    };
+    settings.flushInterval_ = millis("flushIntervalMs", settings.flushInterval_);
+    settings.redrawInterval_ = millis("redrawIntervalMs", settings.redrawInterval_);
+    settings.silenceLimit_ = millis("silenceLimitMs", settings.silenceLimit_);
+    settings.stopLimit_ = millis("stopLimitMs", settings.stopLimit_);
+    settings.maxAttempts_ = static_cast<std::uint32_t>(
+        readInteger(limits, "maxAttempts", Need::Optional, Range {1, 10}, settings.maxAttempts_));
+    rejectUnknownFields(
+        limits,
+        {"flushIntervalMs", "redrawIntervalMs", "silenceLimitMs", "stopLimitMs", "maxAttempts"});
+}
+
+} // namespace
+
+Settings parseSettings(const std::string &text, Faults &faults)
+{
+    Settings settings;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(object, parseObject(text, maxSettingsBytes));
+            const JsonReader root {object, "", &faults};
+            settings.host_ = HostId {readString(root, "host", Need::Required)};
+            settings.zone_ = ZoneId {readString(root, "zone", Need::Required)};
+            readListeners(root, settings);
+            readPlatform(root, settings);
+            readLimits(root, settings);
+            rejectUnknownFields(root,
+                                {"host", "zone", "callers", "admin", "peers", "store", "hostList",
+                                 "operators", "limits"});
+            return {};
+        },
+        [&faults](const Error &error) {
+            faults.push_back(Fault {"settings", error.message_, error.id_});
+        },
+        [&faults] {
+            faults.push_back(Fault {"settings", "could not be read", "check the document"});
+        });
+    return settings;
+}
+
+ControlSettings controlSettings(const Settings &settings, HolderId holder)
+{
+    ControlSettings control;
+    control.host_ = settings.host_;
+    control.holder_ = std::move(holder);
+    control.zone_ = settings.zone_;
+    control.storePrefix_ = settings.storePrefix_;
+    control.flushInterval_ = settings.flushInterval_;
+    control.redrawInterval_ = settings.redrawInterval_;
+    control.maxAttempts_ = settings.maxAttempts_;
+    control.silenceLimit_ = settings.silenceLimit_;
+    return control;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/json/settings.h
@@ -0,0 +1,56 @@
+// The settings file of a daemon.
+#pragma once
+
+#include "adapters/json/fault.h"
+
+#include "core/core.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief An operator whose signature on bundles is trusted.
+struct TrustedOperator
+{
+    OperatorId id_;
+    /// Raw Ed25519 public key in base64.
+    std::string publicKey_;
+};
+
+/// @brief Settings of one daemon. Addresses are "IP:port".
+struct Settings
+{
+    HostId host_;
+    ZoneId zone_;
+    std::string callerAddress_;
+    /// One thread serves each open connection of a caller.
+    std::uint32_t callerConnections_ = 256;
+    std::size_t maxRequestBytes_ = 4U << 20U;
+    std::string adminAddress_;
+    /// SHA-256 of the operators' token for the admin listener.
+    std::string adminTokenSha256_;
+    std::string peerAddress_;
+    std::vector<std::string> storeEndpoints_;
+    std::string storePrefix_ = "/tamarack";
+    Millis storeTimeout_ {1000};
+    std::uint32_t storeWorkers_ = 4;
+    std::string hostListAddress_;
+    std::vector<TrustedOperator> operators_;
+    Millis flushInterval_ {1000};
+    Millis redrawInterval_ {250};
+    Millis silenceLimit_ {5000};
+    Millis stopLimit_ {Seconds {300}};
+    std::uint32_t maxAttempts_ = 3;
+};
+
+/// @brief Reads and checks a settings document.
+/// @param faults receives every fault; the result is usable only if it stays empty
+Settings parseSettings(const std::string &text, Faults &faults);
+
+/// @brief Returns what the control state machine needs of the settings.
+/// @param holder the id of this run of the daemon
+ControlSettings controlSettings(const Settings &settings, HolderId holder);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/logging/logging.h
@@ -0,0 +1,4 @@
+// Public header of the logging adapter.
+#pragma once
+
+#include "adapters/logging/logline.h"
--- /dev/null
+++ b/src/adapters/logging/logline.h
@@ -0,0 +1,20 @@
+// Log lines: one line of key=value pairs for each event, on standard error.
+#pragma once
+
+#include "core/command.h"
+#include "core/time.h"
+
+#include <string>
+
+namespace tamarack {
+
+/// @brief Formats an event as one line without the line feed.
+///
+/// Values with spaces, quotes or control characters are quoted and escaped, so that outside input
+/// cannot forge a line.
+std::string formatLogLine(const LogEvent &event, WallTime at);
+
+/// @brief Writes an event to standard error in one call.
+void writeLogLine(const LogEvent &event);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/shardcodec/storedvalue.h
@@ -0,0 +1,20 @@
+// Encoding of stored values as protobuf.
+#pragma once
+
+#include "core/error.h"
+#include "core/store.h"
+
+#include <string>
+
+namespace tamarack {
+
+/// @brief Encodes a value for the store.
+/// @note O(size of the value)
+std::string encodeStoredValue(const StoredValue &value);
+
+/// @brief Decodes a value of the given kind.
+/// @return an error with id tamarack.stored.101 if the bytes are malformed
+/// @note O(size of the value)
+Result<StoredValue> decodeStoredValue(StoredKind kind, const std::string &bytes);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/control.h
@@ -0,0 +1,112 @@
+// The control state machine of one daemon. It is the only writer of this state and does no I/O:
+// events and the current time go in, commands come out.
+#pragma once
+
+#include "core/command.h"
+#include "core/event.h"
+#include "core/grants.h"
+#include "core/routing.h"
+#include "core/shardcommit.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief What a daemon is told by its settings.
+struct ControlSettings
+{
+    HostId host_;
+    HolderId holder_;
+    ZoneId zone_;
+    /// Prefix of all store keys, so that several fleets can share a store.
+    std::string storePrefix_ = "/tamarack";
+    /// Longest time a bill or settlement waits for company before it is written.
+    Millis flushInterval_ {1000};
+    /// How often waiting requests ask the ledger again while other holders have the tokens.
+    Millis redrawInterval_ {250};
+    /// Exchanges with upstreams for one request, the first included.
+    std::uint32_t maxAttempts_ = 3;
+    Millis silenceLimit_ {5000};
+};
+
+/// @brief How far a request has come inside this daemon.
+enum class RequestStage {
+    /// Waits for tokens of its budget.
+    AwaitingTokens,
+    /// Waits for its intent record to be committed.
+    AwaitingIntent,
+    /// An exchange with an upstream is permitted.
+    Running,
+    /// The caller is answered; the bill is not committed yet.
+    Billing,
+};
+
+/// @brief One admitted request.
+///
+/// Invariant: reserved_ is part of the budget's HeldGrant::reserved_ from stage AwaitingIntent on.
+struct ActiveRequest
+{
+    AdmitRequested ask_;
+    RequestStage stage_ = RequestStage::AwaitingTokens;
+    /// The traffic thread that waits or waited last for a decision.
+    WaiterId waiter_;
+    Tokens reserved_;
+    Tokens used_;
+    /// A byte may have left for an upstream.
+    bool sent_ = false;
+    std::vector<UpstreamId> tried_;
+    AttemptId attempt_;
+    UpstreamId upstream_;
+    bool attemptOpen_ = false;
+    MonoTime admittedAt_ {};
+};
+
+using LedgerCommit = ShardCommit<LedgerShard, LedgerOp>;
+using RequestCommit = ShardCommit<RequestShard, RequestOp>;
+
+/// @brief Which shard a call to the store belongs to.
+struct ShardCall
+{
+    StoredKind kind_ = StoredKind::LedgerShard;
+    ShardNumber shard_;
+};
+
+/// @brief All control state of one daemon.
+///
+/// Invariants: byRequest_ maps each keyed request in active_ to its admission; every CallId in
+/// calls_ is the call_ of exactly one shard.
+struct ControlState
+{
+    ControlSettings settings_;
+    std::shared_ptr<const Bundle> bundle_;
+    std::map<ShardNumber, LedgerCommit> ledger_;
+    std::map<ShardNumber, RequestCommit> requestShards_;
+    std::map<BudgetId, HeldGrant> grants_;
+    std::map<AdmissionId, ActiveRequest> active_;
+    std::unordered_map<RequestId, AdmissionId> byRequest_;
+    std::unordered_map<CallId, ShardCall> calls_;
+    RoutingState routing_;
+    bool stopping_ = false;
+    bool stopCompleted_ = false;
+    std::uint64_t lastId_ = 0;
+};
+
+using Commands = std::vector<Command>;
+
+/// @brief Handles one event.
+/// @return what the daemon must do now, in order
+Commands handle(ControlState &state, const Event &event, Now now);
+
+/// @brief Returns when a Tick is due, or nothing if the state waits for events only.
+/// @note O(shards in use + requests that wait)
+std::optional<MonoTime> nextWake(const ControlState &state);
+
+/// @brief Checks the invariants of the whole state, for tests.
+Result<void> checkInvariants(const ControlState &state);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/controlparts.h
@@ -0,0 +1,58 @@
+// Internal interface between the parts of the control state machine.
+#pragma once
+
+#include "core/control.h"
+
+#include <string>
+#include <utility>
+
+namespace tamarack::detail {
+
+/// @brief Returns a number that is unique within this run of the daemon.
+std::uint64_t nextId(ControlState &state);
+
+/// @brief Appends a log line to @a out.
+void log(Commands &out, LogLevel level, std::string name, std::vector<LogField> fields);
+
+// Requests (controlrequests.cpp)
+
+void onAdmit(ControlState &state, const AdmitRequested &ask, Now now, Commands &out);
+void onAbandoned(ControlState &state, const AdmitAbandoned &event, Now now, Commands &out);
+void onAttemptEnded(ControlState &state, const AttemptEnded &event, Now now, Commands &out);
+void onFinished(ControlState &state, const RequestFinished &event, Now now, Commands &out);
+/// @brief Refuses a request and ends it: bills it if it was sent, else gives back everything.
+void refuse(ControlState &state, const AdmissionId &admission, Refusal refusal, Now now,
+            Commands &out);
+/// @brief Refuses waiting requests whose deadline has passed.
+void expireRequests(ControlState &state, Now now, Commands &out);
+/// @brief Continues a request whose intent is committed or was beaten by another.
+void onIntentCommitted(ControlState &state, const CreateIntentOp &op, Now now, Commands &out);
+/// @brief Turns the reservation of a billed request into spent tokens.
+void onBillCommitted(ControlState &state, const BillOp &op, Now now, Commands &out);
+
+// Budgets (controlbudgets.cpp)
+
+/// @brief Serves or refuses the requests that wait for tokens of @a budget.
+void serveBudget(ControlState &state, const BudgetId &budget, bool refreshed, Now now,
+                 Commands &out);
+/// @brief Continues a request that has its reservation.
+void onReserved(ControlState &state, const AdmissionId &admission, Now now, Commands &out);
+/// @brief Takes over what a committed ledger operation confirmed.
+void onLedgerCommitted(ControlState &state, const LedgerOp &op, Now now, Commands &out);
+/// @brief Returns a reservation and records what was spent of it.
+void settleReservation(ControlState &state, const BudgetId &budget, Tokens reserved, Tokens spent,
+                       Now now);
+/// @brief Submits the settlement of spent tokens unless one is under way.
+void submitSettle(ControlState &state, const BudgetId &budget, Now now);
+/// @brief Hands all grants back, as part of a planned stop.
+void releaseGrants(ControlState &state, Now now);
+
+// Store calls (controlcommits.cpp)
+
+LedgerCommit &ledgerShard(ControlState &state, const BudgetId &budget);
+RequestCommit &requestShard(ControlState &state, const RequestId &request);
+void onStoreReply(ControlState &state, const StoreReply &reply, Now now, Commands &out);
+/// @brief Starts every call that is due.
+void startCalls(ControlState &state, Now now, Commands &out);
+
+} // namespace tamarack::detail
--- /dev/null
+++ b/src/core/controlrequests.cpp
@@ -0,0 +1,357 @@
+// Requests: admission, intents, attempts, refusals and bills.
+#include "core/controlparts.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace tamarack::detail {
+
+namespace {
+
+void reply(const ActiveRequest &request, Decision decision, Commands &out)
+{
+    out.emplace_back(ReplyTo {request.waiter_, std::move(decision)});
+}
+
+void removeRequest(ControlState &state, const AdmissionId &admission)
+{
+    const auto it = state.active_.find(admission);
+    const auto byRequest = state.byRequest_.find(it->second.ask_.request_);
+    if (byRequest != state.byRequest_.end() && byRequest->second == admission)
+        state.byRequest_.erase(byRequest);
+    state.active_.erase(it);
+}
+
+/// Withdraws the intent of a request that will never be sent.
+void withdrawIntent(ControlState &state, const AdmissionId &admission, Now now)
+{
+    const ActiveRequest &request = state.active_.at(admission);
+    if (request.ask_.idempotent_ || request.stage_ == RequestStage::AwaitingTokens)
+        return;
+    submitOp(requestShard(state, request.ask_.request_),
+             RequestOp {WithdrawIntentOp {request.ask_.request_, admission, now.wall_}}, now.mono_);
+}
+
+/// Ends a request of which no byte was sent: nothing is billed.
+void dropUnsent(ControlState &state, const AdmissionId &admission, Now now)
+{
+    const ActiveRequest &request = state.active_.at(admission);
+    withdrawIntent(state, admission, now);
+    if (request.reserved_ > Tokens {})
+        settleReservation(state, request.ask_.budget_, request.reserved_, Tokens {}, now);
+    removeRequest(state, admission);
+}
+
+void startBilling(ControlState &state, const AdmissionId &admission, Tokens used,
+                  Completeness completeness, Now now)
+{
+    ActiveRequest &request = state.active_.at(admission);
+    // The reservation is an upper bound of the cost, so an upstream that reports more is wrong.
+    request.used_ = std::min(used, request.reserved_);
+    settleReservation(state, request.ask_.budget_, request.reserved_ - request.used_, Tokens {},
+                      now);
+    request.reserved_ = request.used_;
+    request.stage_ = RequestStage::Billing;
+    BillOp bill;
+    bill.request_ = request.ask_.request_;
+    bill.holder_ = state.settings_.holder_;
+    bill.admission_ = admission;
+    bill.account_ = request.ask_.account_;
+    bill.budget_ = request.ask_.budget_;
+    bill.charged_ = request.used_;
+    bill.completeness_ = completeness;
+    bill.at_ = now.wall_;
+    submitOp(requestShard(state, request.ask_.request_), RequestOp {std::move(bill)},
+             now.mono_ + state.settings_.flushInterval_);
+}
+
+void closeAttempt(ControlState &state, ActiveRequest &request, AttemptResult result, Now now)
+{
+    if (!request.attemptOpen_)
+        return;
+    request.attemptOpen_ = false;
+    noteAttemptEnded(state.routing_, request.upstream_, result, now.mono_);
+}
+
+Refusal noUpstream(const ActiveRequest &request)
+{
+    const bool engine = request.ask_.kind_ == UpstreamKind::ModelEngine;
+    const std::string &name = engine ? request.ask_.model_.value_ : request.ask_.service_.value_;
+    return Refusal {RefusalReason::NoUpstream, Execution::NotRun,
+                    fmt::format("no live upstream serves {} {}; retry later or ask the operators",
+                                engine ? "model" : "service", name),
+                    Millis {1000}};
+}
+
+Refusal attemptsFailed(const ActiveRequest &request)
+{
+    if (!request.sent_)
+        return Refusal {RefusalReason::UpstreamFailed, Execution::NotRun,
+                        "no upstream could be reached; retry later", Millis {1000}};
+    return Refusal {RefusalReason::UpstreamFailed, Execution::Unknown,
+                    request.ask_.idempotent_
+                        ? "all permitted attempts failed; retry with the same idempotency key"
+                        : "the upstream did not confirm the call; check its effect before a retry",
+                    std::nullopt};
+}
+
+/// Permits the next exchange with an upstream, or refuses the request.
+void dispatch(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
+{
+    ActiveRequest &request = state.active_.at(admission);
+    const RouteQuery query {request.ask_.kind_, request.ask_.model_, request.ask_.service_,
+                            state.settings_.zone_, request.tried_};
+    const std::optional<UpstreamId> chosen
+        = chooseUpstream(state.routing_, *state.bundle_, query, now.mono_);
+    if (!chosen) {
+        refuse(state, admission, request.sent_ ? attemptsFailed(request) : noUpstream(request), now,
+               out);
+        return;
+    }
+    request.stage_ = RequestStage::Running;
+    request.upstream_ = *chosen;
+    request.attempt_ = AttemptId {fmt::format("{}.{}", admission.value_, request.tried_.size())};
+    request.attemptOpen_ = true;
+    request.tried_.push_back(*chosen);
+    noteDispatch(state.routing_, *chosen);
+    log(out, LogLevel::Info, "request.dispatch",
+        {{"request", request.ask_.request_.value_},
+         {"attempt", request.attempt_.value_},
+         {"upstream", chosen->value_},
+         {"account", request.ask_.account_.value_},
+         {"reserved", std::to_string(request.reserved_.count_)}});
+    reply(request,
+          Dispatch {admission, request.attempt_, *chosen,
+                    state.bundle_->upstreams_.at(*chosen).address_, state.settings_.silenceLimit_},
+          out);
+}
+
+bool mayRetry(const ControlState &state, const ActiveRequest &request, AttemptResult result,
+              Now now)
+{
+    // A non-idempotent request is never sent again once a byte has left.
+    if (!request.ask_.idempotent_ && result != AttemptResult::NotSent)
+        return false;
+    return request.tried_.size() < state.settings_.maxAttempts_
+        && now.mono_ < request.ask_.deadline_;
+}
+
+/// Refuses a non-idempotent request that another admission of the same request id precedes.
+void refuseRepeated(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
+{
+    const ActiveRequest &request = state.active_.at(admission);
+    const RequestShard &shard = requestShard(state, request.ask_.request_).copy_;
+    const auto record = shard.records_.find(request.ask_.request_);
+    const bool billed
+        = record != shard.records_.end() && record->second.phase_ == RequestPhase::Billed;
+    refuse(state, admission,
+           Refusal {RefusalReason::OutcomeUnknown, billed ? Execution::Ran : Execution::Unknown,
+                    billed ? "this idempotency key was used before and its request was billed; its "
+                             "answer is not kept"
+                           : "a request with this idempotency key was sent before and its outcome "
+                             "is not known; check its effect before using a new key",
+                    std::nullopt},
+           now, out);
+}
+
+std::optional<Refusal> admissionFault(const ControlState &state, const AdmitRequested &ask)
+{
+    if (state.stopping_)
+        return Refusal {RefusalReason::Stopping, Execution::NotRun,
+                        "this daemon is stopping; send the request again", Millis {0}};
+    if (!state.bundle_)
+        return Refusal {RefusalReason::Stopping, Execution::NotRun,
+                        "this daemon holds no bundle yet; retry later", Millis {1000}};
+    const auto budget = state.bundle_->budgets_.find(ask.budget_);
+    if (budget == state.bundle_->budgets_.end() || budget->second.account_ != ask.account_)
+        return Refusal {RefusalReason::BudgetNotOwned, Execution::NotRun,
+                        fmt::format("budget {} does not belong to client account {}; name one of "
+                                    "its budgets",
+                                    ask.budget_.value_, ask.account_.value_),
+                        std::nullopt};
+    if (!ask.idempotent_ && state.byRequest_.contains(ask.request_))
+        return Refusal {RefusalReason::OutcomeUnknown, Execution::Unknown,
+                        "a request with this idempotency key is running; wait for its answer",
+                        Millis {1000}};
+    return std::nullopt;
+}
+
+} // namespace
+
+void refuse(ControlState &state, const AdmissionId &admission, Refusal refusal, Now now,
+            Commands &out)
+{
+    ActiveRequest &request = state.active_.at(admission);
+    log(out, LogLevel::Info, "request.refuse",
+        {{"request", request.ask_.request_.value_},
+         {"account", request.ask_.account_.value_},
+         {"budget", request.ask_.budget_.value_},
+         {"reason", std::string(refusalCode(refusal.reason_))},
+         {"execution", std::string(executionCode(refusal.execution_))}});
+    reply(request, std::move(refusal), out);
+    if (request.sent_)
+        startBilling(state, admission, request.used_, Completeness::None, now);
+    else
+        dropUnsent(state, admission, now);
+}
+
+void onAdmit(ControlState &state, const AdmitRequested &ask, Now now, Commands &out)
+{
+    if (std::optional<Refusal> fault = admissionFault(state, ask)) {
+        log(out, LogLevel::Info, "request.refuse",
+            {{"request", ask.request_.value_},
+             {"account", ask.account_.value_},
+             {"reason", std::string(refusalCode(fault->reason_))},
+             {"execution", std::string(executionCode(fault->execution_))}});
+        out.emplace_back(ReplyTo {ask.waiter_, std::move(*fault)});
+        return;
+    }
+    // Padding keeps the order of the container equal to the order of arrival.
+    const AdmissionId admission {
+        fmt::format("{}.{:012}", state.settings_.holder_.value_, nextId(state))};
+    ActiveRequest request;
+    request.ask_ = ask;
+    request.waiter_ = ask.waiter_;
+    request.admittedAt_ = now.mono_;
+    state.active_.emplace(admission, std::move(request));
+    state.byRequest_.try_emplace(ask.request_, admission);
+    serveBudget(state, ask.budget_, false, now, out);
+}
+
+void onReserved(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
+{
+    ActiveRequest &request = state.active_.at(admission);
+    if (request.ask_.idempotent_) {
+        dispatch(state, admission, now, out);
+        return;
+    }
+    request.stage_ = RequestStage::AwaitingIntent;
+    submitOp(requestShard(state, request.ask_.request_),
+             RequestOp {CreateIntentOp {request.ask_.request_, state.settings_.holder_, admission,
+                                        request.ask_.account_, request.ask_.budget_, now.wall_}},
+             now.mono_);
+}
+
+void onIntentCommitted(ControlState &state, const CreateIntentOp &op, Now now, Commands &out)
+{
+    const auto it = state.active_.find(op.admission_);
+    if (it == state.active_.end() || it->second.stage_ != RequestStage::AwaitingIntent)
+        return;
+    if (ownsIntent(requestShard(state, op.request_).copy_, op.request_, op.admission_))
+        dispatch(state, op.admission_, now, out);
+    else
+        refuseRepeated(state, op.admission_, now, out);
+}
+
+void onAttemptEnded(ControlState &state, const AttemptEnded &event, Now now, Commands &out)
+{
+    const auto it = state.active_.find(event.admission_);
+    if (it == state.active_.end() || it->second.attempt_ != event.attempt_)
+        return;
+    ActiveRequest &request = it->second;
+    closeAttempt(state, request, event.result_, now);
+    request.sent_ |= event.result_ != AttemptResult::NotSent;
+    request.used_ = std::max(request.used_, event.used_);
+    log(out, LogLevel::Info, "request.attempt_ended",
+        {{"request", request.ask_.request_.value_},
+         {"attempt", event.attempt_.value_},
+         {"upstream", request.upstream_.value_},
+         {"result", std::string(attemptResultCode(event.result_))}});
+    if (!event.retryWaiter_)
+        return;
+    request.waiter_ = *event.retryWaiter_;
+    if (mayRetry(state, request, event.result_, now))
+        dispatch(state, event.admission_, now, out);
+    else
+        refuse(state, event.admission_, attemptsFailed(request), now, out);
+}
+
+void onFinished(ControlState &state, const RequestFinished &event, Now now, Commands &out)
+{
+    const auto it = state.active_.find(event.admission_);
+    if (it == state.active_.end() || it->second.stage_ != RequestStage::Running)
+        return;
+    closeAttempt(state, it->second, AttemptResult::Whole, now);
+    log(out, LogLevel::Info, "request.finished",
+        {{"request", it->second.ask_.request_.value_},
+         {"account", it->second.ask_.account_.value_},
+         {"budget", it->second.ask_.budget_.value_},
+         {"used", std::to_string(event.used_.count_)},
+         {"reserved", std::to_string(it->second.reserved_.count_)},
+         {"whole", event.completeness_ == Completeness::Whole ? "true" : "false"}});
+    startBilling(state, event.admission_, event.used_, event.completeness_, now);
+}
+
+void onBillCommitted(ControlState &state, const BillOp &op, Now now, Commands &out)
+{
+    const auto it = state.active_.find(op.admission_);
+    if (it == state.active_.end())
+        return;
+    const bool own = ownsBill(requestShard(state, op.request_).copy_, op.request_, op.admission_);
+    log(out, LogLevel::Info, own ? "request.billed" : "request.bill_dropped",
+        {{"request", op.request_.value_},
+         {"budget", op.budget_.value_},
+         {"charged", std::to_string(op.charged_.count_)}});
+    settleReservation(state, op.budget_, it->second.reserved_, own ? op.charged_ : Tokens {}, now);
+    removeRequest(state, op.admission_);
+}
+
+void onAbandoned(ControlState &state, const AdmitAbandoned &event, Now now, Commands &out)
+{
+    const auto it
+        = std::find_if(state.active_.begin(), state.active_.end(),
+                       [&](const auto &entry) { return entry.second.waiter_ == event.waiter_; });
+    if (it == state.active_.end() || it->second.stage_ == RequestStage::Billing)
+        return;
+    const AdmissionId admission = it->first;
+    closeAttempt(state, it->second, AttemptResult::Cancelled, now);
+    log(out, LogLevel::Warning, "request.abandoned",
+        {{"request", it->second.ask_.request_.value_}});
+    if (it->second.sent_)
+        startBilling(state, admission, it->second.used_, Completeness::None, now);
+    else
+        dropUnsent(state, admission, now);
+}
+
+void expireRequests(ControlState &state, Now now, Commands &out)
+{
+    std::vector<AdmissionId> expired;
+    for (const auto &[id, request] : state.active_) {
+        const bool waits = request.stage_ == RequestStage::AwaitingTokens
+            || request.stage_ == RequestStage::AwaitingIntent;
+        if (waits && request.ask_.deadline_ <= now.mono_)
+            expired.push_back(id);
+    }
+    for (const AdmissionId &id : expired) {
+        const ActiveRequest &request = state.active_.at(id);
+        const std::string &budget = request.ask_.budget_.value_;
+        if (request.stage_ == RequestStage::AwaitingIntent)
+            refuse(state, id,
+                   Refusal {RefusalReason::DeadlineExceeded, Execution::NotRun,
+                            "the intent could not be recorded before the deadline; the request was "
+                            "not sent, retry later",
+                            Millis {1000}},
+                   now, out);
+        else if (ledgerShard(state, request.ask_.budget_).loaded_)
+            refuse(
+                state, id,
+                Refusal {RefusalReason::BudgetHeldElsewhere, Execution::NotRun,
+                         fmt::format("the unspent tokens of budget {} are held by other requests "
+                                     "or daemons; retry later",
+                                     budget),
+                         Millis {1000}},
+                now, out);
+        else
+            refuse(
+                state, id,
+                Refusal {RefusalReason::BudgetUnconfirmed, Execution::NotRun,
+                         fmt::format("the store could not confirm tokens of budget {} before the "
+                                     "deadline; retry later",
+                                     budget),
+                         Millis {1000}},
+                now, out);
+    }
+}
+
+} // namespace tamarack::detail
--- /dev/null
+++ b/src/core/grants.cpp
@@ -0,0 +1,71 @@
+// Reservations and sizes of the grants that this daemon holds.
+#include "core/grants.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack {
+
+namespace {
+
+/// Time constant of the smoothed burn rate.
+constexpr std::chrono::duration<double> burnRateWindow {10.0};
+
+void updateBurnRate(HeldGrant &grant, Tokens spent, MonoTime now)
+{
+    const std::chrono::duration<double> gap = now - grant.lastSpent_;
+    const double decay = std::exp(-gap / burnRateWindow);
+    grant.burnRate_
+        = grant.burnRate_ * decay + static_cast<double>(spent.count_) / burnRateWindow.count();
+    grant.lastSpent_ = now;
+}
+
+} // namespace
+
+Tokens available(const HeldGrant &grant)
+{
+    return grant.armed_ - grant.spent_ - grant.reserved_;
+}
+
+bool tryReserve(HeldGrant &grant, Tokens amount)
+{
+    if (available(grant) < amount)
+        return false;
+    grant.reserved_ += amount;
+    return true;
+}
+
+void spendReserved(HeldGrant &grant, Tokens reserved, Tokens spent, MonoTime now)
+{
+    grant.reserved_ -= reserved;
+    grant.spent_ += spent;
+    if (spent > Tokens {})
+        updateBurnRate(grant, spent, now);
+}
+
+Tokens drawTarget(const HeldGrant &grant, Tokens needed, Tokens unallocated,
+                  const ReachPolicy &reach)
+{
+    const std::chrono::duration<double> reachTime = reach.offlineReach_;
+    const Tokens ahead {static_cast<std::int64_t>(grant.burnRate_ * reachTime.count())};
+    const Tokens share {unallocated.count_ * reach.maxSharePerMille_ / 1000};
+    const Tokens wanted = std::max(needed, std::min(needed + ahead, share));
+    return grant.spent_ + grant.reserved_ + wanted;
+}
+
+Result<void> checkInvariants(const HeldGrant &grant)
+{
+    const bool valid = grant.spent_ >= grant.settled_ && grant.reserved_ >= Tokens {}
+        && available(grant) >= Tokens {};
+    if (!valid)
+        return fail(ErrorKind::LedgerInvariant, "tamarack.grant.101",
+                    fmt::format("grant {}: armed {}, spent {}, settled {}, reserved {} are "
+                                "inconsistent; restart this daemon and report this",
+                                grant.id_.value_, grant.armed_.count_, grant.spent_.count_,
+                                grant.settled_.count_, grant.reserved_.count_));
+    return {};
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/grants.h
@@ -0,0 +1,60 @@
+// The grants that this daemon holds: what it may spend without asking the store.
+#pragma once
+
+#include "core/bundle.h"
+#include "core/error.h"
+#include "core/ids.h"
+#include "core/ledger.h"
+#include "core/time.h"
+#include "core/tokens.h"
+
+namespace tamarack {
+
+/// @brief A grant of this daemon, as far as the store has confirmed it.
+///
+/// Invariant: spent_ >= settled_, reserved_ >= 0, spent_ + reserved_ <= armed_.
+struct HeldGrant
+{
+    GrantId id_;
+    /// Cumulative tokens armed, confirmed by the store.
+    Tokens armed_;
+    /// Cumulative tokens billed from this grant.
+    Tokens spent_;
+    /// Part of spent_ that the ledger shard has recorded.
+    Tokens settled_;
+    /// Worst cases of requests that are not billed yet.
+    Tokens reserved_;
+    /// A draw operation was submitted and is not committed yet.
+    bool drawing_ = false;
+    /// A settle operation was submitted and is not committed yet.
+    bool settling_ = false;
+    /// A release operation was submitted; nothing more may be reserved.
+    bool releasing_ = false;
+    /// Tokens spent per second, smoothed.
+    double burnRate_ = 0.0;
+    MonoTime lastSpent_ {};
+};
+
+/// @brief Tokens that can be reserved now.
+Tokens available(const HeldGrant &grant);
+
+/// @brief Reserves @a amount if it is available.
+/// @return false if it is not; the grant is unchanged then
+bool tryReserve(HeldGrant &grant, Tokens amount);
+
+/// @brief Gives back a reservation and spends part of it.
+/// @pre spent <= reserved
+void spendReserved(HeldGrant &grant, Tokens reserved, Tokens spent, MonoTime now);
+
+/// @brief Returns the cumulative armed total to ask the ledger for.
+///
+/// The result covers the request at hand and the reach policy's time at the current burn rate, but
+/// at most the policy's share of what is unallocated, so that grants shrink near exhaustion.
+/// @param needed worst case of the requests that are waiting
+Tokens drawTarget(const HeldGrant &grant, Tokens needed, Tokens unallocated,
+                  const ReachPolicy &reach);
+
+/// @brief Checks the invariant of a grant.
+Result<void> checkInvariants(const HeldGrant &grant);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/ledger.cpp
@@ -0,0 +1,189 @@
+// Operations and invariants of ledger shards.
+#include "core/ledger.h"
+
+#include "core/hash.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+Tokens unsettled(const Grant &grant)
+{
+    return grant.armed_ - grant.settled_;
+}
+
+BudgetRecord *findBudget(LedgerShard &shard, const BudgetId &budget)
+{
+    auto it = shard.budgets_.find(budget);
+    return it == shard.budgets_.end() ? nullptr : &it->second;
+}
+
+Grant *findGrant(LedgerShard &shard, const BudgetId &budget, const GrantId &grant)
+{
+    BudgetRecord *record = findBudget(shard, budget);
+    if (!record)
+        return nullptr;
+    auto it = record->grants_.find(grant);
+    return it == record->grants_.end() ? nullptr : &it->second;
+}
+
+bool settleTo(BudgetRecord &record, Grant &grant, Tokens settledTotal)
+{
+    const Tokens total = std::min(settledTotal, grant.armed_);
+    if (total <= grant.settled_)
+        return false;
+    record.charged_ += total - grant.settled_;
+    grant.settled_ = total;
+    return true;
+}
+
+bool apply(LedgerShard &shard, const FundOp &op)
+{
+    BudgetRecord &record = shard.budgets_[op.budget_];
+    if (op.version_ <= record.fundedBy_)
+        return false;
+    record.fundedBy_ = op.version_;
+    record.funded_ = std::max(op.funded_, committed(record));
+    return true;
+}
+
+bool apply(LedgerShard &shard, const DrawOp &op)
+{
+    BudgetRecord *record = findBudget(shard, op.budget_);
+    if (!record)
+        return false;
+    const auto it = record->grants_.find(op.grant_);
+    Grant grant = it == record->grants_.end() ? Grant {op.holder_, {}, {}, {}, GrantState::Active}
+                                              : it->second;
+    // A written-off holder that returns may settle, but it must draw from a new grant.
+    if (grant.state_ == GrantState::WrittenOff)
+        return false;
+    const Tokens available = unallocated(*record) + grant.reserve_;
+    if (grant.armed_ + available < op.atLeast_)
+        return false;
+    const Tokens arm = std::clamp(op.armedTotal_ - grant.armed_, Tokens {}, available);
+    const Tokens reserve = std::min(op.reserve_, available - arm);
+    const bool changed = arm != Tokens {} || reserve != grant.reserve_;
+    if (!changed)
+        return false;
+    grant.armed_ += arm;
+    grant.reserve_ = reserve;
+    record->grants_[op.grant_] = std::move(grant);
+    return true;
+}
+
+bool apply(LedgerShard &shard, const SettleOp &op)
+{
+    Grant *grant = findGrant(shard, op.budget_, op.grant_);
+    return grant && settleTo(shard.budgets_[op.budget_], *grant, op.settledTotal_);
+}
+
+bool apply(LedgerShard &shard, const ReleaseOp &op)
+{
+    Grant *grant = findGrant(shard, op.budget_, op.grant_);
+    if (!grant)
+        return false;
+    BudgetRecord &record = shard.budgets_[op.budget_];
+    settleTo(record, *grant, op.settledTotal_);
+    record.grants_.erase(op.grant_);
+    return true;
+}
+
+bool apply(LedgerShard &shard, const RevokeReserveOp &op)
+{
+    Grant *grant = findGrant(shard, op.budget_, op.grant_);
+    if (!grant || grant->reserve_ == Tokens {})
+        return false;
+    grant->reserve_ = Tokens {};
+    return true;
+}
+
+bool apply(LedgerShard &shard, const WriteOffOp &op)
+{
+    Grant *grant = findGrant(shard, op.budget_, op.grant_);
+    if (!grant || grant->state_ == GrantState::WrittenOff)
+        return false;
+    grant->state_ = GrantState::WrittenOff;
+    grant->reserve_ = Tokens {};
+    return true;
+}
+
+} // namespace
+
+Tokens lost(const BudgetRecord &record)
+{
+    Tokens sum;
+    for (const auto &[id, grant] : record.grants_) {
+        if (grant.state_ == GrantState::WrittenOff)
+            sum += unsettled(grant);
+    }
+    return sum;
+}
+
+Tokens outstanding(const BudgetRecord &record)
+{
+    Tokens sum;
+    for (const auto &[id, grant] : record.grants_) {
+        if (grant.state_ == GrantState::Active)
+            sum += unsettled(grant) + grant.reserve_;
+    }
+    return sum;
+}
+
+Tokens committed(const BudgetRecord &record)
+{
+    return record.charged_ + lost(record) + outstanding(record);
+}
+
+Tokens unallocated(const BudgetRecord &record)
+{
+    return std::max(record.funded_ - committed(record), Tokens {});
+}
+
+bool applyOp(LedgerShard &shard, const LedgerOp &op)
+{
+    return std::visit([&shard](const auto &concrete) { return apply(shard, concrete); }, op);
+}
+
+const BudgetId &budgetOf(const LedgerOp &op)
+{
+    return std::visit([](const auto &concrete) -> const BudgetId & { return concrete.budget_; },
+                      op);
+}
+
+Result<void> checkInvariants(const LedgerShard &shard)
+{
+    for (const auto &[id, record] : shard.budgets_) {
+        if (committed(record) > record.funded_)
+            return fail(
+                ErrorKind::LedgerInvariant, "tamarack.ledger.101",
+                fmt::format("budget {}: charged {} + lost {} + outstanding {} exceeds funded "
+                            "{}; stop the daemons and report this",
+                            id.value_, record.charged_.count_, lost(record).count_,
+                            outstanding(record).count_, record.funded_.count_));
+        for (const auto &[grantId, grant] : record.grants_) {
+            const bool settledInRange
+                = grant.settled_ >= Tokens {} && grant.settled_ <= grant.armed_;
+            const bool reserveValid = grant.reserve_ == Tokens {}
+                || (grant.reserve_ > Tokens {} && grant.state_ == GrantState::Active);
+            if (!settledInRange || !reserveValid)
+                return fail(ErrorKind::LedgerInvariant, "tamarack.ledger.102",
+                            fmt::format("budget {} grant {}: armed {}, reserve {}, settled {} are "
+                                        "inconsistent; stop the daemons and report this",
+                                        id.value_, grantId.value_, grant.armed_.count_,
+                                        grant.reserve_.count_, grant.settled_.count_));
+        }
+    }
+    return {};
+}
+
+ShardNumber ledgerShardOf(const BudgetId &budget, std::uint32_t shardCount)
+{
+    return ShardNumber {hash64(budget.value_) % shardCount};
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/daemon/admin.cpp
@@ -0,0 +1,165 @@
+// The administration interface of a daemon.
+#include "daemon/admin.h"
+
+#include <Poco/JSON/Object.h>
+
+#include <sstream>
+
+namespace tamarack {
+
+namespace {
+
+using Poco::JSON::Object;
+
+constexpr std::string_view budgetsPrefix = "/v1/budgets/";
+constexpr std::string_view requestsPrefix = "/v1/requests/";
+
+std::string format(const Object &object)
+{
+    std::ostringstream text;
+    object.stringify(text);
+    return text.str();
+}
+
+AdminReply errorReply(int status, const std::string &message)
+{
+    Object object;
+    object.set("error", message);
+    return AdminReply {status, "application/json", format(object)};
+}
+
+std::shared_ptr<const Bundle> currentBundle(const AdminContext &context)
+{
+    const std::shared_ptr<const Snapshot> snapshot = context.traffic_.snapshot_.load();
+    return snapshot ? snapshot->bundle_ : nullptr;
+}
+
+AdminReply status(const AdminContext &context)
+{
+    const std::shared_ptr<const Snapshot> snapshot = context.traffic_.snapshot_.load();
+    const bool loaded = snapshot && snapshot->bundle_;
+    Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("host", context.host_.value_);
+    object.set("bundle_version", loaded ? snapshot->bundle_->version_.value_ : 0);
+    object.set("stopping", snapshot && snapshot->stopping_);
+    return AdminReply {200, "application/json", format(object)};
+}
+
+AdminReply submit(const AdminContext &context, const AdminCall &call)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<AdminReply> {
+            BOOST_LEAF_AUTO(submission, parseSubmission(call.body_));
+            BOOST_LEAF_AUTO(version, submitBundle(context.bundles_, submission));
+            Object object;
+            object.set("version", version.value_);
+            return AdminReply {200, "application/json", format(object)};
+        },
+        [](const Error &error) {
+            const bool unavailable = error.kind_ == ErrorKind::StoreUnavailable;
+            return errorReply(unavailable ? 503 : 409, error.id_ + ": " + error.message_);
+        },
+        [] { return errorReply(500, "internal error; report this"); });
+}
+
+Object grantObject(const GrantId &id, const Grant &grant)
+{
+    Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("grant", id.value_);
+    object.set("holder", grant.holder_.value_);
+    object.set("armed", grant.armed_.count_);
+    object.set("reserve", grant.reserve_.count_);
+    object.set("settled", grant.settled_.count_);
+    object.set("written_off", grant.state_ == GrantState::WrittenOff);
+    return object;
+}
+
+AdminReply budget(const AdminContext &context, const BudgetId &id)
+{
+    const std::shared_ptr<const Bundle> bundle = currentBundle(context);
+    if (!bundle)
+        return errorReply(503, "no bundle is loaded yet; retry later");
+    const ShardNumber shard = ledgerShardOf(id, bundle->policies_.ledgerShards_);
+    const StoreReply reply = context.bundles_.store_.call_(
+        ReadCall {StoreKey {context.bundles_.prefix_ + "/ledger/" + std::to_string(shard.value_)},
+                  StoredKind::LedgerShard});
+    if (reply.status_ != StoreStatus::Ok)
+        return errorReply(503, "the store does not answer; retry later");
+    const LedgerShard ledger
+        = reply.current_.value_ ? std::get<LedgerShard>(*reply.current_.value_) : LedgerShard {};
+    const auto found = ledger.budgets_.find(id);
+    if (found == ledger.budgets_.end())
+        return errorReply(404, "budget " + id.value_ + " was never drawn on; check its name");
+    const BudgetRecord &record = found->second;
+    Poco::JSON::Array grants;
+    for (const auto &[grantId, grant] : record.grants_)
+        grants.add(grantObject(grantId, grant));
+    Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("budget", id.value_);
+    object.set("funded", record.funded_.count_);
+    object.set("funded_by_version", record.fundedBy_.value_);
+    object.set("charged", record.charged_.count_);
+    object.set("lost", lost(record).count_);
+    object.set("outstanding", outstanding(record).count_);
+    object.set("unallocated", unallocated(record).count_);
+    object.set("grants", grants);
+    return AdminReply {200, "application/json", format(object)};
+}
+
+std::string phaseName(RequestPhase phase)
+{
+    switch (phase) {
+    case RequestPhase::Intent:
+        return "intent";
+    case RequestPhase::Withdrawn:
+        return "withdrawn";
+    case RequestPhase::Billed:
+        break;
+    }
+    return "billed";
+}
+
+AdminReply requestRecord(const AdminContext &context, const RequestId &id)
+{
+    const std::shared_ptr<const Bundle> bundle = currentBundle(context);
+    if (!bundle)
+        return errorReply(503, "no bundle is loaded yet; retry later");
+    const ShardNumber shard = requestShardOf(id, bundle->policies_.requestShards_);
+    const StoreReply reply = context.bundles_.store_.call_(
+        ReadCall {StoreKey {context.bundles_.prefix_ + "/requests/" + std::to_string(shard.value_)},
+                  StoredKind::RequestShard});
+    if (reply.status_ != StoreStatus::Ok)
+        return errorReply(503, "the store does not answer; retry later");
+    const RequestShard records
+        = reply.current_.value_ ? std::get<RequestShard>(*reply.current_.value_) : RequestShard {};
+    const auto found = records.records_.find(id);
+    if (found == records.records_.end())
+        return errorReply(404, "request " + id.value_ + " has no record; check its id");
+    const RequestRecord &record = found->second;
+    Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("request", id.value_);
+    object.set("phase", phaseName(record.phase_));
+    object.set("account", record.account_.value_);
+    object.set("budget", record.budget_.value_);
+    object.set("charged", record.charged_.count_);
+    object.set("estimated", record.estimated_);
+    object.set("holder", record.holder_.value_);
+    return AdminReply {200, "application/json", format(object)};
+}
+
+} // namespace
+
+AdminReply handleAdmin(const AdminContext &context, const AdminCall &call)
+{
+    if (call.method_ == "POST" && call.path_ == "/v1/bundle")
+        return submit(context, call);
+    if (call.method_ == "GET" && call.path_ == "/v1/status")
+        return status(context);
+    if (call.method_ == "GET" && call.path_.starts_with(budgetsPrefix))
+        return budget(context, BudgetId {call.path_.substr(budgetsPrefix.size())});
+    if (call.method_ == "GET" && call.path_.starts_with(requestsPrefix))
+        return requestRecord(context, RequestId {call.path_.substr(requestsPrefix.size())});
+    return errorReply(404, "no such path; see docs/operations.md for the administration interface");
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/daemon/controlloop.cpp
@@ -0,0 +1,47 @@
+// The control thread.
+#include "daemon/controlloop.h"
+
+namespace tamarack {
+
+namespace {
+
+struct Executor
+{
+    ControlLoop &loop_;
+    bool &running_;
+
+    void operator()(ReplyTo &command) const
+    {
+        fillSlot(loop_.traffic_.slots_, command.waiter_, std::move(command.decision_));
+    }
+    void operator()(SubmitStoreCall &command) const
+    {
+        submitStoreCall(loop_.store_, std::move(command));
+    }
+    void operator()(PublishSnapshot &command) const
+    {
+        loop_.traffic_.snapshot_.store(std::move(command.snapshot_));
+    }
+    void operator()(const WriteLog &command) const { loop_.log_.write_(command.event_); }
+    void operator()(const StopCompleted &) const { running_ = false; }
+};
+
+Now currentTime()
+{
+    return Now {std::chrono::steady_clock::now(), std::chrono::system_clock::now()};
+}
+
+} // namespace
+
+void runControlLoop(ControlLoop &loop, ControlState state)
+{
+    bool running = true;
+    while (running) {
+        const std::optional<Event> event = take(loop.queue_, nextWake(state));
+        for (Command &command : handle(state, event.value_or(Tick {}), currentTime()))
+            std::visit(Executor {loop, running}, command);
+    }
+    loop.onStopped_();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/daemon/controlloop.h
@@ -0,0 +1,26 @@
+// The control thread: the only thread that touches the control state.
+#pragma once
+
+#include "daemon/eventqueue.h"
+#include "daemon/storeworkers.h"
+#include "traffic/traffic.h"
+
+#include <functional>
+
+namespace tamarack {
+
+/// @brief What the control thread needs to carry out commands.
+struct ControlLoop
+{
+    EventQueue &queue_;
+    StoreWorkers &store_;
+    TrafficContext &traffic_;
+    LogPort log_;
+    /// Called once, when a planned stop is complete.
+    std::function<void()> onStopped_;
+};
+
+/// @brief Runs until a planned stop is complete.
+void runControlLoop(ControlLoop &loop, ControlState state);
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/e2e-thinpath.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# The whole path through separate processes: bundle, plain and streamed answer, a call that may run
+# once, exhaustion and top-up. Guards against parts that work alone but not together.
+set -euo pipefail
+BIN=${1:?usage: e2e-thinpath.sh BIN_FOLDER}
+# shellcheck source=examples/fleet.sh
+. "$(dirname "$0")/../examples/fleet.sh"
+
+expect() {
+    case $2 in
+    *"$3"*) echo "ok: $1" ;;
+    *)
+        echo "FAILED: $1: expected $3 in: $2" >&2
+        cat "$WORK/daemon.log" >&2
+        exit 1
+        ;;
+    esac
+}
+
+start_fleet
+ask='{"model":"small","messages":[{"role":"user","content":"hello"}],"max_tokens":32'
+expect "no bundle, no service" "$(chat "$ask}")" '"execution":"not_run"'
+write_bundle 300
+submit 1
+expect "plain answer" "$(chat "$ask}")" '"total_tokens":12'
+stream=$(chat "$ask,\"stream\":true}")
+expect "streamed answer" "$stream" 'w7'
+expect "stream terminator" "$stream" 'data: [DONE]'
+expect "unknown key" "$(CALLER_KEY=wrong chat "$ask}")" 'unknown_key'
+call() {
+    curl -s -H "Authorization: Bearer demo-caller-key" "$@" -d x "http://$CALLERS/services/accounts/create"
+}
+expect "key is required" "$(call)" 'invalid_request'
+expect "service call" "$(call -H "Idempotency-Key: k1")" 'POST /create x'
+expect "service call is not repeated" "$(call -H "Idempotency-Key: k1")" 'outcome_unknown'
+expect "service ran once" "$(curl -s "http://$SERVICE/runs")" '1'
+expect "too large for the budget" \
+    "$(chat '{"model":"small","messages":[],"max_tokens":5000}')" 'budget_exhausted'
+write_bundle 9000
+submit 2
+expect "top-up" "$(chat '{"model":"small","messages":[],"max_tokens":5000}')" '"total_tokens":12'
+for _ in $(seq 100); do
+    shown=$("$BIN/tamarackctl" budget onboarding-2026 --admin "$ADMIN")
+    case $shown in *'"charged":41,'*) break ;; esac
+    sleep 0.1
+done
+expect "charged exactly" "$shown" '"charged":41,'
+kill -TERM "${PIDS##* }"
+for _ in $(seq 100); do
+    grep -q daemon.stopped "$WORK/daemon.log" && break
+    sleep 0.1
+done
+expect "planned stop" "$(cat "$WORK/daemon.log")" 'event=daemon.stopped'
--- /dev/null
+++ b/tests/fakes/fakehttp.h
@@ -0,0 +1,35 @@
+// A small HTTP server for the fakes: one handler function for all requests.
+#pragma once
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace tamarack::fakes {
+
+using FakeHandler
+    = std::function<void(Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &)>;
+
+/// @brief Starts a server on "IP:port".
+std::unique_ptr<Poco::Net::HTTPServer> startFake(const std::string &address, FakeHandler handler);
+
+/// @brief Runs a server until the process gets SIGTERM or SIGINT.
+void runFake(const std::string &address, FakeHandler handler);
+
+std::string readBody(Poco::Net::HTTPServerRequest &request);
+
+void sendText(Poco::Net::HTTPServerResponse &response, int status, const std::string &type,
+              const std::string &body);
+
+void sendJson(Poco::Net::HTTPServerResponse &response, const Poco::JSON::Object &object);
+
+std::string toText(const Poco::JSON::Object &object);
+
+Poco::JSON::Object::Ptr parseJson(const std::string &text);
+
+} // namespace tamarack::fakes
--- /dev/null
+++ b/tests/fakes/fakestore.cpp
@@ -0,0 +1,230 @@
+// fake-store: the part of etcd's v3 JSON gateway that the daemon uses, in memory. Faults are set by
+// POST /faults {"mode": "none" | "down" | "lose-answer"}: "down" answers 503 without an effect,
+// "lose-answer" makes the change and closes the connection without an answer.
+#include "fakes/fakehttp.h"
+
+#include <CLI/CLI.hpp>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <ostream>
+
+namespace tamarack::fakes {
+
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+/// How often a watch without events looks whether its client is still there.
+constexpr std::chrono::milliseconds watchProbe {200};
+
+struct Entry
+{
+    std::string value_;
+    std::uint64_t modRevision_ = 0;
+    std::uint64_t createRevision_ = 0;
+    std::string lease_;
+};
+
+struct Store
+{
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, Entry> entries_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t lastLease_ = 0;
+    std::string mode_ = "none";
+    std::map<std::string, std::uint64_t> calls_;
+};
+
+Object header(const Store &store)
+{
+    Object object;
+    object.set("revision", std::to_string(store.revision_));
+    return object;
+}
+
+Object entryObject(const std::string &key, const Entry &entry)
+{
+    Object object;
+    object.set("key", key);
+    object.set("value", entry.value_);
+    object.set("mod_revision", std::to_string(entry.modRevision_));
+    object.set("create_revision", std::to_string(entry.createRevision_));
+    return object;
+}
+
+Object range(const Store &store, const Object::Ptr &request)
+{
+    Object result;
+    result.set("header", header(store));
+    const auto key = request->getValue<std::string>("key");
+    const auto it = store.entries_.find(key);
+    if (it != store.entries_.end())
+        result.set("kvs", Array().add(entryObject(key, it->second)));
+    return result;
+}
+
+void put(Store &store, const Object::Ptr &request)
+{
+    Entry &entry = store.entries_[request->getValue<std::string>("key")];
+    entry.value_ = request->getValue<std::string>("value");
+    entry.modRevision_ = ++store.revision_;
+    if (entry.createRevision_ == 0)
+        entry.createRevision_ = entry.modRevision_;
+    entry.lease_ = request->optValue<std::string>("lease", "");
+    store.changed_.notify_all();
+}
+
+bool compareHolds(const Store &store, const Object::Ptr &compare)
+{
+    const auto it = store.entries_.find(compare->getValue<std::string>("key"));
+    const std::uint64_t revision = it == store.entries_.end() ? 0 : it->second.modRevision_;
+    return revision == compare->getValue<std::uint64_t>("mod_revision");
+}
+
+Object txn(Store &store, const Object::Ptr &request)
+{
+    const Array::Ptr compares = request->getArray("compare");
+    bool holds = true;
+    for (std::size_t i = 0; i < compares->size(); ++i)
+        holds = holds && compareHolds(store, compares->getObject(static_cast<unsigned>(i)));
+    Array responses;
+    const Array::Ptr ops = request->getArray(holds ? "success" : "failure");
+    for (std::size_t i = 0; ops && i < ops->size(); ++i) {
+        const Object::Ptr op = ops->getObject(static_cast<unsigned>(i));
+        Object response;
+        if (op->has("request_put")) {
+            put(store, op->getObject("request_put"));
+            response.set("response_put", Object());
+        } else {
+            response.set("response_range", range(store, op->getObject("request_range")));
+        }
+        responses.add(response);
+    }
+    Object result;
+    result.set("header", header(store));
+    if (holds)
+        result.set("succeeded", true);
+    result.set("responses", responses);
+    return result;
+}
+
+Object lease(Store &store, const std::string &path, const Object::Ptr &request)
+{
+    Object result;
+    if (path == "/v3/lease/grant") {
+        result.set("ID", std::to_string(++store.lastLease_));
+        result.set("TTL", request->getValue<std::string>("TTL"));
+    } else if (path == "/v3/lease/keepalive") {
+        Object inner;
+        inner.set("ID", request->getValue<std::string>("ID"));
+        inner.set("TTL", "10");
+        result.set("result", inner);
+    } else {
+        const auto id = request->getValue<std::string>("ID");
+        std::erase_if(store.entries_, [&id](const auto &item) { return item.second.lease_ == id; });
+    }
+    return result;
+}
+
+void watch(Store &store, const Object::Ptr &request, HTTPServerResponse &response)
+{
+    const Object::Ptr create = request->getObject("create_request");
+    const auto key = create->getValue<std::string>("key");
+    const auto start = create->getValue<std::uint64_t>("start_revision");
+    response.setChunkedTransferEncoding(true);
+    std::ostream &out = response.send();
+    out << R"({"result":{"created":true}})" << std::endl;
+    while (out.good()) {
+        std::unique_lock lock(store.mutex_);
+        store.changed_.wait_for(lock, watchProbe);
+        const auto it = store.entries_.find(key);
+        if (it == store.entries_.end() || it->second.modRevision_ < start)
+            continue;
+        Object event;
+        event.set("kv", entryObject(key, it->second));
+        Object result;
+        result.set("events", Array().add(event));
+        Object line;
+        line.set("result", result);
+        lock.unlock();
+        out << toText(line) << std::endl;
+        return;
+    }
+}
+
+Object carryOut(Store &store, const std::string &path, const Object::Ptr &request)
+{
+    if (path == "/v3/kv/range")
+        return range(store, request);
+    if (path == "/v3/kv/txn")
+        return txn(store, request);
+    return lease(store, path, request);
+}
+
+void closeWithoutAnswer(HTTPServerRequest &request)
+{
+    dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().shutdown();
+}
+
+void handle(Store &store, HTTPServerRequest &request, HTTPServerResponse &response)
+{
+    const std::string path = request.getURI();
+    const Object::Ptr body = parseJson(readBody(request));
+    if (path == "/faults") {
+        const std::lock_guard lock(store.mutex_);
+        store.mode_ = body->getValue<std::string>("mode");
+        sendText(response, 200, "application/json", "{}");
+        return;
+    }
+    std::unique_lock lock(store.mutex_);
+    ++store.calls_[path];
+    const std::string mode = store.mode_;
+    if (path == "/calls") {
+        Object counts;
+        for (const auto &[name, count] : store.calls_)
+            counts.set(name, count);
+        sendJson(response, counts);
+        return;
+    }
+    if (mode == "down") {
+        lock.unlock();
+        sendText(response, 503, "text/plain", "unavailable");
+        return;
+    }
+    if (path == "/v3/watch") {
+        lock.unlock();
+        watch(store, body, response);
+        return;
+    }
+    const Object result = carryOut(store, path, body);
+    lock.unlock();
+    if (mode == "lose-answer")
+        closeWithoutAnswer(request);
+    else
+        sendJson(response, result);
+}
+
+} // namespace
+
+} // namespace tamarack::fakes
+
+int main(int argc, char **argv)
+{
+    CLI::App app {"fake-store: a key-value store in memory, for tests"};
+    std::string address = "127.0.0.1:2379";
+    app.add_option("--address", address, "IP:port to listen on");
+    CLI11_PARSE(app, argc, argv);
+    tamarack::fakes::Store store;
+    tamarack::fakes::runFake(address, [&store](auto &request, auto &response) {
+        tamarack::fakes::handle(store, request, response);
+    });
+}
--- /dev/null
+++ b/tests/unit-requestrecords.cpp
@@ -0,0 +1,72 @@
+// Request records. Guards against a second run or a second bill of one request.
+#include "core/core.h"
+
+#include <catch2/catch.hpp>
+
+namespace tamarack {
+
+namespace {
+
+const RequestId request {"r"};
+const AdmissionId first {"h1.1"};
+const AdmissionId second {"h2.1"};
+
+CreateIntentOp intent(const AdmissionId &admission)
+{
+    return CreateIntentOp {request, HolderId {"h"}, admission, AccountId {"a"}, BudgetId {"b"}, {}};
+}
+
+BillOp bill(const AdmissionId &admission, std::int64_t tokens)
+{
+    BillOp op;
+    op.request_ = request;
+    op.admission_ = admission;
+    op.charged_ = Tokens {tokens};
+    return op;
+}
+
+} // namespace
+
+TEST_CASE("request records")
+{
+    RequestShard shard;
+
+    SECTION("only the first admission owns the intent")
+    {
+        applyOp(shard, intent(first));
+        CHECK_FALSE(applyOp(shard, intent(second)));
+        CHECK(ownsIntent(shard, request, first));
+        CHECK_FALSE(ownsIntent(shard, request, second));
+    }
+    SECTION("a withdrawn intent can be taken over")
+    {
+        applyOp(shard, intent(first));
+        applyOp(shard, WithdrawIntentOp {request, first, {}});
+        applyOp(shard, intent(second));
+        CHECK(ownsIntent(shard, request, second));
+    }
+    SECTION("an intent is withdrawn by its owner only")
+    {
+        applyOp(shard, intent(first));
+        CHECK_FALSE(applyOp(shard, WithdrawIntentOp {request, second, {}}));
+    }
+    SECTION("a request is billed once")
+    {
+        applyOp(shard, bill(first, 10));
+        CHECK_FALSE(applyOp(shard, bill(second, 20)));
+        CHECK(ownsBill(shard, request, first));
+        CHECK(shard.records_.at(request).charged_ == Tokens {10});
+    }
+    SECTION("a billed request cannot run again")
+    {
+        applyOp(shard, bill(first, 10));
+        CHECK_FALSE(applyOp(shard, intent(second)));
+    }
+    SECTION("an unresolved intent does not expire")
+    {
+        applyOp(shard, intent(first));
+        CHECK_FALSE(applyOp(shard, ExpireOp {WallTime::max()}));
+    }
+}
+
+} // namespace tamarack
