--- a/bench/bench-capacity.cpp
+++ b/bench/bench-capacity.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::nanoseconds;
 
 /// Processor time of this thread, which other load on the host does not change.
