Prove the end of every answer and resume cut streams

POCO's chunked stream takes the end of the connection for the last chunk, so a truncated answer of an engine counted as whole. The upstream client now reads the framing itself on its own connections: an answer is whole only with its length, its last chunk or its [DONE], and answers that name another request or attempt are dropped. Idempotent requests use kept connections; a silence is followed by a probe on a new connection. A cut stream is resumed at its offset, at the same engine first.

Callers: bodies with a Transfer-Encoding, doubled or unclear headers and paths that a service may read as another route are refused; a refused request closes its connection, because its unread body was taken for the next request. A write that fails counts as caller gone and still ends in RequestFinished. The caller's hang-up is noticed while the request waits. n multiplies the bound, answers with status 4xx cost nothing, and the usage event goes only to callers that asked for it.

--- a/src/adapters/http/callerserver.cpp
+++ b/src/adapters/http/callerserver.cpp
@@ -1,22 +1,17 @@
 // The callers' listener by POCO.
 #include "adapters/http/callerserver.h"
 
-#include "adapters/crypto/crypto.h"
 #include "adapters/http/address.h"
-#include "adapters/json/json.h"
+#include "adapters/http/calleranswer.h"
+#include "adapters/http/callerdecode.h"
 
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
 
-#include <fmt/format.h>
-
-#include <algorithm>
-#include <istream>
-#include <ostream>
 #include <set>
 #include <sstream>
 
@@ -24,208 +19,9 @@
 
 namespace {
 
-using Poco::Net::HTTPResponse;
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr std::string_view bearerPrefix = "Bearer ";
-constexpr std::string_view servicesPrefix = "/services/";
-constexpr Millis maxTimeLimit {std::chrono::hours {1}};
-
-int httpStatus(RefusalReason reason)
-{
-    switch (reason) {
-    case RefusalReason::InvalidRequest:
-        return 400;
-    case RefusalReason::UnknownKey:
-        return 401;
-    case RefusalReason::BudgetExhausted:
-        return 402;
-    case RefusalReason::BudgetNotOwned:
-        return 403;
-    case RefusalReason::OutcomeUnknown:
-        return 409;
-    case RefusalReason::RateLimited:
-    case RefusalReason::TooManyRequestsInFlight:
-        return 429;
-    case RefusalReason::UpstreamFailed:
-        return 502;
-    case RefusalReason::DeadlineExceeded:
-        return 504;
-    case RefusalReason::BudgetHeldElsewhere:
-    case RefusalReason::BudgetUnconfirmed:
-    case RefusalReason::Overloaded:
-    case RefusalReason::NoUpstream:
-    case RefusalReason::Stopping:
-        break;
-    }
-    return 503;
-}
-
-std::string errorBody(const Refusal &refusal, const std::string &requestId)
-{
-    Poco::JSON::Object error(Poco::JSON_PRESERVE_KEY_ORDER);
-    error.set("code", std::string(refusalCode(refusal.reason_)));
-    error.set("message", refusal.message_);
-    error.set("request_id", requestId);
-    error.set("execution", std::string(executionCode(refusal.execution_)));
-    Poco::JSON::Object root;
-    root.set("error", error);
-    std::ostringstream text;
-    root.stringify(text);
-    return text.str();
-}
-
-/// The HTTP side of one request.
-struct HttpCall
-{
-    HTTPServerRequest &request_;
-    HTTPServerResponse &response_;
-    std::size_t maxBytes_;
-    std::string requestId_;
-    std::ostream *stream_ = nullptr;
-};
-
-void sendBody(HttpCall &call, int status, const std::string &contentType, const std::string &body)
-{
-    call.response_.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(status));
-    call.response_.setContentType(contentType);
-    call.response_.setContentLength64(static_cast<std::int64_t>(body.size()));
-    call.response_.send() << body << std::flush;
-}
-
-void refuseCall(HttpCall &call, const Refusal &refusal)
-{
-    if (refusal.retryAfter_) {
-        const auto seconds = std::chrono::ceil<Seconds>(*refusal.retryAfter_);
-        call.response_.set("Retry-After", std::to_string(seconds.count()));
-    }
-    sendBody(call, httpStatus(refusal.reason_), "application/json",
-             errorBody(refusal, call.requestId_));
-}
-
-void refuseInvalid(HttpCall &call, std::string message)
-{
-    refuseCall(call,
-               Refusal {RefusalReason::InvalidRequest, Execution::NotRun, std::move(message),
-                        std::nullopt});
-}
-
-bool writeEvent(HttpCall &call, const std::string &data)
-{
-    if (!call.stream_) {
-        call.response_.setContentType("text/event-stream");
-        call.response_.set("Cache-Control", "no-cache");
-        call.response_.setChunkedTransferEncoding(true);
-        call.stream_ = &call.response_.send();
-    }
-    *call.stream_ << "data: " << data << "\n\n" << std::flush;
-    return call.stream_->good();
-}
-
-CallerResponse responseFor(HttpCall &call)
-{
-    CallerResponse response;
-    response.send_ = [&call](int status, const std::string &type, const std::string &body) {
-        sendBody(call, status, type, body);
-    };
-    response.sendEvent_ = [&call](const std::string &data) {
-        return writeEvent(call, data);
-    };
-    response.endStream_ = [&call] {
-        writeEvent(call, "[DONE]");
-    };
-    response.cutStream_ = [&call](const Refusal &refusal) {
-        writeEvent(call, errorBody(refusal, call.requestId_));
-    };
-    response.refuse_ = [&call](const Refusal &refusal) {
-        refuseCall(call, refusal);
-    };
-    return response;
-}
-
-/// Reads the body.
-/// @return nothing if it is larger than the limit
-std::optional<std::string> readBody(HttpCall &call)
-{
-    std::string body;
-    std::string buffer(16U << 10U, '\0');
-    std::istream &stream = call.request_.stream();
-    while (stream.read(buffer.data(), static_cast<std::streamsize>(buffer.size())),
-           stream.gcount() > 0) {
-        body.append(buffer, 0, static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > call.maxBytes_)
-            return std::nullopt;
-    }
-    return body;
-}
-
-/// Reads the headers that all kinds of requests share.
-/// @return false if the request was refused
-bool readHeaders(HttpCall &call, CallerRequest &request)
-{
-    const std::string authorization = call.request_.get("Authorization", "");
-    if (authorization.starts_with(bearerPrefix))
-        request.keySha256_ = sha256Hex(std::string_view(authorization).substr(bearerPrefix.size()));
-    request.budget_ = BudgetId {call.request_.get("Tamarack-Budget", "")};
-    request.idempotencyKey_ = call.request_.get("Idempotency-Key", "");
-    request.nonIdempotent_ = call.request_.get("Tamarack-Non-Idempotent", "") == "true";
-    request.contentType_ = call.request_.getContentType();
-    request.method_ = call.request_.getMethod();
-    const std::string limit = call.request_.get("Tamarack-Deadline-Ms", "");
-    if (limit.empty())
-        return true;
-    std::int64_t millis = 0;
-    std::istringstream(limit) >> millis;
-    if (millis < 1 || Millis {millis} > maxTimeLimit) {
-        refuseInvalid(call,
-                      fmt::format("header Tamarack-Deadline-Ms is not a number from 1 to {}",
-                                  maxTimeLimit.count()));
-        return false;
-    }
-    request.timeLimit_ = Millis {millis};
-    return true;
-}
-
-Tokens defaultMaxOutput(const TrafficContext &context)
-{
-    const std::shared_ptr<const Snapshot> snapshot = context.snapshot_.load();
-    return snapshot && snapshot->bundle_ ? snapshot->bundle_->policies_.defaultMaxOutput_
-                                         : Policies {}.defaultMaxOutput_;
-}
-
-bool readChat(HttpCall &call, const TrafficContext &context, const std::string &body,
-              CallerRequest &request)
-{
-    Faults faults;
-    ChatRequest chat = parseChatRequest(body, defaultMaxOutput(context), call.maxBytes_, faults);
-    if (!faults.empty()) {
-        refuseInvalid(call, formatFault(faults.front()));
-        return false;
-    }
-    request.kind_ = UpstreamKind::ModelEngine;
-    request.model_ = chat.model_;
-    request.path_ = "/v1/chat/completions";
-    request.contentType_ = "application/json";
-    request.body_ = std::move(chat.upstreamBody_);
-    request.stream_ = chat.stream_;
-    request.promptBound_ = chat.promptBound_;
-    request.maxOutput_ = chat.maxOutput_;
-    return true;
-}
-
-/// Splits "/services/NAME/rest" into name and path.
-bool readServiceCall(HttpCall &call, const std::string &body, CallerRequest &request)
-{
-    const std::string rest = call.request_.getURI().substr(servicesPrefix.size());
-    const std::size_t slash = std::min(rest.find('/'), rest.size());
-    request.kind_ = UpstreamKind::Service;
-    request.service_ = ServiceId {rest.substr(0, slash)};
-    request.path_ = slash == rest.size() ? "/" : rest.substr(slash);
-    request.body_ = body;
-    return true;
-}
-
 void sendModels(HttpCall &call, const TrafficContext &context)
 {
     std::set<ModelId> models;
@@ -246,75 +42,96 @@
     root.set("data", data);
     std::ostringstream text;
     root.stringify(text);
-    sendBody(call, 200, "application/json", text.str());
+    CallerAnswer answer;
+    answer.contentType_ = "application/json";
+    answer.body_ = text.str();
+    sendAnswer(call, answer);
+}
+
+void setRequestId(HttpCall &call, const RequestId &id)
+{
+    call.requestId_ = id.value_;
+    call.response_.set("Tamarack-Request-Id", id.value_);
 }
 
 void handleCall(HttpCall &call, TrafficContext &context)
 {
-    const std::string &path = call.request_.getURI();
-    if (path == "/v1/models") {
-        sendModels(call, context);
+    setRequestId(call, context.newRequestId_());
+    std::string fault = framingFault(call.request_);
+    if (!fault.empty()) {
+        refuseInvalid(call, std::move(fault));
         return;
     }
-    const bool chat = path == "/v1/chat/completions" && call.request_.getMethod() == "POST";
-    if (!chat && !path.starts_with(servicesPrefix)) {
-        refuseInvalid(call, "no such path; use /v1/chat/completions, /v1/models or /services/NAME");
+    const std::string &method = call.request_.getMethod();
+    if (requestPath(call) == "/v1/models" && (method == "GET" || method == "HEAD")) {
+        // A body would be read as the next request.
+        if (call.request_.getContentLength64() > 0)
+            call.response_.setKeepAlive(false);
+        sendModels(call, context);
         return;
     }
-    CallerRequest request;
-    if (!readHeaders(call, request))
-        return;
-    const std::optional<std::string> body = readBody(call);
-    if (!body) {
-        refuseInvalid(call,
-                      fmt::format("the body is larger than {} bytes; shorten it", call.maxBytes_));
-        return;
+    const std::optional<CallerRequest> request = decodeRequest(call, context);
+    if (request)
+        serve(context, *request, responseFor(call),
+              [&call](const RequestId &id) { setRequestId(call, id); });
+}
+
+/// Last resort for exceptions, for example when memory or descriptors run out.
+void handleCallSafely(HttpCall &call, TrafficContext &context)
+{
+    try {
+        handleCall(call, context);
+    } catch (const std::exception &error) {
+        context.log_.write_(LogEvent {LogLevel::Error,
+                                      "caller.exception",
+                                      {{"request", call.requestId_}, {"detail", error.what()}}});
+        call.response_.setKeepAlive(false);
+        if (!call.response_.sent())
+            refuseCall(call,
+                       Refusal {RefusalReason::Overloaded, Execution::Unknown,
+                                "this daemon failed to handle the request; send it again",
+                                Millis {1000}});
     }
-    const bool readable
-        = chat ? readChat(call, context, *body, request) : readServiceCall(call, *body, request);
-    if (!readable)
-        return;
-    serve(context, request, responseFor(call), [&call](const RequestId &id) {
-        call.requestId_ = id.value_;
-        call.response_.set("Tamarack-Request-Id", id.value_);
-    });
 }
 
 class CallerHandler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    CallerHandler(TrafficContext &context, std::size_t maxBytes)
+    CallerHandler(TrafficContext &context, const CallerServerSettings &settings)
         : context_(context)
-        , maxBytes_(maxBytes)
+        , settings_(settings)
     { }
 
     void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
     {
-        HttpCall call {request, response, maxBytes_, {}, nullptr};
-        handleCall(call, context_);
+        // A caller that stops reading must not hold its thread for ever.
+        if (auto *impl = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&request))
+            impl->socket().setSendTimeout(toTimespan(settings_.writeLimit_));
+        HttpCall call {request, response, settings_.maxRequestBytes_, {}, nullptr, false};
+        handleCallSafely(call, context_);
     }
 
 private:
     TrafficContext &context_;
-    std::size_t maxBytes_;
+    const CallerServerSettings &settings_;
 };
 
 class CallerHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    CallerHandlerFactory(TrafficContext &context, std::size_t maxBytes)
+    CallerHandlerFactory(TrafficContext &context, CallerServerSettings settings)
         : context_(context)
-        , maxBytes_(maxBytes)
+        , settings_(std::move(settings))
     { }
 
     Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
     {
-        return new CallerHandler(context_, maxBytes_);
+        return new CallerHandler(context_, settings_);
     }
 
 private:
     TrafficContext &context_;
-    std::size_t maxBytes_;
+    CallerServerSettings settings_;
 };
 
 } // namespace
@@ -325,7 +142,7 @@
     running.threads_ = std::make_unique<Poco::ThreadPool>(
         "caller", 2, static_cast<int>(settings.connections_) + 2);
     running.server_ = std::make_unique<Poco::Net::HTTPServer>(
-        new CallerHandlerFactory(context, settings.maxRequestBytes_), *running.threads_,
+        new CallerHandlerFactory(context, settings), *running.threads_,
         Poco::Net::ServerSocket(Poco::Net::SocketAddress(settings.address_)),
         serverParams(settings.connections_, settings.idleLimit_));
     running.server_->start();
--- a/src/adapters/http/callerserver.h
+++ b/src/adapters/http/callerserver.h
@@ -19,6 +19,8 @@
     std::uint32_t connections_ = 256;
     std::size_t maxRequestBytes_ = 4U << 20U;
     Millis idleLimit_ {Seconds {30}};
+    /// A caller that takes no bytes for this long counts as gone.
+    Millis writeLimit_ {Seconds {30}};
 };
 
 /// @brief A running listener. Members are destroyed in reverse order, the server first.
--- /dev/null
+++ b/src/adapters/http/connectionpool.h
@@ -0,0 +1,44 @@
+// Kept connections to upstreams. Internal to the HTTP adapter.
+#pragma once
+
+#include "adapters/http/answer.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace tamarack {
+
+/// @brief A connection whose last answer was whole.
+struct KeptConnection
+{
+    Connection connection_;
+    /// A stream's terminator arrives before the end of its body, which is read before reuse.
+    BodyState body_;
+    MonoTime idleSince_;
+};
+
+/// @brief Kept connections by address. All functions are safe to call from any thread.
+struct ConnectionPool
+{
+    std::mutex mutex_;
+    std::map<std::string, std::deque<KeptConnection>> kept_;
+    /// Connections kept for each upstream.
+    std::size_t maxKept_ = 16;
+    /// Below the idle limits of common servers, so that the upstream seldom closes first.
+    Millis idleLimit_ {Seconds {4}};
+};
+
+/// @brief Takes the connection that was used last, if one is usable.
+std::optional<Connection> takeKept(ConnectionPool &pool, const std::string &address);
+
+/// @brief Keeps a connection for later exchanges.
+void keep(ConnectionPool &pool, const std::string &address, KeptConnection kept);
+
+/// @brief Closes all kept connections to an upstream, because one of them failed.
+void dropKept(ConnectionPool &pool, const std::string &address);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/http/eventstream.cpp
@@ -0,0 +1,92 @@
+// Server-sent events: parsing, and order by index.
+#include "adapters/http/eventstream.h"
+
+#include <charconv>
+
+namespace tamarack {
+
+namespace {
+
+/// Engines number events as they are produced, so a longer reordering means a lost event.
+constexpr std::size_t maxHeldEvents = 64;
+
+std::optional<std::uint64_t> parseIndex(std::string_view text)
+{
+    std::uint64_t index = 0;
+    const char *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, index);
+    if (result.ec != std::errc() || result.ptr != end)
+        return std::nullopt;
+    return index;
+}
+
+/// Returns the value of a "name: value" line.
+std::optional<std::string_view> fieldValue(std::string_view line, std::string_view name)
+{
+    if (!line.starts_with(name) || line.size() <= name.size() || line[name.size()] != ':')
+        return std::nullopt;
+    std::string_view value = line.substr(name.size() + 1);
+    if (value.starts_with(' '))
+        value.remove_prefix(1);
+    return value;
+}
+
+void takeLine(EventParser &parser, std::vector<RawEvent> &events)
+{
+    std::string_view line = parser.line_;
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    if (line.empty()) {
+        if (parser.hasData_)
+            events.push_back(std::move(parser.event_));
+        parser.event_ = RawEvent {};
+        parser.hasData_ = false;
+    } else if (const auto data = fieldValue(line, "data")) {
+        if (parser.hasData_)
+            parser.event_.data_ += '\n';
+        parser.event_.data_ += *data;
+        parser.hasData_ = true;
+    } else if (const auto id = fieldValue(line, "id")) {
+        parser.event_.index_ = parseIndex(*id);
+    }
+    parser.line_.clear();
+}
+
+} // namespace
+
+bool parseEvents(EventParser &parser, std::string_view piece, std::vector<RawEvent> &events)
+{
+    while (!piece.empty()) {
+        const std::size_t end = piece.find('\n');
+        parser.line_ += piece.substr(0, end);
+        if (parser.line_.size() + parser.event_.data_.size() > maxEventBytes)
+            return false;
+        if (end == std::string_view::npos)
+            return true;
+        takeLine(parser, events);
+        piece.remove_prefix(end + 1);
+    }
+    return true;
+}
+
+bool takeInOrder(EventOrder &order, RawEvent event, std::vector<std::string> &deliverable)
+{
+    const std::uint64_t index = event.index_.value_or(order.next_);
+    if (index < order.next_)
+        return true;
+    if (index > order.next_) {
+        order.held_.emplace(index, std::move(event.data_));
+        return order.held_.size() <= maxHeldEvents;
+    }
+    deliverable.push_back(std::move(event.data_));
+    ++order.next_;
+    for (auto next = order.held_.find(order.next_); next != order.held_.end();
+         next = order.held_.find(order.next_)) {
+        deliverable.push_back(std::move(next->second));
+        order.held_.erase(next);
+        ++order.next_;
+    }
+    return true;
+}
+
+} // namespace tamarack
--- a/src/adapters/json/chat.h
+++ b/src/adapters/json/chat.h
@@ -15,7 +15,11 @@
 {
     ModelId model_;
     bool stream_ = false;
-    /// 0 if the caller sets no limit.
+    /// The caller asked for the usage event of a stream.
+    bool wantsUsage_ = false;
+    /// Output limit of each choice.
+    Tokens choiceLimit_;
+    /// Output limit of all choices together.
     Tokens maxOutput_;
     /// Bytes of all message contents, an upper bound of the prompt's tokens.
     Tokens promptBound_;
@@ -30,7 +34,22 @@
 ChatRequest parseChatRequest(const std::string &body, Tokens defaultMaxOutput, std::size_t maxBytes,
                              Faults &faults);
 
-/// @brief Returns usage.total_tokens of an answer or of a stream's event, if it has one.
+/// @brief Usage in an answer or in a stream's event.
+struct ChatUsage
+{
+    /// Prompt and output tokens; nothing if none are reported.
+    std::optional<Tokens> tokens_;
+    /// The event carries no choices beside the usage.
+    bool alone_ = false;
+};
+
+/// @brief Reads the usage of an answer or of a stream's event.
+ChatUsage parseChatUsage(const std::string &text);
+
+/// @brief Returns the total tokens of an answer or of a stream's event, if it has them.
 std::optional<Tokens> parseUsage(const std::string &text);
 
+/// @brief Whether an upstream's answer states that it is leaving.
+bool saysLeaving(const std::string &text);
+
 } // namespace tamarack
--- a/src/traffic/callerrequest.h
+++ b/src/traffic/callerrequest.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "core/core.h"
+#include "ports/exchange.h"
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace tamarack {
 
@@ -27,28 +29,46 @@
     /// Path and query at the upstream.
     std::string path_;
     std::string contentType_;
+    /// Further header fields for the upstream.
+    std::vector<HeaderField> headers_;
     std::string body_;
     bool stream_ = false;
+    /// The caller asked for the usage event of the stream.
+    bool wantsUsage_ = false;
     /// Upper bound of the prompt's tokens: a token has at least one byte.
     Tokens promptBound_;
     /// Largest number of output tokens; 0 for the bundle's default.
     Tokens maxOutput_;
 };
 
-/// @brief Where the answer to one request goes.
+/// @brief A complete answer.
+struct CallerAnswer
+{
+    int status_ = 200;
+    std::string contentType_;
+    std::vector<HeaderField> headers_;
+    std::string body_;
+};
+
+/// @brief Where the answer to one request goes. The functions do not throw: a connection that fails
+/// counts as a caller that went away.
 struct CallerResponse
 {
     /// Sends a complete answer.
-    std::function<void(int status, const std::string &contentType, const std::string &body)> send_;
+    /// @return false if the caller went away
+    std::function<bool(const CallerAnswer &)> send_;
     /// Sends one event of a stream and starts the stream with the first one.
     /// @return false if the caller went away
     std::function<bool(const std::string &data)> sendEvent_;
     /// Ends a stream with its terminator.
-    std::function<void()> endStream_;
+    /// @return false if the caller went away
+    std::function<bool()> endStream_;
     /// Ends a stream that is not whole: sends the error as last event and no terminator.
     std::function<void(const Refusal &)> cutStream_;
     /// Refuses the request before an answer was started.
     std::function<void(const Refusal &)> refuse_;
+    /// Descriptor that is hung up when the caller goes away; -1 if that is noticed only by writes.
+    int callerSocket_ = -1;
 };
 
 } // namespace tamarack
--- a/src/traffic/replyslots.cpp
+++ b/src/traffic/replyslots.cpp
@@ -1,24 +1,67 @@
 // Slots in which traffic threads wait for decisions of the control thread.
 #include "traffic/replyslots.h"
 
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <system_error>
+
 namespace tamarack {
 
+namespace {
+
+/// Waits for the slot's event or the caller's hang-up.
+/// @return true if the caller went away first
+bool waitForWake(int wake, MonoTime deadline, int callerSocket)
+{
+    while (true) {
+        std::array<pollfd, 2> waits {pollfd {wake, POLLIN, 0}, pollfd {callerSocket, POLLRDHUP, 0}};
+        const auto left = std::chrono::ceil<Millis>(deadline - std::chrono::steady_clock::now());
+        const int ready = ::poll(waits.data(), waits.size(),
+                                 static_cast<int>(std::max(left, Millis {0}).count()));
+        if (waits[0].revents != 0)
+            return false;
+        if (ready > 0)
+            return true;
+        const bool interrupted = ready < 0 && errno == EINTR;
+        if (!interrupted && std::chrono::steady_clock::now() >= deadline)
+            return false;
+    }
+}
+
+} // namespace
+
 WaiterId openSlot(ReplySlots &slots)
 {
+    const int wake = ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    if (wake < 0)
+        throw std::system_error(errno, std::generic_category(), "no event descriptor");
     const std::lock_guard lock(slots.mutex_);
     const WaiterId waiter {++slots.lastId_};
-    slots.slots_.emplace(waiter, std::nullopt);
+    slots.slots_.emplace(waiter, ReplySlot {wake, std::nullopt});
     return waiter;
 }
 
-std::optional<Decision> awaitDecision(ReplySlots &slots, WaiterId waiter, MonoTime deadline)
+Awaited awaitDecision(ReplySlots &slots, WaiterId waiter, MonoTime deadline, int callerSocket)
 {
-    std::unique_lock lock(slots.mutex_);
+    int wake = -1;
+    {
+        const std::lock_guard lock(slots.mutex_);
+        wake = slots.slots_.at(waiter).wake_;
+    }
+    Awaited awaited;
+    awaited.callerGone_ = waitForWake(wake, deadline, callerSocket);
+    const std::lock_guard lock(slots.mutex_);
     const auto slot = slots.slots_.find(waiter);
-    slots.filled_.wait_until(lock, deadline, [&slot] { return slot->second.has_value(); });
-    std::optional<Decision> decision = std::move(slot->second);
+    if (!awaited.callerGone_)
+        awaited.decision_ = std::move(slot->second.decision_);
     slots.slots_.erase(slot);
-    return decision;
+    ::close(wake);
+    return awaited;
 }
 
 void fillSlot(ReplySlots &slots, WaiterId waiter, Decision decision)
@@ -27,8 +70,8 @@
     const auto slot = slots.slots_.find(waiter);
     if (slot == slots.slots_.end())
         return;
-    slot->second = std::move(decision);
-    slots.filled_.notify_all();
+    slot->second.decision_ = std::move(decision);
+    ::eventfd_write(slot->second.wake_, 1);
 }
 
 } // namespace tamarack
--- a/src/traffic/replyslots.h
+++ b/src/traffic/replyslots.h
@@ -3,29 +3,46 @@
 
 #include "core/core.h"
 
-#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <optional>
 
 namespace tamarack {
 
+/// @brief One waiting traffic thread.
+struct ReplySlot
+{
+    /// Event descriptor that wakes this thread only, and that is waited for beside the caller's
+    /// connection.
+    int wake_ = -1;
+    std::optional<Decision> decision_;
+};
+
 /// @brief The waiting traffic threads. All functions are safe to call from any thread.
+///
+/// Invariant: the wake_ of each slot is open until its thread closes the slot.
 struct ReplySlots
 {
     std::mutex mutex_;
-    std::condition_variable filled_;
-    /// An empty value marks a thread that waits.
-    std::map<WaiterId, std::optional<Decision>> slots_;
+    std::map<WaiterId, ReplySlot> slots_;
     std::uint64_t lastId_ = 0;
 };
 
+/// @brief How waiting for a decision ended.
+struct Awaited
+{
+    /// Empty if no decision arrived before the deadline or the caller went away.
+    std::optional<Decision> decision_;
+    bool callerGone_ = false;
+};
+
 /// @brief Opens a slot for a thread that is about to wait.
+/// @throw std::system_error if no descriptor is left
 WaiterId openSlot(ReplySlots &slots);
 
 /// @brief Waits for the decision and closes the slot.
-/// @return nothing if no decision arrived before @a deadline
-std::optional<Decision> awaitDecision(ReplySlots &slots, WaiterId waiter, MonoTime deadline);
+/// @param callerSocket descriptor whose hang-up ends the wait; -1 for none
+Awaited awaitDecision(ReplySlots &slots, WaiterId waiter, MonoTime deadline, int callerSocket = -1);
 
 /// @brief Fills a slot. Does nothing if its thread has given up.
 void fillSlot(ReplySlots &slots, WaiterId waiter, Decision decision);
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -1,28 +1,17 @@
 // Serving one caller's request.
 #include "traffic/serve.h"
 
+#include "traffic/attempts.h"
+
 #include <fmt/format.h>
 
+#include <system_error>
+
 namespace tamarack {
 
-namespace {
+using detail::Service, detail::costOf, detail::runAttempt, detail::stopGeneration;
 
-/// One request on its way through a traffic thread.
-struct Service
-{
-    TrafficContext &context_;
-    const CallerRequest &request_;
-    const CallerResponse &response_;
-    RequestId id_;
-    int priority_ = 0;
-    MonoTime deadline_;
-    Tokens worstCase_;
-    Tokens price_;
-    bool idempotent_ = true;
-    /// Events of the stream that the caller has received.
-    std::uint64_t delivered_ = 0;
-    bool callerGone_ = false;
-};
+namespace {
 
 Refusal invalid(std::string message)
 {
@@ -30,121 +19,122 @@
                     std::nullopt};
 }
 
+/// Posts an event and waits for the control thread's decision.
 std::optional<Decision> decide(Service &service, const std::function<Event(WaiterId)> &makeEvent)
 {
     TrafficContext &context = service.context_;
     const WaiterId waiter = openSlot(context.slots_);
     context.events_.post_(makeEvent(waiter));
-    std::optional<Decision> decision
-        = awaitDecision(context.slots_, waiter, service.deadline_ + context.decisionGrace_);
-    if (!decision)
+    Awaited awaited
+        = awaitDecision(context.slots_, waiter, service.deadline_ + context.decisionGrace_,
+                        service.response_.callerSocket_);
+    service.callerGone_ |= awaited.callerGone_;
+    if (!awaited.decision_)
         context.events_.post_(AdmitAbandoned {waiter});
-    return decision;
+    return std::move(awaited.decision_);
 }
 
-ExchangeRequest exchangeRequest(const Service &service, const Dispatch &dispatch)
+AttemptEnded attemptEnded(const Service &service, const Dispatch &dispatch,
+                          const ExchangeResult &result)
 {
-    const CallerRequest &request = service.request_;
-    ExchangeRequest exchange;
-    exchange.address_ = dispatch.address_;
-    exchange.method_ = request.method_;
-    exchange.path_ = request.path_;
-    exchange.contentType_ = request.contentType_;
-    exchange.body_ = request.body_;
-    exchange.request_ = service.id_;
-    exchange.attempt_ = dispatch.attempt_;
-    exchange.idempotencyKey_ = request.idempotencyKey_;
-    exchange.priority_ = service.priority_;
-    exchange.stream_ = request.stream_;
-    exchange.resumeOffset_ = service.delivered_;
-    exchange.silenceLimit_ = dispatch.silenceLimit_;
-    return exchange;
+    return AttemptEnded {dispatch.admission_, dispatch.attempt_,       result.result_,
+                         result.firstByte_,   costOf(service, result), std::nullopt};
 }
 
-/// Cost of the request after an exchange, as far as it is known.
-Tokens costOf(const Service &service, const ExchangeResult &result)
+/// Sends the answer, then reports the request's end with what the caller received.
+void finishWhole(const Service &service, const Dispatch &dispatch, const ExchangeResult &result)
 {
-    if (service.request_.kind_ == UpstreamKind::Service)
-        return result.result_ == AttemptResult::NotSent ? Tokens {} : service.price_;
-    if (result.usage_)
-        return *result.usage_;
-    if (service.delivered_ > 0)
-        return service.request_.promptBound_
-            + Tokens {static_cast<std::int64_t>(service.delivered_)};
-    return result.result_ == AttemptResult::Whole ? service.worstCase_ : Tokens {};
+    service.context_.events_.post_(attemptEnded(service, dispatch, result));
+    const CallerResponse &response = service.response_;
+    const bool received = result.streamed_
+        ? response.endStream_()
+        : response.send_(
+            CallerAnswer {result.status_, result.contentType_, result.headers_, result.body_});
+    service.context_.events_.post_(
+        RequestFinished {dispatch.admission_, costOf(service, result),
+                         received ? Completeness::Whole : Completeness::Cut});
 }
 
-void finish(const Service &service, const Dispatch &dispatch, const ExchangeResult &result,
-            Completeness completeness)
+void finishCut(const Service &service, const Dispatch &dispatch, const ExchangeResult &result)
 {
-    const Tokens cost = costOf(service, result);
-    service.context_.events_.post_(AttemptEnded {dispatch.admission_, dispatch.attempt_,
-                                                 result.result_, result.firstByte_, cost,
-                                                 std::nullopt});
-    service.context_.events_.post_(RequestFinished {dispatch.admission_, cost, completeness});
+    service.context_.events_.post_(attemptEnded(service, dispatch, result));
+    service.context_.events_.post_(
+        RequestFinished {dispatch.admission_, costOf(service, result), Completeness::Cut});
 }
 
-void answerWhole(const Service &service, const ExchangeResult &result)
+void refuseOrCut(const Service &service, Refusal refusal)
 {
-    if (service.request_.stream_ && result.status_ == 200)
-        service.response_.endStream_();
+    if (service.received_ > 0)
+        refusal.execution_ = Execution::Ran;
+    else if (refusal.reason_ == RefusalReason::UpstreamFailed
+             && std::chrono::steady_clock::now() >= service.deadline_)
+        refusal
+            = Refusal {RefusalReason::DeadlineExceeded, refusal.execution_,
+                       "no upstream answered before the deadline; allow more time", std::nullopt};
+    if (service.delivered_ > 0)
+        service.response_.cutStream_(refusal);
     else
-        service.response_.send_(result.status_, result.contentType_, result.body_);
+        service.response_.refuse_(refusal);
 }
 
-ExchangeResult runExchange(Service &service, const Dispatch &dispatch)
+Refusal noDecision(bool sent)
 {
-    return service.context_.upstreams_.exchange_(exchangeRequest(service, dispatch),
-                                                 [&service](const std::string &data) {
-                                                     if (!service.response_.sendEvent_(data)) {
-                                                         service.callerGone_ = true;
-                                                         return false;
-                                                     }
-                                                     ++service.delivered_;
-                                                     return true;
-                                                 });
+    return Refusal {RefusalReason::DeadlineExceeded, sent ? Execution::Unknown : Execution::NotRun,
+                    "the daemon did not decide before the deadline; retry later", Millis {1000}};
 }
 
-void refuseOrCut(const Service &service, const Refusal &refusal)
+Refusal notResumable()
 {
-    if (service.delivered_ > 0)
-        service.response_.cutStream_(refusal);
-    else
-        service.response_.refuse_(refusal);
+    return Refusal {RefusalReason::UpstreamFailed, Execution::Ran,
+                    "the stream was cut and no engine resumes it; send the request again",
+                    std::nullopt};
 }
 
-Refusal noDecision()
+/// Asks for another attempt. Without a descriptor to wait on, the request ends here.
+std::optional<Decision> decideNext(Service &service, const Dispatch &dispatch,
+                                   const ExchangeResult &result)
 {
-    return Refusal {RefusalReason::DeadlineExceeded, Execution::NotRun,
-                    "the daemon did not decide before the deadline; retry later", Millis {1000}};
+    try {
+        return decide(service, [&](WaiterId waiter) {
+            AttemptEnded ended = attemptEnded(service, dispatch, result);
+            ended.retryWaiter_ = waiter;
+            return ended;
+        });
+    } catch (const std::system_error &) {
+        finishCut(service, dispatch, result);
+        return std::nullopt;
+    }
 }
 
 /// Makes exchanges until the answer is whole, the caller is gone or a refusal arrives.
 void exchangeUntilDone(Service &service, std::optional<Decision> decision)
 {
     bool sent = false;
+    bool resumeRefused = false;
     while (decision && std::holds_alternative<Dispatch>(*decision)) {
         const Dispatch dispatch = std::get<Dispatch>(*decision);
-        const ExchangeResult result = runExchange(service, dispatch);
+        const bool resumes = service.received_ > 0;
+        ExchangeResult result = runAttempt(service, dispatch);
         sent |= result.result_ != AttemptResult::NotSent;
         if (result.result_ == AttemptResult::Whole) {
-            finish(service, dispatch, result, Completeness::Whole);
-            answerWhole(service, result);
+            finishWhole(service, dispatch, result);
             return;
         }
-        if (service.callerGone_) {
-            finish(service, dispatch, result, Completeness::Cut);
-            return;
+        stopGeneration(service, dispatch, result);
+        // Another engine that ignored the offset ran the request for nothing; one is enough.
+        resumeRefused = resumes && result.resumeRefused_;
+        if (service.callerGone_ || resumeRefused) {
+            finishCut(service, dispatch, result);
+            break;
         }
-        decision = decide(service, [&](WaiterId waiter) {
-            return AttemptEnded {dispatch.admission_, dispatch.attempt_,       result.result_,
-                                 result.firstByte_,   costOf(service, result), waiter};
-        });
+        decision = decideNext(service, dispatch, result);
     }
-    Refusal refusal = decision ? std::get<Refusal>(*decision) : noDecision();
-    if (!decision && sent)
-        refusal.execution_ = Execution::Unknown;
-    refuseOrCut(service, refusal);
+    if (service.callerGone_)
+        return;
+    if (resumeRefused)
+        refuseOrCut(service, notResumable());
+    else
+        refuseOrCut(service, decision ? std::get<Refusal>(*decision) : noDecision(sent));
 }
 
 /// Fills in price and idempotency of a call to a plain service.
@@ -183,7 +173,7 @@
            const std::function<void(const RequestId &)> &requestIdKnown)
 {
     const std::shared_ptr<const Snapshot> snapshot = context.snapshot_.load();
-    Service service {context, request, response, {}, 0, {}, {}, {}, true, 0, false};
+    Service service {context, request, response, {}, 0, {}, {}, {}, true, 0, 0, false};
     service.deadline_ = std::chrono::steady_clock::now() + request.timeLimit_;
     if (!snapshot || !snapshot->bundle_) {
         response.refuse_(Refusal {RefusalReason::Stopping, Execution::NotRun,
--- a/tests/fakes/fakeservice.cpp
+++ b/tests/fakes/fakeservice.cpp
@@ -1,9 +1,111 @@
-// fake-service: a plain service that counts its calls and echoes the body.
+// fake-service: a plain service that counts its calls and echoes the body. Faults are set by
+// POST /faults: {"status": 500, "cut": true, "silent": true, "delay": 100, "times": 1}.
 #include "fakes/fakehttp.h"
 
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include <CLI/CLI.hpp>
 
-#include <atomic>
+#include <poll.h>
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace tamarack::fakes {
+
+namespace {
+
+struct ServiceFaults
+{
+    int status_ = 200;
+    /// Runs the call and closes the connection without an answer.
+    bool cut_ = false;
+    /// Runs the call and keeps the connection open without an answer.
+    bool silent_ = false;
+    std::chrono::milliseconds delay_ {0};
+    /// Calls that the faults apply to; -1 for all.
+    std::int64_t times_ = -1;
+};
+
+struct PlainService
+{
+    std::mutex mutex_;
+    ServiceFaults faults_;
+    std::uint64_t runs_ = 0;
+    std::map<std::string, std::uint64_t> runsById_;
+};
+
+ServiceFaults parseServiceFaults(const std::string &json)
+{
+    const Poco::JSON::Object::Ptr object = parseJson(json);
+    ServiceFaults faults;
+    faults.status_ = object->optValue("status", 200);
+    faults.cut_ = object->optValue("cut", false);
+    faults.silent_ = object->optValue("silent", false);
+    faults.delay_ = std::chrono::milliseconds {object->optValue<std::int64_t>("delay", 0)};
+    faults.times_ = object->optValue<std::int64_t>("times", -1);
+    return faults;
+}
+
+/// Counts the call and takes the faults for it.
+ServiceFaults noteRun(PlainService &service, const std::string &id)
+{
+    const std::lock_guard lock(service.mutex_);
+    ++service.runs_;
+    ++service.runsById_[id];
+    if (service.faults_.times_ == 0)
+        return {};
+    if (service.faults_.times_ > 0)
+        --service.faults_.times_;
+    return service.faults_;
+}
+
+void run(PlainService &service, Poco::Net::HTTPServerRequest &request,
+         Poco::Net::HTTPServerResponse &response)
+{
+    const std::string body = readBody(request);
+    const ServiceFaults faults = noteRun(service, request.get("X-Request-Id", ""));
+    std::this_thread::sleep_for(faults.delay_);
+    if (faults.cut_ || faults.silent_) {
+        auto &socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+        constexpr int longerThanAnyTest = 120'000;
+        pollfd wait {socket.impl()->sockfd(), POLLRDHUP, 0};
+        if (faults.silent_)
+            ::poll(&wait, 1, longerThanAnyTest);
+        socket.shutdown();
+        return;
+    }
+    sendText(response, faults.status_, "text/plain",
+             request.getMethod() + " " + request.getURI() + " " + body);
+}
+
+void handle(PlainService &service, Poco::Net::HTTPServerRequest &request,
+            Poco::Net::HTTPServerResponse &response)
+{
+    const std::string &path = request.getURI();
+    if (path == "/faults") {
+        const ServiceFaults faults = parseServiceFaults(readBody(request));
+        const std::lock_guard lock(service.mutex_);
+        service.faults_ = faults;
+        sendText(response, 200, "text/plain", "ok");
+    } else if (path == "/health") {
+        sendText(response, 200, "application/json", R"({"state":"live"})");
+    } else if (path == "/runs" || path.starts_with("/runs/")) {
+        const std::lock_guard lock(service.mutex_);
+        const std::uint64_t runs
+            = path == "/runs" ? service.runs_ : service.runsById_[path.substr(6)];
+        sendText(response, 200, "text/plain", std::to_string(runs));
+    } else {
+        run(service, request, response);
+    }
+}
+
+} // namespace
+
+} // namespace tamarack::fakes
 
 int main(int argc, char **argv)
 {
@@ -11,16 +113,8 @@
     std::string address = "127.0.0.1:8100";
     app.add_option("--address", address, "IP:port to listen on");
     CLI11_PARSE(app, argc, argv);
-    std::atomic<std::uint64_t> runs {0};
-    tamarack::fakes::runFake(address, [&runs](auto &request, auto &response) {
-        using namespace tamarack::fakes;
-        if (request.getURI() == "/runs") {
-            sendText(response, 200, "text/plain", std::to_string(runs.load()));
-            return;
-        }
-        ++runs;
-        const std::string body = readBody(request);
-        sendText(response, 200, "text/plain",
-                 request.getMethod() + " " + request.getURI() + " " + body);
+    tamarack::fakes::PlainService service;
+    tamarack::fakes::runFake(address, [&service](auto &request, auto &response) {
+        tamarack::fakes::handle(service, request, response);
     });
 }
