Test serving with scripted decisions and exchanges

Guards against a lost or repeated part of a resumed stream, a second run of a non-idempotent request, a request that never ends in RequestFinished when the caller goes away, and a late decision that is kept.

--- /dev/null
+++ b/tests/servescene.h
@@ -0,0 +1,197 @@
+// A traffic thread's surroundings for tests: scripted decisions and exchanges, a recording caller.
+#pragma once
+
+#include "traffic/traffic.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+namespace tamarack::tests {
+
+using Exchange = std::function<ExchangeResult(const ExchangeRequest &, const EventSink &)>;
+
+/// A traffic thread's surroundings. Decisions and exchanges are used in order.
+struct Scene
+{
+    TrafficContext context_;
+    std::deque<Decision> decisions_;
+    std::deque<Exchange> exchanges_;
+    std::vector<ExchangeRequest> sent_;
+    std::vector<Event> events_;
+    std::vector<std::string> cancelled_;
+    std::vector<LogEvent> log_;
+    CallerRequest request_;
+    CallerResponse response_;
+    std::vector<std::string> delivered_;
+    std::optional<CallerAnswer> answer_;
+    std::optional<Refusal> refusal_;
+    std::optional<Refusal> cut_;
+    bool ended_ = false;
+    /// Events that the caller takes before it goes away.
+    std::size_t takes_ = 1000;
+    bool takesAnswers_ = true;
+};
+
+inline void decideNext(Scene &scene, WaiterId waiter)
+{
+    if (scene.decisions_.empty())
+        return;
+    const Decision decision = scene.decisions_.front();
+    scene.decisions_.pop_front();
+    fillSlot(scene.context_.slots_, waiter, decision);
+}
+
+inline void takeEvent(Scene &scene, const Event &event)
+{
+    scene.events_.push_back(event);
+    if (const auto *ask = std::get_if<AdmitRequested>(&event))
+        decideNext(scene, ask->waiter_);
+    if (const auto *ended = std::get_if<AttemptEnded>(&event); ended && ended->retryWaiter_)
+        decideNext(scene, *ended->retryWaiter_);
+}
+
+inline std::shared_ptr<const Snapshot> makeSnapshot()
+{
+    auto bundle = std::make_shared<Bundle>();
+    bundle->accounts_[AccountId {"club"}] = ClientAccount {};
+    bundle->routes_.push_back(ServiceRoute {ServiceId {"lamps"}, "", "/", false, Tokens {5}});
+    bundle->routes_.push_back(ServiceRoute {ServiceId {"lamps"}, "GET", "/", true, Tokens {3}});
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->bundle_ = bundle;
+    snapshot->keys_["key"] = KeyOwner {AccountId {"club"}, BudgetId {"budget"}};
+    return snapshot;
+}
+
+inline std::unique_ptr<Scene> makeScene()
+{
+    auto scene = std::make_unique<Scene>();
+    Scene *s = scene.get();
+    s->context_.events_.post_ = [s](const Event &event) {
+        takeEvent(*s, event);
+    };
+    s->context_.log_.write_ = [s](const LogEvent &event) {
+        s->log_.push_back(event);
+    };
+    s->context_.newRequestId_ = [] {
+        return RequestId {"r1"};
+    };
+    s->context_.digest_ = [](std::string_view text) {
+        return std::string(text);
+    };
+    s->context_.decisionGrace_ = Millis {0};
+    s->context_.snapshot_.store(makeSnapshot());
+    s->context_.upstreams_.exchange_ = [s](const ExchangeRequest &request, const EventSink &sink) {
+        s->sent_.push_back(request);
+        REQUIRE_FALSE(s->exchanges_.empty());
+        const Exchange exchange = s->exchanges_.front();
+        s->exchanges_.pop_front();
+        return exchange(request, sink);
+    };
+    s->context_.upstreams_.cancel_ = [s](const std::string &address, const RequestId &, Millis) {
+        s->cancelled_.push_back(address);
+        return std::optional<Tokens> {Tokens {11}};
+    };
+    s->response_.send_ = [s](const CallerAnswer &answer) {
+        s->answer_ = answer;
+        return s->takesAnswers_;
+    };
+    s->response_.sendEvent_ = [s](const std::string &data) {
+        if (s->delivered_.size() == s->takes_)
+            return false;
+        s->delivered_.push_back(data);
+        return true;
+    };
+    s->response_.endStream_ = [s] {
+        s->ended_ = true;
+        return s->takesAnswers_;
+    };
+    s->response_.cutStream_ = [s](const Refusal &refusal) {
+        s->cut_ = refusal;
+    };
+    s->response_.refuse_ = [s](const Refusal &refusal) {
+        s->refusal_ = refusal;
+    };
+    s->request_.keySha256_ = "key";
+    s->request_.promptBound_ = Tokens {20};
+    s->request_.maxOutput_ = Tokens {100};
+    s->request_.stream_ = true;
+    return scene;
+}
+
+inline Dispatch dispatchTo(const std::string &upstream, const std::string &attempt)
+{
+    return Dispatch {AdmissionId {"admission"}, AttemptId {attempt}, UpstreamId {upstream},
+                     upstream, Millis {1000}};
+}
+
+inline Refusal failed()
+{
+    return Refusal {RefusalReason::UpstreamFailed, Execution::Unknown, "failed", std::nullopt};
+}
+
+inline ExchangeResult resultOf(AttemptResult result, ProbeResult probe = ProbeResult::NotMade)
+{
+    ExchangeResult exchange;
+    exchange.result_ = result;
+    exchange.status_ = 200;
+    exchange.streamed_ = true;
+    exchange.probe_ = probe;
+    return exchange;
+}
+
+/// Streams events numbered from the request's offset up to @a end.
+inline Exchange streamUpTo(std::uint64_t end, ExchangeResult result)
+{
+    return [end, result](const ExchangeRequest &request, const EventSink &sink) {
+        for (std::uint64_t i = request.resumeOffset_; i < end; ++i) {
+            if (!sink(StreamEvent {"e" + std::to_string(i), false}))
+                return resultOf(AttemptResult::Cancelled);
+        }
+        return result;
+    };
+}
+
+inline Exchange ends(ExchangeResult result)
+{
+    return [result](const ExchangeRequest &, const EventSink &) {
+        return result;
+    };
+}
+
+inline ExchangeResult wholeWith(std::int64_t usage)
+{
+    ExchangeResult result = resultOf(AttemptResult::Whole);
+    result.usage_ = Tokens {usage};
+    return result;
+}
+
+inline void run(Scene &scene)
+{
+    serve(scene.context_, scene.request_, scene.response_, [](const RequestId &) {});
+}
+
+inline std::vector<RequestFinished> finished(const Scene &scene)
+{
+    std::vector<RequestFinished> found;
+    for (const Event &event : scene.events_) {
+        if (const auto *end = std::get_if<RequestFinished>(&event))
+            found.push_back(*end);
+    }
+    return found;
+}
+
+inline bool hasAbandoned(const Scene &scene)
+{
+    return std::holds_alternative<AdmitAbandoned>(scene.events_.back());
+}
+
+inline std::vector<std::string> numbered(std::size_t end)
+{
+    std::vector<std::string> events;
+    for (std::size_t i = 0; i < end; ++i)
+        events.push_back("e" + std::to_string(i));
+    return events;
+}
+
+} // namespace tamarack::tests
