--- a/src/adapters/etcd/client.cpp
+++ b/src/adapters/etcd/client.cpp
@@ -7,6 +7,9 @@
 
 #include <Poco/JSON/Array.h>
 
+#include <memory>
+#include <utility>
+
 namespace tamarack {
 
 namespace {
@@ -50,12 +53,11 @@
     return value.revision_ == Revision {} || value.value_.has_value();
 }
 
-StoreReply carryOut(const EtcdSettings &settings, const ReadCall &call)
+StoreReply carryOut(Gateway &gateway, const ReadCall &call)
 {
     Object body;
     body.set("key", base64Encode(call.key_.value_));
-    const GatewayReply reply
-        = postJson(settings.endpoints_, "/v3/kv/range", body, settings.timeout_);
+    const GatewayReply reply = postJson(gateway, "/v3/kv/range", body, Effect::Repeatable);
     if (reply.status_ != StoreStatus::Ok)
         return StoreReply {{}, reply.status_, {}};
     VersionedValue value = decodeRange(reply.body_, call.kind_);
@@ -89,10 +91,9 @@
     return body;
 }
 
-StoreReply carryOut(const EtcdSettings &settings, const SwapCall &call)
+StoreReply carryOut(Gateway &gateway, const SwapCall &call)
 {
-    const GatewayReply reply
-        = postJson(settings.endpoints_, "/v3/kv/txn", swapBody(call), settings.timeout_);
+    const GatewayReply reply = postJson(gateway, "/v3/kv/txn", swapBody(call), Effect::Once);
     if (reply.status_ != StoreStatus::Ok)
         return StoreReply {{}, reply.status_, {}};
     if (reply.body_->optValue("succeeded", false)) {
@@ -107,35 +108,33 @@
     return StoreReply {{}, status, std::move(value)};
 }
 
-LeaseId grantLease(const EtcdSettings &settings, Seconds timeToLive)
+LeaseId grantLease(Gateway &gateway, Seconds timeToLive)
 {
     Object body;
     body.set("TTL", std::to_string(timeToLive.count()));
-    const GatewayReply reply
-        = postJson(settings.endpoints_, "/v3/lease/grant", body, settings.timeout_);
+    const GatewayReply reply = postJson(gateway, "/v3/lease/grant", body, Effect::Once);
     return reply.status_ == StoreStatus::Ok ? LeaseId {numberField(reply.body_, "ID")} : LeaseId {};
 }
 
-bool keepLease(const EtcdSettings &settings, LeaseId lease)
+bool keepLease(Gateway &gateway, LeaseId lease)
 {
     Object body;
     body.set("ID", std::to_string(lease.value_));
-    const GatewayReply reply
-        = postJson(settings.endpoints_, "/v3/lease/keepalive", body, settings.timeout_);
+    const GatewayReply reply = postJson(gateway, "/v3/lease/keepalive", body, Effect::Repeatable);
     if (reply.status_ != StoreStatus::Ok)
         return false;
     return numberField(reply.body_->getObject("result"), "TTL") > 0;
 }
 
-bool revokeLease(const EtcdSettings &settings, LeaseId lease)
+bool revokeLease(Gateway &gateway, LeaseId lease)
 {
     Object body;
     body.set("ID", std::to_string(lease.value_));
-    return postJson(settings.endpoints_, "/v3/lease/revoke", body, settings.timeout_).status_
+    return postJson(gateway, "/v3/lease/revoke", body, Effect::Repeatable).status_
         == StoreStatus::Ok;
 }
 
-bool waitForChange(const EtcdSettings &settings, const StoreKey &key, Revision seen, Millis limit)
+bool waitForChange(Gateway &gateway, const StoreKey &key, Revision seen, Millis limit)
 {
     Object create;
     create.set("key", base64Encode(key.value_));
@@ -143,36 +142,58 @@
     Object body;
     body.set("create_request", create);
     bool changed = false;
-    postJsonStream(settings.endpoints_, "/v3/watch", body, limit,
-                   [&changed](const Object::Ptr &line) {
-                       const Object::Ptr result = line->getObject("result");
-                       const Array::Ptr events = result ? result->getArray("events") : nullptr;
-                       changed = events && !events->empty();
-                       return !changed;
-                   });
+    postJsonStream(gateway, "/v3/watch", body, limit, [&changed](const Object::Ptr &line) {
+        const Object::Ptr result = line->getObject("result");
+        const Array::Ptr events = result ? result->getArray("events") : nullptr;
+        changed = events && !events->empty();
+        return !changed;
+    });
     return changed;
 }
 
+/// Carries out a call; an answer that is not of the expected form counts as none.
+template <typename Call>
+auto answerOr(decltype(std::declval<Call>()()) fallback, const Call &call)
+{
+    try {
+        return call();
+    } catch (const Poco::Exception &) {
+        return fallback;
+    }
+}
+
+template <typename Call>
+StoreReply answerOrUnknown(Gateway &gateway, const Call &call)
+{
+    return answerOr(StoreReply {{}, StoreStatus::Unknown, {}},
+                    [&] { return carryOut(gateway, call); });
+}
+
 } // namespace
 
 StorePort makeEtcdPort(EtcdSettings settings)
 {
+    const auto gateway
+        = std::make_shared<Gateway>(std::move(settings.endpoints_), settings.timeout_);
     StorePort port;
-    port.call_ = [settings](const StoreCall &call) {
+    port.call_ = [gateway](const StoreCall &call) {
         return std::visit(
-            [&settings](const auto &concrete) { return carryOut(settings, concrete); }, call);
+            [&gateway](const auto &concrete) { return answerOrUnknown(*gateway, concrete); }, call);
+    };
+    port.grantLease_ = [gateway](Seconds time) {
+        return answerOr(LeaseId {}, [&] { return grantLease(*gateway, time); });
     };
-    port.grantLease_ = [settings](Seconds time) {
-        return grantLease(settings, time);
+    port.keepLease_ = [gateway](LeaseId lease) {
+        return answerOr(false, [&] { return keepLease(*gateway, lease); });
     };
-    port.keepLease_ = [settings](LeaseId lease) {
-        return keepLease(settings, lease);
+    port.revokeLease_ = [gateway](LeaseId lease) {
+        return answerOr(false, [&] { return revokeLease(*gateway, lease); });
     };
-    port.revokeLease_ = [settings](LeaseId lease) {
-        return revokeLease(settings, lease);
+    port.waitForChange_ = [gateway](const StoreKey &key, Revision seen, Millis limit) {
+        return answerOr(false, [&] { return waitForChange(*gateway, key, seen, limit); });
     };
-    port.waitForChange_ = [settings](const StoreKey &key, Revision seen, Millis limit) {
-        return waitForChange(settings, key, seen, limit);
+    port.cancelWaits_ = [gateway] {
+        cancelStreams(*gateway);
     };
     return port;
 }
--- a/src/adapters/etcd/gateway.cpp
+++ b/src/adapters/etcd/gateway.cpp
@@ -7,11 +7,11 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/Timespan.h>
 
 #include <istream>
+#include <optional>
 #include <ostream>
 #include <sstream>
 
@@ -19,6 +19,13 @@
 
 namespace {
 
+using Poco::Net::HTTPClientSession;
+using SessionPtr = std::unique_ptr<HTTPClientSession>;
+
+/// A connection that was idle for longer may have lost its state somewhere on the path (fault F7).
+constexpr Millis maxIdleTime {5000};
+constexpr std::size_t maxIdleConnections = 8;
+
 Poco::Timespan timespan(Millis time)
 {
     return Poco::Timespan(std::chrono::duration_cast<Micros>(time).count());
@@ -31,29 +38,73 @@
 }
 
 /// Connects on its own, because a failure to connect is the only proof that nothing was sent.
-bool connect(Poco::Net::StreamSocket &socket, const std::string &endpoint, Millis timeout)
+std::optional<Poco::Net::StreamSocket> connect(const std::vector<std::string> &endpoints,
+                                               Millis timeout)
+{
+    for (const std::string &endpoint : endpoints) {
+        try {
+            Poco::Net::StreamSocket socket;
+            socket.connect(Poco::Net::SocketAddress(endpoint), timespan(timeout));
+            socket.setNoDelay(true);
+            return socket;
+        } catch (const Poco::Exception &) {
+            continue;
+        }
+    }
+    return std::nullopt;
+}
+
+/// A kept connection that is readable was closed by the store or holds an answer to nobody.
+bool isFresh(HTTPClientSession &session)
 {
     try {
-        socket.connect(Poco::Net::SocketAddress(endpoint), timespan(timeout));
-        return true;
+        return !session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
     } catch (const Poco::Exception &) {
         return false;
     }
 }
 
-void send(Poco::Net::HTTPClientSession &session, const std::string &path,
-          const Poco::JSON::Object &body, Millis timeout)
+SessionPtr takeIdle(Gateway &gateway)
+{
+    const std::lock_guard lock(gateway.mutex_);
+    const MonoTime oldest = std::chrono::steady_clock::now() - maxIdleTime;
+    gateway.idle_.remove_if([oldest](const IdleConnection &idle) { return idle.since_ < oldest; });
+    while (!gateway.idle_.empty()) {
+        SessionPtr session = std::move(gateway.idle_.back().session_);
+        gateway.idle_.pop_back();
+        if (isFresh(*session))
+            return session;
+    }
+    return nullptr;
+}
+
+void keepIdle(Gateway &gateway, SessionPtr session)
+{
+    const std::lock_guard lock(gateway.mutex_);
+    if (gateway.idle_.size() < maxIdleConnections)
+        gateway.idle_.push_back(
+            IdleConnection {std::move(session), std::chrono::steady_clock::now()});
+}
+
+/// The other kept connections share the path of one that failed.
+void dropIdle(Gateway &gateway)
+{
+    const std::lock_guard lock(gateway.mutex_);
+    gateway.idle_.clear();
+}
+
+void send(HTTPClientSession &session, const std::string &path, const std::string &body,
+          Millis timeout)
 {
-    std::ostringstream text;
-    body.stringify(text);
     Poco::Net::HTTPRequest request("POST", path, Poco::Net::HTTPRequest::HTTP_1_1);
     request.setContentType("application/json");
-    request.setContentLength(static_cast<std::streamsize>(text.str().size()));
+    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    request.setKeepAlive(true);
     session.setTimeout(timespan(timeout), timespan(timeout), timespan(timeout));
-    session.sendRequest(request) << text.str() << std::flush;
+    session.sendRequest(request) << body << std::flush;
 }
 
-GatewayReply receive(Poco::Net::HTTPClientSession &session)
+GatewayReply receive(HTTPClientSession &session, bool &keep)
 {
     Poco::Net::HTTPResponse response;
     std::istream &stream = session.receiveResponse(response);
@@ -62,16 +113,38 @@
     // Any other status may be sent after the change was made, for example on a time-out.
     if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
         return GatewayReply {StoreStatus::Unknown, nullptr};
-    return GatewayReply {StoreStatus::Ok, parse(text)};
+    const bool whole = !response.hasContentLength()
+        || response.getContentLength64() == static_cast<std::int64_t>(text.size());
+    if (!whole)
+        return GatewayReply {StoreStatus::Unknown, nullptr};
+    GatewayReply reply {StoreStatus::Ok, parse(text)};
+    keep = response.getKeepAlive();
+    return reply;
 }
 
-void receiveLines(Poco::Net::HTTPClientSession &session,
+/// Makes the call on one connection and keeps the connection if the answer is whole.
+GatewayReply exchange(Gateway &gateway, SessionPtr session, const std::string &path,
+                      const std::string &body)
+{
+    try {
+        bool keep = false;
+        send(*session, path, body, gateway.timeout_);
+        GatewayReply reply = receive(*session, keep);
+        if (keep)
+            keepIdle(gateway, std::move(session));
+        return reply;
+    } catch (const Poco::Exception &) {
+        return GatewayReply {StoreStatus::Unknown, nullptr};
+    }
+}
+
+void receiveLines(HTTPClientSession &session, MonoTime deadline,
                   const std::function<bool(const Poco::JSON::Object::Ptr &)> &onLine)
 {
     Poco::Net::HTTPResponse response;
     std::istream &stream = session.receiveResponse(response);
     std::string line;
-    while (std::getline(stream, line)) {
+    while (std::chrono::steady_clock::now() < deadline && std::getline(stream, line)) {
         if (!onLine(parse(line)))
             return;
     }
@@ -79,40 +152,71 @@
 
 } // namespace
 
-GatewayReply postJson(const std::vector<std::string> &endpoints, const std::string &path,
-                      const Poco::JSON::Object &body, Millis timeout)
+Gateway::Gateway(std::vector<std::string> endpoints, Millis timeout)
+    : endpoints_(std::move(endpoints))
+    , timeout_(timeout)
+{ }
+
+Gateway::~Gateway() = default;
+
+GatewayReply postJson(Gateway &gateway, const std::string &path, const Poco::JSON::Object &body,
+                      Effect effect)
 {
-    for (const std::string &endpoint : endpoints) {
-        Poco::Net::StreamSocket socket;
-        if (!connect(socket, endpoint, timeout))
-            continue;
-        try {
-            Poco::Net::HTTPClientSession session(socket);
-            send(session, path, body, timeout);
-            return receive(session);
-        } catch (const Poco::Exception &) {
-            return GatewayReply {StoreStatus::Unknown, nullptr};
-        }
+    std::ostringstream text;
+    body.stringify(text);
+    if (SessionPtr kept = takeIdle(gateway)) {
+        GatewayReply reply = exchange(gateway, std::move(kept), path, text.str());
+        if (reply.status_ == StoreStatus::Ok)
+            return reply;
+        dropIdle(gateway);
+        if (effect == Effect::Once)
+            return reply;
     }
-    return GatewayReply {};
+    std::optional<Poco::Net::StreamSocket> socket = connect(gateway.endpoints_, gateway.timeout_);
+    if (!socket)
+        return GatewayReply {};
+    return exchange(gateway, std::make_unique<HTTPClientSession>(*socket), path, text.str());
 }
 
-void postJsonStream(const std::vector<std::string> &endpoints, const std::string &path,
-                    const Poco::JSON::Object &body, Millis limit,
+void postJsonStream(Gateway &gateway, const std::string &path, const Poco::JSON::Object &body,
+                    Millis limit,
                     const std::function<bool(const Poco::JSON::Object::Ptr &)> &onLine)
 {
-    for (const std::string &endpoint : endpoints) {
-        Poco::Net::StreamSocket socket;
-        if (!connect(socket, endpoint, limit))
-            continue;
+    const MonoTime deadline = std::chrono::steady_clock::now() + limit;
+    const std::optional<Poco::Net::StreamSocket> socket
+        = connect(gateway.endpoints_, gateway.timeout_);
+    if (!socket)
+        return;
+    std::list<Poco::Net::StreamSocket>::iterator place;
+    {
+        const std::lock_guard lock(gateway.mutex_);
+        if (gateway.cancelled_)
+            return;
+        place = gateway.streams_.insert(gateway.streams_.end(), *socket);
+    }
+    try {
+        std::ostringstream text;
+        body.stringify(text);
+        HTTPClientSession session(*socket);
+        send(session, path, text.str(), limit);
+        receiveLines(session, deadline, onLine);
+    } catch (const Poco::Exception &) {
+        // The stream ended or was silent until the limit; the caller reads the key again.
+    }
+    const std::lock_guard lock(gateway.mutex_);
+    gateway.streams_.erase(place);
+}
+
+void cancelStreams(Gateway &gateway)
+{
+    const std::lock_guard lock(gateway.mutex_);
+    gateway.cancelled_ = true;
+    for (Poco::Net::StreamSocket &socket : gateway.streams_) {
         try {
-            Poco::Net::HTTPClientSession session(socket);
-            send(session, path, body, limit);
-            receiveLines(session, onLine);
+            socket.shutdown();
         } catch (const Poco::Exception &) {
-            return;
+            // The stream has ended on its own.
         }
-        return;
     }
 }
 
--- a/src/adapters/http/adminserver.cpp
+++ b/src/adapters/http/adminserver.cpp
@@ -11,6 +11,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
 
+#include <algorithm>
 #include <ostream>
 
 namespace tamarack {
@@ -33,9 +34,11 @@
     if (request.getURI() == "/metrics" && request.getMethod() == "GET")
         return true;
     const std::string header = request.get("Authorization", "");
-    return header.starts_with(bearerPrefix)
-        && sha256Hex(std::string_view(header).substr(bearerPrefix.size()))
-        == listener.settings_.tokenSha256_;
+    if (!header.starts_with(bearerPrefix))
+        return false;
+    const std::vector<std::string> tokens = listener.settings_.tokens_();
+    const std::string digest = sha256Hex(std::string_view(header).substr(bearerPrefix.size()));
+    return std::find(tokens.begin(), tokens.end(), digest) != tokens.end();
 }
 
 AdminReply answer(const AdminListener &listener, Poco::Net::HTTPServerRequest &request)
--- a/src/adapters/http/adminserver.h
+++ b/src/adapters/http/adminserver.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace tamarack {
 
@@ -28,8 +29,8 @@
 struct AdminServerSettings
 {
     std::string address_;
-    /// SHA-256 of the token that all calls but GET /metrics must carry.
-    std::string tokenSha256_;
+    /// Returns the SHA-256 of each token that is accepted now; all calls but GET /metrics need one.
+    std::function<std::vector<std::string>()> tokens_;
     std::size_t maxRequestBytes_ = 64U << 20U;
 };
 
--- a/src/adapters/http/callerserver.cpp
+++ b/src/adapters/http/callerserver.cpp
@@ -57,6 +57,7 @@
     case RefusalReason::Overloaded:
     case RefusalReason::NoUpstream:
     case RefusalReason::Stopping:
+    case RefusalReason::BundleUnconfirmed:
         break;
     }
     return 503;
--- /dev/null
+++ b/src/adapters/json/address.h
@@ -0,0 +1,16 @@
+// Checks of "IP:port" addresses. Internal to the JSON adapter.
+#pragma once
+
+#include "adapters/json/jsonreader.h"
+
+#include <string>
+
+namespace tamarack {
+
+/// @brief Returns true for "IPv4:port" and "[IPv6]:port" with a port from 1 to 65535.
+bool isAddress(const std::string &text);
+
+/// @brief Reads an address; a malformed one is a fault.
+std::string readAddress(const JsonReader &reader, const std::string &field, Need need);
+
+} // namespace tamarack
--- a/src/adapters/json/bundlejson.cpp
+++ b/src/adapters/json/bundlejson.cpp
@@ -1,6 +1,8 @@
 // Bundles as JSON documents.
 #include "adapters/json/bundlejson.h"
 
+#include "adapters/json/address.h"
+#include "adapters/json/bundlecheck.h"
 #include "adapters/json/jsonreader.h"
 
 #include <fmt/format.h>
@@ -9,16 +11,21 @@
 
 namespace {
 
-constexpr std::size_t maxBundleBytes = 64U << 20U;
 constexpr Range tokenRange {0, 1'000'000'000'000'000};
 constexpr std::size_t sha256HexLength = 64;
 
+bool isSha256(const std::string &text)
+{
+    return text.size() == sha256HexLength
+        && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
 void readKeys(const JsonReader &reader, ClientAccount &account)
 {
     readObjects(reader, "keys", Need::Required, [&account](const JsonReader &key) {
         const std::string digest = readString(key, "sha256", Need::Required);
-        if (digest.size() != sha256HexLength)
-            addFault(key, "sha256", "is not a SHA-256 in hexadecimal",
+        if (!isSha256(digest))
+            addFault(key, "sha256", "is not a SHA-256 in lower-case hexadecimal",
                      "compute it with tamarackctl hash-key");
         account.keys_.push_back(
             KeyHash {digest, BudgetId {readString(key, "budget", Need::Required)}});
@@ -50,18 +57,37 @@
         addFault(reader, "id", fmt::format("{} appears twice", account.id_.value_), "remove one");
 }
 
-void readBudget(const JsonReader &reader, Bundle &bundle)
+void readBudget(const JsonReader &reader, BundleSection &section, BudgetSegment &segment)
 {
     Budget budget;
     budget.id_ = BudgetId {readString(reader, "id", Need::Required)};
     budget.account_ = AccountId {readString(reader, "account", Need::Required)};
     budget.funded_ = Tokens {readInteger(reader, "funded", Need::Required, tokenRange)};
     rejectUnknownFields(reader, {"id", "account", "funded"});
-    if (!bundle.accounts_.contains(budget.account_))
-        addFault(reader, "account", fmt::format("{} is not in accounts", budget.account_.value_),
-                 "add the client account or correct the name");
-    if (!bundle.budgets_.emplace(budget.id_, budget).second)
-        addFault(reader, "id", fmt::format("{} appears twice", budget.id_.value_), "remove one");
+    section.budgetOwners_.insert(budget.account_);
+    if (section.segments_ > 1 && budgetSegmentOf(budget.id_, section.segments_) != section.segment_)
+        addFault(reader, "id", fmt::format("{} belongs to another segment", budget.id_.value_),
+                 "let tamarackctl split the bundle into parts");
+    const BudgetId id = budget.id_;
+    if (!addBudget(segment, std::move(budget)))
+        addFault(reader, "id", fmt::format("{} appears twice", id.value_), "remove one");
+}
+
+void readBudgets(const JsonReader &root, Need need, BundleSection &section)
+{
+    const Range numbers {0, maxBudgetSegments};
+    section.segments_
+        = static_cast<std::uint32_t>(readInteger(root, "segments", Need::Optional, numbers, 1));
+    section.segment_
+        = static_cast<std::uint32_t>(readInteger(root, "segment", Need::Optional, numbers, 0));
+    if (section.segment_ >= section.segments_)
+        addFault(root, "segment", fmt::format("is {}", section.segment_),
+                 "let tamarackctl split the bundle into parts");
+    auto segment = std::make_shared<BudgetSegment>();
+    readObjects(root, "budgets", need, [&section, &segment](const JsonReader &reader) {
+        readBudget(reader, section, *segment);
+    });
+    section.budgets_ = std::move(segment);
 }
 
 void readUpstream(const JsonReader &reader, Bundle &bundle)
@@ -70,7 +96,7 @@
     upstream.id_ = UpstreamId {readString(reader, "id", Need::Required)};
     upstream.host_ = HostId {readString(reader, "host", Need::Optional)};
     upstream.zone_ = ZoneId {readString(reader, "zone", Need::Required)};
-    upstream.address_ = readString(reader, "address", Need::Required);
+    upstream.address_ = readAddress(reader, "address", Need::Required);
     for (const std::string &model : readStrings(reader, "models", Need::Optional))
         upstream.models_.emplace_back(model);
     upstream.service_ = ServiceId {readString(reader, "service", Need::Optional)};
@@ -123,48 +149,99 @@
                          "unconfirmedLimitMs", "defaultMaxOutput"});
 }
 
-void checkKeys(const JsonReader &root, const Bundle &bundle)
+/// Reads all sections that the object has.
+BundleSection readSection(const JsonReader &root, Need need)
 {
-    for (const auto &[id, account] : bundle.accounts_) {
-        for (const KeyHash &key : account.keys_) {
-            const auto budget = bundle.budgets_.find(key.defaultBudget_);
-            if (budget == bundle.budgets_.end() || budget->second.account_ != id)
-                addFault(root, "accounts." + id.value_ + ".keys",
-                         fmt::format("names budget {}, which the account does not own",
-                                     key.defaultBudget_.value_),
-                         "name one of its budgets");
-        }
-    }
+    BundleSection section;
+    Bundle &content = section.content_;
+    section.hasAccounts_ = root.object_->has("accounts");
+    readObjects(root, "accounts", need,
+                [&content](const JsonReader &reader) { readAccount(reader, content); });
+    if (need == Need::Required || root.object_->has("budgets"))
+        readBudgets(root, need, section);
+    readObjects(root, "upstreams", need,
+                [&content](const JsonReader &reader) { readUpstream(reader, content); });
+    readObjects(root, "routes", Need::Optional,
+                [&content](const JsonReader &reader) { readRoute(reader, content); });
+    section.hasPolicies_ = root.object_->has("policies");
+    readPolicies(readObject(root, "policies", Need::Optional), content.policies_);
+    return section;
 }
 
-} // namespace
-
-Bundle parseBundle(const std::string &text, Faults &faults)
+BundleSection parse(const std::string &text, std::size_t maxBytes, Need need, Faults &faults)
 {
-    Bundle bundle;
-    boost::leaf::try_handle_all(
-        [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(object, parseObject(text, maxBundleBytes));
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<BundleSection> {
+            BOOST_LEAF_AUTO(object, parseObject(text, maxBytes));
             const JsonReader root {object, "", &faults};
-            readObjects(root, "accounts", Need::Required,
-                        [&bundle](const JsonReader &reader) { readAccount(reader, bundle); });
-            readObjects(root, "budgets", Need::Required,
-                        [&bundle](const JsonReader &reader) { readBudget(reader, bundle); });
-            readObjects(root, "upstreams", Need::Required,
-                        [&bundle](const JsonReader &reader) { readUpstream(reader, bundle); });
-            readObjects(root, "routes", Need::Optional,
-                        [&bundle](const JsonReader &reader) { readRoute(reader, bundle); });
-            readPolicies(readObject(root, "policies", Need::Optional), bundle.policies_);
-            rejectUnknownFields(root, {"accounts", "budgets", "upstreams", "routes", "policies"});
-            checkKeys(root, bundle);
-            return {};
+            BundleSection section = readSection(root, need);
+            std::vector<std::string> known {"accounts", "budgets", "upstreams", "routes",
+                                            "policies"};
+            if (need == Need::Optional)
+                known.insert(known.end(), {"segment", "segments"});
+            rejectUnknownFields(root, known);
+            return section;
         },
         [&faults](const Error &error) {
             faults.push_back(Fault {"bundle", error.message_, error.id_});
+            return BundleSection {};
         },
         [&faults] {
             faults.push_back(Fault {"bundle", "could not be read", "check the document"});
+            return BundleSection {};
         });
+}
+
+} // namespace
+
+BundleSection parseBundlePart(const std::string &text, Faults &faults)
+{
+    return parse(text, maxPartBytes, Need::Optional, faults);
+}
+
+Bundle assembleBundle(const std::vector<std::shared_ptr<const BundleSection>> &sections,
+                      Faults &faults)
+{
+    Bundle bundle;
+    std::vector<std::shared_ptr<const BudgetSegment>> segments;
+    for (const auto &section : sections) {
+        const Bundle &content = section->content_;
+        bundle.accounts_.insert(content.accounts_.begin(), content.accounts_.end());
+        bundle.upstreams_.insert(content.upstreams_.begin(), content.upstreams_.end());
+        bundle.routes_.insert(bundle.routes_.end(), content.routes_.begin(), content.routes_.end());
+        if (section->hasPolicies_)
+            bundle.policies_ = content.policies_;
+        if (!section->budgets_)
+            continue;
+        if (section->segment_ != segments.size())
+            faults.push_back(Fault {
+                "budgets",
+                fmt::format("segment {} stands at place {}", section->segment_, segments.size()),
+                "let tamarackctl split the bundle into parts"});
+        segments.push_back(section->budgets_);
+    }
+    for (const auto &section : sections) {
+        if (section->budgets_ && section->segments_ != segments.size())
+            faults.push_back(Fault {
+                "budgets",
+                fmt::format("there are {} of {} segments", segments.size(), section->segments_),
+                "let tamarackctl split the bundle into parts"});
+    }
+    bundle.budgets_ = BudgetTable(std::move(segments));
+    if (faults.empty())
+        checkBundle(bundle, sections, faults);
+    return bundle;
+}
+
+Bundle parseBundle(const std::string &text, Faults &faults)
+{
+    auto section
+        = std::make_shared<BundleSection>(parse(text, maxBundleBytes, Need::Required, faults));
+    if (section->budgets_ == nullptr)
+        return {};
+    Faults crossFaults;
+    Bundle bundle = assembleBundle({section}, crossFaults);
+    faults.insert(faults.end(), crossFaults.begin(), crossFaults.end());
     return bundle;
 }
 
--- /dev/null
+++ b/src/adapters/json/bundleparts.cpp
@@ -0,0 +1,113 @@
+// Splitting of a bundle document into parts.
+#include "adapters/json/bundleparts.h"
+
+#include "adapters/json/bundlejson.h"
+#include "adapters/json/jsonreader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+
+namespace tamarack {
+
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+/// A daemon fetches the manifest and one segment for a changed budget. With 940,000 budgets both
+/// have about this size, which makes their sum smallest.
+constexpr std::size_t targetSegmentBytes = 96U << 10U;
+
+std::string toText(const Poco::Dynamic::Var &value)
+{
+    std::ostringstream text;
+    Poco::JSON::Stringifier::stringify(value, text);
+    return text.str();
+}
+
+std::string objectWith(const Object &document, const std::vector<std::string> &fields)
+{
+    Object object;
+    for (const std::string &field : fields)
+        object.set(field, document.get(field));
+    return toText(Poco::Dynamic::Var(object));
+}
+
+/// The budgets' texts by id.
+std::map<std::string, std::string> budgetTexts(const Object &document)
+{
+    std::map<std::string, std::string> texts;
+    const Array::Ptr budgets = document.getArray("budgets");
+    if (!budgets)
+        return texts;
+    for (const Poco::Dynamic::Var &budget : *budgets) {
+        const auto &object = budget.extract<Object::Ptr>();
+        texts.emplace(object->optValue<std::string>("id", ""), toText(budget));
+    }
+    return texts;
+}
+
+std::vector<std::string> formatSegments(const std::map<std::string, std::string> &budgets,
+                                        std::uint32_t count)
+{
+    std::vector<std::string> segments(count);
+    for (const auto &[id, text] : budgets) {
+        std::string &segment = segments[budgetSegmentOf(BudgetId {id}, count)];
+        segment += segment.empty() ? "" : ",";
+        segment += text;
+    }
+    for (std::uint32_t i = 0; i < count; ++i)
+        segments[i] = fmt::format(R"({{"budgets":[{}],"segment":{},"segments":{}}})", segments[i],
+                                  i, count);
+    return segments;
+}
+
+std::vector<std::string> splitBudgets(const std::map<std::string, std::string> &budgets)
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, text] : budgets)
+        bytes += text.size() + 1;
+    std::uint32_t count = 1;
+    while (bytes / count > targetSegmentBytes && count < maxBudgetSegments)
+        count *= 2;
+    while (true) {
+        std::vector<std::string> segments = formatSegments(budgets, count);
+        const auto largest
+            = std::max_element(segments.begin(), segments.end(),
+                               [](const auto &a, const auto &b) { return a.size() < b.size(); });
+        if (largest->size() <= targetSegmentBytes || count >= maxBudgetSegments)
+            return segments;
+        count *= 2;
+    }
+}
+
+} // namespace
+
+Result<std::vector<PartText>> splitBundle(const std::string &document)
+{
+    BOOST_LEAF_AUTO(root, parseObject(document, maxBundleBytes));
+    std::vector<std::string> routing;
+    for (const std::string &field : root->getNames()) {
+        if (field != "accounts" && field != "upstreams" && field != "budgets")
+            routing.push_back(field);
+    }
+    std::vector<PartText> parts {{"accounts", objectWith(*root, {"accounts"})},
+                                 {"upstreams", objectWith(*root, {"upstreams"})},
+                                 {"routing", objectWith(*root, routing)}};
+    std::uint32_t number = 0;
+    for (std::string &segment : splitBudgets(budgetTexts(*root)))
+        parts.push_back(PartText {fmt::format("budgets/{}", number++), std::move(segment)});
+    for (const PartText &part : parts) {
+        if (part.content_.size() > maxPartBytes)
+            return fail(ErrorKind::InvalidBundle, "tamarack.bundle.221",
+                        fmt::format("part {} has {} bytes; at most {} fit in the store, remove "
+                                    "what is no longer used",
+                                    part.name_, part.content_.size(), maxPartBytes));
+    }
+    return parts;
+}
+
+} // namespace tamarack
--- a/src/adapters/json/json.h
+++ b/src/adapters/json/json.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "adapters/json/bundlejson.h"
+#include "adapters/json/bundleparts.h"
 #include "adapters/json/chat.h"
 #include "adapters/json/fault.h"
 #include "adapters/json/manifest.h"
--- a/src/adapters/json/settings.cpp
+++ b/src/adapters/json/settings.cpp
@@ -1,6 +1,7 @@
 // The settings file of a daemon.
 #include "adapters/json/settings.h"
 
+#include "adapters/json/address.h"
 #include "adapters/json/jsonreader.h"
 
 namespace tamarack {
@@ -13,7 +14,7 @@
 void readListeners(const JsonReader &root, Settings &settings)
 {
     const JsonReader callers = readObject(root, "callers", Need::Required);
-    settings.callerAddress_ = readString(callers, "address", Need::Required);
+    settings.callerAddress_ = readAddress(callers, "address", Need::Required);
     settings.callerConnections_ = static_cast<std::uint32_t>(readInteger(
         callers, "maxConnections", Need::Optional, Range {1, 10'000}, settings.callerConnections_));
     settings.maxRequestBytes_ = static_cast<std::size_t>(
@@ -21,9 +22,15 @@
                     static_cast<std::int64_t>(settings.maxRequestBytes_)));
     rejectUnknownFields(callers, {"address", "maxConnections", "maxRequestBytes"});
     const JsonReader admin = readObject(root, "admin", Need::Required);
-    settings.adminAddress_ = readString(admin, "address", Need::Required);
-    settings.adminTokenSha256_ = readString(admin, "tokenSha256", Need::Required);
-    rejectUnknownFields(admin, {"address", "tokenSha256"});
+    settings.adminAddress_ = readAddress(admin, "address", Need::Required);
+    settings.adminTokensSha256_ = readStrings(admin, "tokensSha256", Need::Optional);
+    const std::string token = readString(admin, "tokenSha256", Need::Optional);
+    if (!token.empty())
+        settings.adminTokensSha256_.push_back(token);
+    if (settings.adminTokensSha256_.empty())
+        addFault(admin, "tokensSha256", "is empty",
+                 "list the SHA-256 of at least one operator token");
+    rejectUnknownFields(admin, {"address", "tokenSha256", "tokensSha256"});
     const JsonReader peers = readObject(root, "peers", Need::Optional);
     settings.peerAddress_ = readString(peers, "address", Need::Optional);
     rejectUnknownFields(peers, {"address"});
--- a/src/adapters/json/settings.h
+++ b/src/adapters/json/settings.h
@@ -29,8 +29,8 @@
     std::uint32_t callerConnections_ = 256;
     std::size_t maxRequestBytes_ = 4U << 20U;
     std::string adminAddress_;
-    /// SHA-256 of the operators' token for the admin listener.
-    std::string adminTokenSha256_;
+    /// SHA-256 of each operator token that the admin listener accepts.
+    std::vector<std::string> adminTokensSha256_;
     std::string peerAddress_;
     std::vector<std::string> storeEndpoints_;
     std::string storePrefix_ = "/tamarack";
--- a/src/core/bundle.h
+++ b/src/core/bundle.h
@@ -2,6 +2,7 @@
 // share it through std::shared_ptr<const Bundle>.
 #pragma once
 
+#include "core/budgettable.h"
 #include "core/ids.h"
 #include "core/time.h"
 #include "core/tokens.h"
@@ -45,15 +46,6 @@
     ReachPolicy reach_;
 };
 
-/// @brief One prepaid budget.
-struct Budget
-{
-    BudgetId id_;
-    AccountId account_;
-    /// Cumulative tokens paid for; a top-up raises it.
-    Tokens funded_;
-};
-
 enum class UpstreamKind {
     ModelEngine,
     Service,
@@ -112,7 +104,7 @@
 {
     BundleVersion version_;
     std::map<AccountId, ClientAccount> accounts_;
-    std::map<BudgetId, Budget> budgets_;
+    BudgetTable budgets_;
     std::map<UpstreamId, Upstream> upstreams_;
     std::vector<ServiceRoute> routes_;
     Policies policies_;
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -1,4 +1,4 @@
-// Dispatch of events, adoption of bundles and planned stop.
+// Dispatch of events and wake-up times.
 #include "core/control.h"
 
 #include "core/controlparts.h"
@@ -23,61 +23,6 @@
 
 namespace {
 
-void publishSnapshot(const ControlState &state, Commands &out)
-{
-    auto snapshot = std::make_shared<Snapshot>();
-    snapshot->bundle_ = state.bundle_;
-    snapshot->stopping_ = state.stopping_;
-    if (state.bundle_) {
-        for (const auto &[id, account] : state.bundle_->accounts_) {
-            for (const KeyHash &key : account.keys_)
-                snapshot->keys_.emplace(key.sha256_, KeyOwner {id, key.defaultBudget_});
-        }
-    }
-    out.emplace_back(PublishSnapshot {std::move(snapshot)});
-}
-
-void onBundle(ControlState &state, const BundleSeen &event, Now now, Commands &out)
-{
-    const BundleVersion version = event.bundle_->version_;
-    if (state.bundle_ && version <= state.bundle_->version_)
-        return;
-    state.bundle_ = event.bundle_;
-    log(out, LogLevel::Info, "bundle.applied", {{"version", std::to_string(version.value_)}});
-    publishSnapshot(state, out);
-    // A top-up may serve requests that wait for tokens.
-    std::vector<BudgetId> waiting;
-    for (const auto &[id, request] : state.active_) {
-        if (request.stage_ == RequestStage::AwaitingTokens)
-            waiting.push_back(request.ask_.budget_);
-    }
-    for (const BudgetId &budget : waiting)
-        serveBudget(state, budget, false, now, out);
-}
-
-void onStop(ControlState &state, Commands &out)
-{
-    if (state.stopping_)
-        return;
-    state.stopping_ = true;
-    log(out, LogLevel::Info, "daemon.stopping",
-        {{"requests_in_flight", std::to_string(state.active_.size())}});
-    publishSnapshot(state, out);
-}
-
-void finishStop(ControlState &state, Now now, Commands &out)
-{
-    if (!state.stopping_ || state.stopCompleted_ || !state.active_.empty())
-        return;
-    if (!state.grants_.empty()) {
-        releaseGrants(state, now);
-        return;
-    }
-    state.stopCompleted_ = true;
-    log(out, LogLevel::Info, "daemon.stopped", {});
-    out.emplace_back(StopCompleted {});
-}
-
 struct Handler
 {
     ControlState &state_;
@@ -93,7 +38,12 @@
         onStoreReply(state_, event.reply_, now_, out_);
     }
     void operator()(const BundleSeen &event) const { onBundle(state_, event, now_, out_); }
+    void operator()(const BundleConfirmed &event) const
+    {
+        onBundleConfirmed(state_, event, now_, out_);
+    }
     void operator()(const StopRequested &) const { onStop(state_, out_); }
+    void operator()(const StopForced &event) const { onStopForced(state_, event, now_, out_); }
     void operator()(const Tick &) const { }
 };
 
@@ -115,6 +65,7 @@
 {
     Commands out;
     std::visit(detail::Handler {state, now, out}, event);
+    detail::checkUnconfirmed(state, now, out);
     detail::expireRequests(state, now, out);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
@@ -123,7 +74,7 @@
 
 std::optional<MonoTime> nextWake(const ControlState &state)
 {
-    std::optional<MonoTime> earliest;
+    std::optional<MonoTime> earliest = detail::unconfirmedAt(state);
     detail::collectCallTimes(state.ledger_, earliest);
     detail::collectCallTimes(state.requestShards_, earliest);
     for (const auto &[id, request] : state.active_) {
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -91,6 +91,10 @@
     std::unordered_map<RequestId, AdmissionId> byRequest_;
     std::unordered_map<CallId, ShardCall> calls_;
     RoutingState routing_;
+    /// When the store last confirmed bundle_.
+    MonoTime bundleConfirmedAt_ {};
+    /// The bundle's unconfirmedLimit has passed since then.
+    bool unconfirmed_ = false;
     bool stopping_ = false;
     bool stopCompleted_ = false;
     std::uint64_t lastId_ = 0;
--- a/src/core/controlparts.h
+++ b/src/core/controlparts.h
@@ -14,6 +14,26 @@
 /// @brief Appends a log line to @a out.
 void log(Commands &out, LogLevel level, std::string name, std::vector<LogField> fields);
 
+// Bundle (controlbundle.cpp)
+
+void publishSnapshot(const ControlState &state, Commands &out);
+void onBundle(ControlState &state, const BundleSeen &event, Now now, Commands &out);
+void onBundleConfirmed(ControlState &state, const BundleConfirmed &event, Now now, Commands &out);
+/// @brief Notes that the store has not confirmed the bundle for the policy's limit.
+void checkUnconfirmed(ControlState &state, Now now, Commands &out);
+/// @brief When checkUnconfirmed() has something to note, or nothing if it has noted it.
+std::optional<MonoTime> unconfirmedAt(const ControlState &state);
+/// @brief Returns the refusal of new requests while the bundle's policy demands it.
+std::optional<Refusal> unconfirmedRefusal(const ControlState &state);
+
+// Planned stop (controlstop.cpp)
+
+void onStop(ControlState &state, Commands &out);
+/// @brief Names everything that is cut off and ends the control loop.
+void onStopForced(ControlState &state, const StopForced &event, Now now, Commands &out);
+/// @brief Hands grants back when the last request is done, then completes the stop.
+void finishStop(ControlState &state, Now now, Commands &out);
+
 // Requests (controlrequests.cpp)
 
 void onAdmit(ControlState &state, const AdmitRequested &ask, Now now, Commands &out);
--- a/src/core/controlrequests.cpp
+++ b/src/core/controlrequests.cpp
@@ -163,6 +163,8 @@
     if (!state.bundle_)
         return Refusal {RefusalReason::Stopping, Execution::NotRun,
                         "this daemon holds no bundle yet; retry later", Millis {1000}};
+    if (std::optional<Refusal> refusal = unconfirmedRefusal(state))
+        return refusal;
     const auto budget = state.bundle_->budgets_.find(ask.budget_);
     if (budget == state.bundle_->budgets_.end() || budget->second.account_ != ask.account_)
         return Refusal {RefusalReason::BudgetNotOwned, Execution::NotRun,
--- /dev/null
+++ b/src/core/controlstop.cpp
@@ -0,0 +1,86 @@
+// The planned stop: no new requests, everything in flight is finished, grants are handed back.
+#include "core/controlparts.h"
+
+namespace tamarack::detail {
+
+namespace {
+
+std::string_view stageName(RequestStage stage)
+{
+    switch (stage) {
+    case RequestStage::AwaitingTokens:
+        return "awaiting_tokens";
+    case RequestStage::AwaitingIntent:
+        return "awaiting_intent";
+    case RequestStage::Running:
+        return "running";
+    case RequestStage::Billing:
+        break;
+    }
+    return "billing";
+}
+
+void logCut(const AdmissionId &admission, const ActiveRequest &request, Commands &out)
+{
+    log(out, LogLevel::Error, "request.cut",
+        {{"request", request.ask_.request_.value_},
+         {"admission", admission.value_},
+         {"attempt", request.attempt_.value_},
+         {"account", request.ask_.account_.value_},
+         {"budget", request.ask_.budget_.value_},
+         {"stage", std::string(stageName(request.stage_))},
+         {"reserved", std::to_string(request.reserved_.count_)}});
+}
+
+void logKeptGrant(const BudgetId &budget, const HeldGrant &grant, Commands &out)
+{
+    log(out, LogLevel::Error, "budget.not_released",
+        {{"budget", budget.value_},
+         {"grant", grant.id_.value_},
+         {"armed", std::to_string(grant.armed_.count_)},
+         {"spent", std::to_string(grant.spent_.count_)},
+         {"settled", std::to_string(grant.settled_.count_)}});
+}
+
+} // namespace
+
+void onStop(ControlState &state, Commands &out)
+{
+    if (state.stopping_)
+        return;
+    state.stopping_ = true;
+    log(out, LogLevel::Info, "daemon.stopping",
+        {{"requests_in_flight", std::to_string(state.active_.size())}});
+    publishSnapshot(state, out);
+}
+
+void onStopForced(ControlState &state, const StopForced &event, Now, Commands &out)
+{
+    if (state.stopCompleted_)
+        return;
+    for (const auto &[admission, request] : state.active_)
+        logCut(admission, request, out);
+    for (const auto &[budget, grant] : state.grants_)
+        logKeptGrant(budget, grant, out);
+    log(out, LogLevel::Error, "daemon.stop_forced",
+        {{"cause", event.cause_},
+         {"requests_cut", std::to_string(state.active_.size())},
+         {"grants_not_released", std::to_string(state.grants_.size())}});
+    state.stopCompleted_ = true;
+    out.emplace_back(StopCompleted {});
+}
+
+void finishStop(ControlState &state, Now now, Commands &out)
+{
+    if (!state.stopping_ || state.stopCompleted_ || !state.active_.empty())
+        return;
+    if (!state.grants_.empty()) {
+        releaseGrants(state, now);
+        return;
+    }
+    state.stopCompleted_ = true;
+    log(out, LogLevel::Info, "daemon.stopped", {});
+    out.emplace_back(StopCompleted {});
+}
+
+} // namespace tamarack::detail
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,6 +1,7 @@
 // Public header of the core library: the decisions of a daemon, without any I/O.
 #pragma once
 
+#include "core/acceptance.h"
 #include "core/bundle.h"
 #include "core/command.h"
 #include "core/control.h"
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <variant>
 
 namespace tamarack {
@@ -77,15 +78,29 @@
     std::shared_ptr<const Bundle> bundle_;
 };
 
+/// @brief The store confirmed that this version is the accepted one.
+struct BundleConfirmed
+{
+    BundleVersion version_;
+};
+
 /// @brief An operator or the platform asks the daemon to stop.
 struct StopRequested
 { };
 
+/// @brief A planned stop is ended before it is complete; everything in flight is cut off.
+struct StopForced
+{
+    /// What ended it, such as "second signal".
+    std::string cause_;
+};
+
 /// @brief Time has passed; due work is started.
 struct Tick
 { };
 
-using Event = std::variant<AdmitRequested, AdmitAbandoned, AttemptEnded, RequestFinished,
-                           StoreReplied, BundleSeen, StopRequested, Tick>;
+using Event
+    = std::variant<AdmitRequested, AdmitAbandoned, AttemptEnded, RequestFinished, StoreReplied,
+                   BundleSeen, BundleConfirmed, StopRequested, StopForced, Tick>;
 
 } // namespace tamarack
--- a/src/core/refusal.cpp
+++ b/src/core/refusal.cpp
@@ -34,6 +34,8 @@
         return "deadline_exceeded";
     case RefusalReason::Stopping:
         return "stopping";
+    case RefusalReason::BundleUnconfirmed:
+        return "bundle_unconfirmed";
     }
     return "internal";
 }
--- a/src/core/refusal.h
+++ b/src/core/refusal.h
@@ -25,6 +25,7 @@
     OutcomeUnknown,
     DeadlineExceeded,
     Stopping,
+    BundleUnconfirmed,
 };
 
 /// @brief Whether the request ran on an upstream, as told to the caller.
--- a/src/ctl/bundlecommands.cpp
+++ b/src/ctl/bundlecommands.cpp
@@ -15,18 +15,22 @@
     return {};
 }
 
-Result<std::string> signBundle(const std::string &document, BundleVersion version,
-                               const OperatorId &signer, const std::string &privateKey)
+Result<Submission> signBundle(const std::string &document, BundleVersion version,
+                              const OperatorId &signer, const std::string &privateKey)
 {
     BOOST_LEAF_CHECK(checkBundle(document));
+    BOOST_LEAF_AUTO(parts, splitBundle(document));
+    Manifest manifest {version, {}};
     Submission submission;
-    submission.manifest_
-        = formatManifest(Manifest {version, {ManifestPart {"bundle", sha256Hex(document)}}});
+    for (PartText &part : parts) {
+        manifest.parts_.push_back(ManifestPart {part.name_, sha256Hex(part.content_)});
+        submission.parts_.push_back(std::move(part.content_));
+    }
+    submission.manifest_ = formatManifest(manifest);
     submission.operator_ = signer;
     BOOST_LEAF_AUTO(signature, sign(submission.manifest_, privateKey));
     submission.signature_ = base64Encode(signature);
-    submission.parts_.push_back(document);
-    return formatSubmission(submission);
+    return submission;
 }
 
 } // namespace tamarack
--- a/src/ctl/bundlecommands.h
+++ b/src/ctl/bundlecommands.h
@@ -1,6 +1,7 @@
 // Commands on bundles: check, sign and submit.
 #pragma once
 
+#include "adapters/json/json.h"
 #include "core/error.h"
 #include "core/ids.h"
 
@@ -10,9 +11,9 @@
 
 /// @brief Checks a bundle document and signs a manifest for it.
 /// @param privateKey raw Ed25519 key in base64
-/// @return the submission as JSON, or an error that lists every fault of the document
-Result<std::string> signBundle(const std::string &document, BundleVersion version,
-                               const OperatorId &signer, const std::string &privateKey);
+/// @return the submission with all parts, or an error that lists every fault of the document
+Result<Submission> signBundle(const std::string &document, BundleVersion version,
+                              const OperatorId &signer, const std::string &privateKey);
 
 /// @brief Checks a bundle document.
 /// @return an error with id tamarack.ctl.101 that lists every fault
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -67,7 +67,7 @@
     BOOST_LEAF_AUTO(submission,
                     signBundle(readFile(options.file_), BundleVersion {options.version_},
                                OperatorId {options.operator_}, key));
-    return report(callAdmin(options.target_, "POST", "/v1/bundle", submission));
+    return report(callAdmin(options.target_, "POST", "/v1/bundle", formatSubmission(submission)));
 }
 
 Result<int> check(const Options &options)
--- a/src/daemon/bundlestore.cpp
+++ b/src/daemon/bundlestore.cpp
@@ -5,183 +5,194 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <thread>
-
 namespace tamarack {
 
 namespace {
 
-/// A watch that ends silently is noticed after this time, because the head is read again then.
-constexpr Millis watchLimit {5000};
-constexpr Millis retryInterval {500};
-
-StoreKey headKey(const BundleStore &store)
-{
-    return StoreKey {store.prefix_ + "/bundle/head"};
-}
-
-StoreKey partKey(const BundleStore &store, const std::string &sha256)
-{
-    return StoreKey {store.prefix_ + "/bundle/parts/" + sha256};
-}
-
 boost::leaf::error_id unavailable(const std::string &what)
 {
     return fail(ErrorKind::StoreUnavailable, "tamarack.bundle.201",
                 what + " could not be read from the store; retry when the store answers");
 }
 
-Result<void> verifyManifest(const BundleStore &store, const BundleHead &head)
+boost::leaf::error_id superseded(const BundleHead &winner)
 {
-    const auto trusted
-        = std::find_if(store.operators_.begin(), store.operators_.end(),
-                       [&head](const TrustedOperator &op) { return op.id_ == head.operator_; });
-    if (trusted == store.operators_.end())
-        return fail(ErrorKind::InvalidSignature, "tamarack.bundle.202",
-                    fmt::format("operator {} is not trusted; add the public key to the settings",
-                                head.operator_.value_));
-    return verify(head.manifest_, head.signature_, trusted->publicKey_);
+    return fail(ErrorKind::InvalidBundle, "tamarack.bundle.207",
+                fmt::format("version {} by operator {} is accepted; base the change on it and "
+                            "submit version {}",
+                            winner.version_.value_, winner.operator_.value_,
+                            winner.version_.value_ + 1));
 }
 
-Result<std::shared_ptr<const Bundle>> parseParts(const Manifest &manifest,
-                                                 const std::vector<std::string> &parts)
+std::string describe(const FundingFault &fault)
 {
-    if (manifest.parts_.size() != 1 || parts.size() != 1)
-        return fail(ErrorKind::InvalidBundle, "tamarack.bundle.203",
-                    "the manifest does not have exactly one part; use tamarackctl to sign it");
-    if (sha256Hex(parts.front()) != manifest.parts_.front().sha256_)
-        return fail(ErrorKind::InvalidBundle, "tamarack.bundle.204",
-                    "the bundle does not match the digest in the manifest; sign it again");
-    Faults faults;
-    auto bundle = std::make_shared<Bundle>(parseBundle(parts.front(), faults));
-    if (!faults.empty())
-        return fail(ErrorKind::InvalidBundle, "tamarack.bundle.205", formatFaults(faults));
-    bundle->version_ = manifest.version_;
-    return std::shared_ptr<const Bundle>(std::move(bundle));
+    const std::string figures
+        = fmt::format("charged {}, lost {}, outstanding {}", fault.charged_.count_,
+                      fault.lost_.count_, fault.outstanding_.count_);
+    if (fault.check_.removed_)
+        return fmt::format("budgets.{}: is removed while grants are outstanding ({}); keep it "
+                           "until they are handed back",
+                           fault.check_.budget_.value_, figures);
+    const Tokens least = fault.charged_ + fault.lost_ + fault.outstanding_;
+    return fmt::format("budgets.{}.funded: is {} but {} is committed ({}); fund at least {}",
+                       fault.check_.budget_.value_, fault.check_.funded_.count_, least.count_,
+                       figures, least.count_);
 }
 
-Result<std::vector<std::string>> readParts(const BundleStore &store, const Manifest &manifest)
+boost::leaf::error_id refused(const Acceptance &acceptance)
 {
-    std::vector<std::string> contents;
-    for (const ManifestPart &part : manifest.parts_) {
-        const StoreReply reply
-            = store.store_.call_(ReadCall {partKey(store, part.sha256_), StoredKind::BundlePart});
-        if (reply.status_ != StoreStatus::Ok || !reply.current_.value_)
-            return unavailable("part " + part.name_);
-        contents.push_back(std::get<BundlePart>(*reply.current_.value_).content_);
-    }
-    return contents;
+    if (acceptance.shardsInUse_)
+        return fail(ErrorKind::InvalidBundle, "tamarack.bundle.211",
+                    fmt::format("policies.ledgerShards or requestShards changes but budget {} was "
+                                "drawn on; keep the numbers of the accepted version",
+                                acceptance.shardsInUse_->value_));
+    std::string text;
+    for (const FundingFault &fault : acceptance.faults_)
+        text += describe(fault) + '\n';
+    return fail(ErrorKind::InvalidBundle, "tamarack.bundle.212", text);
 }
 
-Result<void> writeParts(const BundleStore &store, const Manifest &manifest,
-                        const std::vector<std::string> &parts)
+Result<BundleVersion> outcome(const Acceptance &acceptance)
 {
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-        const StoreReply reply = store.store_.call_(SwapCall {
-            partKey(store, manifest.parts_[i].sha256_), Revision {}, BundlePart {parts[i]}, {}});
-        // A conflict means that the same content is there already.
-        if (reply.status_ != StoreStatus::Ok && reply.status_ != StoreStatus::Conflict)
-            return fail(ErrorKind::StoreUnavailable, "tamarack.bundle.206",
-                        "a part could not be written to the store; submit again");
+    switch (acceptance.result_) {
+    case AcceptanceResult::Accepted:
+        return acceptance.plan_.head_.version_;
+    case AcceptanceResult::Superseded:
+        return superseded(acceptance.winner_);
+    case AcceptanceResult::Refused:
+        return refused(acceptance);
+    case AcceptanceResult::StoreDown:
+        return fail(ErrorKind::StoreUnavailable, "tamarack.bundle.206",
+                    "the store does not answer and the version was not accepted; submit it again "
+                    "when the store answers");
+    case AcceptanceResult::Unknown:
+        break;
     }
-    return {};
+    return fail(ErrorKind::StoreUnavailable, "tamarack.bundle.208",
+                "it is not known whether the version was accepted; submit the same file again, "
+                "which is harmless");
 }
 
-boost::leaf::error_id conflict(const BundleHead &winner)
+Result<BundleVersion> accept(const BundleStore &store, AcceptancePlan plan)
 {
-    return fail(ErrorKind::InvalidBundle, "tamarack.bundle.207",
-                fmt::format("version {} by operator {} is accepted; base the change on it and "
-                            "submit version {}",
-                            winner.version_.value_, winner.operator_.value_,
-                            winner.version_.value_ + 1));
+    Acceptance acceptance = startAcceptance(std::move(plan));
+    while (acceptance.stage_ != AcceptanceStage::Done) {
+        const std::uint32_t failures = acceptance.failures_;
+        takeReply(acceptance, store.store_.call_(nextCall(acceptance)));
+        if (acceptance.failures_ > failures && pauseUnlessStopped(*store.stop_, acceptancePause))
+            break;
+    }
+    return outcome(acceptance);
 }
 
-Result<BundleVersion> swapHead(const BundleStore &store, const BundleHead &head)
+/// Parts that the manifest names, by digest.
+Result<std::map<std::string, std::string>> submittedParts(const Manifest &manifest,
+                                                          const Submission &submission)
 {
-    const ReadCall read {headKey(store), StoredKind::BundleHead};
-    const StoreReply current = store.store_.call_(read);
-    if (current.status_ != StoreStatus::Ok)
-        return unavailable("the bundle head");
-    const BundleHead before
-        = current.current_.value_ ? std::get<BundleHead>(*current.current_.value_) : BundleHead {};
-    if (before.version_.value_ + 1 != head.version_.value_)
-        return conflict(before);
-    StoreReply swapped
-        = store.store_.call_(SwapCall {read.key_, current.current_.revision_, head, {}});
-    if (swapped.status_ == StoreStatus::Ok)
-        return head.version_;
-    if (swapped.status_ == StoreStatus::Unknown)
-        swapped = store.store_.call_(read);
-    if (!swapped.current_.value_)
-        return fail(ErrorKind::StoreUnavailable, "tamarack.bundle.208",
-                    "it is not known whether the version was accepted; run tamarackctl bundle "
-                    "status before submitting again");
-    const BundleHead after = std::get<BundleHead>(*swapped.current_.value_);
-    if (after.manifest_ == head.manifest_ && after.signature_ == head.signature_)
-        return head.version_;
-    return conflict(after);
+    std::map<std::string, std::string> byDigest;
+    for (const std::string &content : submission.parts_)
+        byDigest.emplace(sha256Hex(content), content);
+    std::size_t named = 0;
+    for (const ManifestPart &part : manifest.parts_)
+        named += byDigest.contains(part.sha256_) ? 1 : 0;
+    if (named < byDigest.size())
+        return fail(ErrorKind::InvalidBundle, "tamarack.bundle.204",
+                    "a submitted part does not match any digest in the manifest; sign and submit "
+                    "the bundle again");
+    return byDigest;
 }
 
-void logFault(const LogPort &log, const Error &error)
+bool changesShards(const Bundle &before, const Bundle &next)
 {
-    log.write_(LogEvent {LogLevel::Warning,
-                         "bundle.load_failed",
-                         {{"error", error.id_}, {"message", error.message_}}});
+    return before.policies_.ledgerShards_ != next.policies_.ledgerShards_
+        || before.policies_.requestShards_ != next.policies_.requestShards_;
 }
 
 } // namespace
 
+std::optional<std::string> readPart(const BundleStore &store, const std::string &sha256)
+{
+    const StoreReply reply = store.store_.call_(
+        ReadCall {bundlePartKey(store.prefix_, sha256), StoredKind::BundlePart});
+    if (reply.status_ != StoreStatus::Ok || !reply.current_.value_)
+        return std::nullopt;
+    return std::get<BundlePart>(*reply.current_.value_).content_;
+}
+
 Result<LoadedBundle> loadBundle(const BundleStore &store)
 {
-    const StoreReply reply = store.store_.call_(ReadCall {headKey(store), StoredKind::BundleHead});
+    const StoreReply reply
+        = store.store_.call_(ReadCall {bundleHeadKey(store.prefix_), StoredKind::BundleHead});
     if (reply.status_ != StoreStatus::Ok)
         return unavailable("the bundle head");
-    if (!reply.current_.value_)
+    if (!reply.current_.value_) {
+        const VerifiedBundle newest = newestBundle(*store.cache_);
+        if (newest.bundle_)
+            return fail(ErrorKind::InvalidBundle, "tamarack.bundle.210",
+                        fmt::format("the store has no bundle head but version {} is in force; "
+                                    "submit version {} again",
+                                    newest.head_.version_.value_, newest.head_.version_.value_));
         return LoadedBundle {nullptr, reply.current_.revision_};
-    const BundleHead head = std::get<BundleHead>(*reply.current_.value_);
-    BOOST_LEAF_CHECK(verifyManifest(store, head));
-    BOOST_LEAF_AUTO(manifest, parseManifest(head.manifest_));
-    BOOST_LEAF_AUTO(parts, readParts(store, manifest));
-    BOOST_LEAF_AUTO(bundle, parseParts(manifest, parts));
-    return LoadedBundle {bundle, reply.current_.revision_};
+    }
+    const auto &head = std::get<BundleHead>(*reply.current_.value_);
+    BOOST_LEAF_AUTO(
+        verified,
+        adoptHead(*store.cache_, head, store.operators_(),
+                  [&store](const std::string &sha256) { return readPart(store, sha256); }));
+    return LoadedBundle {verified.bundle_, reply.current_.revision_};
 }
 
 Result<BundleVersion> submitBundle(const BundleStore &store, const Submission &submission)
 {
     BOOST_LEAF_AUTO(signature, base64Decode(submission.signature_));
-    BOOST_LEAF_AUTO(manifest, parseManifest(submission.manifest_));
-    const BundleHead head {manifest.version_, submission.manifest_, submission.operator_,
-                           signature};
-    BOOST_LEAF_CHECK(verifyManifest(store, head));
-    BOOST_LEAF_CHECK(parseParts(manifest, submission.parts_));
-    BOOST_LEAF_CHECK(writeParts(store, manifest, submission.parts_));
-    return swapHead(store, head);
+    BOOST_LEAF_AUTO(claimed, parseManifest(submission.manifest_));
+    AcceptancePlan plan;
+    plan.prefix_ = store.prefix_;
+    plan.head_
+        = BundleHead {claimed.version_, submission.manifest_, submission.operator_, signature};
+    BOOST_LEAF_AUTO(manifest, verifyHead(plan.head_, store.operators_()));
+    BOOST_LEAF_AUTO(submitted, submittedParts(manifest, submission));
+    BOOST_LEAF_AUTO(before, loadBundle(store));
+    const PartSource source = [&](const std::string &sha256) {
+        const auto found = submitted.find(sha256);
+        return found == submitted.end() ? readPart(store, sha256) : found->second;
+    };
+    BOOST_LEAF_AUTO(next, assembleFromParts(*store.cache_, manifest, source));
+    for (const auto &[sha256, content] : submitted)
+        plan.parts_.push_back(PartToStore {sha256, content});
+    plan.checks_ = fundingChecks(before.bundle_.get(), *next.bundle_);
+    if (before.bundle_ && changesShards(*before.bundle_, *next.bundle_))
+        plan.unusedShards_ = before.bundle_->policies_.ledgerShards_;
+    return accept(store, std::move(plan));
+}
+
+Result<BundleHead> readHead(const BundleStore &store)
+{
+    const StoreReply reply
+        = store.store_.call_(ReadCall {bundleHeadKey(store.prefix_), StoredKind::BundleHead});
+    if (reply.status_ != StoreStatus::Ok)
+        return unavailable("the bundle head");
+    return reply.current_.value_ ? std::get<BundleHead>(*reply.current_.value_) : BundleHead {};
 }
 
-void watchBundles(const BundleStore &store, const EventPort &events, const LogPort &log,
-                  const std::function<bool()> &stopping)
+Result<std::vector<BundleHead>> readHistory(const BundleStore &store, std::size_t count)
 {
-    Revision seen;
-    while (!stopping()) {
-        const bool loaded = boost::leaf::try_handle_all(
-            [&]() -> Result<bool> {
-                BOOST_LEAF_AUTO(bundle, loadBundle(store));
-                seen = bundle.revision_;
-                if (bundle.bundle_)
-                    events.post_(BundleSeen {bundle.bundle_});
-                return true;
-            },
-            [&log](const Error &error) {
-                logFault(log, error);
-                return false;
-            },
-            [] { return false; });
-        if (!loaded)
-            std::this_thread::sleep_for(retryInterval);
-        else
-            store.store_.waitForChange_(headKey(store), seen, watchLimit);
+    std::vector<BundleHead> versions;
+    BOOST_LEAF_AUTO(head, readHead(store));
+    if (head.version_ == BundleVersion {})
+        return versions;
+    versions.push_back(BundleHead {head.version_, {}, head.operator_, head.signature_});
+    for (std::uint64_t version = head.version_.value_ - 1; version > 0 && versions.size() < count;
+         --version) {
+        const StoreReply reply = store.store_.call_(ReadCall {
+            bundleHistoryKey(store.prefix_, BundleVersion {version}), StoredKind::BundleHead});
+        if (reply.status_ != StoreStatus::Ok)
+            return unavailable("the bundle history");
+        if (!reply.current_.value_)
+            break;
+        versions.push_back(std::get<BundleHead>(*reply.current_.value_));
     }
+    return versions;
 }
 
 } // namespace tamarack
--- a/src/daemon/bundlestore.h
+++ b/src/daemon/bundlestore.h
@@ -1,21 +1,25 @@
-// Bundles in the store: loading with verification, submission and the watch for new versions.
+// Bundles in the store: loading with verification and submission.
 #pragma once
 
-#include "adapters/json/json.h"
+#include "daemon/bundlecache.h"
+#include "daemon/stopflag.h"
 #include "ports/ports.h"
 
-#include <memory>
+#include <functional>
 #include <string>
 #include <vector>
 
 namespace tamarack {
 
-/// @brief What is needed to read and accept bundles.
+/// @brief What is needed to read and accept bundles. cache_ and stop_ outlive it.
 struct BundleStore
 {
     StorePort store_;
     std::string prefix_;
-    std::vector<TrustedOperator> operators_;
+    /// The operators that are trusted now; the settings may be read again while the daemon runs.
+    std::function<std::vector<TrustedOperator>()> operators_;
+    BundleCache *cache_ = nullptr;
+    StopFlag *stop_ = nullptr;
 };
 
 /// @brief A verified bundle and the revision of its head.
@@ -33,8 +37,14 @@
 /// @return the accepted version, or an error that names the version that won
 Result<BundleVersion> submitBundle(const BundleStore &store, const Submission &submission);
 
-/// @brief Posts BundleSeen for each accepted version until @a stopping returns true.
-void watchBundles(const BundleStore &store, const EventPort &events, const LogPort &log,
-                  const std::function<bool()> &stopping);
+/// @brief Reads the head of the accepted bundle.
+/// @return version 0 if none was accepted yet
+Result<BundleHead> readHead(const BundleStore &store);
+
+/// @brief Returns the newest accepted versions, the newest first, without their manifests.
+Result<std::vector<BundleHead>> readHistory(const BundleStore &store, std::size_t count);
+
+/// @brief Reads the content of a part from the store.
+std::optional<std::string> readPart(const BundleStore &store, const std::string &sha256);
 
 } // namespace tamarack
--- /dev/null
+++ b/src/daemon/bundlewatch.cpp
@@ -0,0 +1,67 @@
+// The thread that learns of accepted bundle versions from the store.
+#include "daemon/bundlewatch.h"
+
+namespace tamarack {
+
+namespace {
+
+/// The head is read again after this time, because a watch may end without a sign. A version is in
+/// force everywhere within 15 s, which leaves 5 s for a failed read and the parts.
+constexpr Millis watchLimit {10'000};
+/// Pause after a failed read and after a watch that ended early, so that the thread does not spin.
+constexpr Millis retryInterval {500};
+
+void logFault(const LogPort &log, const Error &error)
+{
+    log.write_(LogEvent {LogLevel::Warning,
+                         "bundle.load_failed",
+                         {{"error", error.id_}, {"message", error.message_}}});
+}
+
+/// Loads the accepted bundle.
+/// @return the revision of its head, or nothing if it could not be loaded
+std::optional<Revision> loadAndPost(const BundleStore &store, const EventPort &events,
+                                    const LogPort &log)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::optional<Revision>> {
+            BOOST_LEAF_AUTO(loaded, loadBundle(store));
+            if (loaded.bundle_) {
+                events.post_(BundleSeen {loaded.bundle_});
+                events.post_(BundleConfirmed {loaded.bundle_->version_});
+            }
+            return std::optional<Revision> {loaded.revision_};
+        },
+        [&log](const Error &error) {
+            logFault(log, error);
+            return std::optional<Revision> {};
+        },
+        [] { return std::optional<Revision> {}; });
+}
+
+} // namespace
+
+void watchBundles(const BundleStore &store, const EventPort &events, const LogPort &log)
+{
+    while (!isRaised(*store.stop_)) {
+        const std::optional<Revision> seen = loadAndPost(store, events, log);
+        if (!seen) {
+            pauseUnlessStopped(*store.stop_, retryInterval);
+            continue;
+        }
+        const MonoTime start = std::chrono::steady_clock::now();
+        const bool changed
+            = store.store_.waitForChange_(bundleHeadKey(store.prefix_), *seen, watchLimit);
+        const bool early = std::chrono::steady_clock::now() - start < retryInterval;
+        if (!changed && early)
+            pauseUnlessStopped(*store.stop_, retryInterval);
+    }
+}
+
+void stopWatchingBundles(const BundleStore &store)
+{
+    raise(*store.stop_);
+    store.store_.cancelWaits_();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/daemon/livesettings.cpp
@@ -0,0 +1,33 @@
+// The settings of the running daemon.
+#include "daemon/livesettings.h"
+
+#include <fstream>
+#include <iterator>
+
+namespace tamarack {
+
+bool readSettings(LiveSettings &live, Faults &faults)
+{
+    std::ifstream file(live.path_, std::ios::binary);
+    const std::string text {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    auto settings = std::make_shared<const Settings>(parseSettings(text, faults));
+    if (!faults.empty())
+        return false;
+    live.current_.store(std::move(settings));
+    return true;
+}
+
+void reloadSettings(LiveSettings &live, const LogPort &log)
+{
+    Faults faults;
+    if (readSettings(live, faults)) {
+        log.write_(LogEvent {LogLevel::Info, "settings.reloaded", {{"file", live.path_}}});
+        return;
+    }
+    for (const Fault &fault : faults)
+        log.write_(LogEvent {LogLevel::Error,
+                             "settings.reload_failed",
+                             {{"file", live.path_}, {"fault", formatFault(fault)}}});
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/daemon/livesettings.h
@@ -0,0 +1,28 @@
+// The settings of the running daemon. SIGHUP has the file read again, so that operator keys, tokens
+// and TLS files are replaced without a restart.
+#pragma once
+
+#include "adapters/json/json.h"
+#include "ports/ports.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace tamarack {
+
+/// @brief The file and what it says now. current_ may be read by any thread.
+struct LiveSettings
+{
+    std::string path_;
+    std::atomic<std::shared_ptr<const Settings>> current_;
+};
+
+/// @brief Reads the file; a faulty one changes nothing.
+/// @return false if there are faults
+bool readSettings(LiveSettings &live, Faults &faults);
+
+/// @brief Reads the file again and logs the outcome.
+void reloadSettings(LiveSettings &live, const LogPort &log);
+
+} // namespace tamarack
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -6,44 +6,23 @@
 #include "adapters/json/json.h"
 #include "adapters/logging/logging.h"
 #include "daemon/admin.h"
+#include "daemon/bundlewatch.h"
 #include "daemon/controlloop.h"
+#include "daemon/livesettings.h"
+#include "daemon/plannedstop.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
-#include <csignal>
-#include <fstream>
-#include <iterator>
+#include <pthread.h>
 
 namespace tamarack {
 
 namespace {
 
-constexpr int stoppedSignal = SIGUSR1;
 constexpr std::size_t idBytes = 8;
 constexpr std::size_t requestIdBytes = 16;
 
-sigset_t handledSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, stoppedSignal);
-    return signals;
-}
-
-/// Waits for the end of a planned stop, a second signal or the settings' limit.
-bool awaitStopped(const sigset_t &signals, Millis limit)
-{
-    const auto seconds = std::chrono::duration_cast<Seconds>(limit);
-    const timespec timeout {
-        static_cast<time_t>(seconds.count()),
-        static_cast<long>(
-            std::chrono::duration_cast<std::chrono::nanoseconds>(limit - seconds).count())};
-    return sigtimedwait(&signals, nullptr, &timeout) == stoppedSignal;
-}
-
 CallerServerSettings callerServerSettings(const Settings &settings)
 {
     CallerServerSettings server;
@@ -53,21 +32,18 @@
     return server;
 }
 
-int runDaemon(const Settings &settings)
+AdminServerSettings adminServerSettings(const LiveSettings &live)
 {
-    sigset_t signals = handledSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    const pthread_t mainThread = pthread_self();
-
-    const LogPort log {writeLogLine};
-    EventQueue queue;
-    const EventPort events {[&queue](Event event) {
-        post(queue, std::move(event));
-    }};
-    const StorePort store
-        = makeEtcdPort(EtcdSettings {settings.storeEndpoints_, settings.storeTimeout_});
+    AdminServerSettings server;
+    server.address_ = live.current_.load()->adminAddress_;
+    server.tokens_ = [&live] {
+        return live.current_.load()->adminTokensSha256_;
+    };
+    return server;
+}
 
-    TrafficContext traffic;
+void setUpTraffic(TrafficContext &traffic, const EventPort &events, const LogPort &log)
+{
     traffic.events_ = events;
     traffic.upstreams_ = makeHttpUpstreamPort();
     traffic.log_ = log;
@@ -75,46 +51,59 @@
         return RequestId {"r" + randomHex(requestIdBytes)};
     };
     traffic.digest_ = sha256Hex;
+}
+
+int runDaemon(LiveSettings &live)
+{
+    blockHandledSignals();
+    const pthread_t mainThread = pthread_self();
+    const std::shared_ptr<const Settings> settings = live.current_.load();
+    const LogPort log {writeLogLine};
+    EventQueue queue;
+    const EventPort events {[&queue](Event event) {
+        post(queue, std::move(event));
+    }};
+    const StorePort store
+        = makeEtcdPort(EtcdSettings {settings->storeEndpoints_, settings->storeTimeout_});
+    TrafficContext traffic;
+    setUpTraffic(traffic, events, log);
 
     StoreWorkers workers;
     workers.store_ = store;
     workers.events_ = events;
-    startStoreWorkers(workers, settings.storeWorkers_);
+    startStoreWorkers(workers, settings->storeWorkers_);
 
-    const BundleStore bundles {store, settings.storePrefix_, settings.operators_};
-    std::atomic<bool> stopping {false};
-    std::thread bundleThread(
-        [&] { watchBundles(bundles, events, log, [&stopping] { return stopping.load(); }); });
+    BundleCache cache;
+    StopFlag stop;
+    const BundleStore bundles {store, settings->storePrefix_,
+                               [&live] { return live.current_.load()->operators_; }, &cache, &stop};
+    std::thread bundleThread([&] { watchBundles(bundles, events, log); });
 
     ControlState state;
     state.settings_
-        = controlSettings(settings, HolderId {settings.host_.value_ + '-' + randomHex(idBytes)});
+        = controlSettings(*settings, HolderId {settings->host_.value_ + '-' + randomHex(idBytes)});
     ControlLoop loop {queue, workers, traffic, log, [mainThread] {
-                          pthread_kill(mainThread, stoppedSignal);
+                          signalStopped(mainThread);
                       }};
     std::thread controlThread([&loop, &state] { runControlLoop(loop, std::move(state)); });
 
-    const AdminContext admin {bundles, traffic, settings.host_};
+    const AdminContext admin {bundles, traffic, settings->host_};
     CallerServer adminServer
-        = startAdminServer(AdminServerSettings {settings.adminAddress_, settings.adminTokenSha256_},
+        = startAdminServer(adminServerSettings(live),
                            [&admin](const AdminCall &call) { return handleAdmin(admin, call); });
-    CallerServer callers = startCallerServer(callerServerSettings(settings), traffic);
+    CallerServer callers = startCallerServer(callerServerSettings(*settings), traffic);
     log.write_(LogEvent {LogLevel::Info,
                          "daemon.started",
-                         {{"host", settings.host_.value_},
-                          {"zone", settings.zone_.value_},
-                          {"callers", settings.callerAddress_},
-                          {"admin", settings.adminAddress_}}});
-
-    int signal = 0;
-    sigwait(&signals, &signal);
-    stopAccepting(callers);
-    events.post_(StopRequested {});
-    if (!awaitStopped(signals, settings.stopLimit_)) {
-        log.write_(LogEvent {LogLevel::Error, "daemon.stop_forced", {}});
-        std::_Exit(1);
-    }
-    stopping = true;
+                         {{"host", settings->host_.value_},
+                          {"zone", settings->zone_.value_},
+                          {"callers", settings->callerAddress_},
+                          {"admin", settings->adminAddress_}}});
+
+    awaitStopSignal([&live, &log] { reloadSettings(live, log); });
+    const PlannedStop plan {settings->stopLimit_, [&callers] { stopAccepting(callers); },
+                            [&callers] { callers.server_->stopAll(false); }, events, log};
+    runPlannedStop(plan);
+    stopWatchingBundles(bundles);
     stopAccepting(adminServer);
     controlThread.join();
     bundleThread.join();
@@ -122,12 +111,6 @@
     return 0;
 }
 
-std::string readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-}
-
 int run(int argc, char **argv)
 {
     CLI::App app {"tamarackd: router daemon for prepaid language-model token budgets"};
@@ -137,8 +120,9 @@
     app.add_flag("--check-settings", checkOnly, "check the settings file and exit");
     CLI11_PARSE(app, argc, argv);
     Faults faults;
-    const Settings settings = parseSettings(readFile(path), faults);
-    if (!faults.empty()) {
+    LiveSettings live;
+    live.path_ = path;
+    if (!readSettings(live, faults)) {
         fmt::print(stderr, "{}", formatFaults(faults));
         return 2;
     }
@@ -146,7 +130,7 @@
         fmt::print("settings are valid\n");
         return 0;
     }
-    return runDaemon(settings);
+    return runDaemon(live);
 }
 
 } // namespace
--- /dev/null
+++ b/src/daemon/plannedstop.cpp
@@ -0,0 +1,114 @@
+// Signals of the process and the order of a planned stop.
+#include "daemon/plannedstop.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <optional>
+#include <thread>
+
+namespace tamarack {
+
+namespace {
+
+constexpr int stoppedSignal = SIGUSR1;
+/// The control thread never blocks, so it names what is cut off within this time.
+constexpr Millis namingLimit {2000};
+
+sigset_t signalSet(std::initializer_list<int> numbers)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : numbers)
+        sigaddset(&signals, number);
+    return signals;
+}
+
+timespec toTimespec(Millis time)
+{
+    const Millis wait = std::max(time, Millis {0});
+    const auto seconds = std::chrono::duration_cast<Seconds>(wait);
+    const auto rest = std::chrono::duration_cast<std::chrono::nanoseconds>(wait - seconds);
+    return timespec {static_cast<time_t>(seconds.count()), static_cast<long>(rest.count())};
+}
+
+/// Waits for a signal of the set.
+/// @return nothing if @a deadline passed
+std::optional<int> awaitSignal(const sigset_t &signals, MonoTime deadline)
+{
+    while (true) {
+        const auto left = std::chrono::ceil<Millis>(deadline - std::chrono::steady_clock::now());
+        const timespec timeout = toTimespec(left);
+        const int signal = sigtimedwait(&signals, nullptr, &timeout);
+        if (signal >= 0)
+            return signal;
+        if (errno != EINTR)
+            return std::nullopt;
+    }
+}
+
+/// Waits until a step of the stop is complete.
+/// @return nothing if it is, else what ends the stop early
+std::optional<std::string> awaitStep(MonoTime deadline)
+{
+    const sigset_t signals = signalSet({SIGTERM, SIGINT, stoppedSignal});
+    const std::optional<int> signal = awaitSignal(signals, deadline);
+    if (!signal)
+        return "limits.stopLimitMs has passed";
+    if (*signal == stoppedSignal)
+        return std::nullopt;
+    return "second signal";
+}
+
+/// Has the control thread name what is cut off, then ends the process.
+[[noreturn]] void forceStop(const PlannedStop &plan, const std::string &cause)
+{
+    plan.events_.post_(StopForced {cause});
+    awaitSignal(signalSet({stoppedSignal}), std::chrono::steady_clock::now() + namingLimit);
+    std::_Exit(EXIT_FAILURE);
+}
+
+} // namespace
+
+void blockHandledSignals()
+{
+    const sigset_t signals = signalSet({SIGTERM, SIGINT, SIGHUP, stoppedSignal});
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void awaitStopSignal(const std::function<void()> &onHangup)
+{
+    const sigset_t signals = signalSet({SIGTERM, SIGINT, SIGHUP});
+    int signal = 0;
+    while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) {
+        if (signal == SIGHUP)
+            onHangup();
+    }
+}
+
+void signalStopped(pthread_t mainThread)
+{
+    pthread_kill(mainThread, stoppedSignal);
+}
+
+void runPlannedStop(const PlannedStop &plan)
+{
+    const MonoTime deadline = std::chrono::steady_clock::now() + plan.limit_;
+    plan.stopAccepting_();
+    plan.events_.post_(StopRequested {});
+    if (const std::optional<std::string> cause = awaitStep(deadline))
+        forceStop(plan, *cause);
+    // The control thread counts a request as done before the last bytes of its answer are written.
+    const pthread_t mainThread = pthread_self();
+    std::thread finishing([&plan, mainThread] {
+        plan.finishConnections_();
+        signalStopped(mainThread);
+    });
+    if (const std::optional<std::string> cause = awaitStep(deadline)) {
+        plan.log_.write_(LogEvent {
+            LogLevel::Error, "daemon.stop_forced", {{"cause", *cause}, {"left", "connections"}}});
+        std::_Exit(EXIT_FAILURE);
+    }
+    finishing.join();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/daemon/stopflag.cpp
@@ -0,0 +1,27 @@
+// A flag that ends pauses of threads at once when the daemon stops.
+#include "daemon/stopflag.h"
+
+namespace tamarack {
+
+void raise(StopFlag &flag)
+{
+    {
+        const std::lock_guard lock(flag.mutex_);
+        flag.stopping_ = true;
+    }
+    flag.raised_.notify_all();
+}
+
+bool isRaised(StopFlag &flag)
+{
+    const std::lock_guard lock(flag.mutex_);
+    return flag.stopping_;
+}
+
+bool pauseUnlessStopped(StopFlag &flag, Millis time)
+{
+    std::unique_lock lock(flag.mutex_);
+    return flag.raised_.wait_for(lock, time, [&flag] { return flag.stopping_; });
+}
+
+} // namespace tamarack
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -25,6 +25,8 @@
     /// Waits until the key's revision is newer than @a seen, the limit passes or the watch fails.
     /// @return true if a newer revision was seen
     std::function<bool(const StoreKey &key, Revision seen, Millis limit)> waitForChange_;
+    /// Ends all waits in progress; those that follow return false at once.
+    std::function<void()> cancelWaits_;
 };
 
 } // namespace tamarack
