--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -37,7 +37,8 @@
 
 start_fleet() {
     start store "$BIN/fake-store" --address "$STORE"
-    start engine "$BIN/fake-engine" --address "$ENGINE"
+    # shellcheck disable=SC2086
+    start engine "$BIN/fake-engine" --address "$ENGINE" ${ENGINE_OPTIONS:-}
     start service "$BIN/fake-service" --address "$SERVICE"
     "$BIN/tamarackctl" keygen >"$WORK/keys"
     sed -n 's/^private //p' "$WORK/keys" >"$WORK/operator.key"
@@ -50,7 +51,7 @@
   "admin": {"address": "$ADMIN", "tokenSha256": "$("$BIN/tamarackctl" hash-key "$TAMARACK_TOKEN")"},
   "store": {"endpoints": ["$STORE"]},
   "operators": [{"id": "operator-1", "publicKey": "$public"}],
-  "limits": {"flushIntervalMs": 100}
+  "limits": {"flushIntervalMs": 100${MORE_LIMITS:-}}
 }
 JSON
     "$BIN/tamarackd" --settings "$WORK/settings.json" --check-settings
--- /dev/null
+++ b/tests/e2e-plannedstop.sh
@@ -0,0 +1,103 @@
+#!/usr/bin/env bash
+# The planned stop with real processes. Guards against a stop that cuts off a stream, keeps tokens
+# or takes new work, and against a forced stop that does not say what it cut.
+set -euo pipefail
+BIN=${1:?usage: e2e-plannedstop.sh BIN_FOLDER}
+ENGINE_OPTIONS="--token-ms 60 --output-tokens 20"
+# shellcheck source=examples/fleet.sh
+. "$(dirname "$0")/../examples/fleet.sh"
+
+expect() {
+    case $2 in
+    *"$3"*) echo "ok: $1" ;;
+    *)
+        echo "FAILED: $1: expected $3 in: $2" >&2
+        cat "$WORK/daemon.log" >&2
+        exit 1
+        ;;
+    esac
+}
+
+ask='{"model":"small","messages":[{"role":"user","content":"hello"}],"max_tokens":20'
+start_fleet
+DAEMON=${PIDS##* }
+write_bundle 10000
+submit 1
+
+# begin_streams: starts two streams and a plain request and waits for the first token.
+begin_streams() {
+    chat "$ask,\"stream\":true}" >"$WORK/stream1" &
+    STREAM1=$!
+    chat "$ask,\"stream\":true}" >"$WORK/stream2" &
+    STREAM2=$!
+    chat "$ask}" >"$WORK/plain" &
+    PLAIN=$!
+    for _ in $(seq 100); do
+        grep -q w0 "$WORK/stream1" && grep -q w0 "$WORK/stream2" && return 0
+        sleep 0.02
+    done
+    echo "FAILED: no stream began" >&2
+    exit 1
+}
+
+# restart_daemon: starts the daemon again and waits for the bundle.
+restart_daemon() {
+    start daemon "$BIN/tamarackd" --settings "$WORK/settings.json"
+    DAEMON=${PIDS##* }
+    for _ in $(seq 100); do
+        "$BIN/tamarackctl" status --admin "$ADMIN" 2>/dev/null | grep -q '"bundle_version":1' && return 0
+        sleep 0.05
+    done
+    echo "FAILED: the daemon did not load the bundle again" >&2
+    exit 1
+}
+
+begin_streams
+kill -TERM "$DAEMON"
+sleep 0.2
+expect "no new work" "$(chat "$ask}" -w 'code=%{http_code}' || true)" 'code=000'
+status=0
+wait "$DAEMON" || status=$?
+expect "exit status" "status=$status" 'status=0'
+wait "$STREAM1" "$STREAM2" "$PLAIN"
+for stream in stream1 stream2; do
+    expect "$stream is whole" "$(tail -n 3 "$WORK/$stream")" 'data: [DONE]'
+    expect "$stream has all tokens" "$(grep -c '"content"' "$WORK/$stream")" '20'
+done
+expect "plain answer is whole" "$(cat "$WORK/plain")" '"total_tokens":24'
+expect "log names the end" "$(cat "$WORK/daemon.log")" 'event=daemon.stopped'
+
+restart_daemon
+shown=$("$BIN/tamarackctl" budget onboarding-2026 --admin "$ADMIN")
+expect "grants are handed back" "$shown" '"outstanding":0'
+expect "everything is billed" "$shown" '"charged":72'
+
+begin_streams
+kill -TERM "$DAEMON"
+sleep 0.2
+kill -TERM "$DAEMON"
+status=0
+wait "$DAEMON" || status=$?
+expect "forced exit status" "status=$status" 'status=1'
+expect "cut requests are named" "$(grep -c 'event=request.cut request=r' "$WORK/daemon.log")" '3'
+expect "summary" "$(cat "$WORK/daemon.log")" 'event=daemon.stop_forced cause="second signal" requests_cut=3'
+
+MORE_LIMITS=', "stopLimitMs": 300'
+sed -i "s/\"flushIntervalMs\": 100/&$MORE_LIMITS/" "$WORK/settings.json"
+restart_daemon
+begin_streams
+kill -TERM "$DAEMON"
+status=0
+wait "$DAEMON" || status=$?
+expect "exit status after the limit" "status=$status" 'status=1'
+expect "cause" "$(cat "$WORK/daemon.log")" 'cause="limits.stopLimitMs has passed"'
+
+MORE=''
+sed -i "s/, \"stopLimitMs\": 300/$MORE/" "$WORK/settings.json"
+restart_daemon
+start_ns=$(date +%s%N)
+kill -TERM "$DAEMON"
+wait "$DAEMON"
+elapsed_ms=$((($(date +%s%N) - start_ns) / 1000000))
+echo "an idle daemon stopped in $elapsed_ms ms"
+[ "$elapsed_ms" -lt 1500 ] || { echo "FAILED: an idle daemon waits before it stops" >&2; exit 1; }
--- /dev/null
+++ b/tests/fakes/memorystore.h
@@ -0,0 +1,85 @@
+// A key-value store in memory behind StorePort, with faults by call number, for tests.
+#pragma once
+
+#include "ports/ports.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace tamarack::fakes {
+
+enum class StoreFault {
+    None,
+    /// The call does not reach the store.
+    Down,
+    /// The call takes effect and its answer is lost.
+    LostAnswer,
+    /// The call is lost on the way and the caller cannot tell.
+    LostCall,
+};
+
+/// @brief The store. fault_ chooses the fate of each call.
+struct MemoryStore
+{
+    std::mutex mutex_;
+    std::map<StoreKey, VersionedValue> values_;
+    std::uint64_t revision_ = 0;
+    std::function<StoreFault(const StoreCall &)> fault_;
+    /// Reads of keys that contain "/parts/".
+    std::size_t partReads_ = 0;
+    std::size_t calls_ = 0;
+};
+
+inline const StoreKey &keyOf(const StoreCall &call)
+{
+    return std::visit([](const auto &concrete) -> const StoreKey & { return concrete.key_; }, call);
+}
+
+inline StoreReply carryOut(MemoryStore &store, const StoreCall &call)
+{
+    VersionedValue &current = store.values_[keyOf(call)];
+    const auto *swap = std::get_if<SwapCall>(&call);
+    if (!swap)
+        return StoreReply {{}, StoreStatus::Ok, current};
+    if (current.revision_ != swap->expected_)
+        return StoreReply {{}, StoreStatus::Conflict, current};
+    current = VersionedValue {Revision {++store.revision_}, swap->value_};
+    return StoreReply {{}, StoreStatus::Ok, VersionedValue {current.revision_, std::nullopt}};
+}
+
+inline StoreReply callStore(MemoryStore &store, const StoreCall &call)
+{
+    const std::lock_guard lock(store.mutex_);
+    ++store.calls_;
+    const StoreFault fault = store.fault_ ? store.fault_(call) : StoreFault::None;
+    if (fault == StoreFault::Down)
+        return StoreReply {{}, StoreStatus::Unavailable, {}};
+    if (fault == StoreFault::LostCall)
+        return StoreReply {{}, StoreStatus::Unknown, {}};
+    if (keyOf(call).value_.find("/parts/") != std::string::npos
+        && std::holds_alternative<ReadCall>(call))
+        ++store.partReads_;
+    StoreReply reply = carryOut(store, call);
+    if (fault == StoreFault::LostAnswer)
+        return StoreReply {{}, StoreStatus::Unknown, {}};
+    return reply;
+}
+
+/// @brief A port whose watches end silently at once.
+inline StorePort memoryPort(MemoryStore &store)
+{
+    StorePort port;
+    port.call_ = [&store](const StoreCall &call) {
+        return callStore(store, call);
+    };
+    port.waitForChange_ = [](const StoreKey &, Revision, Millis) {
+        return false;
+    };
+    port.cancelWaits_ = [] {
+    };
+    return port;
+}
+
+} // namespace tamarack::fakes
--- /dev/null
+++ b/tests/unit-bundle.cpp
@@ -0,0 +1,196 @@
+// Bundle documents: checks and parts. Guards against a bundle that is accepted although daemons
+// cannot serve with it, and against a small change that rewrites everything.
+#include "adapters/json/json.h"
+#include "bundledocuments.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace tamarack {
+
+namespace {
+
+using fakes::bundleDocument;
+using fakes::keyDigest;
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const std::size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+std::vector<PartText> split(const std::string &document)
+{
+    std::vector<PartText> parts;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_ASSIGN(parts, splitBundle(document));
+            return {};
+        },
+        [](const Error &error) { FAIL(error.message_); }, [] { FAIL("no error object"); });
+    return parts;
+}
+
+std::vector<std::shared_ptr<const BundleSection>> parseParts(const std::vector<PartText> &parts)
+{
+    std::vector<std::shared_ptr<const BundleSection>> sections;
+    for (const PartText &part : parts) {
+        Faults faults;
+        sections.push_back(
+            std::make_shared<const BundleSection>(parseBundlePart(part.content_, faults)));
+        INFO(formatFaults(faults));
+        REQUIRE(faults.empty());
+    }
+    return sections;
+}
+
+} // namespace
+
+TEST_CASE("a valid document has no fault")
+{
+    Faults faults;
+    const Bundle bundle = parseBundle(bundleDocument(3), faults);
+    INFO(formatFaults(faults));
+    CHECK(faults.empty());
+    CHECK(bundle.budgets_.size() == 3);
+    CHECK(bundle.budgets_.at(BudgetId {"budget-000002"}).account_ == AccountId {"acct"});
+}
+
+TEST_CASE("each fault is listed with its path")
+{
+    const std::string document = bundleDocument(2);
+    const std::string otherAccount = fmt::format(
+        R"({{"id":"other","keys":[{{"sha256":"{}","budget":"budget-000000"}}]}},{{"id":"acct",)",
+        keyDigest);
+    struct Case
+    {
+        const char *what_;
+        std::string from_;
+        std::string to_;
+        const char *path_;
+    };
+    const Case cases[] {
+        {"budget of a key", R"("budget":"budget-000000")", R"("budget":"nowhere")",
+         "accounts.acct.keys[0].budget"},
+        {"budget of another account", R"({"id":"acct",)", otherAccount,
+         "accounts.other.keys[0].budget"},
+        {"duplicate key between accounts", R"({"id":"acct",)", otherAccount,
+         "accounts.other.keys[0].sha256"},
+        {"owner of a budget", R"("account":"acct")", R"("account":"nobody")",
+         "budgets.budget-000000.account"},
+        {"duplicate budget", "budget-000001", "budget-000000", "budgets[1].id"},
+        {"malformed key hash", keyDigest, "ABC", "accounts[0].keys[0].sha256"},
+        {"malformed address", "10.0.0.1:80", "engine-1:80", "upstreams[0].address"},
+        {"address without port", "10.0.0.1:80", "10.0.0.1", "upstreams[0].address"},
+        {"port out of range", "10.0.0.1:80", "10.0.0.1:65536", "upstreams[0].address"},
+        {"no models and no service", R"("models":["m"])", R"("models":[])", "upstreams[0].models"},
+        {"negative funding", R"("funded":100)", R"("funded":-1)", "budgets[0].funded"},
+        {"unknown field", R"("zone":"z")", R"("zone":"z","zoen":"y")", "upstreams[0].zoen"},
+        {"unknown root field", R"("policies":)", R"("politics":)", "politics"},
+        {"zero shards", R"("ledgerShards":16)", R"("ledgerShards":0)", "policies.ledgerShards"},
+        {"route of an unknown service", R"("policies":)",
+         R"("routes":[{"service":"s","idempotent":true}],"policies":)", "routes[0].service"},
+        {"service without a route", R"("models":["m"])", R"("service":"s")", "routes"},
+        {"empty upstreams", R"({"id":"e","zone":"z","address":"10.0.0.1:80","models":["m"]})", "",
+         "upstreams"},
+        {"no keys", fmt::format(R"({{"sha256":"{}","budget":"budget-000000"}})", keyDigest), "",
+         "accounts.acct.keys"},
+    };
+    for (const Case &c : cases) {
+        Faults faults;
+        parseBundle(replaced(document, c.from_, c.to_), faults);
+        INFO(c.what_ << "\n" << formatFaults(faults));
+        CHECK(std::any_of(faults.begin(), faults.end(), [&c](const Fault &fault) {
+            return fault.path_ == c.path_ && !fault.remedy_.empty();
+        }));
+    }
+}
+
+TEST_CASE("all faults are listed at once")
+{
+    std::string document = replaced(bundleDocument(2), "10.0.0.1:80", "x");
+    document = replaced(document, R"("account":"acct")", R"("account":"nobody")");
+    document = replaced(document, R"("funded":100)", R"("funded":"100")");
+    Faults faults;
+    parseBundle(document, faults);
+    CHECK(faults.size() >= 3);
+}
+
+TEST_CASE("malformed documents are faults, not crashes")
+{
+    for (const std::string document :
+         {"", "{", "[]", "null", R"({"accounts":5,"budgets":{},"upstreams":"x"})",
+          R"({"accounts":[5],"budgets":[null],"upstreams":[[]]})"}) {
+        Faults faults;
+        parseBundle(document, faults);
+        INFO(document);
+        CHECK(!faults.empty());
+    }
+    Faults faults;
+    parseBundle(bundleDocument(2).substr(0, 200), faults);
+    CHECK(!faults.empty());
+}
+
+TEST_CASE("parts give the same bundle as the document")
+{
+    const std::size_t count = GENERATE(1, 3000, 20000);
+    const std::vector<PartText> parts = split(bundleDocument(count));
+    CHECK((parts.size() > 4) == (count > 1500));
+    for (const PartText &part : parts)
+        CHECK(part.content_.size() <= 96U << 10U);
+    Faults faults;
+    const Bundle bundle = assembleBundle(parseParts(parts), faults);
+    INFO(formatFaults(faults));
+    CHECK(faults.empty());
+    CHECK(bundle.budgets_.size() == count);
+    CHECK(bundle.budgets_.contains(BudgetId {"budget-000000"}));
+    CHECK(!bundle.budgets_.contains(BudgetId {"absent"}));
+    std::size_t visited = 0;
+    for (const auto &[id, budget] : bundle.budgets_)
+        visited += id == budget.id_ ? 1 : 0;
+    CHECK(visited == count);
+}
+
+TEST_CASE("a change of one budget changes one part")
+{
+    const std::vector<PartText> before = split(bundleDocument(20000, 100));
+    const std::vector<PartText> after = split(bundleDocument(20000, 101));
+    REQUIRE(before.size() == after.size());
+    std::size_t changed = 0;
+    for (std::size_t i = 0; i < before.size(); ++i)
+        changed += before[i].content_ == after[i].content_ ? 0 : 1;
+    CHECK(changed == 1);
+}
+
+TEST_CASE("segments that are missing or misplaced are faults")
+{
+    std::vector<PartText> parts = split(bundleDocument(20000));
+    SECTION("missing")
+    {
+        parts.pop_back();
+    }
+    SECTION("exchanged")
+    {
+        std::swap(parts[3], parts[4]);
+    }
+    SECTION("repeated")
+    {
+        parts.back() = parts[3];
+    }
+    Faults faults;
+    assembleBundle(parseParts(parts), faults);
+    CHECK(!faults.empty());
+}
+
+TEST_CASE("a budget in the wrong segment is a fault")
+{
+    std::vector<PartText> parts = split(bundleDocument(20000));
+    Faults faults;
+    parseBundlePart(replaced(parts[3].content_, R"("segment":0)", R"("segment":1)"), faults);
+    CHECK(!faults.empty());
+}
+
+} // namespace tamarack
