Add messages between daemons, membership and home daemons

Until now every daemon drew its own grants. The core now keeps members from registrations, heartbeats and the host list, chooses a home daemon for each ledger shard and zone, and reserves and settles there. The peers adapter carries the messages by ZeroMQ and protobuf; it is not connected to tamarackd yet.

--- /dev/null
+++ b/src/adapters/peers/messagecodec.cpp
@@ -0,0 +1,236 @@
+// Encoding of messages between daemons as protobuf.
+#include "adapters/peers/messagecodec.h"
+
+#include "peer.pb.h"
+
+namespace tamarack {
+
+namespace {
+
+void fill(peer::Envelope &envelope, const Heartbeat &message)
+{
+    peer::Heartbeat &out = *envelope.mutable_heartbeat();
+    out.set_holder(message.holder_.value_);
+    out.set_zone(message.zone_.value_);
+    out.set_peer_address(message.peerAddress_);
+    out.set_bundle(message.bundle_.value_);
+    out.set_leaving(message.leaving_);
+    out.set_members(message.members_);
+    out.set_members_digest(message.membersDigest_);
+}
+
+void fill(peer::Envelope &envelope, const Reserve &message)
+{
+    peer::Reserve &out = *envelope.mutable_reserve();
+    out.set_admission(message.admission_.value_);
+    out.set_entry(message.entry_.value_);
+    out.set_home(message.home_.value_);
+    out.set_request(message.request_.value_);
+    out.set_account(message.account_.value_);
+    out.set_budget(message.budget_.value_);
+    out.set_worst_case(message.worstCase_.count_);
+    out.set_remaining_ms(message.remaining_.count());
+}
+
+void fill(peer::Envelope &envelope, const ReserveQueued &message)
+{
+    peer::ReserveQueued &out = *envelope.mutable_reserve_queued();
+    out.set_admission(message.admission_.value_);
+    out.set_home(message.home_.value_);
+}
+
+void fill(peer::Envelope &envelope, const Reserved &message)
+{
+    peer::Reserved &out = *envelope.mutable_reserved();
+    out.set_admission(message.admission_.value_);
+    out.set_home(message.home_.value_);
+}
+
+void fill(peer::Envelope &envelope, const Refused &message)
+{
+    peer::Refused &out = *envelope.mutable_refused();
+    out.set_admission(message.admission_.value_);
+    out.set_home(message.home_.value_);
+    out.set_bundle(message.bundle_.value_);
+    out.set_reason(static_cast<std::uint32_t>(message.refusal_.reason_));
+    out.set_execution(static_cast<std::uint32_t>(message.refusal_.execution_));
+    out.set_message(message.refusal_.message_);
+    if (message.refusal_.retryAfter_)
+        out.set_retry_after_ms(message.refusal_.retryAfter_->count());
+}
+
+void fill(peer::Envelope &envelope, const Settle &message)
+{
+    peer::Settle &out = *envelope.mutable_settle();
+    out.set_admission(message.admission_.value_);
+    out.set_entry(message.entry_.value_);
+    out.set_home(message.home_.value_);
+    out.set_charged(message.charged_.count_);
+}
+
+void fill(peer::Envelope &envelope, const SettleAck &message)
+{
+    peer::SettleAck &out = *envelope.mutable_settle_ack();
+    out.set_admission(message.admission_.value_);
+    out.set_home(message.home_.value_);
+}
+
+void fill(peer::Envelope &envelope, const BundleOffer &message)
+{
+    envelope.mutable_bundle_offer()->set_version(message.version_.value_);
+}
+
+void fill(peer::Envelope &envelope, const BundleFetch &message)
+{
+    envelope.mutable_bundle_fetch()->set_version(message.version_.value_);
+}
+
+void fill(peer::Envelope &envelope, const BundleParts &message)
+{
+    peer::BundleParts &out = *envelope.mutable_bundle_parts();
+    out.set_version(message.version_.value_);
+    out.set_manifest(message.manifest_);
+    out.set_operator_id(message.operator_.value_);
+    out.set_signature(message.signature_);
+    for (const std::string &part : message.parts_)
+        out.add_parts(part);
+}
+
+void fill(peer::Envelope &envelope, const ReleaseRequest &message)
+{
+    peer::ReleaseAsked &out = *envelope.mutable_release_asked();
+    out.set_holder(message.holder_.value_);
+    out.set_budget(message.budget_.value_);
+}
+
+void fill(peer::Envelope &envelope, const Leaving &message)
+{
+    envelope.mutable_leaving()->set_holder(message.holder_.value_);
+}
+
+PeerMessage fromMessage(const peer::Heartbeat &in)
+{
+    Heartbeat message;
+    message.holder_ = HolderId {in.holder()};
+    message.zone_ = ZoneId {in.zone()};
+    message.peerAddress_ = in.peer_address();
+    message.bundle_ = BundleVersion {in.bundle()};
+    message.leaving_ = in.leaving();
+    message.members_ = in.members();
+    message.membersDigest_ = in.members_digest();
+    return message;
+}
+
+PeerMessage fromMessage(const peer::Reserve &in)
+{
+    Reserve message;
+    message.admission_ = AdmissionId {in.admission()};
+    message.entry_ = HolderId {in.entry()};
+    message.home_ = HolderId {in.home()};
+    message.request_ = RequestId {in.request()};
+    message.account_ = AccountId {in.account()};
+    message.budget_ = BudgetId {in.budget()};
+    message.worstCase_ = Tokens {in.worst_case()};
+    message.remaining_ = Millis {in.remaining_ms()};
+    return message;
+}
+
+PeerMessage fromMessage(const peer::Settle &in)
+{
+    return Settle {AdmissionId {in.admission()}, HolderId {in.entry()}, HolderId {in.home()},
+                   Tokens {in.charged()}};
+}
+
+PeerMessage fromMessage(const peer::BundleParts &in)
+{
+    return BundleParts {BundleVersion {in.version()},
+                        in.manifest(),
+                        OperatorId {in.operator_id()},
+                        in.signature(),
+                        {in.parts().begin(), in.parts().end()}};
+}
+
+boost::leaf::error_id unknownCode(std::uint32_t code)
+{
+    return fail(ErrorKind::InvalidMessage, "tamarack.peers.102",
+                "a peer message has the unknown code " + std::to_string(code)
+                    + "; run the same version on all daemons");
+}
+
+Result<PeerMessage> refused(const peer::Refused &in)
+{
+    if (in.reason() > static_cast<std::uint32_t>(RefusalReason::Stopping))
+        return unknownCode(in.reason());
+    if (in.execution() > static_cast<std::uint32_t>(Execution::Unknown))
+        return unknownCode(in.execution());
+    Refused message;
+    message.admission_ = AdmissionId {in.admission()};
+    message.home_ = HolderId {in.home()};
+    message.bundle_ = BundleVersion {in.bundle()};
+    message.refusal_.reason_ = static_cast<RefusalReason>(in.reason());
+    message.refusal_.execution_ = static_cast<Execution>(in.execution());
+    message.refusal_.message_ = in.message();
+    if (in.has_retry_after_ms())
+        message.refusal_.retryAfter_ = Millis {in.retry_after_ms()};
+    return PeerMessage {message};
+}
+
+Result<PeerMessage> decodeMessage(const peer::Envelope &in)
+{
+    switch (in.message_case()) {
+    case peer::Envelope::kHeartbeat:
+        return fromMessage(in.heartbeat());
+    case peer::Envelope::kReserve:
+        return fromMessage(in.reserve());
+    case peer::Envelope::kReserveQueued:
+        return PeerMessage {ReserveQueued {AdmissionId {in.reserve_queued().admission()},
+                                           HolderId {in.reserve_queued().home()}}};
+    case peer::Envelope::kReserved:
+        return PeerMessage {
+            Reserved {AdmissionId {in.reserved().admission()}, HolderId {in.reserved().home()}}};
+    case peer::Envelope::kRefused:
+        return refused(in.refused());
+    case peer::Envelope::kSettle:
+        return fromMessage(in.settle());
+    case peer::Envelope::kSettleAck:
+        return PeerMessage {SettleAck {AdmissionId {in.settle_ack().admission()},
+                                       HolderId {in.settle_ack().home()}}};
+    case peer::Envelope::kBundleOffer:
+        return PeerMessage {BundleOffer {BundleVersion {in.bundle_offer().version()}}};
+    case peer::Envelope::kBundleFetch:
+        return PeerMessage {BundleFetch {BundleVersion {in.bundle_fetch().version()}}};
+    case peer::Envelope::kBundleParts:
+        return fromMessage(in.bundle_parts());
+    case peer::Envelope::kReleaseAsked:
+        return PeerMessage {ReleaseRequest {HolderId {in.release_asked().holder()},
+                                            BudgetId {in.release_asked().budget()}}};
+    case peer::Envelope::kLeaving:
+        return PeerMessage {Leaving {HolderId {in.leaving().holder()}}};
+    case peer::Envelope::MESSAGE_NOT_SET:
+        break;
+    }
+    return unknownCode(static_cast<std::uint32_t>(in.message_case()));
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerEnvelope &envelope)
+{
+    peer::Envelope out;
+    out.set_from(envelope.from_.value_);
+    std::visit([&out](const auto &message) { fill(out, message); }, envelope.message_);
+    return out.SerializeAsString();
+}
+
+Result<PeerEnvelope> decodePeerMessage(std::string_view bytes)
+{
+    peer::Envelope in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.from().empty())
+        return fail(ErrorKind::InvalidMessage, "tamarack.peers.101",
+                    "a peer message is malformed; check that only daemons of this fleet connect to "
+                    "the peer listener");
+    BOOST_LEAF_AUTO(message, decodeMessage(in));
+    return PeerEnvelope {HostId {in.from()}, std::move(message)};
+}
+
+} // namespace tamarack
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -4,6 +4,7 @@
 #include "core/bundle.h"
 #include "core/event.h"
 #include "core/ids.h"
+#include "core/peermessage.h"
 #include "core/refusal.h"
 #include "core/store.h"
 
@@ -51,6 +52,32 @@
     bool stopping_ = false;
 };
 
+/// @brief Sends a message to another daemon. It may be lost.
+struct SendPeer
+{
+    HostId host_;
+    /// "IP:port" of the peer's listener.
+    std::string address_;
+    PeerMessage message_;
+};
+
+/// @brief Asks a holder to hand back unspent tokens; handle() turns it into a SendPeer.
+struct AskRelease
+{
+    HolderId holder_;
+    BudgetId budget_;
+};
+
+/// @brief A peer holds a newer bundle than this daemon.
+struct RefreshBundle
+{
+    BundleVersion version_;
+};
+
+/// @brief A peer knows other members than this daemon; the registrations are to be read again.
+struct RefreshMembers
+{ };
+
 /// @brief Replaces the snapshot that traffic threads read.
 struct PublishSnapshot
 {
@@ -89,6 +116,7 @@
 struct StopCompleted
 { };
 
-using Command = std::variant<ReplyTo, SubmitStoreCall, PublishSnapshot, WriteLog, StopCompleted>;
+using Command = std::variant<ReplyTo, SubmitStoreCall, SendPeer, AskRelease, RefreshBundle,
+                             RefreshMembers, PublishSnapshot, WriteLog, StopCompleted>;
 
 } // namespace tamarack
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -60,14 +60,17 @@
     if (state.stopping_)
         return;
     state.stopping_ = true;
+    state.membership_.self_.leaving_ = true;
     log(out, LogLevel::Info, "daemon.stopping",
         {{"requests_in_flight", std::to_string(state.active_.size())}});
     publishSnapshot(state, out);
+    announceLeaving(state, out);
 }
 
 void finishStop(ControlState &state, Now now, Commands &out)
 {
-    if (!state.stopping_ || state.stopCompleted_ || !state.active_.empty())
+    if (!state.stopping_ || state.stopCompleted_ || !state.active_.empty()
+        || hasOpenSettlements(state.home_))
         return;
     if (!state.grants_.empty()) {
         releaseGrants(state, now);
@@ -93,6 +96,11 @@
         onStoreReply(state_, event.reply_, now_, out_);
     }
     void operator()(const BundleSeen &event) const { onBundle(state_, event, now_, out_); }
+    void operator()(const PeerReceived &event) const { onPeerMessage(state_, event, now_, out_); }
+    void operator()(const MembersSeen &event) const { onMembersSeen(state_, event, now_, out_); }
+    void operator()(const HostListSeen &event) const { onHostListSeen(state_, event, now_, out_); }
+    void operator()(const HolderDead &event) const { onHolderDead(state_, event, now_, out_); }
+    void operator()(const ReleaseAsked &) const { }
     void operator()(const StopRequested &) const { onStop(state_, out_); }
     void operator()(const Tick &) const { }
 };
@@ -109,15 +117,24 @@
 
 } // namespace
 
+void deliver(ControlState &state, const Event &event, Now now, Commands &out)
+{
+    std::visit(Handler {state, now, out}, event);
+}
+
 } // namespace detail
 
 Commands handle(ControlState &state, const Event &event, Now now)
 {
     Commands out;
-    std::visit(detail::Handler {state, now, out}, event);
+    detail::deliver(state, event, now, out);
     detail::expireRequests(state, now, out);
+    detail::driveMembership(state, now, out);
+    detail::driveEntry(state, now, out);
+    detail::driveHome(state, now, out);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
+    detail::routeReleases(state, out);
     return out;
 }
 
@@ -127,11 +144,15 @@
     detail::collectCallTimes(state.ledger_, earliest);
     detail::collectCallTimes(state.requestShards_, earliest);
     for (const auto &[id, request] : state.active_) {
-        const bool waits = request.stage_ == RequestStage::AwaitingTokens
-            || request.stage_ == RequestStage::AwaitingIntent;
+        const bool waits = waitsForDecision(request.stage_);
         if (waits && (!earliest || request.ask_.deadline_ < *earliest))
             earliest = request.ask_.deadline_;
     }
+    for (const std::optional<MonoTime> &wake :
+         {detail::nextMembershipWake(state), detail::nextHomeWake(state)}) {
+        if (wake && (!earliest || *wake < *earliest))
+            earliest = wake;
+    }
     return earliest;
 }
 
@@ -141,7 +162,7 @@
         BOOST_LEAF_CHECK(checkInvariants(grant));
         Tokens reserved;
         for (const auto &[id, request] : state.active_) {
-            if (request.ask_.budget_ == budget)
+            if (request.ask_.budget_ == budget && request.home_.isEmpty())
                 reserved += request.reserved_;
         }
         if (reserved != grant.reserved_)
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -5,6 +5,8 @@
 #include "core/command.h"
 #include "core/event.h"
 #include "core/grants.h"
+#include "core/home.h"
+#include "core/membership.h"
 #include "core/routing.h"
 #include "core/shardcommit.h"
 
@@ -36,6 +38,8 @@
 
 /// @brief How far a request has come inside this daemon.
 enum class RequestStage {
+    /// Waits for the home daemon's answer.
+    AwaitingHome,
     /// Waits for tokens of its budget.
     AwaitingTokens,
     /// Waits for its intent record to be committed.
@@ -44,11 +48,21 @@
     Running,
     /// The caller is answered; the bill is not committed yet.
     Billing,
+    /// At the home daemon: the tokens are reserved for an entry daemon.
+    HeldForPeer,
 };
 
+/// @brief Returns true if the request has no permission to be sent yet.
+constexpr bool waitsForDecision(RequestStage stage)
+{
+    return stage == RequestStage::AwaitingHome || stage == RequestStage::AwaitingTokens
+        || stage == RequestStage::AwaitingIntent;
+}
+
 /// @brief One admitted request.
 ///
-/// Invariant: reserved_ is part of the budget's HeldGrant::reserved_ from stage AwaitingIntent on.
+/// Invariant: reserved_ is part of the budget's HeldGrant::reserved_ from stage AwaitingIntent on,
+/// unless a home daemon holds it (home_ is set).
 struct ActiveRequest
 {
     AdmitRequested ask_;
@@ -64,6 +78,10 @@
     UpstreamId upstream_;
     bool attemptOpen_ = false;
     MonoTime admittedAt_ {};
+    /// The home daemon that reserved the tokens; empty if this daemon did.
+    HolderId home_;
+    /// Set if this daemon is the home and another daemon serves the caller.
+    std::optional<PeerAsk> peer_;
 };
 
 using LedgerCommit = ShardCommit<LedgerShard, LedgerOp>;
@@ -91,6 +109,8 @@
     std::unordered_map<RequestId, AdmissionId> byRequest_;
     std::unordered_map<CallId, ShardCall> calls_;
     RoutingState routing_;
+    Membership membership_;
+    HomeState home_;
     bool stopping_ = false;
     bool stopCompleted_ = false;
     std::uint64_t lastId_ = 0;
--- a/src/core/controlparts.h
+++ b/src/core/controlparts.h
@@ -14,9 +14,16 @@
 /// @brief Appends a log line to @a out.
 void log(Commands &out, LogLevel level, std::string name, std::vector<LogField> fields);
 
+/// @brief Passes an event to the part that handles it.
+void deliver(ControlState &state, const Event &event, Now now, Commands &out);
+
 // Requests (controlrequests.cpp)
 
 void onAdmit(ControlState &state, const AdmitRequested &ask, Now now, Commands &out);
+/// @brief Returns why a request can't be admitted, or nothing if it can.
+std::optional<Refusal> admissionFault(const ControlState &state, const AdmitRequested &ask);
+/// @brief Removes a request that needs nothing any more.
+void removeRequest(ControlState &state, const AdmissionId &admission);
 void onAbandoned(ControlState &state, const AdmitAbandoned &event, Now now, Commands &out);
 void onAttemptEnded(ControlState &state, const AttemptEnded &event, Now now, Commands &out);
 void onFinished(ControlState &state, const RequestFinished &event, Now now, Commands &out);
@@ -47,6 +54,54 @@
 /// @brief Hands all grants back, as part of a planned stop.
 void releaseGrants(ControlState &state, Now now);
 
+// Membership and messages between daemons (controlpeers.cpp)
+
+void onPeerMessage(ControlState &state, const PeerReceived &event, Now now, Commands &out);
+void onMembersSeen(ControlState &state, const MembersSeen &event, Now now, Commands &out);
+void onHostListSeen(ControlState &state, const HostListSeen &event, Now now, Commands &out);
+/// @brief Sends a message to a member; it is dropped if the member is unknown.
+void sendToPeer(const ControlState &state, const HolderId &holder, PeerMessage message,
+                Commands &out);
+/// @brief Announces a planned stop to the daemons of the own zone.
+void announceLeaving(ControlState &state, Commands &out);
+/// @brief Sends due heartbeats and passes due verdicts.
+void driveMembership(ControlState &state, Now now, Commands &out);
+/// @brief Turns each AskRelease into a message to its holder.
+void routeReleases(const ControlState &state, Commands &out);
+std::optional<MonoTime> nextMembershipWake(const ControlState &state);
+
+// Entry and home daemons (controlhome.cpp, controlreserve.cpp)
+
+/// @brief Asks the home daemon for the tokens of a new request, or reserves them here.
+void placeRequest(ControlState &state, const AdmissionId &admission, Now now, Commands &out);
+/// @brief Ends the part that a home daemon has in a request.
+/// @param charged what the committed bill says; 0 if nothing was sent
+void endAtHome(ControlState &state, const AdmissionId &admission, Tokens charged, Now now);
+/// @brief Returns what the request is to be charged for by its committed bill.
+Tokens chargeOf(const RequestShard &shard, const BillOp &op, const HolderId &payer);
+void onReserveAnswer(ControlState &state, const ReserveQueued &message, Now now, Commands &out);
+void onReserveAnswer(ControlState &state, const Reserved &message, Now now, Commands &out);
+void onReserveAnswer(ControlState &state, const Refused &message, Now now, Commands &out);
+void onSettleAck(ControlState &state, const SettleAck &message, Commands &out);
+/// @brief Repeats what is unanswered and stops relying on a silent home.
+void driveEntry(ControlState &state, Now now, Commands &out);
+
+void onReserve(ControlState &state, const Reserve &message, Now now, Commands &out);
+void onSettle(ControlState &state, const Settle &message, Now now, Commands &out);
+/// @brief Tells the entry daemon of a reservation about a step.
+void confirmToPeer(ControlState &state, const AdmissionId &local, Now now, Commands &out);
+/// @brief Tells an entry daemon that this home reserves nothing.
+void refuseToPeer(const ControlState &state, const PeerAsk &peer, const Refusal &refusal,
+                  Commands &out);
+/// @brief Bills the reservations of a dead entry daemon at their worst case.
+void onHolderDead(ControlState &state, const HolderDead &event, Now now, Commands &out);
+/// @brief Ends a reservation whose estimated bill is committed.
+/// @return false if the bill is not one of a dead entry daemon
+bool onEstimateCommitted(ControlState &state, const BillOp &op, Now now, Commands &out);
+/// @brief Confirms reservations again that are held for long.
+void driveHome(ControlState &state, Now now, Commands &out);
+std::optional<MonoTime> nextHomeWake(const ControlState &state);
+
 // Store calls (controlcommits.cpp)
 
 LedgerCommit &ledgerShard(ControlState &state, const BudgetId &budget);
--- a/src/core/controlrequests.cpp
+++ b/src/core/controlrequests.cpp
@@ -11,23 +11,17 @@
 
 void reply(const ActiveRequest &request, Decision decision, Commands &out)
 {
-    out.emplace_back(ReplyTo {request.waiter_, std::move(decision)});
-}
-
-void removeRequest(ControlState &state, const AdmissionId &admission)
-{
-    const auto it = state.active_.find(admission);
-    const auto byRequest = state.byRequest_.find(it->second.ask_.request_);
-    if (byRequest != state.byRequest_.end() && byRequest->second == admission)
-        state.byRequest_.erase(byRequest);
-    state.active_.erase(it);
+    if (!request.peer_)
+        out.emplace_back(ReplyTo {request.waiter_, std::move(decision)});
 }
 
 /// Withdraws the intent of a request that will never be sent.
 void withdrawIntent(ControlState &state, const AdmissionId &admission, Now now)
 {
     const ActiveRequest &request = state.active_.at(admission);
-    if (request.ask_.idempotent_ || request.stage_ == RequestStage::AwaitingTokens)
+    const bool hasIntent = request.stage_ != RequestStage::AwaitingHome
+        && request.stage_ != RequestStage::AwaitingTokens;
+    if (request.ask_.idempotent_ || !hasIntent)
         return;
     submitOp(requestShard(state, request.ask_.request_),
              RequestOp {WithdrawIntentOp {request.ask_.request_, admission, now.wall_}}, now.mono_);
@@ -38,7 +32,8 @@
 {
     const ActiveRequest &request = state.active_.at(admission);
     withdrawIntent(state, admission, now);
-    if (request.reserved_ > Tokens {})
+    endAtHome(state, admission, Tokens {}, now);
+    if (request.reserved_ > Tokens {} && request.home_.isEmpty())
         settleReservation(state, request.ask_.budget_, request.reserved_, Tokens {}, now);
     removeRequest(state, admission);
 }
@@ -49,13 +44,15 @@
     ActiveRequest &request = state.active_.at(admission);
     // The reservation is an upper bound of the cost, so an upstream that reports more is wrong.
     request.used_ = std::min(used, request.reserved_);
-    settleReservation(state, request.ask_.budget_, request.reserved_ - request.used_, Tokens {},
-                      now);
+    if (request.home_.isEmpty())
+        settleReservation(state, request.ask_.budget_, request.reserved_ - request.used_, Tokens {},
+                          now);
     request.reserved_ = request.used_;
     request.stage_ = RequestStage::Billing;
     BillOp bill;
     bill.request_ = request.ask_.request_;
-    bill.holder_ = state.settings_.holder_;
+    // The holder whose grant pays; it alone charges the bill.
+    bill.holder_ = request.home_.isEmpty() ? state.settings_.holder_ : request.home_;
     bill.admission_ = admission;
     bill.account_ = request.ask_.account_;
     bill.budget_ = request.ask_.budget_;
@@ -155,6 +152,19 @@
            now, out);
 }
 
+} // namespace
+
+void removeRequest(ControlState &state, const AdmissionId &admission)
+{
+    const auto it = state.active_.find(admission);
+    if (it->second.peer_)
+        state.home_.reservations_.erase(it->second.peer_->admission_);
+    const auto byRequest = state.byRequest_.find(it->second.ask_.request_);
+    if (byRequest != state.byRequest_.end() && byRequest->second == admission)
+        state.byRequest_.erase(byRequest);
+    state.active_.erase(it);
+}
+
 std::optional<Refusal> admissionFault(const ControlState &state, const AdmitRequested &ask)
 {
     if (state.stopping_)
@@ -177,8 +187,6 @@
     return std::nullopt;
 }
 
-} // namespace
-
 void refuse(ControlState &state, const AdmissionId &admission, Refusal refusal, Now now,
             Commands &out)
 {
@@ -189,6 +197,8 @@
          {"budget", request.ask_.budget_.value_},
          {"reason", std::string(refusalCode(refusal.reason_))},
          {"execution", std::string(executionCode(refusal.execution_))}});
+    if (request.peer_)
+        refuseToPeer(state, *request.peer_, refusal, out);
     reply(request, std::move(refusal), out);
     if (request.sent_)
         startBilling(state, admission, request.used_, Completeness::None, now);
@@ -216,12 +226,17 @@
     request.admittedAt_ = now.mono_;
     state.active_.emplace(admission, std::move(request));
     state.byRequest_.try_emplace(ask.request_, admission);
-    serveBudget(state, ask.budget_, false, now, out);
+    placeRequest(state, admission, now, out);
 }
 
 void onReserved(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
 {
     ActiveRequest &request = state.active_.at(admission);
+    if (request.peer_) {
+        request.stage_ = RequestStage::HeldForPeer;
+        confirmToPeer(state, admission, now, out);
+        return;
+    }
     if (request.ask_.idempotent_) {
         dispatch(state, admission, now, out);
         return;
@@ -285,15 +300,21 @@
 
 void onBillCommitted(ControlState &state, const BillOp &op, Now now, Commands &out)
 {
+    if (onEstimateCommitted(state, op, now, out))
+        return;
     const auto it = state.active_.find(op.admission_);
     if (it == state.active_.end())
         return;
-    const bool own = ownsBill(requestShard(state, op.request_).copy_, op.request_, op.admission_);
+    const RequestShard &shard = requestShard(state, op.request_).copy_;
+    const bool own = ownsBill(shard, op.request_, op.admission_);
+    const Tokens charged = chargeOf(shard, op, op.holder_);
     log(out, LogLevel::Info, own ? "request.billed" : "request.bill_dropped",
         {{"request", op.request_.value_},
          {"budget", op.budget_.value_},
-         {"charged", std::to_string(op.charged_.count_)}});
-    settleReservation(state, op.budget_, it->second.reserved_, own ? op.charged_ : Tokens {}, now);
+         {"charged", std::to_string(charged.count_)}});
+    endAtHome(state, op.admission_, charged, now);
+    if (it->second.home_.isEmpty())
+        settleReservation(state, op.budget_, it->second.reserved_, charged, now);
     removeRequest(state, op.admission_);
 }
 
@@ -318,8 +339,7 @@
 {
     std::vector<AdmissionId> expired;
     for (const auto &[id, request] : state.active_) {
-        const bool waits = request.stage_ == RequestStage::AwaitingTokens
-            || request.stage_ == RequestStage::AwaitingIntent;
+        const bool waits = waitsForDecision(request.stage_);
         if (waits && request.ask_.deadline_ <= now.mono_)
             expired.push_back(id);
     }
@@ -333,7 +353,8 @@
                             "not sent, retry later",
                             Millis {1000}},
                    now, out);
-        else if (ledgerShard(state, request.ask_.budget_).loaded_)
+        else if (request.stage_ == RequestStage::AwaitingTokens
+                 && ledgerShard(state, request.ask_.budget_).loaded_)
             refuse(
                 state, id,
                 Refusal {RefusalReason::BudgetHeldElsewhere, Execution::NotRun,
@@ -343,14 +364,14 @@
                          Millis {1000}},
                 now, out);
         else
-            refuse(
-                state, id,
-                Refusal {RefusalReason::BudgetUnconfirmed, Execution::NotRun,
-                         fmt::format("the store could not confirm tokens of budget {} before the "
-                                     "deadline; retry later",
-                                     budget),
-                         Millis {1000}},
-                now, out);
+            refuse(state, id,
+                   Refusal {RefusalReason::BudgetUnconfirmed, Execution::NotRun,
+                            fmt::format(
+                                "tokens of budget {} could not be confirmed before the deadline; "
+                                "retry later",
+                                budget),
+                            Millis {1000}},
+                   now, out);
     }
 }
 
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -3,6 +3,8 @@
 
 #include "core/bundle.h"
 #include "core/ids.h"
+#include "core/membership.h"
+#include "core/peermessage.h"
 #include "core/requestrecords.h"
 #include "core/routing.h"
 #include "core/store.h"
@@ -12,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <variant>
+#include <vector>
 
 namespace tamarack {
 
@@ -77,6 +80,38 @@
     std::shared_ptr<const Bundle> bundle_;
 };
 
+/// @brief A message from another daemon arrived.
+struct PeerReceived
+{
+    /// Host that the message names as its sender.
+    HostId from_;
+    PeerMessage message_;
+};
+
+/// @brief All registrations were read from the store.
+struct MembersSeen
+{
+    std::vector<RegisteredMember> members_;
+};
+
+/// @brief The platform's list of hosts was read.
+struct HostListSeen
+{
+    std::vector<ListedHost> hosts_;
+};
+
+/// @brief A holder is dead by the membership's verdict.
+struct HolderDead
+{
+    HolderId holder_;
+};
+
+/// @brief Another daemon needs tokens of a budget that this daemon may hold unspent.
+struct ReleaseAsked
+{
+    BudgetId budget_;
+};
+
 /// @brief An operator or the platform asks the daemon to stop.
 struct StopRequested
 { };
@@ -86,6 +121,7 @@
 { };
 
 using Event = std::variant<AdmitRequested, AdmitAbandoned, AttemptEnded, RequestFinished,
-                           StoreReplied, BundleSeen, StopRequested, Tick>;
+                           StoreReplied, BundleSeen, PeerReceived, MembersSeen, HostListSeen,
+                           HolderDead, ReleaseAsked, StopRequested, Tick>;
 
 } // namespace tamarack
--- /dev/null
+++ b/src/core/home.h
@@ -0,0 +1,84 @@
+// State of the traffic between entry daemons and home daemons.
+//
+// The entry daemon of a request asks the home daemon of the budget's shard for tokens and later
+// settles them. Both sides repeat until they are answered, and both ignore what they know already.
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "core/tokens.h"
+
+#include <map>
+
+namespace tamarack {
+
+struct HomeSettings
+{
+    /// An entry daemon acts as home itself when the home is silent for this long.
+    Millis answerLimit_ {300};
+    /// An unanswered Reserve is repeated after this time.
+    Millis askInterval_ {100};
+    /// First repetition of an unanswered Settle; the time doubles up to settleMaxInterval_.
+    Millis settleInterval_ {200};
+    Millis settleMaxInterval_ {5000};
+    /// A reservation that is held for this long is confirmed again, so that an entry daemon that
+    /// does not know it gives it back.
+    Millis auditInterval_ {30'000};
+    /// How long the home remembers an ended reservation, so that a late Reserve doesn't revive it.
+    Millis endedRetention_ {60'000};
+    /// How long a settlement without a taker is kept, in case its home was wrongly taken for dead.
+    Millis untakenRetention_ {std::chrono::hours {24}};
+};
+
+/// @brief At the entry daemon: a Reserve that is not answered finally.
+struct HomeAsk
+{
+    HolderId home_;
+    MonoTime resendAt_ {};
+    /// When the home was asked first or said last that it has the request.
+    MonoTime heardAt_ {};
+};
+
+/// @brief At the entry daemon: a Settle that is not acknowledged.
+struct OpenSettlement
+{
+    HolderId home_;
+    Tokens charged_;
+    MonoTime resendAt_ {};
+    Millis interval_ {};
+    /// The home is dead by the membership's verdict; sent again only if it turns up.
+    bool untaken_ = false;
+};
+
+/// @brief At the home daemon: who a reservation is for. Part of the ActiveRequest.
+struct PeerAsk
+{
+    /// The admission at the entry daemon.
+    AdmissionId admission_;
+    HolderId entry_;
+    /// When the reservation is confirmed to the entry daemon again.
+    MonoTime auditAt_ {};
+    /// The entry daemon is dead and the bill at the worst case is submitted.
+    bool estimating_ = false;
+};
+
+/// @brief All of this daemon's dealings as entry and as home daemon.
+///
+/// Invariants: each admission in asks_ is an active request in stage AwaitingHome; each local
+/// admission in reservations_ is an active request with a PeerAsk of that entry admission.
+struct HomeState
+{
+    HomeSettings settings_;
+    std::map<AdmissionId, HomeAsk> asks_;
+    std::map<AdmissionId, OpenSettlement> settlements_;
+    /// Local admissions by the entry daemons' admissions.
+    std::map<AdmissionId, AdmissionId> reservations_;
+    /// Ended entry admissions and when they may be forgotten.
+    std::map<AdmissionId, MonoTime> ended_;
+    MonoTime nextForget_ {};
+};
+
+/// @brief Returns true if a settlement waits for a home that may still take it.
+bool hasOpenSettlements(const HomeState &home);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/peermessage.h
@@ -0,0 +1,129 @@
+// Messages between daemons. They carry soft state only and may be lost, doubled or reordered, so
+// every one of them may be handled again without harm.
+#pragma once
+
+#include "core/ids.h"
+#include "core/refusal.h"
+#include "core/time.h"
+#include "core/tokens.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Says that the sender is alive.
+struct Heartbeat
+{
+    HolderId holder_;
+    ZoneId zone_;
+    std::string peerAddress_;
+    BundleVersion bundle_;
+    bool leaving_ = false;
+    /// Number of registered members that the sender knows.
+    std::uint32_t members_ = 0;
+    /// Hash of the holders that the sender knows; a difference shows a missed change.
+    std::uint64_t membersDigest_ = 0;
+};
+
+/// @brief An entry daemon asks the home daemon for tokens. It is repeated until it is answered.
+struct Reserve
+{
+    /// Admission at the entry daemon; it identifies the reservation.
+    AdmissionId admission_;
+    HolderId entry_;
+    /// The run of the home daemon that the reservation is asked of.
+    HolderId home_;
+    RequestId request_;
+    AccountId account_;
+    BudgetId budget_;
+    Tokens worstCase_;
+    /// Time until the caller is answered. A duration, because hosts' clocks differ.
+    Millis remaining_ {};
+};
+
+/// @brief The home daemon has the request and waits for tokens.
+struct ReserveQueued
+{
+    AdmissionId admission_;
+    HolderId home_;
+};
+
+/// @brief The tokens are reserved until Settle.
+struct Reserved
+{
+    AdmissionId admission_;
+    HolderId home_;
+};
+
+/// @brief The home daemon reserves nothing.
+struct Refused
+{
+    AdmissionId admission_;
+    HolderId home_;
+    /// The bundle that the refusal is based on; a daemon with a newer one doesn't rely on it.
+    BundleVersion bundle_;
+    Refusal refusal_;
+};
+
+/// @brief Ends a reservation, or an ask that may become one. It is repeated until SettleAck.
+struct Settle
+{
+    AdmissionId admission_;
+    HolderId entry_;
+    HolderId home_;
+    /// What the committed bill says; 0 cancels.
+    Tokens charged_;
+};
+
+/// @brief The reservation is ended.
+struct SettleAck
+{
+    AdmissionId admission_;
+    /// The run that answers; another one than asked does not know the reservation.
+    HolderId home_;
+};
+
+/// @brief Says that the sender holds a bundle version that the receiver seems to lack.
+struct BundleOffer
+{
+    BundleVersion version_;
+};
+
+/// @brief Asks for a bundle version.
+struct BundleFetch
+{
+    BundleVersion version_;
+};
+
+/// @brief A signed bundle. The receiver verifies it like one from the store.
+struct BundleParts
+{
+    BundleVersion version_;
+    /// The manifest as it was signed, byte for byte.
+    std::string manifest_;
+    OperatorId operator_;
+    std::string signature_;
+    std::vector<std::string> parts_;
+};
+
+/// @brief Asks a holder to hand unspent tokens of a budget back.
+struct ReleaseRequest
+{
+    HolderId holder_;
+    BudgetId budget_;
+};
+
+/// @brief The sender stops and takes no new work.
+struct Leaving
+{
+    HolderId holder_;
+};
+
+using PeerMessage
+    = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle, SettleAck,
+                   BundleOffer, BundleFetch, BundleParts, ReleaseRequest, Leaving>;
+
+} // namespace tamarack
--- a/src/daemon/controlloop.cpp
+++ b/src/daemon/controlloop.cpp
@@ -18,6 +18,23 @@
     {
         submitStoreCall(loop_.store_, std::move(command));
     }
+    void operator()(SendPeer &command) const
+    {
+        if (loop_.peers_.send_)
+            loop_.peers_.send_(std::move(command));
+    }
+    // handle() turns it into SendPeer.
+    void operator()(const AskRelease &) const { }
+    void operator()(const RefreshBundle &command) const
+    {
+        if (loop_.refreshBundle_)
+            loop_.refreshBundle_(command.version_);
+    }
+    void operator()(const RefreshMembers &) const
+    {
+        if (loop_.refreshMembers_)
+            loop_.refreshMembers_();
+    }
     void operator()(PublishSnapshot &command) const
     {
         loop_.traffic_.snapshot_.store(std::move(command.snapshot_));
--- a/src/daemon/controlloop.h
+++ b/src/daemon/controlloop.h
@@ -18,6 +18,12 @@
     LogPort log_;
     /// Called once, when a planned stop is complete.
     std::function<void()> onStopped_;
+    /// Sends to other daemons; empty if this daemon has no peer listener.
+    PeerPort peers_ {};
+    /// Called when a peer holds a newer bundle. Must not block.
+    std::function<void(BundleVersion)> refreshBundle_ {};
+    /// Called when a peer knows other members. Must not block.
+    std::function<void()> refreshMembers_ {};
 };
 
 /// @brief Runs until a planned stop is complete.
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ports/exchange.h"
+#include "ports/peers.h"
 #include "ports/store.h"
 
 #include "core/core.h"
