--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -42,6 +42,11 @@
     {
         onBundleConfirmed(state_, event, now_, out_);
     }
+    void operator()(const PeerReceived &event) const { onPeerMessage(state_, event, now_, out_); }
+    void operator()(const MembersSeen &event) const { onMembersSeen(state_, event, now_, out_); }
+    void operator()(const HostListSeen &event) const { onHostListSeen(state_, event, now_, out_); }
+    void operator()(const HolderDead &event) const { onHolderDead(state_, event, now_, out_); }
+    void operator()(const ReleaseAsked &) const { }
     void operator()(const StopRequested &) const { onStop(state_, out_); }
     void operator()(const StopForced &event) const { onStopForced(state_, event, now_, out_); }
     void operator()(const Tick &) const { }
@@ -59,16 +64,25 @@
 
 } // namespace
 
+void deliver(ControlState &state, const Event &event, Now now, Commands &out)
+{
+    std::visit(Handler {state, now, out}, event);
+}
+
 } // namespace detail
 
 Commands handle(ControlState &state, const Event &event, Now now)
 {
     Commands out;
-    std::visit(detail::Handler {state, now, out}, event);
+    detail::deliver(state, event, now, out);
     detail::checkUnconfirmed(state, now, out);
     detail::expireRequests(state, now, out);
+    detail::driveMembership(state, now, out);
+    detail::driveEntry(state, now, out);
+    detail::driveHome(state, now, out);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
+    detail::routeReleases(state, out);
     return out;
 }
 
@@ -78,11 +92,15 @@
     detail::collectCallTimes(state.ledger_, earliest);
     detail::collectCallTimes(state.requestShards_, earliest);
     for (const auto &[id, request] : state.active_) {
-        const bool waits = request.stage_ == RequestStage::AwaitingTokens
-            || request.stage_ == RequestStage::AwaitingIntent;
+        const bool waits = waitsForDecision(request.stage_);
         if (waits && (!earliest || request.ask_.deadline_ < *earliest))
             earliest = request.ask_.deadline_;
     }
+    for (const std::optional<MonoTime> &wake :
+         {detail::nextMembershipWake(state), detail::nextHomeWake(state)}) {
+        if (wake && (!earliest || *wake < *earliest))
+            earliest = wake;
+    }
     return earliest;
 }
 
@@ -92,7 +110,7 @@
         BOOST_LEAF_CHECK(checkInvariants(grant));
         Tokens reserved;
         for (const auto &[id, request] : state.active_) {
-            if (request.ask_.budget_ == budget)
+            if (request.ask_.budget_ == budget && request.home_.isEmpty())
                 reserved += request.reserved_;
         }
         if (reserved != grant.reserved_)
--- a/src/core/controlstop.cpp
+++ b/src/core/controlstop.cpp
@@ -8,12 +8,16 @@
 std::string_view stageName(RequestStage stage)
 {
     switch (stage) {
+    case RequestStage::AwaitingHome:
+        return "awaiting_home";
     case RequestStage::AwaitingTokens:
         return "awaiting_tokens";
     case RequestStage::AwaitingIntent:
         return "awaiting_intent";
     case RequestStage::Running:
         return "running";
+    case RequestStage::HeldForPeer:
+        return "held_for_peer";
     case RequestStage::Billing:
         break;
     }
@@ -49,9 +53,11 @@
     if (state.stopping_)
         return;
     state.stopping_ = true;
+    state.membership_.self_.leaving_ = true;
     log(out, LogLevel::Info, "daemon.stopping",
         {{"requests_in_flight", std::to_string(state.active_.size())}});
     publishSnapshot(state, out);
+    announceLeaving(state, out);
 }
 
 void onStopForced(ControlState &state, const StopForced &event, Now, Commands &out)
@@ -72,7 +78,8 @@
 
 void finishStop(ControlState &state, Now now, Commands &out)
 {
-    if (!state.stopping_ || state.stopCompleted_ || !state.active_.empty())
+    if (!state.stopping_ || state.stopCompleted_ || !state.active_.empty()
+        || hasOpenSettlements(state.home_))
         return;
     if (!state.grants_.empty()) {
         releaseGrants(state, now);
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -3,6 +3,8 @@
 
 #include "core/bundle.h"
 #include "core/ids.h"
+#include "core/membership.h"
+#include "core/peermessage.h"
 #include "core/requestrecords.h"
 #include "core/routing.h"
 #include "core/store.h"
@@ -13,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace tamarack {
 
@@ -84,6 +87,38 @@
     BundleVersion version_;
 };
 
+/// @brief A message from another daemon arrived.
+struct PeerReceived
+{
+    /// Host that the message names as its sender.
+    HostId from_;
+    PeerMessage message_;
+};
+
+/// @brief All registrations were read from the store.
+struct MembersSeen
+{
+    std::vector<RegisteredMember> members_;
+};
+
+/// @brief The platform's list of hosts was read.
+struct HostListSeen
+{
+    std::vector<ListedHost> hosts_;
+};
+
+/// @brief A holder is dead by the membership's verdict.
+struct HolderDead
+{
+    HolderId holder_;
+};
+
+/// @brief Another daemon needs tokens of a budget that this daemon may hold unspent.
+struct ReleaseAsked
+{
+    BudgetId budget_;
+};
+
 /// @brief An operator or the platform asks the daemon to stop.
 struct StopRequested
 { };
@@ -99,8 +134,8 @@
 struct Tick
 { };
 
-using Event
-    = std::variant<AdmitRequested, AdmitAbandoned, AttemptEnded, RequestFinished, StoreReplied,
-                   BundleSeen, BundleConfirmed, StopRequested, StopForced, Tick>;
+using Event = std::variant<AdmitRequested, AdmitAbandoned, AttemptEnded, RequestFinished,
+                           StoreReplied, BundleSeen, BundleConfirmed, PeerReceived, MembersSeen,
+                           HostListSeen, HolderDead, ReleaseAsked, StopRequested, StopForced, Tick>;
 
 } // namespace tamarack
