Route by predicted time to first token, with ejection and admission limits

Cause: requests went to the upstream with the fewest requests in flight of this daemon, whatever its speed, load from other daemons or health; account limits were not enforced and retries not limited. Change: routing predicts the time to first token from learned speed, corrected load reports, cached prefixes and zone; failing upstreams are ejected and readmitted by probes; leaving upstreams get no work; silence limits are learned; retries have budgets; accounts have rate and concurrency limits; requests wait in a fair queue with ageing or are refused early.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -95,6 +95,10 @@
     void operator()(const BundleSeen &event) const { onBundle(state_, event, now_, out_); }
     void operator()(const StopRequested &) const { onStop(state_, out_); }
     void operator()(const Tick &) const { }
+    void operator()(const FirstTokenSeen &event) const { onFirstToken(state_, event, now_); }
+    void operator()(const LoadReported &event) const { onLoad(state_, event, now_); }
+    void operator()(const UpstreamHealthSeen &event) const { onHealth(state_, event, now_, out_); }
+    void operator()(const CacheEventsSeen &event) const { onCacheEvents(state_, event, now_); }
 };
 
 template <typename Shards>
@@ -116,6 +120,7 @@
     Commands out;
     std::visit(detail::Handler {state, now, out}, event);
     detail::expireRequests(state, now, out);
+    detail::serveWaiting(state, now, out);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
     return out;
@@ -123,7 +128,7 @@
 
 std::optional<MonoTime> nextWake(const ControlState &state)
 {
-    std::optional<MonoTime> earliest;
+    std::optional<MonoTime> earliest = nextAdmissionWake(state.admission_);
     detail::collectCallTimes(state.ledger_, earliest);
     detail::collectCallTimes(state.requestShards_, earliest);
     for (const auto &[id, request] : state.active_) {
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -2,6 +2,7 @@
 // events and the current time go in, commands come out.
 #pragma once
 
+#include "core/admission.h"
 #include "core/command.h"
 #include "core/event.h"
 #include "core/grants.h"
@@ -31,7 +32,10 @@
     Millis redrawInterval_ {250};
     /// Exchanges with upstreams for one request, the first included.
     std::uint32_t maxAttempts_ = 3;
+    /// Silence limit of an upstream whose speed is not known yet.
     Millis silenceLimit_ {5000};
+    RoutingSettings routing_;
+    AdmissionSettings admission_;
 };
 
 /// @brief How far a request has come inside this daemon.
@@ -40,6 +44,8 @@
     AwaitingTokens,
     /// Waits for its intent record to be committed.
     AwaitingIntent,
+    /// Waits in the daemon until an upstream has room.
+    AwaitingSlot,
     /// An exchange with an upstream is permitted.
     Running,
     /// The caller is answered; the bill is not committed yet.
@@ -64,6 +70,9 @@
     UpstreamId upstream_;
     bool attemptOpen_ = false;
     MonoTime admittedAt_ {};
+    MonoTime dispatchedAt_ {};
+    /// Counted in AccountAdmission::inFlight_.
+    bool counted_ = false;
 };
 
 using LedgerCommit = ShardCommit<LedgerShard, LedgerOp>;
@@ -91,6 +100,7 @@
     std::unordered_map<RequestId, AdmissionId> byRequest_;
     std::unordered_map<CallId, ShardCall> calls_;
     RoutingState routing_;
+    AdmissionState admission_;
     bool stopping_ = false;
     bool stopCompleted_ = false;
     std::uint64_t lastId_ = 0;
--- a/src/core/controlparts.h
+++ b/src/core/controlparts.h
@@ -30,6 +30,48 @@
 /// @brief Turns the reservation of a billed request into spent tokens.
 void onBillCommitted(ControlState &state, const BillOp &op, Now now, Commands &out);
 
+/// @brief Permits the next exchange with an upstream, makes the request wait, or refuses it.
+void dispatch(ControlState &state, const AdmissionId &admission, Now now, Commands &out);
+/// @brief The refusal of a request whose permitted attempts failed.
+Refusal attemptsFailed(const ActiveRequest &request);
+
+// Routing and admission (controlrouting.cpp)
+
+/// @brief Refuses a request beyond the limits of its client account.
+std::optional<Refusal> limitFault(ControlState &state, const AdmitRequested &ask, Now now);
+/// @brief Counts a request as in flight for its client account.
+void enterAccount(ControlState &state, ActiveRequest &request, Now now);
+/// @brief Ends the count; takes the request out of the queue if it waits. May be called again.
+void leaveAccount(ControlState &state, const AdmissionId &admission, Now now);
+
+/// @brief What happens to a request that wants an upstream.
+struct RouteStep
+{
+    /// Chosen: dispatch now. AllFull: the request waits in the queue. NoUpstream: see refusal_.
+    RouteOutcome outcome_ = RouteOutcome::NoUpstream;
+    RouteChoice choice_;
+    Refusal refusal_;
+};
+
+RouteStep routeOrWait(ControlState &state, const AdmissionId &admission, Now now);
+/// @brief Records the dispatch of request.attempt_ and returns its silence limit.
+Millis noteDispatched(ControlState &state, ActiveRequest &request, const RouteChoice &choice,
+                      Now now);
+/// @brief Returns the reasons of a choice as log fields.
+std::vector<LogField> routeFields(const RouteChoice &choice);
+/// @brief Records the end of an attempt.
+void noteAttemptClosed(ControlState &state, const ActiveRequest &request, const AttemptEnded &event,
+                       Now now);
+/// @brief Takes a retry from the budgets of the account and the daemon, if they permit it.
+bool retryPermitted(ControlState &state, const ActiveRequest &request, AttemptResult result,
+                    Now now);
+/// @brief Dispatches waiting requests for which an upstream has room, and refuses late ones.
+void serveWaiting(ControlState &state, Now now, Commands &out);
+void onFirstToken(ControlState &state, const FirstTokenSeen &event, Now now);
+void onLoad(ControlState &state, const LoadReported &event, Now now);
+void onHealth(ControlState &state, const UpstreamHealthSeen &event, Now now, Commands &out);
+void onCacheEvents(ControlState &state, const CacheEventsSeen &event, Now now);
+
 // Budgets (controlbudgets.cpp)
 
 /// @brief Serves or refuses the requests that wait for tokens of @a budget.
--- a/src/core/controlrequests.cpp
+++ b/src/core/controlrequests.cpp
@@ -37,6 +37,7 @@
 void dropUnsent(ControlState &state, const AdmissionId &admission, Now now)
 {
     const ActiveRequest &request = state.active_.at(admission);
+    leaveAccount(state, admission, now);
     withdrawIntent(state, admission, now);
     if (request.reserved_ > Tokens {})
         settleReservation(state, request.ask_.budget_, request.reserved_, Tokens {}, now);
@@ -47,6 +48,7 @@
                   Completeness completeness, Now now)
 {
     ActiveRequest &request = state.active_.at(admission);
+    leaveAccount(state, admission, now);
     // The reservation is an upper bound of the cost, so an upstream that reports more is wrong.
     request.used_ = std::min(used, request.reserved_);
     settleReservation(state, request.ask_.budget_, request.reserved_ - request.used_, Tokens {},
@@ -66,75 +68,21 @@
              now.mono_ + state.settings_.flushInterval_);
 }
 
-void closeAttempt(ControlState &state, ActiveRequest &request, AttemptResult result, Now now)
+void closeAttempt(ControlState &state, ActiveRequest &request, const AttemptEnded &event, Now now)
 {
     if (!request.attemptOpen_)
         return;
     request.attemptOpen_ = false;
-    noteAttemptEnded(state.routing_, request.upstream_, result, now.mono_);
+    noteAttemptClosed(state, request, event, now);
 }
 
-Refusal noUpstream(const ActiveRequest &request)
-{
-    const bool engine = request.ask_.kind_ == UpstreamKind::ModelEngine;
-    const std::string &name = engine ? request.ask_.model_.value_ : request.ask_.service_.value_;
-    return Refusal {RefusalReason::NoUpstream, Execution::NotRun,
-                    fmt::format("no live upstream serves {} {}; retry later or ask the operators",
-                                engine ? "model" : "service", name),
-                    Millis {1000}};
-}
-
-Refusal attemptsFailed(const ActiveRequest &request)
-{
-    if (!request.sent_)
-        return Refusal {RefusalReason::UpstreamFailed, Execution::NotRun,
-                        "no upstream could be reached; retry later", Millis {1000}};
-    return Refusal {RefusalReason::UpstreamFailed, Execution::Unknown,
-                    request.ask_.idempotent_
-                        ? "all permitted attempts failed; retry with the same idempotency key"
-                        : "the upstream did not confirm the call; check its effect before a retry",
-                    std::nullopt};
-}
-
-/// Permits the next exchange with an upstream, or refuses the request.
-void dispatch(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
-{
-    ActiveRequest &request = state.active_.at(admission);
-    const RouteQuery query {request.ask_.kind_, request.ask_.model_, request.ask_.service_,
-                            state.settings_.zone_, request.tried_};
-    const std::optional<UpstreamId> chosen
-        = chooseUpstream(state.routing_, *state.bundle_, query, now.mono_);
-    if (!chosen) {
-        refuse(state, admission, request.sent_ ? attemptsFailed(request) : noUpstream(request), now,
-               out);
-        return;
-    }
-    request.stage_ = RequestStage::Running;
-    request.upstream_ = *chosen;
-    request.attempt_ = AttemptId {fmt::format("{}.{}", admission.value_, request.tried_.size())};
-    request.attemptOpen_ = true;
-    request.tried_.push_back(*chosen);
-    noteDispatch(state.routing_, *chosen);
-    log(out, LogLevel::Info, "request.dispatch",
-        {{"request", request.ask_.request_.value_},
-         {"attempt", request.attempt_.value_},
-         {"upstream", chosen->value_},
-         {"account", request.ask_.account_.value_},
-         {"reserved", std::to_string(request.reserved_.count_)}});
-    reply(request,
-          Dispatch {admission, request.attempt_, *chosen,
-                    state.bundle_->upstreams_.at(*chosen).address_, state.settings_.silenceLimit_},
-          out);
-}
-
-bool mayRetry(const ControlState &state, const ActiveRequest &request, AttemptResult result,
-              Now now)
+bool mayRetry(ControlState &state, const ActiveRequest &request, AttemptResult result, Now now)
 {
     // A non-idempotent request is never sent again once a byte has left.
     if (!request.ask_.idempotent_ && result != AttemptResult::NotSent)
         return false;
     return request.tried_.size() < state.settings_.maxAttempts_
-        && now.mono_ < request.ask_.deadline_;
+        && now.mono_ < request.ask_.deadline_ && retryPermitted(state, request, result, now);
 }
 
 /// Refuses a non-idempotent request that another admission of the same request id precedes.
@@ -179,6 +127,51 @@
 
 } // namespace
 
+Refusal attemptsFailed(const ActiveRequest &request)
+{
+    if (!request.sent_)
+        return Refusal {RefusalReason::UpstreamFailed, Execution::NotRun,
+                        "no upstream could be reached; retry later", Millis {1000}};
+    return Refusal {RefusalReason::UpstreamFailed, Execution::Unknown,
+                    request.ask_.idempotent_
+                        ? "all permitted attempts failed; retry with the same idempotency key"
+                        : "the upstream did not confirm the call; check its effect before a retry",
+                    std::nullopt};
+}
+
+void dispatch(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
+{
+    ActiveRequest &request = state.active_.at(admission);
+    RouteStep step = routeOrWait(state, admission, now);
+    if (step.outcome_ == RouteOutcome::AllFull)
+        return;
+    if (step.outcome_ == RouteOutcome::NoUpstream) {
+        refuse(state, admission, request.sent_ ? attemptsFailed(request) : std::move(step.refusal_),
+               now, out);
+        return;
+    }
+    const UpstreamId &chosen = step.choice_.upstream_;
+    request.stage_ = RequestStage::Running;
+    request.upstream_ = chosen;
+    request.attempt_ = AttemptId {fmt::format("{}.{}", admission.value_, request.tried_.size())};
+    request.attemptOpen_ = true;
+    request.tried_.push_back(chosen);
+    const Millis silence = noteDispatched(state, request, step.choice_, now);
+    std::vector<LogField> fields {{"request", request.ask_.request_.value_},
+                                  {"attempt", request.attempt_.value_},
+                                  {"upstream", chosen.value_},
+                                  {"account", request.ask_.account_.value_},
+                                  {"reserved", std::to_string(request.reserved_.count_)},
+                                  {"silence_limit_ms", std::to_string(silence.count())}};
+    for (LogField &field : routeFields(step.choice_))
+        fields.push_back(std::move(field));
+    log(out, LogLevel::Info, "request.dispatch", std::move(fields));
+    reply(request,
+          Dispatch {admission, request.attempt_, chosen,
+                    state.bundle_->upstreams_.at(chosen).address_, silence},
+          out);
+}
+
 void refuse(ControlState &state, const AdmissionId &admission, Refusal refusal, Now now,
             Commands &out)
 {
@@ -198,7 +191,10 @@
 
 void onAdmit(ControlState &state, const AdmitRequested &ask, Now now, Commands &out)
 {
-    if (std::optional<Refusal> fault = admissionFault(state, ask)) {
+    std::optional<Refusal> fault = admissionFault(state, ask);
+    if (!fault)
+        fault = limitFault(state, ask, now);
+    if (fault) {
         log(out, LogLevel::Info, "request.refuse",
             {{"request", ask.request_.value_},
              {"account", ask.account_.value_},
@@ -214,6 +210,7 @@
     request.ask_ = ask;
     request.waiter_ = ask.waiter_;
     request.admittedAt_ = now.mono_;
+    enterAccount(state, request, now);
     state.active_.emplace(admission, std::move(request));
     state.byRequest_.try_emplace(ask.request_, admission);
     serveBudget(state, ask.budget_, false, now, out);
@@ -250,7 +247,7 @@
     if (it == state.active_.end() || it->second.attempt_ != event.attempt_)
         return;
     ActiveRequest &request = it->second;
-    closeAttempt(state, request, event.result_, now);
+    closeAttempt(state, request, event, now);
     request.sent_ |= event.result_ != AttemptResult::NotSent;
     request.used_ = std::max(request.used_, event.used_);
     log(out, LogLevel::Info, "request.attempt_ended",
@@ -272,7 +269,7 @@
     const auto it = state.active_.find(event.admission_);
     if (it == state.active_.end() || it->second.stage_ != RequestStage::Running)
         return;
-    closeAttempt(state, it->second, AttemptResult::Whole, now);
+    closeAttempt(state, it->second, AttemptEnded {}, now);
     log(out, LogLevel::Info, "request.finished",
         {{"request", it->second.ask_.request_.value_},
          {"account", it->second.ask_.account_.value_},
@@ -305,7 +302,9 @@
     if (it == state.active_.end() || it->second.stage_ == RequestStage::Billing)
         return;
     const AdmissionId admission = it->first;
-    closeAttempt(state, it->second, AttemptResult::Cancelled, now);
+    AttemptEnded cancelled;
+    cancelled.result_ = AttemptResult::Cancelled;
+    closeAttempt(state, it->second, cancelled, now);
     log(out, LogLevel::Warning, "request.abandoned",
         {{"request", it->second.ask_.request_.value_}});
     if (it->second.sent_)
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,6 +1,7 @@
 // Public header of the core library: the decisions of a daemon, without any I/O.
 #pragma once
 
+#include "core/admission.h"
 #include "core/bundle.h"
 #include "core/command.h"
 #include "core/control.h"
@@ -13,6 +14,9 @@
 #include "core/refusal.h"
 #include "core/requestrecords.h"
 #include "core/routing.h"
+#include "core/routingcache.h"
+#include "core/routingreports.h"
+#include "core/routingretries.h"
 #include "core/shardcommit.h"
 #include "core/store.h"
 #include "core/time.h"
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -9,9 +9,11 @@
 #include "core/time.h"
 #include "core/tokens.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <variant>
+#include <vector>
 
 namespace tamarack {
 
@@ -35,6 +37,16 @@
     bool keyed_ = false;
     /// The caller is answered by then, one way or the other.
     MonoTime deadline_;
+    /// Part of worstCase_ that is the prompt: its bytes, an upper bound of its tokens.
+    Tokens promptBound_ {};
+    /// Hashes of the prompt from its start to the end of each block, for the prefix cache.
+    std::vector<std::uint64_t> promptBlocks_ {};
+    AdapterId adapter_ {};
+    ModelVersionId version_ {};
+    /// The answer is a stream, so its first byte is its first token.
+    bool stream_ = false;
+    /// The traffic thread posts FirstTokenSeen.
+    bool reportsFirstToken_ = false;
 };
 
 /// @brief The traffic thread stopped waiting and has sent nothing to an upstream.
@@ -55,6 +67,37 @@
     Tokens used_;
     /// Set if the traffic thread waits for another attempt or a refusal.
     std::optional<WaiterId> retryWaiter_;
+    /// Tokens of this attempt's answer.
+    std::uint32_t outputTokens_ = 0;
+    /// The upstream refused the request because it is leaving.
+    bool upstreamLeaving_ = false;
+};
+
+/// @brief The first token of an answer has arrived.
+struct FirstTokenSeen
+{
+    AdmissionId admission_;
+    AttemptId attempt_;
+    Micros after_ {};
+};
+
+/// @brief An engine answered GET /load.
+struct LoadReported
+{
+    LoadReport report_;
+};
+
+/// @brief An upstream answered GET /health, or did not answer.
+struct UpstreamHealthSeen
+{
+    UpstreamId upstream_;
+    UpstreamHealth health_ = UpstreamHealth::Live;
+};
+
+/// @brief An engine answered GET /cache-events.
+struct CacheEventsSeen
+{
+    CacheEventBatch batch_;
 };
 
 /// @brief The caller has been answered; the request's real cost is known.
@@ -86,6 +129,7 @@
 { };
 
 using Event = std::variant<AdmitRequested, AdmitAbandoned, AttemptEnded, RequestFinished,
-                           StoreReplied, BundleSeen, StopRequested, Tick>;
+                           StoreReplied, BundleSeen, StopRequested, Tick, FirstTokenSeen,
+                           LoadReported, UpstreamHealthSeen, CacheEventsSeen>;
 
 } // namespace tamarack
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -41,6 +41,9 @@
 using UpstreamId = Id<struct UpstreamTag>;
 using ModelId = Id<struct ModelTag>;
 using ServiceId = Id<struct ServiceTag>;
+/// A fine-tuned adapter that is loaded beside a model.
+using AdapterId = Id<struct AdapterTag>;
+using ModelVersionId = Id<struct ModelVersionTag>;
 using OperatorId = Id<struct OperatorTag>;
 /// One run of one daemon: the host id and a random suffix. A restarted daemon is a new holder.
 using HolderId = Id<struct HolderTag>;
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -1,29 +1,188 @@
-// Choice of an upstream: least requests in flight, own zone first.
+// Index of candidates and choice of an upstream.
 #include "core/routing.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace tamarack {
 
 namespace {
 
-constexpr std::uint32_t failuresBeforeEjection = 3;
-constexpr Millis ejectionTime {2000};
+void addUpstream(RoutingState &state, const Upstream &upstream)
+{
+    const auto [it, created]
+        = state.byId_.try_emplace(upstream.id_, UpstreamSlot {state.upstreams_.size()});
+    if (created)
+        state.upstreams_.emplace_back();
+    UpstreamState &known = state.upstreams_[it->second.value_];
+    known.id_ = upstream.id_;
+    known.kind_ = upstream.kind_;
+    known.host_ = upstream.host_;
+    known.zone_ = upstream.zone_;
+    known.inBundle_ = true;
+    if (upstream.kind_ == UpstreamKind::Service) {
+        state.byService_[upstream.service_].members_.push_back(it->second);
+        return;
+    }
+    for (const ModelId &model : upstream.models_)
+        state.byModel_[model].members_.push_back(it->second);
+}
+
+const UpstreamGroup *groupOf(const RoutingState &state, const RouteQuery &query)
+{
+    if (query.kind_ == UpstreamKind::Service) {
+        const auto it = state.byService_.find(query.service_);
+        return it == state.byService_.end() ? nullptr : &it->second;
+    }
+    const auto it = state.byModel_.find(query.model_);
+    return it == state.byModel_.end() ? nullptr : &it->second;
+}
+
+bool wasTried(const RouteQuery &query, const UpstreamId &upstream)
+{
+    return std::find(query.tried_.begin(), query.tried_.end(), upstream) != query.tried_.end();
+}
+
+/// A candidate that is not passed over.
+struct Scored
+{
+    UpstreamSlot upstream_;
+    Prediction prediction_;
+    bool probe_ = false;
+};
+
+/// One choice in progress.
+struct Search
+{
+    RoutingState &state_;
+    const RouteQuery &query_;
+    MonoTime now_;
+    std::vector<CacheMatch> matches_;
+    std::vector<Scored> free_;
+    std::optional<Scored> bestFull_;
+    std::optional<Scored> bestEjected_;
+    std::uint32_t considered_ = 0;
+};
+
+double cacheMatch(const Search &search, UpstreamSlot upstream)
+{
+    for (const CacheMatch &match : search.matches_) {
+        if (match.upstream_ == upstream)
+            return match.share_;
+    }
+    return 0.0;
+}
+
+void keepBetter(std::optional<Scored> &best, const Scored &candidate)
+{
+    if (!best || candidate.prediction_.firstToken_ < best->prediction_.firstToken_)
+        best = candidate;
+}
+
+void consider(Search &search, UpstreamSlot slot)
+{
+    const UpstreamState &upstream = search.state_.upstreams_[slot.value_];
+    ++search.considered_;
+    const Availability available = availability(search.state_.settings_, upstream, search.now_);
+    if (available == Availability::Gone)
+        return;
+    const bool tried = wasTried(search.query_, upstream.id_);
+    if (tried && available != Availability::Free)
+        return;
+    const Scored scored {
+        slot,
+        predict(search.state_, upstream, search.query_, cacheMatch(search, slot), search.now_),
+        available == Availability::Probing};
+    if (available == Availability::Ejected || tried)
+        keepBetter(search.bestEjected_, scored);
+    else if (available == Availability::Full)
+        keepBetter(search.bestFull_, scored);
+    else if (available == Availability::Free || search.query_.idempotent_)
+        search.free_.push_back(scored);
+}
+
+/// Looks at the engines with a cached prefix and at a window of the group, which is in random
+/// order.
+void considerSample(Search &search, const UpstreamGroup &group)
+{
+    const std::size_t size = group.members_.size();
+    const std::size_t count = std::min(size, search.state_.settings_.sampleSize_);
+    const std::size_t start = count < size ? search.state_.random_() % size : 0;
+    for (std::size_t i = 0; i < count; ++i)
+        consider(search, group.members_[(start + i) % size]);
+    if (count == size)
+        return;
+    for (const CacheMatch &match : search.matches_) {
+        if (std::find(group.members_.begin(), group.members_.end(), match.upstream_)
+            != group.members_.end())
+            consider(search, match.upstream_);
+    }
+    if (!search.free_.empty())
+        return;
+    for (std::size_t i = count; i < size; ++i)
+        consider(search, group.members_[(start + i) % size]);
+}
+
+/// A readmitted upstream without a request in flight gets the next one as a probe.
+const Scored *dueProbe(const Search &search)
+{
+    if (!search.query_.tried_.empty())
+        return nullptr;
+    for (const Scored &scored : search.free_) {
+        const UpstreamState &upstream = search.state_.upstreams_[scored.upstream_.value_];
+        if (scored.probe_ && upstream.inFlight_ == 0 && upstream.consecutiveFailures_ > 0)
+            return &scored;
+    }
+    return nullptr;
+}
+
+const Scored &pickFree(Search &search)
+{
+    if (const Scored *probe = dueProbe(search))
+        return *probe;
+    const auto best = std::min_element(
+        search.free_.begin(), search.free_.end(), [](const Scored &a, const Scored &b) {
+            return a.prediction_.firstToken_ < b.prediction_.firstToken_;
+        });
+    const RoutingSettings &settings = search.state_.settings_;
+    const PreciseMicros least = best->prediction_.firstToken_;
+    const PreciseMicros limit
+        = least + std::max(least * settings.tieShare_, PreciseMicros {settings.tieMargin_});
+    std::size_t ties = 0;
+    const Scored *chosen = &*best;
+    for (const Scored &scored : search.free_) {
+        if (scored.prediction_.firstToken_ > limit)
+            continue;
+        ++ties;
+        if (search.state_.random_() % ties == 0)
+            chosen = &scored;
+    }
+    return *chosen;
+}
 
-bool serves(const Upstream &upstream, const RouteQuery &query)
+RouteChoice makeChoice(const Search &search, const Scored &scored)
 {
-    if (upstream.kind_ != query.kind_)
-        return false;
-    if (query.kind_ == UpstreamKind::Service)
-        return upstream.service_ == query.service_;
-    return std::find(upstream.models_.begin(), upstream.models_.end(), query.model_)
-        != upstream.models_.end();
+    RouteChoice choice;
+    choice.outcome_ = RouteOutcome::Chosen;
+    choice.upstream_ = search.state_.upstreams_[scored.upstream_.value_].id_;
+    choice.prediction_ = scored.prediction_;
+    choice.probe_ = scored.probe_;
+    return choice;
 }
 
-bool isFailure(AttemptResult result)
+RouteChoice concludeSearch(Search &search)
 {
-    return result != AttemptResult::Whole && result != AttemptResult::Cancelled;
+    RouteChoice choice;
+    if (!search.free_.empty()) {
+        choice = makeChoice(search, pickFree(search));
+    } else if (search.bestFull_) {
+        choice.outcome_ = RouteOutcome::AllFull;
+        choice.prediction_ = search.bestFull_->prediction_;
+    } else if (search.bestEjected_) {
+        choice = makeChoice(search, *search.bestEjected_);
+        choice.lastResort_ = true;
+    }
+    choice.considered_ = search.considered_;
+    return choice;
 }
 
 } // namespace
@@ -49,47 +208,37 @@
     return "unknown";
 }
 
-std::optional<UpstreamId> chooseUpstream(const RoutingState &state, const Bundle &bundle,
-                                         const RouteQuery &query, MonoTime now)
+void adoptUpstreams(RoutingState &state, const Bundle &bundle)
 {
-    using Score = std::tuple<bool, std::uint32_t, bool>;
-    std::optional<UpstreamId> best;
-    Score bestScore;
-    for (const auto &[id, upstream] : bundle.upstreams_) {
-        if (!serves(upstream, query))
-            continue;
-        const auto it = state.upstreams_.find(id);
-        const UpstreamState known = it == state.upstreams_.end() ? UpstreamState {} : it->second;
-        if (known.leaving_ || now < known.ejectedUntil_)
-            continue;
-        const bool tried
-            = std::find(query.tried_.begin(), query.tried_.end(), id) != query.tried_.end();
-        const Score score {tried, known.inFlight_, upstream.zone_ != query.zone_};
-        if (!best || score < bestScore) {
-            best = id;
-            bestScore = score;
-        }
-    }
-    return best;
+    for (UpstreamState &upstream : state.upstreams_)
+        upstream.inBundle_ = false;
+    state.byModel_.clear();
+    state.byService_.clear();
+    for (const auto &[id, upstream] : bundle.upstreams_)
+        addUpstream(state, upstream);
+    for (auto &[model, group] : state.byModel_)
+        std::shuffle(group.members_.begin(), group.members_.end(), state.random_);
+    for (auto &[service, group] : state.byService_)
+        std::shuffle(group.members_.begin(), group.members_.end(), state.random_);
+    state.indexed_ = bundle.version_;
 }
 
-void noteDispatch(RoutingState &state, const UpstreamId &upstream)
+UpstreamState *findUpstream(RoutingState &state, const UpstreamId &upstream)
 {
-    ++state.upstreams_[upstream].inFlight_;
+    const auto it = state.byId_.find(upstream);
+    return it == state.byId_.end() ? nullptr : &state.upstreams_[it->second.value_];
 }
 
-void noteAttemptEnded(RoutingState &state, const UpstreamId &upstream, AttemptResult result,
-                      MonoTime now)
+RouteChoice chooseUpstream(RoutingState &state, const RouteQuery &query, MonoTime now)
 {
-    UpstreamState &known = state.upstreams_[upstream];
-    if (known.inFlight_ > 0)
-        --known.inFlight_;
-    if (!isFailure(result)) {
-        known.consecutiveFailures_ = 0;
-        return;
-    }
-    if (++known.consecutiveFailures_ >= failuresBeforeEjection)
-        known.ejectedUntil_ = now + ejectionTime;
+    const UpstreamGroup *group = groupOf(state, query);
+    if (!group)
+        return {};
+    Search search {state, query, now, matchCache(state.cache_, query.promptBlocks_, now),
+                   {},    {},    {},  0};
+    search.free_.reserve(std::min(group->members_.size(), state.settings_.sampleSize_));
+    considerSample(search, *group);
+    return concludeSearch(search);
 }
 
 } // namespace tamarack
--- a/src/core/time.h
+++ b/src/core/time.h
@@ -8,6 +8,8 @@
 using Millis = std::chrono::milliseconds;
 using Micros = std::chrono::microseconds;
 using Seconds = std::chrono::seconds;
+/// Smoothed durations, which need fractions.
+using PreciseMicros = std::chrono::duration<double, std::micro>;
 /// Monotonic time for deadlines and intervals within one process.
 using MonoTime = std::chrono::time_point<std::chrono::steady_clock>;
 /// Wall-clock time for stored records. It is never used to decide who may spend.
