--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -50,6 +50,10 @@
     void operator()(const StopRequested &) const { onStop(state_, out_); }
     void operator()(const StopForced &event) const { onStopForced(state_, event, now_, out_); }
     void operator()(const Tick &) const { }
+    void operator()(const FirstTokenSeen &event) const { onFirstToken(state_, event, now_); }
+    void operator()(const LoadReported &event) const { onLoad(state_, event, now_); }
+    void operator()(const UpstreamHealthSeen &event) const { onHealth(state_, event, now_, out_); }
+    void operator()(const CacheEventsSeen &event) const { onCacheEvents(state_, event, now_); }
 };
 
 template <typename Shards>
@@ -80,6 +84,7 @@
     detail::driveMembership(state, now, out);
     detail::driveEntry(state, now, out);
     detail::driveHome(state, now, out);
+    detail::serveWaiting(state, now, out);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
     detail::routeReleases(state, out);
@@ -97,7 +102,8 @@
             earliest = request.ask_.deadline_;
     }
     for (const std::optional<MonoTime> &wake :
-         {detail::nextMembershipWake(state), detail::nextHomeWake(state)}) {
+         {detail::nextMembershipWake(state), detail::nextHomeWake(state),
+          nextAdmissionWake(state.admission_)}) {
         if (wake && (!earliest || *wake < *earliest))
             earliest = wake;
     }
--- a/src/core/controlstop.cpp
+++ b/src/core/controlstop.cpp
@@ -16,6 +16,8 @@
         return "awaiting_intent";
     case RequestStage::Running:
         return "running";
+    case RequestStage::AwaitingSlot:
+        return "awaiting_slot";
     case RequestStage::HeldForPeer:
         return "held_for_peer";
     case RequestStage::Billing:
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/acceptance.h"
+#include "core/admission.h"
 #include "core/bundle.h"
 #include "core/command.h"
 #include "core/control.h"
@@ -17,6 +18,9 @@
 #include "core/refusal.h"
 #include "core/requestrecords.h"
 #include "core/routing.h"
+#include "core/routingcache.h"
+#include "core/routingreports.h"
+#include "core/routingretries.h"
 #include "core/shardcommit.h"
 #include "core/store.h"
 #include "core/time.h"
