--- /dev/null
+++ b/bench/loadrun.cpp
@@ -0,0 +1,176 @@
+// Load on a chat-completions address.
+#include "loadrun.h"
+
+#include "adapters/http/upstreamclient.h"
+#include "adapters/json/json.h"
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace tamarack::load {
+
+namespace {
+
+constexpr std::uint64_t maxPlannedArrivals = 5'000'000;
+
+/// What the threads of one run share.
+struct Run
+{
+    const LoadPlan &plan_;
+    UpstreamPort port_ {};
+    std::string body_ {};
+    MonoTime start_ {};
+    /// Planned times of an open loop, from the start.
+    std::vector<Micros> arrivals_ {};
+    std::atomic<std::uint64_t> next_ {0};
+    std::mutex mutex_ {};
+    std::vector<Sample> samples_ {};
+};
+
+std::vector<Micros> planArrivals(const LoadPlan &plan)
+{
+    std::vector<Micros> arrivals;
+    if (plan.rate_ <= 0.0)
+        return arrivals;
+    std::mt19937_64 random(plan.seed_);
+    std::exponential_distribution<double> gap(plan.rate_);
+    const std::uint64_t limit = plan.count_ > 0 ? plan.count_ : maxPlannedArrivals;
+    std::chrono::duration<double> time {0.0};
+    while (arrivals.size() < limit) {
+        time += std::chrono::duration<double> {gap(random)};
+        if (plan.count_ == 0 && time > plan.duration_)
+            break;
+        arrivals.push_back(std::chrono::duration_cast<Micros>(time));
+    }
+    return arrivals;
+}
+
+std::string chatBody(const LoadPlan &plan)
+{
+    return fmt::format(
+        R"({{"model":"{}","messages":[{{"role":"user","content":"{}"}}],"max_tokens":{},"stream":{}}})",
+        plan.model_, std::string(plan.promptBytes_, 'x'), plan.maxTokens_, plan.stream_);
+}
+
+ExchangeRequest makeRequest(const Run &run, std::uint64_t index)
+{
+    ExchangeRequest request;
+    request.address_ = run.plan_.address_;
+    request.method_ = "POST";
+    request.path_ = "/v1/chat/completions";
+    request.contentType_ = "application/json";
+    request.body_ = run.body_;
+    request.request_ = RequestId {fmt::format("load-{}-{}", run.plan_.seed_, index)};
+    request.attempt_ = AttemptId {"load"};
+    request.idempotent_ = true;
+    request.stream_ = run.plan_.stream_;
+    request.silenceLimit_ = run.plan_.silenceLimit_;
+    const std::vector<std::string> &keys = run.plan_.keys_;
+    if (!keys.empty())
+        request.headers_.push_back(
+            HeaderField {"Authorization", "Bearer " + keys[index % keys.size()]});
+    return request;
+}
+
+/// Returns error.code of a refusal, or the status.
+std::string errorCode(const ExchangeResult &result)
+{
+    constexpr std::string_view mark = R"("code":")";
+    const std::size_t at = result.body_.find(mark);
+    if (at == std::string::npos)
+        return fmt::format("status_{}", result.status_);
+    const std::size_t begin = at + mark.size();
+    return result.body_.substr(begin, result.body_.find('"', begin) - begin);
+}
+
+std::string outcomeOf(const ExchangeResult &result)
+{
+    if (result.result_ == AttemptResult::Whole)
+        return result.status_ == 200 ? "ok" : errorCode(result);
+    if (result.result_ == AttemptResult::Cut)
+        return "truncated";
+    if (result.status_ >= 400)
+        return errorCode(result);
+    return std::string(attemptResultCode(result.result_));
+}
+
+Sample sendOne(Run &run, std::uint64_t index, MonoTime due)
+{
+    Sample sample;
+    std::optional<MonoTime> firstEvent;
+    const MonoTime sentAt = std::chrono::steady_clock::now();
+    const ExchangeResult result
+        = run.port_.exchange_(makeRequest(run, index), [&](const StreamEvent &) {
+              if (!firstEvent)
+                  firstEvent = std::chrono::steady_clock::now();
+              ++sample.tokens_;
+              return true;
+          });
+    const MonoTime end = std::chrono::steady_clock::now();
+    sample.outcome_ = outcomeOf(result);
+    if (!run.plan_.stream_ && result.usage_)
+        sample.tokens_ = static_cast<std::uint64_t>(result.usage_->count_);
+    const MonoTime first
+        = firstEvent.value_or(result.firstByte_ ? sentAt + *result.firstByte_ : end);
+    sample.firstByte_ = std::chrono::duration_cast<Micros>(first - due);
+    sample.total_ = std::chrono::duration_cast<Micros>(end - due);
+    return sample;
+}
+
+/// Waits for the next request's time.
+/// @return nothing if the load is over
+std::optional<MonoTime> awaitTurn(const Run &run, std::uint64_t index)
+{
+    const LoadPlan &plan = run.plan_;
+    if (plan.rate_ > 0.0) {
+        if (index >= run.arrivals_.size())
+            return std::nullopt;
+        const MonoTime due = run.start_ + run.arrivals_[index];
+        std::this_thread::sleep_until(due);
+        return due;
+    }
+    const MonoTime now = std::chrono::steady_clock::now();
+    const bool over = plan.count_ > 0 ? index >= plan.count_ : now >= run.start_ + plan.duration_;
+    return over ? std::nullopt : std::optional<MonoTime> {now};
+}
+
+void work(Run &run)
+{
+    std::vector<Sample> samples;
+    while (true) {
+        const std::uint64_t index = run.next_++;
+        const std::optional<MonoTime> due = awaitTurn(run, index);
+        if (!due)
+            break;
+        samples.push_back(sendOne(run, index, *due));
+    }
+    const std::lock_guard lock(run.mutex_);
+    run.samples_.insert(run.samples_.end(), samples.begin(), samples.end());
+}
+
+} // namespace
+
+LoadResult runLoad(const LoadPlan &plan)
+{
+    Run run {.plan_ = plan};
+    run.port_ = makeHttpUpstreamPort();
+    run.body_ = chatBody(plan);
+    run.arrivals_ = planArrivals(plan);
+    run.start_ = std::chrono::steady_clock::now();
+    std::vector<std::thread> threads;
+    for (std::uint32_t i = 0; i < plan.concurrency_; ++i)
+        threads.emplace_back(work, std::ref(run));
+    for (std::thread &thread : threads)
+        thread.join();
+    LoadResult result;
+    result.elapsed_
+        = std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now() - run.start_);
+    result.samples_ = std::move(run.samples_);
+    return result;
+}
+
+} // namespace tamarack::load
