Pass a request's messages on as text

The messages are now found by a scan that checks strings and brackets, and reach the engine byte for byte; the rest of the document is parsed as before. Usage is read from its own text. Field names with escapes and doubled messages are refused, because the scan and the engine could read them differently.

--- a/src/adapters/json/chat.cpp
+++ b/src/adapters/json/chat.cpp
@@ -2,6 +2,9 @@
 #include "adapters/json/chat.h"
 
 #include "adapters/json/jsonreader.h"
+#include "adapters/json/memberscan.h"
+
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <sstream>
@@ -31,7 +34,62 @@
     return given ? Tokens {std::min(older, newer)} : defaultMaxOutput;
 }
 
-ChatRequest readChatRequest(const JsonReader &root, const std::string &body,
+/// A request whose messages, by far its largest part, are kept as text.
+struct SplitRequest
+{
+    /// The document without its messages.
+    std::string rest_;
+    std::string_view messages_;
+    std::int64_t messageCount_ = 0;
+};
+
+boost::leaf::error_id malformed(std::string message)
+{
+    return fail(ErrorKind::InvalidMessage, "tamarack.chat.101", std::move(message));
+}
+
+/// Separates the messages. A key with an escape could hide a second list of messages.
+Result<SplitRequest> splitRequest(const std::string &body)
+{
+    const auto members = scanObject(body);
+    if (!members)
+        return malformed("the document is not a JSON object; check its brackets and quotes");
+    SplitRequest split;
+    for (const MemberText &member : *members) {
+        if (member.key_.find('\\') != std::string_view::npos)
+            return malformed("a field name has an escape; send it plain");
+        if (member.key_ == "messages") {
+            if (!split.messages_.empty())
+                return malformed("messages are given twice; send one list");
+            split.messages_ = member.value_;
+            continue;
+        }
+        split.rest_ += split.rest_.empty() ? "{" : ",";
+        split.rest_ += fmt::format("\"{}\":{}", member.key_, member.value_);
+    }
+    split.rest_ += split.rest_.empty() ? "{}" : "}";
+    return split;
+}
+
+/// Counts the messages, and reports a list that is missing or holds something else than objects.
+std::int64_t countMessages(const JsonReader &root, std::string_view messages)
+{
+    if (messages.empty()) {
+        addFault(root, "messages", "is missing", "add it");
+        return 0;
+    }
+    const auto elements = scanArray(messages);
+    const bool objects = elements
+        && std::all_of(elements->begin(), elements->end(),
+                       [](std::string_view element) { return element.starts_with('{'); });
+    if (!objects) {
+        addFault(root, "messages", "is not a list of objects", "send one object for each message");
+        return 0;
+    }
+    return static_cast<std::int64_t>(elements->size());
+}
+
+ChatRequest readChatRequest(const JsonReader &root, const SplitRequest &split, std::size_t bytes,
                             Tokens defaultMaxOutput)
 {
     ChatRequest request;
@@ -39,8 +97,7 @@
     request.stream_ = readBool(root, "stream", Need::Optional);
     request.wantsUsage_ = readBool(readObject(root, "stream_options", Need::Optional),
                                    "include_usage", Need::Optional);
-    std::int64_t messages = 1;
-    readObjects(root, "messages", Need::Required, [&messages](const JsonReader &) { ++messages; });
+    const std::int64_t messages = countMessages(root, split.messages_) + 1;
     if (root.object_->has("best_of"))
         addFault(root, "best_of", "is not supported", "use n");
     // The engine generates up to the output limit for each choice.
@@ -48,12 +105,12 @@
     request.choiceLimit_ = readOutputLimit(root, defaultMaxOutput);
     request.maxOutput_ = Tokens {request.choiceLimit_.count_ * choices};
     // The whole body bounds the prompt, whatever fields the engine puts into it.
-    request.promptBound_
-        = Tokens {static_cast<std::int64_t>(body.size()) + messages * templateTokens};
+    request.promptBound_ = Tokens {static_cast<std::int64_t>(bytes) + messages * templateTokens};
     return request;
 }
 
-std::string upstreamBody(Poco::JSON::Object &object, const ChatRequest &request)
+std::string upstreamBody(Poco::JSON::Object &object, const ChatRequest &request,
+                         std::string_view messages)
 {
     object.set("max_tokens", request.choiceLimit_.count_);
     if (object.has("max_completion_tokens"))
@@ -67,7 +124,9 @@
     }
     std::ostringstream text;
     object.stringify(text);
-    return text.str();
+    std::string document = text.str();
+    document.pop_back();
+    return fmt::format("{},\"messages\":{}}}", document, messages);
 }
 
 /// Most events of a stream carry no usage or a null, so they are not parsed.
@@ -84,20 +143,24 @@
 
 Result<ChatUsage> readUsage(const std::string &text)
 {
-    BOOST_LEAF_AUTO(object, parseObject(text, maxUsageBytes));
+    const auto members = scanObject(text);
+    const std::string_view usageText
+        = members ? findMember(*members, "usage") : std::string_view {};
+    if (usageText.empty())
+        return ChatUsage {};
+    BOOST_LEAF_AUTO(object, parseObject(std::string(usageText), maxUsageBytes));
     Faults faults;
-    const JsonReader root {object, "", &faults};
-    const JsonReader usage = readObject(root, "usage", Need::Optional);
+    const JsonReader usage {object, "usage", &faults};
     const std::int64_t prompt = readInteger(usage, "prompt_tokens", Need::Optional, Range {0});
     const std::int64_t output = readInteger(usage, "completion_tokens", Need::Optional, Range {0});
     const std::int64_t total
         = readInteger(usage, "total_tokens", Need::Optional, Range {0}, prompt + output);
-    const Poco::JSON::Array::Ptr choices = object->getArray("choices");
-    const bool reported
-        = usage.object_->has("total_tokens") || usage.object_->has("completion_tokens");
+    const bool reported = object->has("total_tokens") || object->has("completion_tokens");
     if (!faults.empty() || !reported)
         return ChatUsage {};
-    return ChatUsage {Tokens {total}, !choices || choices->size() == 0};
+    const std::string_view choices = findMember(*members, "choices");
+    const auto elements = scanArray(choices);
+    return ChatUsage {Tokens {total}, choices.empty() || (elements && elements->empty())};
 }
 
 } // namespace
@@ -108,11 +171,12 @@
     ChatRequest request;
     boost::leaf::try_handle_all(
         [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(object, parseObject(body, maxBytes));
+            BOOST_LEAF_AUTO(split, splitRequest(body));
+            BOOST_LEAF_AUTO(object, parseObject(split.rest_, maxBytes));
             const JsonReader root {object, "", &faults};
-            request = readChatRequest(root, body, defaultMaxOutput);
+            request = readChatRequest(root, split, body.size(), defaultMaxOutput);
             if (faults.empty())
-                request.upstreamBody_ = upstreamBody(*object, request);
+                request.upstreamBody_ = upstreamBody(*object, request, split.messages_);
             return {};
         },
         [&faults](const Error &error) {
--- /dev/null
+++ b/src/adapters/json/memberscan.cpp
@@ -0,0 +1,178 @@
+// Finding the members of a JSON object without building a tree.
+#include "adapters/json/memberscan.h"
+
+#include "adapters/json/jsonreader.h"
+
+#include <string>
+
+namespace tamarack {
+
+namespace {
+
+/// Text that is left to scan.
+struct Scan
+{
+    std::string_view rest_;
+};
+
+bool isSpace(char c)
+{
+    return c == ' ' || c == '\t' || c == '\n' || c == '\r';
+}
+
+void skipSpace(Scan &scan)
+{
+    while (!scan.rest_.empty() && isSpace(scan.rest_.front()))
+        scan.rest_.remove_prefix(1);
+}
+
+/// Skips spaces and then @a c.
+bool skipChar(Scan &scan, char c)
+{
+    skipSpace(scan);
+    if (scan.rest_.empty() || scan.rest_.front() != c)
+        return false;
+    scan.rest_.remove_prefix(1);
+    return true;
+}
+
+/// Returns the position after the string that begins at @a begin, or npos.
+std::size_t endOfString(std::string_view text, std::size_t begin)
+{
+    std::size_t from = begin + 1;
+    while (true) {
+        const std::size_t quote = text.find('"', from);
+        if (quote == std::string_view::npos)
+            return quote;
+        std::size_t escapes = 0;
+        while (text[quote - 1 - escapes] == '\\' && quote - 1 - escapes > begin)
+            ++escapes;
+        if (escapes % 2 == 0)
+            return quote + 1;
+        from = quote + 1;
+    }
+}
+
+std::optional<std::string_view> takeString(Scan &scan)
+{
+    skipSpace(scan);
+    if (scan.rest_.empty() || scan.rest_.front() != '"')
+        return std::nullopt;
+    const std::size_t end = endOfString(scan.rest_, 0);
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view value = scan.rest_.substr(1, end - 2);
+    scan.rest_.remove_prefix(end);
+    return value;
+}
+
+/// Takes one value up to the comma or bracket that follows it.
+std::optional<std::string_view> takeValue(Scan &scan)
+{
+    skipSpace(scan);
+    const std::string_view text = scan.rest_;
+    std::string open;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const char c = text[at];
+        if (c == '"') {
+            at = endOfString(text, at);
+            if (at == std::string_view::npos)
+                return std::nullopt;
+            continue;
+        }
+        const bool closes = c == '}' || c == ']';
+        if (open.empty() && (c == ',' || closes))
+            break;
+        if (c == '{' || c == '[')
+            open += c == '{' ? '}' : ']';
+        if (closes && open.back() != c)
+            return std::nullopt;
+        if (closes)
+            open.pop_back();
+        if (open.size() > static_cast<std::size_t>(maxJsonDepth))
+            return std::nullopt;
+        ++at;
+    }
+    std::size_t size = at;
+    while (size > 0 && isSpace(text[size - 1]))
+        --size;
+    if (!open.empty() || size == 0)
+        return std::nullopt;
+    scan.rest_.remove_prefix(at);
+    return text.substr(0, size);
+}
+
+/// Takes what stands between two elements.
+/// @return true if another element follows, false at the closing bracket, nothing at a fault
+std::optional<bool> takeSeparator(Scan &scan, char close)
+{
+    if (skipChar(scan, ','))
+        return true;
+    if (skipChar(scan, close))
+        return false;
+    return std::nullopt;
+}
+
+bool isAtEnd(Scan &scan)
+{
+    skipSpace(scan);
+    return scan.rest_.empty();
+}
+
+std::optional<MemberText> takeMember(Scan &scan)
+{
+    const std::optional<std::string_view> key = takeString(scan);
+    if (!key || !skipChar(scan, ':'))
+        return std::nullopt;
+    const std::optional<std::string_view> value = takeValue(scan);
+    if (!value)
+        return std::nullopt;
+    return MemberText {*key, *value};
+}
+
+/// Scans a list of elements between brackets.
+template <typename Element, typename Take>
+std::optional<std::vector<Element>> scanList(std::string_view text, char open, char close,
+                                             Take take)
+{
+    Scan scan {text};
+    std::vector<Element> elements;
+    if (!skipChar(scan, open))
+        return std::nullopt;
+    std::optional<bool> more = !skipChar(scan, close);
+    while (more && *more) {
+        std::optional<Element> element = take(scan);
+        if (!element)
+            return std::nullopt;
+        elements.push_back(std::move(*element));
+        more = takeSeparator(scan, close);
+    }
+    if (!more || !isAtEnd(scan))
+        return std::nullopt;
+    return elements;
+}
+
+} // namespace
+
+std::optional<std::vector<MemberText>> scanObject(std::string_view text)
+{
+    return scanList<MemberText>(text, '{', '}', takeMember);
+}
+
+std::optional<std::vector<std::string_view>> scanArray(std::string_view text)
+{
+    return scanList<std::string_view>(text, '[', ']', takeValue);
+}
+
+std::string_view findMember(const std::vector<MemberText> &members, std::string_view key)
+{
+    std::string_view value;
+    for (const MemberText &member : members) {
+        if (member.key_ == key)
+            value = member.value_;
+    }
+    return value;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/unit-chat.cpp
@@ -0,0 +1,70 @@
+// Chat-completion requests and usage as text.
+#include "adapters/json/json.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tamarack;
+
+namespace {
+
+ChatRequest parse(const std::string &body, Faults &faults)
+{
+    return parseChatRequest(body, Tokens {100}, 1U << 20U, faults);
+}
+
+} // namespace
+
+TEST_CASE("messages reach the engine byte for byte")
+{
+    Faults faults;
+    const std::string messages
+        = R"([ {"role":"user","content":"a \"]}\\ [{ \u00e9","x":[1e3,{"y":[]}]} , {} ])";
+    const ChatRequest request = parse(
+        R"({ "messages" : )" + messages + R"( ,"model":"m","seed":18446744073709551615})", faults);
+    REQUIRE(faults.empty());
+    CHECK(request.upstreamBody_.find(messages) != std::string::npos);
+    CHECK(request.upstreamBody_.find("18446744073709551615") != std::string::npos);
+    CHECK(request.model_ == ModelId {"m"});
+}
+
+TEST_CASE("a document that two readers could take differently is refused")
+{
+    const std::string body = GENERATE(
+        as<std::string> {}, "", "[]", "null", R"({"model":"m","messages":[{}])",
+        R"({"model":"m","messages":[{}]}})", R"({"model":"m","messages":[{]}})",
+        R"({"model":"m","messages":["a]})", R"({"model":"m","messages":[{}],"messages":[{}]})",
+        // An escape in a name would hide the limit from a scan of the text.
+        R"({"model":"m","messages":[{}],"max\u005ftokens":9})",
+        R"({"model":"m","messages":[{}],"mess\u0061ges":[{}]})", R"({"model":"m","messages":{}})",
+        R"({"model":"m","messages":["text"]})", R"({"model":"m","messages":[{}] [{}]})",
+        R"({"model":"m","messages":[{}],})", R"({"model":"m","messages":[{}],"max_tokens":"9"})",
+        R"({"model":"m" "n":2,"messages":[{}]})",
+        "{\"model\":\"m\",\"messages\":[" + std::string(100, '[') + std::string(100, ']') + "]}");
+    INFO(body);
+    Faults faults;
+    parse(body, faults);
+    CHECK_FALSE(faults.empty());
+}
+
+TEST_CASE("the last of two equal fields counts, here and at the engine")
+{
+    Faults faults;
+    const ChatRequest request
+        = parse(R"({"model":"m","max_tokens":5,"max_tokens":70,"messages":[{}]})", faults);
+    REQUIRE(faults.empty());
+    CHECK(request.maxOutput_ == Tokens {70});
+    CHECK(request.upstreamBody_.find(R"("max_tokens":5)") == std::string::npos);
+}
+
+TEST_CASE("usage is read from the top of an answer only")
+{
+    CHECK(parseUsage(R"({"usage":{"total_tokens":12},"choices":[]})") == Tokens {12});
+    CHECK(parseUsage(R"({"usage":{"prompt_tokens":4,"completion_tokens":3}})") == Tokens {7});
+    CHECK_FALSE(parseUsage(R"({"choices":[{"usage":{"total_tokens":12}}]})"));
+    CHECK_FALSE(parseUsage(R"({"choices":[{"text":"\"usage\":{\"total_tokens\":12}"}]})"));
+    CHECK_FALSE(parseUsage(R"({"usage":null,"choices":[{}]})"));
+    CHECK_FALSE(parseUsage(R"({"usage":{"total_tokens":-5}})"));
+    CHECK_FALSE(parseUsage(R"({"usage":{"total_tokens":12})"));
+    CHECK(parseChatUsage(R"({"usage":{"total_tokens":12},"choices":[ ]})").alone_);
+    CHECK_FALSE(parseChatUsage(R"({"usage":{"total_tokens":12},"choices":[{}]})").alone_);
+}
