Connect tamarackd to its peers, its registration and the host list

A daemon with peers.address registers under a store lease, reads all registrations when a watch reports a change, reads the host list and exchanges messages.

--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -35,13 +35,18 @@
     curl -s -o /dev/null --retry 60 --retry-delay 1 --retry-all-errors "$@" "$url"
 }
 
-start_fleet() {
+# Starts everything but daemons and makes the operator's key; sets public.
+start_platform() {
     start store "$BIN/fake-store" --address "$STORE"
     start engine "$BIN/fake-engine" --address "$ENGINE"
     start service "$BIN/fake-service" --address "$SERVICE"
     "$BIN/tamarackctl" keygen >"$WORK/keys"
     sed -n 's/^private //p' "$WORK/keys" >"$WORK/operator.key"
     public=$(sed -n 's/^public //p' "$WORK/keys")
+}
+
+start_fleet() {
+    start_platform
     cat >"$WORK/settings.json" <<JSON
 {
   "host": "entry-1",
--- a/src/adapters/etcd/client.cpp
+++ b/src/adapters/etcd/client.cpp
@@ -135,11 +135,16 @@
         == StoreStatus::Ok;
 }
 
-bool waitForChange(const EtcdSettings &settings, const StoreKey &key, Revision seen, Millis limit)
+/// Returns the first key after all keys with a prefix.
+/// @pre the prefix ends in an ASCII character
+std::string endOfPrefix(std::string prefix)
+{
+    ++prefix.back();
+    return prefix;
+}
+
+bool watchOnce(const EtcdSettings &settings, const Object &create, Millis limit)
 {
-    Object create;
-    create.set("key", base64Encode(key.value_));
-    create.set("start_revision", std::to_string(seen.value_ + 1));
     Object body;
     body.set("create_request", create);
     bool changed = false;
@@ -153,6 +158,57 @@
     return changed;
 }
 
+bool waitForChange(const EtcdSettings &settings, const StoreKey &key, Revision seen, Millis limit)
+{
+    Object create;
+    create.set("key", base64Encode(key.value_));
+    create.set("start_revision", std::to_string(seen.value_ + 1));
+    return watchOnce(settings, create, limit);
+}
+
+bool waitForPrefixChange(const EtcdSettings &settings, const StoreKey &prefix, Revision seen,
+                         Millis limit)
+{
+    Object create;
+    create.set("key", base64Encode(prefix.value_));
+    create.set("range_end", base64Encode(endOfPrefix(prefix.value_)));
+    create.set("start_revision", std::to_string(seen.value_ + 1));
+    return watchOnce(settings, create, limit);
+}
+
+Result<StoredEntry> decodeEntry(const Object::Ptr &entry, StoredKind kind)
+{
+    BOOST_LEAF_AUTO(key, base64Decode(entry->getValue<std::string>("key")));
+    BOOST_LEAF_AUTO(bytes, base64Decode(entry->optValue<std::string>("value", "")));
+    BOOST_LEAF_AUTO(value, decodeStoredValue(kind, bytes));
+    return StoredEntry {StoreKey {key}, Revision {numberField(entry, "create_revision")},
+                        std::move(value)};
+}
+
+PrefixReply readPrefix(const EtcdSettings &settings, const StoreKey &prefix, StoredKind kind)
+{
+    Object body;
+    body.set("key", base64Encode(prefix.value_));
+    body.set("range_end", base64Encode(endOfPrefix(prefix.value_)));
+    const GatewayReply reply
+        = postJson(settings.endpoints_, "/v3/kv/range", body, settings.timeout_);
+    if (reply.status_ != StoreStatus::Ok)
+        return PrefixReply {reply.status_, {}, {}};
+    PrefixReply result;
+    result.revision_ = Revision {numberField(reply.body_->getObject("header"), "revision")};
+    const Array::Ptr entries = reply.body_->getArray("kvs");
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<PrefixReply> {
+            for (unsigned i = 0; entries && i < entries->size(); ++i) {
+                BOOST_LEAF_AUTO(entry, decodeEntry(entries->getObject(i), kind));
+                result.entries_.push_back(std::move(entry));
+            }
+            result.status_ = StoreStatus::Ok;
+            return result;
+        },
+        [] { return PrefixReply {}; });
+}
+
 } // namespace
 
 StorePort makeEtcdPort(EtcdSettings settings)
@@ -174,6 +230,12 @@
     port.waitForChange_ = [settings](const StoreKey &key, Revision seen, Millis limit) {
         return waitForChange(settings, key, seen, limit);
     };
+    port.readPrefix_ = [settings](const StoreKey &prefix, StoredKind kind) {
+        return readPrefix(settings, prefix, kind);
+    };
+    port.waitForPrefixChange_ = [settings](const StoreKey &prefix, Revision seen, Millis limit) {
+        return waitForPrefixChange(settings, prefix, seen, limit);
+    };
     return port;
 }
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include "adapters/logging/logging.h"
 #include "daemon/admin.h"
 #include "daemon/controlloop.h"
+#include "daemon/peering.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
@@ -92,6 +93,11 @@
     ControlLoop loop {queue, workers, traffic, log, [mainThread] {
                           pthread_kill(mainThread, stoppedSignal);
                       }};
+    Peering peering;
+    // Other threads run already and would block an orderly return.
+    if (!startPeering(peering, settings, state, store, events, log))
+        std::_Exit(1);
+    connectPeering(peering, loop);
     std::thread controlThread([&loop, &state] { runControlLoop(loop, std::move(state)); });
 
     const AdminContext admin {bundles, traffic, settings.host_};
@@ -110,6 +116,7 @@
     sigwait(&signals, &signal);
     stopAccepting(callers);
     events.post_(StopRequested {});
+    announceLeaving(peering);
     if (!awaitStopped(signals, settings.stopLimit_)) {
         log.write_(LogEvent {LogLevel::Error, "daemon.stop_forced", {}});
         std::_Exit(1);
@@ -117,6 +124,7 @@
     stopping = true;
     stopAccepting(adminServer);
     controlThread.join();
+    stopPeering(peering);
     bundleThread.join();
     stopStoreWorkers(workers);
     return 0;
