--- a/src/adapters/shardcodec/storedvalue.cpp
+++ b/src/adapters/shardcodec/storedvalue.cpp
@@ -24,6 +24,7 @@
             grant.set_reserve(held.reserve_.count_);
             grant.set_settled(held.settled_.count_);
             grant.set_written_off(held.state_ == GrantState::WrittenOff);
+            grant.set_returned(held.returned_.count_);
         }
     }
     return message.SerializeAsString();
@@ -96,9 +97,12 @@
         for (const stored::Grant &grant : budget.grants()) {
             const GrantState state
                 = grant.written_off() ? GrantState::WrittenOff : GrantState::Active;
-            record.grants_[GrantId {grant.id()}]
-                = Grant {HolderId {grant.holder()}, Tokens {grant.armed()},
-                         Tokens {grant.reserve()}, Tokens {grant.settled()}, state};
+            record.grants_[GrantId {grant.id()}] = Grant {HolderId {grant.holder()},
+                                                          Tokens {grant.armed()},
+                                                          Tokens {grant.reserve()},
+                                                          Tokens {grant.settled()},
+                                                          state,
+                                                          Tokens {grant.returned()}};
         }
     }
     return shard;
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -85,10 +85,18 @@
     LogEvent event_;
 };
 
+/// @brief Asks another holder to hand back what it does not need of a budget (ReleaseAsked there).
+struct AskRelease
+{
+    HolderId holder_;
+    BudgetId budget_;
+};
+
 /// @brief All requests are finished and all grants are handed back; the daemon may exit.
 struct StopCompleted
 { };
 
-using Command = std::variant<ReplyTo, SubmitStoreCall, PublishSnapshot, WriteLog, StopCompleted>;
+using Command
+    = std::variant<ReplyTo, SubmitStoreCall, PublishSnapshot, WriteLog, StopCompleted, AskRelease>;
 
 } // namespace tamarack
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -45,6 +45,8 @@
     void operator()(const StopRequested &) const { onStop(state_, out_); }
     void operator()(const StopForced &event) const { onStopForced(state_, event, now_, out_); }
     void operator()(const Tick &) const { }
+    void operator()(const ReleaseAsked &event) const { onReleaseAsked(state_, event, now_, out_); }
+    void operator()(const HolderDead &event) const { onHolderDead(state_, event, now_); }
 };
 
 template <typename Shards>
@@ -64,9 +66,13 @@
 Commands handle(ControlState &state, const Event &event, Now now)
 {
     Commands out;
+    // A daemon that wakes up late refuses what has expired before it looks at anything else.
+    detail::expireRequests(state, now, out);
     std::visit(detail::Handler {state, now, out}, event);
     detail::checkUnconfirmed(state, now, out);
     detail::expireRequests(state, now, out);
+    detail::serveFreed(state, now, out);
+    detail::releaseIdleGrants(state, now);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
     return out;
@@ -77,6 +83,9 @@
     std::optional<MonoTime> earliest = detail::unconfirmedAt(state);
     detail::collectCallTimes(state.ledger_, earliest);
     detail::collectCallTimes(state.requestShards_, earliest);
+    const std::optional<MonoTime> idle = detail::nextIdleRelease(state);
+    if (idle && (!earliest || *idle < *earliest))
+        earliest = idle;
     for (const auto &[id, request] : state.active_) {
         const bool waits = request.stage_ == RequestStage::AwaitingTokens
             || request.stage_ == RequestStage::AwaitingIntent;
@@ -86,21 +95,32 @@
     return earliest;
 }
 
-Result<void> checkInvariants(const ControlState &state)
+namespace {
+
+Result<void> checkGrant(const ControlState &state, const HeldGrant &grant)
 {
-    for (const auto &[budget, grant] : state.grants_) {
-        BOOST_LEAF_CHECK(checkInvariants(grant));
-        Tokens reserved;
-        for (const auto &[id, request] : state.active_) {
-            if (request.ask_.budget_ == budget)
-                reserved += request.reserved_;
-        }
-        if (reserved != grant.reserved_)
-            return fail(ErrorKind::LedgerInvariant, "tamarack.control.101",
-                        fmt::format("budget {}: requests hold {} tokens but the grant counts {} as "
-                                    "reserved; restart this daemon and report this",
-                                    budget.value_, reserved.count_, grant.reserved_.count_));
+    BOOST_LEAF_CHECK(checkInvariants(grant));
+    Tokens reserved;
+    for (const auto &[id, request] : state.active_) {
+        if (request.grant_ == grant.id_)
+            reserved += request.reserved_;
     }
+    if (reserved != grant.reserved_)
+        return fail(ErrorKind::LedgerInvariant, "tamarack.control.101",
+                    fmt::format("grant {}: requests hold {} tokens but the grant counts {} as "
+                                "reserved; restart this daemon and report this",
+                                grant.id_.value_, reserved.count_, grant.reserved_.count_));
+    return {};
+}
+
+} // namespace
+
+Result<void> checkInvariants(const ControlState &state)
+{
+    for (const auto &[budget, grant] : state.grants_)
+        BOOST_LEAF_CHECK(checkGrant(state, grant));
+    for (const auto &[id, retired] : state.retired_)
+        BOOST_LEAF_CHECK(checkGrant(state, retired.held_));
     for (const auto &[number, shard] : state.ledger_)
         BOOST_LEAF_CHECK(checkInvariants(shard.copy_));
     return {};
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -29,6 +30,10 @@
     Millis flushInterval_ {1000};
     /// How often waiting requests ask the ledger again while other holders have the tokens.
     Millis redrawInterval_ {250};
+    /// How often other holders are asked to hand back tokens of one budget.
+    Millis askInterval_ {500};
+    /// A grant that was not used for this long is handed back while the store answers.
+    Millis idleRelease_ {Seconds {120}};
     /// Exchanges with upstreams for one request, the first included.
     std::uint32_t maxAttempts_ = 3;
     Millis silenceLimit_ {5000};
@@ -48,15 +53,19 @@
 
 /// @brief One admitted request.
 ///
-/// Invariant: reserved_ is part of the budget's HeldGrant::reserved_ from stage AwaitingIntent on.
+/// Invariant: reserved_ is part of HeldGrant::reserved_ of grant_ from stage AwaitingIntent on.
 struct ActiveRequest
 {
     AdmitRequested ask_;
     RequestStage stage_ = RequestStage::AwaitingTokens;
     /// The traffic thread that waits or waited last for a decision.
     WaiterId waiter_;
+    /// The grant that reserved_ belongs to.
+    GrantId grant_;
     Tokens reserved_;
     Tokens used_;
+    /// When the ledger last showed that others hold the tokens that the request waits for.
+    std::optional<MonoTime> blockedAt_;
     /// A byte may have left for an upstream.
     bool sent_ = false;
     std::vector<UpstreamId> tried_;
@@ -69,6 +78,13 @@
 using LedgerCommit = ShardCommit<LedgerShard, LedgerOp>;
 using RequestCommit = ShardCommit<RequestShard, RequestOp>;
 
+/// @brief A grant that is not reserved from any more; it is released once its requests have ended.
+struct RetiredGrant
+{
+    BudgetId budget_;
+    HeldGrant held_;
+};
+
 /// @brief Which shard a call to the store belongs to.
 struct ShardCall
 {
@@ -78,8 +94,9 @@
 
 /// @brief All control state of one daemon.
 ///
-/// Invariants: byRequest_ maps each keyed request in active_ to its admission; every CallId in
-/// calls_ is the call_ of exactly one shard.
+/// Invariants: each grant id is in grants_ or in retired_, never in both; byRequest_ maps each
+/// keyed request in active_ to its admission; every CallId in calls_ is the call_ of exactly one
+/// shard.
 struct ControlState
 {
     ControlSettings settings_;
@@ -87,6 +104,11 @@
     std::map<ShardNumber, LedgerCommit> ledger_;
     std::map<ShardNumber, RequestCommit> requestShards_;
     std::map<BudgetId, HeldGrant> grants_;
+    std::map<GrantId, RetiredGrant> retired_;
+    /// Holders to be written off at the next reply of a ledger shard.
+    std::map<ShardNumber, std::set<HolderId>> deadHolders_;
+    /// Budgets of which tokens were given back while this event was handled.
+    std::set<BudgetId> freed_;
     std::map<AdmissionId, ActiveRequest> active_;
     std::unordered_map<RequestId, AdmissionId> byRequest_;
     std::unordered_map<CallId, ShardCall> calls_;
--- a/src/core/controlbudgets.cpp
+++ b/src/core/controlbudgets.cpp
@@ -1,4 +1,4 @@
-// Budgets: serving requests from held grants, drawing from the ledger and settling.
+// Budgets: serving waiting requests from held grants and drawing from the ledger.
 #include "core/controlparts.h"
 
 #include <fmt/format.h>
@@ -9,21 +9,6 @@
 
 namespace {
 
-HeldGrant &heldGrant(ControlState &state, const BudgetId &budget)
-{
-    auto [it, created] = state.grants_.try_emplace(budget);
-    if (created)
-        it->second.id_
-            = GrantId {fmt::format("{}.{}", state.settings_.holder_.value_, nextId(state))};
-    return it->second;
-}
-
-const BudgetRecord *ledgerRecord(const LedgerCommit &shard, const BudgetId &budget)
-{
-    const auto it = shard.copy_.budgets_.find(budget);
-    return it == shard.copy_.budgets_.end() ? nullptr : &it->second;
-}
-
 std::vector<AdmissionId> requestsAwaitingTokens(const ControlState &state, const BudgetId &budget)
 {
     std::vector<AdmissionId> waiting;
@@ -34,20 +19,53 @@
     return waiting;
 }
 
-void submitDraw(ControlState &state, const BudgetId &budget, Tokens needed, MonoTime due)
+/// What the requests that wait for tokens of one budget need from the ledger.
+struct Demand
+{
+    /// The smallest worst case: less is of no use to any of them.
+    Tokens smallest_;
+    /// Worst cases of the requests that can be served, in order of arrival.
+    Tokens wanted_;
+    /// At least one of them can be served.
+    bool fits_ = false;
+};
+
+Demand demandOf(const ControlState &state, const std::vector<AdmissionId> &blocked, Tokens possible)
+{
+    Demand demand;
+    demand.smallest_ = state.active_.at(blocked.front()).ask_.worstCase_;
+    for (const AdmissionId &admission : blocked) {
+        const Tokens worstCase = state.active_.at(admission).ask_.worstCase_;
+        demand.smallest_ = std::min(demand.smallest_, worstCase);
+        if (demand.wanted_ + worstCase > possible)
+            continue;
+        demand.wanted_ += worstCase;
+        demand.fits_ = true;
+    }
+    demand.wanted_ = std::max(demand.wanted_, demand.smallest_);
+    return demand;
+}
+
+void submitDraw(ControlState &state, const BudgetId &budget,
+                const std::vector<AdmissionId> &blocked, bool refreshed, Now now)
 {
     const Budget &funding = state.bundle_->budgets_.at(budget);
     const ClientAccount &account = state.bundle_->accounts_.at(funding.account_);
-    HeldGrant &grant = heldGrant(state, budget);
+    HeldGrant &grant = heldGrant(state, budget, now);
     LedgerCommit &shard = ledgerShard(state, budget);
     const BudgetRecord *record = ledgerRecord(shard, budget);
     const Tokens free = record ? unallocated(*record) : funding.funded_;
+    const Demand demand = demandOf(state, blocked, free + available(grant));
     DrawOp draw;
     draw.budget_ = budget;
     draw.grant_ = grant.id_;
     draw.holder_ = state.settings_.holder_;
-    draw.atLeast_ = grant.spent_ + grant.reserved_ + needed;
-    draw.armedTotal_ = drawTarget(grant, needed, free, account.reach_);
+    draw.create_ = grant.armed_ == Tokens {};
+    draw.atLeast_ = grant.returned_ + grant.spent_ + grant.reserved_ + demand.smallest_;
+    draw.armedTotal_ = drawTarget(grant, demand.wanted_, free, account.reach_);
+    // After a look at the ledger that did not help, the next look waits.
+    const bool wait = refreshed && (!demand.fits_ || grant.fruitless_);
+    const MonoTime due = wait ? now.mono_ + state.settings_.redrawInterval_ : now.mono_;
     submitOp(shard, LedgerOp {FundOp {budget, funding.funded_, state.bundle_->version_}}, due);
     submitOp(shard, LedgerOp {std::move(draw)}, due);
     grant.drawing_ = true;
@@ -55,9 +73,10 @@
 
 /// Tokens that a request could get if every other request and holder gave back what it has not
 /// spent.
-Tokens largestPossible(const BudgetRecord &record, const HeldGrant &grant)
+Tokens largestPossible(const ControlState &state, const BudgetRecord &record,
+                       const BudgetId &budget)
 {
-    return record.funded_ - record.charged_ - lost(record) - (grant.spent_ - grant.settled_);
+    return record.funded_ - record.charged_ - lost(record) - unsettledSpending(state, budget);
 }
 
 void refuseExhausted(ControlState &state, const AdmissionId &admission, const BudgetRecord &record,
@@ -81,99 +100,105 @@
            now, out);
 }
 
-} // namespace
+/// Returns true if the bundle in force has the budget and its account, which may have changed while
+/// the request waited.
+bool ownsBudget(const ControlState &state, const ActiveRequest &request)
+{
+    const auto budget = state.bundle_->budgets_.find(request.ask_.budget_);
+    return budget != state.bundle_->budgets_.end()
+        && budget->second.account_ == request.ask_.account_
+        && state.bundle_->accounts_.contains(request.ask_.account_);
+}
 
-void serveBudget(ControlState &state, const BudgetId &budget, bool refreshed, Now now,
-                 Commands &out)
+void refuseRemoved(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
 {
-    HeldGrant &grant = heldGrant(state, budget);
-    LedgerCommit &shard = ledgerShard(state, budget);
-    for (const AdmissionId &admission : requestsAwaitingTokens(state, budget)) {
-        ActiveRequest &request = state.active_.at(admission);
-        const Tokens worstCase = request.ask_.worstCase_;
-        if (tryReserve(grant, worstCase)) {
-            request.reserved_ = worstCase;
-            onReserved(state, admission, now, out);
-            continue;
-        }
-        const BudgetRecord *record = ledgerRecord(shard, budget);
-        if (refreshed && record && record->fundedBy_ >= state.bundle_->version_) {
-            const Tokens possible = largestPossible(*record, grant);
-            if (possible < worstCase) {
-                refuseExhausted(state, admission, *record, possible, now, out);
-                continue;
-            }
-        }
-        if (grant.drawing_)
-            continue;
-        const Tokens shortfall = worstCase - available(grant);
-        const bool freeNow = !refreshed || !record || unallocated(*record) >= shortfall;
-        const MonoTime due = freeNow ? now.mono_ : now.mono_ + state.settings_.redrawInterval_;
-        submitDraw(state, budget, worstCase, due);
-    }
+    const AdmitRequested &ask = state.active_.at(admission).ask_;
+    refuse(state, admission,
+           Refusal {RefusalReason::BudgetNotOwned, Execution::NotRun,
+                    fmt::format("budget {} was withdrawn from client account {} while the request "
+                                "waited; name another budget",
+                                ask.budget_.value_, ask.account_.value_),
+                    std::nullopt},
+           now, out);
 }
 
-void onLedgerCommitted(ControlState &state, const LedgerOp &op, Now now, Commands &out)
+/// Serves a waiting request or refuses it.
+/// @return true if it goes on waiting
+bool staysBlocked(ControlState &state, const AdmissionId &admission, bool refreshed, Now now,
+                  Commands &out)
 {
-    const BudgetId &budget = budgetOf(op);
-    const auto held = state.grants_.find(budget);
-    if (held == state.grants_.end())
-        return;
-    HeldGrant &grant = held->second;
-    if (const auto *draw = std::get_if<DrawOp>(&op)) {
-        grant.drawing_ = false;
-        const BudgetRecord *record = ledgerRecord(ledgerShard(state, budget), budget);
-        const auto stored
-            = record ? record->grants_.find(grant.id_) : decltype(record->grants_.end()) {};
-        if (record && stored != record->grants_.end())
-            grant.armed_ = stored->second.armed_;
-        log(out, LogLevel::Info, "budget.draw",
-            {{"budget", budget.value_},
-             {"grant", draw->grant_.value_},
-             {"armed", std::to_string(grant.armed_.count_)},
-             {"wanted", std::to_string(draw->armedTotal_.count_)}});
-        return;
+    ActiveRequest &request = state.active_.at(admission);
+    const BudgetId budget = request.ask_.budget_;
+    if (!ownsBudget(state, request)) {
+        refuseRemoved(state, admission, now, out);
+        return false;
     }
-    if (const auto *settle = std::get_if<SettleOp>(&op)) {
-        grant.settling_ = false;
-        grant.settled_ = std::max(grant.settled_, settle->settledTotal_);
-        submitSettle(state, budget, now);
-        return;
+    HeldGrant &grant = heldGrant(state, budget, now);
+    if (tryReserve(grant, request.ask_.worstCase_)) {
+        grant.lastUsed_ = now.mono_;
+        request.grant_ = grant.id_;
+        request.reserved_ = request.ask_.worstCase_;
+        onReserved(state, admission, now, out);
+        return false;
     }
-    if (std::holds_alternative<ReleaseOp>(op)) {
-        log(out, LogLevel::Info, "budget.release",
-            {{"budget", budget.value_},
-             {"grant", grant.id_.value_},
-             {"spent", std::to_string(grant.spent_.count_)}});
-        state.grants_.erase(held);
+    const BudgetRecord *record = ledgerRecord(ledgerShard(state, budget), budget);
+    if (!refreshed || !record || record->fundedBy_ < state.bundle_->version_)
+        return true;
+    const Tokens possible = largestPossible(state, *record, budget);
+    if (possible < request.ask_.worstCase_) {
+        refuseExhausted(state, admission, *record, possible, now, out);
+        return false;
     }
+    if (unallocated(*record) + available(grant) < request.ask_.worstCase_)
+        request.blockedAt_ = now.mono_;
+    return true;
 }
 
-void submitSettle(ControlState &state, const BudgetId &budget, Now now)
+/// Asks the other holders of a budget to hand back what they do not need.
+void askHolders(ControlState &state, const BudgetId &budget, Now now, Commands &out)
 {
-    HeldGrant &grant = heldGrant(state, budget);
-    if (grant.settling_ || grant.spent_ == grant.settled_)
+    const BudgetRecord *record = ledgerRecord(ledgerShard(state, budget), budget);
+    std::optional<MonoTime> &last = heldGrant(state, budget, now).lastAsked_;
+    if (!record || (last && now.mono_ - *last < state.settings_.askInterval_))
         return;
-    grant.settling_ = true;
-    submitOp(ledgerShard(state, budget), LedgerOp {SettleOp {budget, grant.id_, grant.spent_}},
-             now.mono_ + state.settings_.flushInterval_);
+    last = now.mono_;
+    std::set<HolderId> holders;
+    for (const auto &[id, grant] : record->grants_) {
+        const Tokens unsettled = grant.armed_ - grant.returned_ - grant.settled_ + grant.reserve_;
+        if (grant.state_ == GrantState::Active && unsettled > Tokens {}
+            && grant.holder_ != state.settings_.holder_)
+            holders.insert(grant.holder_);
+    }
+    for (const HolderId &holder : holders)
+        out.emplace_back(AskRelease {holder, budget});
 }
 
-void settleReservation(ControlState &state, const BudgetId &budget, Tokens reserved, Tokens spent,
-                       Now now)
+} // namespace
+
+void serveBudget(ControlState &state, const BudgetId &budget, bool refreshed, Now now,
+                 Commands &out)
 {
-    spendReserved(heldGrant(state, budget), reserved, spent, now.mono_);
-    submitSettle(state, budget, now);
+    std::vector<AdmissionId> blocked;
+    bool heldElsewhere = false;
+    for (const AdmissionId &admission : requestsAwaitingTokens(state, budget)) {
+        if (!staysBlocked(state, admission, refreshed, now, out))
+            continue;
+        blocked.push_back(admission);
+        heldElsewhere |= state.active_.at(admission).blockedAt_ == now.mono_;
+    }
+    if (blocked.empty())
+        return;
+    if (heldElsewhere)
+        askHolders(state, budget, now, out);
+    if (!heldGrant(state, budget, now).drawing_)
+        submitDraw(state, budget, blocked, refreshed, now);
 }
 
-void releaseGrants(ControlState &state, Now now)
+void serveFreed(ControlState &state, Now now, Commands &out)
 {
-    for (auto &[budget, grant] : state.grants_) {
-        if (grant.releasing_)
-            continue;
-        grant.releasing_ = true;
-        submitOp(ledgerShard(state, budget), LedgerOp {ReleaseOp {budget, grant.id_, grant.spent_}},
-                 now.mono_);
+    while (!state.freed_.empty()) {
+        for (const BudgetId &budget : std::exchange(state.freed_, {}))
+            serveBudget(state, budget, false, now, out);
     }
 }
 
--- a/src/core/controlbundle.cpp
+++ b/src/core/controlbundle.cpp
@@ -9,6 +9,27 @@
 
 namespace {
 
+/// Budgets and requests would change shards with the shard counts: a budget would be funded a
+/// second time in its new shard. The counts that this daemon started with stay in force.
+std::shared_ptr<const Bundle> keepShardCounts(const ControlState &state,
+                                              std::shared_ptr<const Bundle> bundle, Commands &out)
+{
+    if (!state.bundle_)
+        return bundle;
+    const Policies &old = state.bundle_->policies_;
+    if (old.ledgerShards_ == bundle->policies_.ledgerShards_
+        && old.requestShards_ == bundle->policies_.requestShards_)
+        return bundle;
+    log(out, LogLevel::Error, "bundle.shard_counts_ignored",
+        {{"version", std::to_string(bundle->version_.value_)},
+         {"ledger_shards", std::to_string(old.ledgerShards_)},
+         {"request_shards", std::to_string(old.requestShards_)}});
+    auto corrected = std::make_shared<Bundle>(*bundle);
+    corrected->policies_.ledgerShards_ = old.ledgerShards_;
+    corrected->policies_.requestShards_ = old.requestShards_;
+    return corrected;
+}
+
 /// Refuses requests that wait for tokens of a budget that the new version no longer gives them.
 void refuseLostBudgets(ControlState &state, Now now, Commands &out)
 {
@@ -68,7 +89,7 @@
         return;
     if (!state.bundle_)
         state.bundleConfirmedAt_ = now.mono_;
-    state.bundle_ = event.bundle_;
+    state.bundle_ = keepShardCounts(state, event.bundle_, out);
     log(out, LogLevel::Info, "bundle.applied", {{"version", std::to_string(version.value_)}});
     publishSnapshot(state, out);
     refuseLostBudgets(state, now, out);
--- a/src/core/controlcommits.cpp
+++ b/src/core/controlcommits.cpp
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace tamarack::detail {
 
 namespace {
@@ -42,14 +44,14 @@
         log(out, LogLevel::Warning, "store.unavailable", {{"key", key.value_}});
 }
 
-std::vector<BudgetId> budgetsAwaitingTokens(const ControlState &state, ShardNumber shard)
+std::set<BudgetId> budgetsAwaitingTokens(const ControlState &state, ShardNumber shard)
 {
-    std::vector<BudgetId> budgets;
+    std::set<BudgetId> budgets;
     for (const auto &[id, request] : state.active_) {
         const bool waits = request.stage_ == RequestStage::AwaitingTokens;
         if (waits
             && ledgerShardOf(request.ask_.budget_, state.bundle_->policies_.ledgerShards_) == shard)
-            budgets.push_back(request.ask_.budget_);
+            budgets.insert(request.ask_.budget_);
     }
     return budgets;
 }
@@ -64,6 +66,8 @@
         onLedgerCommitted(state, op, now, out);
     if (!shard.loaded_)
         return;
+    retireWrittenOff(state, number, now);
+    writeOffDeadHolders(state, number, now, out);
     for (const BudgetId &budget : budgetsAwaitingTokens(state, number))
         serveBudget(state, budget, true, now, out);
 }
@@ -82,8 +86,20 @@
     }
 }
 
+template <typename Shards>
+bool allIdle(const Shards &shards)
+{
+    return std::all_of(shards.begin(), shards.end(),
+                       [](const auto &entry) { return isIdle(entry.second); });
+}
+
 } // namespace
 
+bool commitsIdle(const ControlState &state)
+{
+    return allIdle(state.ledger_) && allIdle(state.requestShards_);
+}
+
 LedgerCommit &ledgerShard(ControlState &state, const BudgetId &budget)
 {
     const ShardNumber number = ledgerShardOf(budget, state.bundle_->policies_.ledgerShards_);
--- a/src/core/controlparts.h
+++ b/src/core/controlparts.h
@@ -57,13 +57,32 @@
                  Commands &out);
 /// @brief Continues a request that has its reservation.
 void onReserved(ControlState &state, const AdmissionId &admission, Now now, Commands &out);
+/// @brief Serves requests that wait for tokens which others have given back in this daemon.
+void serveFreed(ControlState &state, Now now, Commands &out);
+
+// Grants (controlgrants.cpp)
+
+/// @brief Returns the budget's current grant; creates an empty one if there is none.
+HeldGrant &heldGrant(ControlState &state, const BudgetId &budget, Now now);
+/// @brief Returns the budget as the ledger shard showed it last, or nullptr.
+const BudgetRecord *ledgerRecord(const LedgerCommit &shard, const BudgetId &budget);
+/// @brief Returns a reservation to its grant and records what was spent of it.
+void settleReservation(ControlState &state, const BudgetId &budget, const GrantId &grant,
+                       Tokens reserved, Tokens spent, Now now);
+/// @brief Tokens of a budget that this daemon has billed and the ledger has not recorded.
+Tokens unsettledSpending(const ControlState &state, const BudgetId &budget);
 /// @brief Takes over what a committed ledger operation confirmed.
 void onLedgerCommitted(ControlState &state, const LedgerOp &op, Now now, Commands &out);
-/// @brief Returns a reservation and records what was spent of it.
-void settleReservation(ControlState &state, const BudgetId &budget, Tokens reserved, Tokens spent,
-                       Now now);
-/// @brief Submits the settlement of spent tokens unless one is under way.
-void submitSettle(ControlState &state, const BudgetId &budget, Now now);
+/// @brief Stops using own grants that another daemon has written off; they settle and are released.
+void retireWrittenOff(ControlState &state, ShardNumber shard, Now now);
+/// @brief Writes off the grants of holders that were reported dead.
+void writeOffDeadHolders(ControlState &state, ShardNumber shard, Now now, Commands &out);
+void onHolderDead(ControlState &state, const HolderDead &event, Now now);
+void onReleaseAsked(ControlState &state, const ReleaseAsked &event, Now now, Commands &out);
+/// @brief Hands back grants that were not used for a while.
+void releaseIdleGrants(ControlState &state, Now now);
+/// @brief Returns when the next idle grant is handed back.
+std::optional<MonoTime> nextIdleRelease(const ControlState &state);
 /// @brief Hands all grants back, as part of a planned stop.
 void releaseGrants(ControlState &state, Now now);
 
@@ -72,6 +91,8 @@
 LedgerCommit &ledgerShard(ControlState &state, const BudgetId &budget);
 RequestCommit &requestShard(ControlState &state, const RequestId &request);
 void onStoreReply(ControlState &state, const StoreReply &reply, Now now, Commands &out);
+/// @brief Returns true if the store holds every submitted operation.
+bool commitsIdle(const ControlState &state);
 /// @brief Starts every call that is due.
 void startCalls(ControlState &state, Now now, Commands &out);
 
--- a/src/core/controlrequests.cpp
+++ b/src/core/controlrequests.cpp
@@ -33,24 +33,42 @@
              RequestOp {WithdrawIntentOp {request.ask_.request_, admission, now.wall_}}, now.mono_);
 }
 
-/// Ends a request of which no byte was sent: nothing is billed.
-void dropUnsent(ControlState &state, const AdmissionId &admission, Now now)
+/// Ends a request that is not billed.
+void dropUnbilled(ControlState &state, const AdmissionId &admission, Now now)
 {
     const ActiveRequest &request = state.active_.at(admission);
     withdrawIntent(state, admission, now);
     if (request.reserved_ > Tokens {})
-        settleReservation(state, request.ask_.budget_, request.reserved_, Tokens {}, now);
+        settleReservation(state, request.ask_.budget_, request.grant_, request.reserved_, Tokens {},
+                          now);
     removeRequest(state, admission);
 }
 
+/// The reservation is an upper bound of the cost, so an upstream that reports more is wrong.
+Tokens boundedCost(const ActiveRequest &request, Tokens used, Commands &out)
+{
+    if (used > request.reserved_)
+        log(out, LogLevel::Warning, "request.cost_above_bound",
+            {{"request", request.ask_.request_.value_},
+             {"upstream", request.upstream_.value_},
+             {"used", std::to_string(used.count_)},
+             {"reserved", std::to_string(request.reserved_.count_)}});
+    return std::clamp(used, Tokens {}, request.reserved_);
+}
+
 void startBilling(ControlState &state, const AdmissionId &admission, Tokens used,
-                  Completeness completeness, Now now)
+                  Completeness completeness, Now now, Commands &out)
 {
     ActiveRequest &request = state.active_.at(admission);
-    // The reservation is an upper bound of the cost, so an upstream that reports more is wrong.
-    request.used_ = std::min(used, request.reserved_);
-    settleReservation(state, request.ask_.budget_, request.reserved_ - request.used_, Tokens {},
-                      now);
+    request.used_ = boundedCost(request, used, out);
+    // A bill of nothing for nothing would make the caller's retry free of charge.
+    const bool nothing = completeness == Completeness::None && request.used_ == Tokens {};
+    if (nothing && request.ask_.idempotent_) {
+        dropUnbilled(state, admission, now);
+        return;
+    }
+    settleReservation(state, request.ask_.budget_, request.grant_,
+                      request.reserved_ - request.used_, Tokens {}, now);
     request.reserved_ = request.used_;
     request.stage_ = RequestStage::Billing;
     BillOp bill;
@@ -143,8 +161,10 @@
     const ActiveRequest &request = state.active_.at(admission);
     const RequestShard &shard = requestShard(state, request.ask_.request_).copy_;
     const auto record = shard.records_.find(request.ask_.request_);
-    const bool billed
-        = record != shard.records_.end() && record->second.phase_ == RequestPhase::Billed;
+    // A bill without an answer does not tell whether the upstream carried out the call.
+    const bool billed = record != shard.records_.end()
+        && record->second.phase_ == RequestPhase::Billed
+        && record->second.completeness_ != Completeness::None;
     refuse(state, admission,
            Refusal {RefusalReason::OutcomeUnknown, billed ? Execution::Ran : Execution::Unknown,
                     billed ? "this idempotency key was used before and its request was billed; its "
@@ -172,7 +192,9 @@
                                     "its budgets",
                                     ask.budget_.value_, ask.account_.value_),
                         std::nullopt};
-    if (!ask.idempotent_ && state.byRequest_.contains(ask.request_))
+    const auto running = state.byRequest_.find(ask.request_);
+    const bool repeated = running != state.byRequest_.end();
+    if (repeated && !(ask.idempotent_ && state.active_.at(running->second).ask_.idempotent_))
         return Refusal {RefusalReason::OutcomeUnknown, Execution::Unknown,
                         "a request with this idempotency key is running; wait for its answer",
                         Millis {1000}};
@@ -193,9 +215,9 @@
          {"execution", std::string(executionCode(refusal.execution_))}});
     reply(request, std::move(refusal), out);
     if (request.sent_)
-        startBilling(state, admission, request.used_, Completeness::None, now);
+        startBilling(state, admission, request.used_, Completeness::None, now, out);
     else
-        dropUnsent(state, admission, now);
+        dropUnbilled(state, admission, now);
 }
 
 void onAdmit(ControlState &state, const AdmitRequested &ask, Now now, Commands &out)
@@ -282,7 +304,7 @@
          {"used", std::to_string(event.used_.count_)},
          {"reserved", std::to_string(it->second.reserved_.count_)},
          {"whole", event.completeness_ == Completeness::Whole ? "true" : "false"}});
-    startBilling(state, event.admission_, event.used_, event.completeness_, now);
+    startBilling(state, event.admission_, event.used_, event.completeness_, now, out);
 }
 
 void onBillCommitted(ControlState &state, const BillOp &op, Now now, Commands &out)
@@ -295,7 +317,8 @@
         {{"request", op.request_.value_},
          {"budget", op.budget_.value_},
          {"charged", std::to_string(op.charged_.count_)}});
-    settleReservation(state, op.budget_, it->second.reserved_, own ? op.charged_ : Tokens {}, now);
+    settleReservation(state, op.budget_, it->second.grant_, it->second.reserved_,
+                      own ? op.charged_ : Tokens {}, now);
     removeRequest(state, op.admission_);
 }
 
@@ -311,11 +334,24 @@
     log(out, LogLevel::Warning, "request.abandoned",
         {{"request", it->second.ask_.request_.value_}});
     if (it->second.sent_)
-        startBilling(state, admission, it->second.used_, Completeness::None, now);
+        startBilling(state, admission, it->second.used_, Completeness::None, now, out);
     else
-        dropUnsent(state, admission, now);
+        dropUnbilled(state, admission, now);
+}
+
+namespace {
+
+/// Returns true if a recent look at the ledger showed that others hold the tokens.
+bool heldElsewhere(const ControlState &state, const ActiveRequest &request, Now now)
+{
+    // A blocked request looks at the ledger once for each redraw interval; a store that is slower
+    // than a few of them has not confirmed anything about this moment.
+    return request.blockedAt_
+        && now.mono_ - *request.blockedAt_ <= 4 * state.settings_.redrawInterval_;
 }
 
+} // namespace
+
 void expireRequests(ControlState &state, Now now, Commands &out)
 {
     std::vector<AdmissionId> expired;
@@ -335,7 +371,7 @@
                             "not sent, retry later",
                             Millis {1000}},
                    now, out);
-        else if (ledgerShard(state, request.ask_.budget_).loaded_)
+        else if (heldElsewhere(state, request, now))
             refuse(
                 state, id,
                 Refusal {RefusalReason::BudgetHeldElsewhere, Execution::NotRun,
--- a/src/core/controlstop.cpp
+++ b/src/core/controlstop.cpp
@@ -62,10 +62,12 @@
         logCut(admission, request, out);
     for (const auto &[budget, grant] : state.grants_)
         logKeptGrant(budget, grant, out);
+    for (const auto &[id, retired] : state.retired_)
+        logKeptGrant(retired.budget_, retired.held_, out);
     log(out, LogLevel::Error, "daemon.stop_forced",
         {{"cause", event.cause_},
          {"requests_cut", std::to_string(state.active_.size())},
-         {"grants_not_released", std::to_string(state.grants_.size())}});
+         {"grants_not_released", std::to_string(state.grants_.size() + state.retired_.size())}});
     state.stopCompleted_ = true;
     out.emplace_back(StopCompleted {});
 }
@@ -74,10 +76,10 @@
 {
     if (!state.stopping_ || state.stopCompleted_ || !state.active_.empty())
         return;
-    if (!state.grants_.empty()) {
-        releaseGrants(state, now);
+    releaseGrants(state, now);
+    // An intent that is not withdrawn yet would make a retry elsewhere end as unknown.
+    if (!state.retired_.empty() || !commitsIdle(state))
         return;
-    }
     state.stopCompleted_ = true;
     log(out, LogLevel::Info, "daemon.stopped", {});
     out.emplace_back(StopCompleted {});
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -84,6 +84,18 @@
     BundleVersion version_;
 };
 
+/// @brief Another holder waits for tokens of a budget that this daemon holds.
+struct ReleaseAsked
+{
+    BudgetId budget_;
+};
+
+/// @brief A holder is believed dead. It may only be paused, so its armed tokens stay set aside.
+struct HolderDead
+{
+    HolderId holder_;
+};
+
 /// @brief An operator or the platform asks the daemon to stop.
 struct StopRequested
 { };
@@ -99,8 +111,8 @@
 struct Tick
 { };
 
-using Event
-    = std::variant<AdmitRequested, AdmitAbandoned, AttemptEnded, RequestFinished, StoreReplied,
-                   BundleSeen, BundleConfirmed, StopRequested, StopForced, Tick>;
+using Event = std::variant<AdmitRequested, AdmitAbandoned, AttemptEnded, RequestFinished,
+                           StoreReplied, BundleSeen, BundleConfirmed, StopRequested, StopForced,
+                           Tick, ReleaseAsked, HolderDead>;
 
 } // namespace tamarack
--- a/src/core/grants.cpp
+++ b/src/core/grants.cpp
@@ -13,12 +13,16 @@
 /// Time constant of the smoothed burn rate.
 constexpr std::chrono::duration<double> burnRateWindow {10.0};
 
-void updateBurnRate(HeldGrant &grant, Tokens spent, MonoTime now)
+double decayedBurnRate(const HeldGrant &grant, MonoTime now)
 {
     const std::chrono::duration<double> gap = now - grant.lastSpent_;
-    const double decay = std::exp(-gap / burnRateWindow);
+    return grant.burnRate_ * std::exp(-gap / burnRateWindow);
+}
+
+void updateBurnRate(HeldGrant &grant, Tokens spent, MonoTime now)
+{
     grant.burnRate_
-        = grant.burnRate_ * decay + static_cast<double>(spent.count_) / burnRateWindow.count();
+        = decayedBurnRate(grant, now) + static_cast<double>(spent.count_) / burnRateWindow.count();
     grant.lastSpent_ = now;
 }
 
@@ -26,7 +30,7 @@
 
 Tokens available(const HeldGrant &grant)
 {
-    return grant.armed_ - grant.spent_ - grant.reserved_;
+    return grant.armed_ - grant.returned_ - grant.spent_ - grant.reserved_;
 }
 
 bool tryReserve(HeldGrant &grant, Tokens amount)
@@ -52,7 +56,15 @@
     const Tokens ahead {static_cast<std::int64_t>(grant.burnRate_ * reachTime.count())};
     const Tokens share {unallocated.count_ * reach.maxSharePerMille_ / 1000};
     const Tokens wanted = std::max(needed, std::min(needed + ahead, share));
-    return grant.spent_ + grant.reserved_ + wanted;
+    return grant.returned_ + grant.spent_ + grant.reserved_ + wanted;
+}
+
+Tokens returnable(const HeldGrant &grant, Millis keep, MonoTime now)
+{
+    const std::chrono::duration<double> time = keep;
+    const Tokens burnt {static_cast<std::int64_t>(decayedBurnRate(grant, now) * time.count())};
+    const Tokens half {available(grant).count_ / 2};
+    return available(grant) - std::min(burnt, half);
 }
 
 Result<void> checkInvariants(const HeldGrant &grant)
--- a/src/core/grants.h
+++ b/src/core/grants.h
@@ -8,16 +8,20 @@
 #include "core/time.h"
 #include "core/tokens.h"
 
+#include <optional>
+
 namespace tamarack {
 
 /// @brief A grant of this daemon, as far as the store has confirmed it.
 ///
-/// Invariant: spent_ >= settled_, reserved_ >= 0, spent_ + reserved_ <= armed_.
+/// Invariant: spent_ >= settled_, reserved_ >= 0, spent_ + reserved_ + returned_ <= armed_.
 struct HeldGrant
 {
     GrantId id_;
     /// Cumulative tokens armed, confirmed by the store.
     Tokens armed_;
+    /// Cumulative tokens handed back; they may not be spent any more.
+    Tokens returned_;
     /// Cumulative tokens billed from this grant.
     Tokens spent_;
     /// Part of spent_ that the ledger shard has recorded.
@@ -30,9 +34,15 @@
     bool settling_ = false;
     /// A release operation was submitted; nothing more may be reserved.
     bool releasing_ = false;
+    /// The last committed draw armed nothing.
+    bool fruitless_ = false;
     /// Tokens spent per second, smoothed.
     double burnRate_ = 0.0;
     MonoTime lastSpent_ {};
+    /// When the grant was last reserved from or drawn.
+    MonoTime lastUsed_ {};
+    /// When other holders were last asked to hand back tokens of this budget.
+    std::optional<MonoTime> lastAsked_;
 };
 
 /// @brief Tokens that can be reserved now.
@@ -54,6 +64,12 @@
 Tokens drawTarget(const HeldGrant &grant, Tokens needed, Tokens unallocated,
                   const ReachPolicy &reach);
 
+/// @brief Returns what the holder can hand back to others that need it.
+///
+/// Reserved tokens stay, and so does what is spent in @a keep at the current burn rate, but at most
+/// half of what is available, so that repeated asking frees everything.
+Tokens returnable(const HeldGrant &grant, Millis keep, MonoTime now);
+
 /// @brief Checks the invariant of a grant.
 Result<void> checkInvariants(const HeldGrant &grant);
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -13,7 +13,7 @@
 
 Tokens unsettled(const Grant &grant)
 {
-    return grant.armed_ - grant.settled_;
+    return grant.armed_ - grant.returned_ - grant.settled_;
 }
 
 BudgetRecord *findBudget(LedgerShard &shard, const BudgetId &budget)
@@ -33,7 +33,7 @@
 
 bool settleTo(BudgetRecord &record, Grant &grant, Tokens settledTotal)
 {
-    const Tokens total = std::min(settledTotal, grant.armed_);
+    const Tokens total = std::min(settledTotal, grant.armed_ - grant.returned_);
     if (total <= grant.settled_)
         return false;
     record.charged_ += total - grant.settled_;
@@ -57,8 +57,10 @@
     if (!record)
         return false;
     const auto it = record->grants_.find(op.grant_);
-    Grant grant = it == record->grants_.end() ? Grant {op.holder_, {}, {}, {}, GrantState::Active}
-                                              : it->second;
+    const bool exists = it != record->grants_.end();
+    if (!exists && !op.create_)
+        return false;
+    Grant grant = exists ? it->second : Grant {op.holder_, {}, {}, {}, GrantState::Active};
     // A written-off holder that returns may settle, but it must draw from a new grant.
     if (grant.state_ == GrantState::WrittenOff)
         return false;
@@ -82,6 +84,18 @@
     return grant && settleTo(shard.budgets_[op.budget_], *grant, op.settledTotal_);
 }
 
+bool apply(LedgerShard &shard, const ReturnOp &op)
+{
+    Grant *grant = findGrant(shard, op.budget_, op.grant_);
+    if (!grant)
+        return false;
+    const Tokens total = std::min(op.returnedTotal_, grant->armed_ - grant->settled_);
+    if (total <= grant->returned_)
+        return false;
+    grant->returned_ = total;
+    return true;
+}
+
 bool apply(LedgerShard &shard, const ReleaseOp &op)
 {
     Grant *grant = findGrant(shard, op.budget_, op.grant_);
@@ -166,8 +180,8 @@
                             id.value_, record.charged_.count_, lost(record).count_,
                             outstanding(record).count_, record.funded_.count_));
         for (const auto &[grantId, grant] : record.grants_) {
-            const bool settledInRange
-                = grant.settled_ >= Tokens {} && grant.settled_ <= grant.armed_;
+            const bool settledInRange = grant.settled_ >= Tokens {} && grant.returned_ >= Tokens {}
+                && unsettled(grant) >= Tokens {};
             const bool reserveValid = grant.reserve_ == Tokens {}
                 || (grant.reserve_ > Tokens {} && grant.state_ == GrantState::Active);
             if (!settledInRange || !reserveValid)
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -25,7 +25,8 @@
 
 /// @brief The part of a budget that one holder may spend without asking the store again.
 ///
-/// Invariant: 0 <= settled_ <= armed_, reserve_ >= 0, and reserve_ == 0 once written off.
+/// Invariant: settled_ >= 0, returned_ >= 0, settled_ + returned_ <= armed_, reserve_ >= 0, and
+/// reserve_ == 0 once written off.
 struct Grant
 {
     HolderId holder_;
@@ -36,6 +37,8 @@
     /// Cumulative tokens that the holder reported as spent.
     Tokens settled_;
     GrantState state_ = GrantState::Active;
+    /// Cumulative armed tokens that the holder handed back unspent.
+    Tokens returned_ {};
 };
 
 /// @brief One prepaid budget.
@@ -96,6 +99,9 @@
     Tokens atLeast_;
     /// Requested reserve in addition to the armed total.
     Tokens reserve_;
+    /// False once the holder has seen the grant in the store. A draw that is applied again after
+    /// the grant was released must not create it again, because its settlements would count twice.
+    bool create_ = true;
 };
 
 /// @brief Reports the cumulative tokens spent from a grant. A smaller total has no effect.
@@ -106,6 +112,14 @@
     Tokens settledTotal_;
 };
 
+/// @brief Hands back armed tokens that the holder will not spend. A smaller total has no effect.
+struct ReturnOp
+{
+    BudgetId budget_;
+    GrantId grant_;
+    Tokens returnedTotal_;
+};
+
 /// @brief Last settlement of a grant by its holder; the unspent rest becomes unallocated.
 struct ReleaseOp
 {
@@ -128,7 +142,8 @@
     GrantId grant_;
 };
 
-using LedgerOp = std::variant<FundOp, DrawOp, SettleOp, ReleaseOp, RevokeReserveOp, WriteOffOp>;
+using LedgerOp
+    = std::variant<FundOp, DrawOp, SettleOp, ReturnOp, ReleaseOp, RevokeReserveOp, WriteOffOp>;
 
 /// @brief Applies one operation to a shard.
 /// @return true if the shard changed
--- a/src/core/shardcommit.h
+++ b/src/core/shardcommit.h
@@ -52,6 +52,20 @@
     shard.dueAt_ = shard.dueAt_ ? std::min(*shard.dueAt_, due) : due;
 }
 
+/// @brief Asks for a call by @a due even if no operation is pending; the call is a read then.
+template <typename Shard, typename Op>
+void requestCall(ShardCommit<Shard, Op> &shard, MonoTime due)
+{
+    shard.dueAt_ = shard.dueAt_ ? std::min(*shard.dueAt_, due) : due;
+}
+
+/// @brief Returns true if the store holds every submitted operation.
+template <typename Shard, typename Op>
+bool isIdle(const ShardCommit<Shard, Op> &shard)
+{
+    return !shard.call_ && shard.pending_.empty();
+}
+
 /// @brief Returns when the next call of the shard may start, or nothing if none is wanted.
 template <typename Shard, typename Op>
 std::optional<MonoTime> nextCallTime(const ShardCommit<Shard, Op> &shard)
--- a/src/daemon/controlloop.cpp
+++ b/src/daemon/controlloop.cpp
@@ -24,6 +24,7 @@
     }
     void operator()(const WriteLog &command) const { loop_.log_.write_(command.event_); }
     void operator()(const StopCompleted &) const { running_ = false; }
+    void operator()(const AskRelease &) const { }
 };
 
 Now currentTime()
--- a/tests/contract-storedvalue.cpp
+++ b/tests/contract-storedvalue.cpp
@@ -24,8 +24,8 @@
         record.funded_ = Tokens {10};
         record.fundedBy_ = BundleVersion {3};
         record.charged_ = Tokens {2};
-        record.grants_[GrantId {"g"}]
-            = Grant {HolderId {"h"}, Tokens {5}, Tokens {1}, Tokens {2}, GrantState::Active};
+        record.grants_[GrantId {"g"}] = Grant {HolderId {"h"}, Tokens {5},         Tokens {1},
+                                               Tokens {2},     GrantState::Active, Tokens {3}};
         record.grants_[GrantId {"w"}]
             = Grant {HolderId {"h"}, Tokens {1}, Tokens {}, Tokens {}, GrantState::WrittenOff};
         const LedgerShard copy = roundTrip(StoredKind::LedgerShard, shard);
@@ -36,6 +36,7 @@
         CHECK(read.grants_.at(GrantId {"g"}).armed_ == Tokens {5});
         CHECK(read.grants_.at(GrantId {"g"}).reserve_ == Tokens {1});
         CHECK(read.grants_.at(GrantId {"g"}).settled_ == Tokens {2});
+        CHECK(read.grants_.at(GrantId {"g"}).returned_ == Tokens {3});
         CHECK(read.grants_.at(GrantId {"w"}).state_ == GrantState::WrittenOff);
     }
     SECTION("malformed bytes are refused")
--- /dev/null
+++ b/tests/controlfixture.h
@@ -0,0 +1,529 @@
+// State machines of several daemons against one store in memory, in simulated time, with faults on
+// the path between them. After every event the fixture checks what must hold at any moment and
+// records each violation as text.
+#pragma once
+
+#include "core/core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tamarack::fixture {
+
+inline const AccountId account {"acct"};
+inline const BudgetId budget {"b"};
+
+/// What happens to a daemon's calls to the store.
+enum class StoreMode {
+    Answers,
+    /// The call takes effect, but its outcome is reported as unknown.
+    LosesAnswers,
+    /// Reads are answered; a write takes effect, but its outcome is reported as unknown.
+    LosesWriteAnswers,
+    /// The outcome is reported as unknown and the call takes effect later (applyLate).
+    TakesEffectLate,
+    /// The call takes effect, but its reply waits until the mode changes.
+    DelaysReplies,
+    /// Every reply is delivered twice.
+    RepeatsReplies,
+    Down,
+};
+
+struct PendingReply
+{
+    StoreReply reply_;
+    /// The budgets as the store showed them to this call.
+    BudgetRecord seen_;
+};
+
+struct Daemon
+{
+    ControlState state_;
+    std::deque<SubmitStoreCall> calls_;
+    std::deque<PendingReply> replies_;
+    StoreMode mode_ = StoreMode::Answers;
+    bool alive_ = true;
+    bool paused_ = false;
+};
+
+/// One call by a caller to one daemon.
+struct Ask
+{
+    AdmitRequested ask_;
+    std::size_t daemon_ = 0;
+    std::vector<Dispatch> dispatches_;
+    std::optional<Refusal> refusal_;
+    /// Tokens that the upstream spends on it if it is dispatched.
+    Tokens real_;
+    /// A byte left for an upstream.
+    bool sent_ = false;
+    /// The upstream spent real_; false if it refused the request.
+    bool spent_ = false;
+    /// The caller has its answer or its daemon died.
+    bool ended_ = false;
+};
+
+struct Fixture
+{
+    std::vector<Daemon> daemons_;
+    std::map<StoreKey, VersionedValue> store_;
+    std::vector<SwapCall> late_;
+    std::uint64_t revision_ = 0;
+    Now now_ {MonoTime {Seconds {1000}}, WallTime {Seconds {1000}}};
+    std::map<WaiterId, Ask> asks_;
+    std::uint64_t lastWaiter_ = 0;
+    std::shared_ptr<const Bundle> bundle_;
+    std::vector<AskRelease> releaseAsks_;
+    std::vector<std::string> violations_;
+    std::uint64_t storeReads_ = 0;
+    std::uint64_t storeWrites_ = 0;
+};
+
+inline std::shared_ptr<Bundle> makeBundle(std::uint64_t version, std::int64_t funded)
+{
+    auto bundle = std::make_shared<Bundle>();
+    bundle->version_ = BundleVersion {version};
+    ClientAccount client;
+    client.id_ = account;
+    bundle->accounts_[account] = client;
+    bundle->budgets_[budget] = Budget {budget, account, Tokens {funded}};
+    Upstream upstream;
+    upstream.id_ = UpstreamId {"u1"};
+    upstream.address_ = "127.0.0.1:1";
+    upstream.models_ = {ModelId {"m"}};
+    bundle->upstreams_[upstream.id_] = upstream;
+    return bundle;
+}
+
+inline std::size_t startDaemon(Fixture &fixture);
+
+inline Fixture makeFixture(std::int64_t funded, std::size_t daemons = 1)
+{
+    Fixture fixture;
+    fixture.bundle_ = makeBundle(1, funded);
+    while (fixture.daemons_.size() < daemons)
+        startDaemon(fixture);
+    return fixture;
+}
+
+inline ControlState &stateOf(Fixture &fixture, std::size_t daemon = 0)
+{
+    return fixture.daemons_.at(daemon).state_;
+}
+
+/// The budget as the store holds it.
+inline BudgetRecord record(const Fixture &fixture, const BudgetId &id = budget)
+{
+    for (const auto &[key, value] : fixture.store_) {
+        const auto *shard = value.value_ ? std::get_if<LedgerShard>(&*value.value_) : nullptr;
+        if (shard && shard->budgets_.contains(id))
+            return shard->budgets_.at(id);
+    }
+    return {};
+}
+
+/// All bills in the store, in shards and in archive segments.
+inline std::map<RequestId, RequestRecord> bills(const Fixture &fixture,
+                                                std::size_t *count = nullptr)
+{
+    std::map<RequestId, RequestRecord> found;
+    for (const auto &[key, value] : fixture.store_) {
+        const auto *shard = value.value_ ? std::get_if<RequestShard>(&*value.value_) : nullptr;
+        if (!shard)
+            continue;
+        for (const auto &[id, request] : shard->records_) {
+            if (request.phase_ != RequestPhase::Billed)
+                continue;
+            found[id] = request;
+            if (count)
+                ++*count;
+        }
+    }
+    return found;
+}
+
+inline void violate(Fixture &fixture, std::string text)
+{
+    fixture.violations_.push_back(std::move(text));
+}
+
+inline StoreReply applyCall(Fixture &fixture, const SubmitStoreCall &call)
+{
+    StoreReply reply {call.id_, StoreStatus::Ok, {}};
+    if (const auto *read = std::get_if<ReadCall>(&call.call_)) {
+        ++fixture.storeReads_;
+        reply.current_ = fixture.store_[read->key_];
+        return reply;
+    }
+    ++fixture.storeWrites_;
+    const auto &swap = std::get<SwapCall>(call.call_);
+    VersionedValue &current = fixture.store_[swap.key_];
+    if (current.revision_ != swap.expected_) {
+        reply.status_ = StoreStatus::Conflict;
+        reply.current_ = current;
+        return reply;
+    }
+    current = VersionedValue {Revision {++fixture.revision_}, swap.value_};
+    reply.current_.revision_ = current.revision_;
+    return reply;
+}
+
+/// What the store makes of a call, seen through the fault on the path.
+inline StoreReply answer(Fixture &fixture, const Daemon &daemon, const SubmitStoreCall &call)
+{
+    if (daemon.mode_ == StoreMode::Down)
+        return StoreReply {call.id_, StoreStatus::Unavailable, {}};
+    if (daemon.mode_ == StoreMode::TakesEffectLate) {
+        if (const auto *swap = std::get_if<SwapCall>(&call.call_))
+            fixture.late_.push_back(*swap);
+        return StoreReply {call.id_, StoreStatus::Unknown, {}};
+    }
+    StoreReply reply = applyCall(fixture, call);
+    const bool isWrite = std::holds_alternative<SwapCall>(call.call_);
+    const bool losesWrite = daemon.mode_ == StoreMode::LosesWriteAnswers && isWrite;
+    if (daemon.mode_ == StoreMode::LosesAnswers || losesWrite)
+        return StoreReply {call.id_, StoreStatus::Unknown, {}};
+    return reply;
+}
+
+/// Lets calls take effect whose outcome was reported as unknown before.
+inline void applyLate(Fixture &fixture)
+{
+    for (const SwapCall &swap : std::exchange(fixture.late_, {}))
+        applyCall(fixture, SubmitStoreCall {{}, swap});
+}
+
+inline Tokens unsettled(const ControlState &state, const BudgetId &id)
+{
+    Tokens sum;
+    const auto held = state.grants_.find(id);
+    if (held != state.grants_.end())
+        sum += held->second.spent_ - held->second.settled_;
+    for (const auto &[grant, retired] : state.retired_)
+        sum += retired.held_.spent_ - retired.held_.settled_;
+    return sum;
+}
+
+inline void checkRefusal(Fixture &fixture, const Daemon &daemon, const Ask &ask,
+                         const BudgetRecord *seen)
+{
+    const Refusal &refusal = *ask.refusal_;
+    const std::string &id = ask.ask_.request_.value_;
+    if (refusal.execution_ == Execution::NotRun && ask.sent_)
+        violate(fixture, fmt::format("{} is refused as not run but was sent", id));
+    if (refusal.reason_ != RefusalReason::BudgetExhausted)
+        return;
+    if (!seen) {
+        violate(fixture, fmt::format("{} is refused as exhausted without a store reply", id));
+        return;
+    }
+    const Tokens left
+        = seen->funded_ - seen->charged_ - lost(*seen) - unsettled(daemon.state_, ask.ask_.budget_);
+    if (left >= ask.ask_.worstCase_ || seen->fundedBy_ < daemon.state_.bundle_->version_)
+        violate(fixture, fmt::format("{} is refused as exhausted with {} left", id, left.count_));
+}
+
+inline void takeDecision(Fixture &fixture, const Daemon &daemon, const ReplyTo &reply,
+                         const BudgetRecord *seen)
+{
+    Ask &ask = fixture.asks_.at(reply.waiter_);
+    if (const auto *refusal = std::get_if<Refusal>(&reply.decision_)) {
+        ask.refusal_ = *refusal;
+        checkRefusal(fixture, daemon, ask, seen);
+        return;
+    }
+    if (ask.refusal_)
+        violate(fixture,
+                fmt::format("{} is dispatched after its refusal", ask.ask_.request_.value_));
+    ask.dispatches_.push_back(std::get<Dispatch>(reply.decision_));
+    ask.sent_ = true;
+    ask.spent_ = true;
+}
+
+/// Sums that must hold whatever has failed.
+inline void checkTotals(Fixture &fixture)
+{
+    std::map<RequestId, Tokens> run;
+    std::map<RequestId, int> nonIdempotent;
+    for (const auto &[waiter, ask] : fixture.asks_) {
+        if (!ask.ask_.idempotent_ && ask.sent_ && ++nonIdempotent[ask.ask_.request_] > 1)
+            violate(fixture, fmt::format("{} ran twice", ask.ask_.request_.value_));
+        if (!ask.spent_)
+            continue;
+        // A repeated idempotent request is billed once, so it counts once.
+        const auto [it, first] = run.try_emplace(ask.ask_.request_, ask.real_);
+        it->second = std::min(it->second, ask.real_);
+    }
+    Tokens sum;
+    for (const auto &[id, tokens] : run)
+        sum += tokens;
+    const BudgetRecord stored = record(fixture);
+    if (sum > stored.funded_)
+        violate(fixture, fmt::format("{} tokens ran of {}", sum.count_, stored.funded_.count_));
+    if (committed(stored) > stored.funded_)
+        violate(fixture, "more is committed than funded");
+    Tokens billed;
+    std::size_t count = 0;
+    const auto all = bills(fixture, &count);
+    for (const auto &[id, bill] : all)
+        billed += bill.charged_;
+    if (count != all.size())
+        violate(fixture, "a request has two bills");
+    if (billed > committed(stored))
+        violate(fixture,
+                fmt::format("{} billed but {} committed", billed.count_, committed(stored).count_));
+}
+
+inline void send(Fixture &fixture, std::size_t index, const Event &event,
+                 const BudgetRecord *seen = nullptr)
+{
+    Daemon &daemon = fixture.daemons_.at(index);
+    for (Command &command : handle(daemon.state_, event, fixture.now_)) {
+        if (auto *call = std::get_if<SubmitStoreCall>(&command))
+            daemon.calls_.push_back(std::move(*call));
+        else if (const auto *reply = std::get_if<ReplyTo>(&command))
+            takeDecision(fixture, daemon, *reply, seen);
+        else if (const auto *ask = std::get_if<AskRelease>(&command))
+            fixture.releaseAsks_.push_back(*ask);
+    }
+    if (!checkInvariants(daemon.state_))
+        violate(fixture, fmt::format("daemon {} breaks an invariant", index));
+    checkTotals(fixture);
+}
+
+inline bool runs(const Daemon &daemon)
+{
+    return daemon.alive_ && !daemon.paused_;
+}
+
+/// Lets the store take the calls that a daemon has submitted.
+inline void answerCalls(Fixture &fixture, std::size_t index)
+{
+    Daemon &daemon = fixture.daemons_.at(index);
+    while (!daemon.calls_.empty()) {
+        const SubmitStoreCall call = std::move(daemon.calls_.front());
+        daemon.calls_.pop_front();
+        PendingReply pending {answer(fixture, daemon, call), record(fixture)};
+        daemon.replies_.push_back(pending);
+        if (daemon.mode_ == StoreMode::RepeatsReplies)
+            daemon.replies_.push_back(std::move(pending));
+    }
+}
+
+/// Delivers calls and replies of one daemon until it has none.
+inline void settleStore(Fixture &fixture, std::size_t index)
+{
+    Daemon &daemon = fixture.daemons_.at(index);
+    answerCalls(fixture, index);
+    while (runs(daemon) && daemon.mode_ != StoreMode::DelaysReplies && !daemon.replies_.empty()) {
+        const PendingReply pending = std::move(daemon.replies_.front());
+        daemon.replies_.pop_front();
+        send(fixture, index, StoreReplied {pending.reply_}, &pending.seen_);
+        answerCalls(fixture, index);
+    }
+}
+
+/// Delivers the daemons' requests to each other, unless one of the two is cut off.
+inline void deliverReleaseAsks(Fixture &fixture)
+{
+    for (const AskRelease &ask : std::exchange(fixture.releaseAsks_, {})) {
+        for (std::size_t i = 0; i < fixture.daemons_.size(); ++i) {
+            const Daemon &daemon = fixture.daemons_[i];
+            if (runs(daemon) && daemon.mode_ == StoreMode::Answers
+                && daemon.state_.settings_.holder_ == ask.holder_)
+                send(fixture, i, ReleaseAsked {ask.budget_});
+        }
+    }
+}
+
+/// Lets time pass and the store answer until @a span is over.
+inline void run(Fixture &fixture, Millis span)
+{
+    const MonoTime end = fixture.now_.mono_ + span;
+    while (true) {
+        MonoTime next = end;
+        deliverReleaseAsks(fixture);
+        for (std::size_t i = 0; i < fixture.daemons_.size(); ++i) {
+            settleStore(fixture, i);
+            if (!runs(fixture.daemons_[i]))
+                continue;
+            const std::optional<MonoTime> wake = nextWake(fixture.daemons_[i].state_);
+            next = wake ? std::min(next, *wake) : next;
+        }
+        if (next >= end)
+            break;
+        next = std::max(next, fixture.now_.mono_);
+        fixture.now_.wall_ += std::chrono::duration_cast<Millis>(next - fixture.now_.mono_);
+        fixture.now_.mono_ = next;
+        for (std::size_t i = 0; i < fixture.daemons_.size(); ++i) {
+            const std::optional<MonoTime> wake = nextWake(fixture.daemons_[i].state_);
+            if (runs(fixture.daemons_[i]) && wake && *wake <= next)
+                send(fixture, i, Tick {});
+        }
+    }
+    fixture.now_.wall_ += std::chrono::duration_cast<Millis>(end - fixture.now_.mono_);
+    fixture.now_.mono_ = end;
+}
+
+struct AskOptions
+{
+    std::size_t daemon_ = 0;
+    bool idempotent_ = true;
+    /// Tokens that the upstream spends; the worst case if unset.
+    std::optional<std::int64_t> real_ {};
+    Millis timeLimit_ {Seconds {10}};
+};
+
+inline WaiterId admit(Fixture &fixture, std::int64_t worstCase, const std::string &request,
+                      const AskOptions &options = {})
+{
+    Ask ask;
+    ask.ask_.waiter_ = WaiterId {++fixture.lastWaiter_};
+    ask.ask_.request_ = RequestId {request};
+    ask.ask_.account_ = account;
+    ask.ask_.budget_ = budget;
+    ask.ask_.model_ = ModelId {"m"};
+    ask.ask_.worstCase_ = Tokens {worstCase};
+    ask.ask_.idempotent_ = options.idempotent_;
+    ask.ask_.keyed_ = true;
+    ask.ask_.deadline_ = fixture.now_.mono_ + options.timeLimit_;
+    ask.daemon_ = options.daemon_;
+    ask.real_ = Tokens {options.real_.value_or(worstCase)};
+    fixture.asks_[ask.ask_.waiter_] = ask;
+    send(fixture, options.daemon_, ask.ask_);
+    return ask.ask_.waiter_;
+}
+
+inline const Dispatch *dispatched(const Fixture &fixture, WaiterId waiter)
+{
+    const Ask &ask = fixture.asks_.at(waiter);
+    return ask.dispatches_.empty() ? nullptr : &ask.dispatches_.back();
+}
+
+inline const Refusal *refused(const Fixture &fixture, WaiterId waiter)
+{
+    const Ask &ask = fixture.asks_.at(waiter);
+    return ask.refusal_ ? &*ask.refusal_ : nullptr;
+}
+
+inline bool decided(const Fixture &fixture, WaiterId waiter)
+{
+    return dispatched(fixture, waiter) || refused(fixture, waiter);
+}
+
+/// The upstream answers whole and reports what it spent.
+inline void finish(Fixture &fixture, WaiterId waiter)
+{
+    Ask &ask = fixture.asks_.at(waiter);
+    const Dispatch dispatch = ask.dispatches_.back();
+    ask.ended_ = true;
+    AttemptEnded ended;
+    ended.admission_ = dispatch.admission_;
+    ended.attempt_ = dispatch.attempt_;
+    ended.used_ = ask.real_;
+    send(fixture, ask.daemon_, ended);
+    send(fixture, ask.daemon_,
+         RequestFinished {dispatch.admission_, ask.real_, Completeness::Whole});
+}
+
+/// The upstream could not be reached or failed; the caller's thread asks for another attempt.
+inline void failAttempt(Fixture &fixture, WaiterId waiter, AttemptResult result)
+{
+    Ask &ask = fixture.asks_.at(waiter);
+    const Dispatch dispatch = ask.dispatches_.back();
+    ask.sent_ = result != AttemptResult::NotSent;
+    ask.spent_ = result == AttemptResult::Cut;
+    AttemptEnded ended;
+    ended.admission_ = dispatch.admission_;
+    ended.attempt_ = dispatch.attempt_;
+    ended.result_ = result;
+    ended.used_ = ask.spent_ ? ask.real_ : Tokens {};
+    ended.retryWaiter_ = waiter;
+    send(fixture, ask.daemon_, ended);
+}
+
+inline void adopt(Fixture &fixture, std::size_t daemon, std::shared_ptr<const Bundle> bundle)
+{
+    send(fixture, daemon, BundleSeen {std::move(bundle)});
+}
+
+/// The daemon's process ends and its memory is gone. Calls that it has submitted are lost.
+inline void kill(Fixture &fixture, std::size_t index)
+{
+    Daemon &daemon = fixture.daemons_.at(index);
+    daemon.alive_ = false;
+    daemon.calls_.clear();
+    daemon.replies_.clear();
+    for (auto &[waiter, ask] : fixture.asks_) {
+        if (ask.daemon_ == index)
+            ask.ended_ = true;
+    }
+}
+
+/// Starts a daemon; a restarted daemon is a new holder.
+inline std::size_t startDaemon(Fixture &fixture)
+{
+    const std::size_t index = fixture.daemons_.size();
+    Daemon &daemon = fixture.daemons_.emplace_back();
+    daemon.state_.settings_.holder_ = HolderId {fmt::format("h{}", index)};
+    daemon.state_.bundle_ = fixture.bundle_;
+    return index;
+}
+
+/// Ends all faults, finishes what runs and lets every daemon that is alive come to rest.
+inline void heal(Fixture &fixture)
+{
+    for (std::size_t i = 0; i < fixture.daemons_.size(); ++i) {
+        fixture.daemons_[i].mode_ = StoreMode::Answers;
+        fixture.daemons_[i].paused_ = false;
+        if (fixture.daemons_[i].alive_)
+            adopt(fixture, i, fixture.bundle_);
+    }
+    applyLate(fixture);
+    run(fixture, Seconds {20});
+    for (const auto &[waiter, ask] : fixture.asks_) {
+        if (!ask.ended_ && !ask.refusal_ && !ask.dispatches_.empty())
+            finish(fixture, waiter);
+    }
+    // Long enough for idle grants to be handed back, which also settles those written off.
+    run(fixture, Seconds {300});
+}
+
+/// What must hold after heal(): every caller is answered, and what is charged is what is billed.
+/// Tokens of dead daemons may stay lost, but nothing else may.
+inline void checkRest(Fixture &fixture)
+{
+    bool died = false;
+    for (const Daemon &daemon : fixture.daemons_) {
+        died |= !daemon.alive_;
+        if (daemon.alive_ && !daemon.state_.active_.empty())
+            violate(fixture, "a request is not finished although everything works again");
+    }
+    for (const auto &[waiter, ask] : fixture.asks_) {
+        if (!ask.ended_ && !ask.refusal_ && ask.dispatches_.empty())
+            violate(fixture, fmt::format("{} has no answer", ask.ask_.request_.value_));
+    }
+    Tokens billed;
+    for (const auto &[id, bill] : bills(fixture))
+        billed += bill.charged_;
+    const BudgetRecord stored = record(fixture);
+    if (!died && (stored.charged_ != billed || lost(stored) != Tokens {}))
+        violate(fixture,
+                fmt::format("{} billed, {} charged, {} lost at rest", billed.count_,
+                            stored.charged_.count_, lost(stored).count_));
+    if (stored.charged_ > billed)
+        violate(fixture, "more is charged than billed at rest");
+}
+
+inline std::string firstViolation(const Fixture &fixture)
+{
+    return fixture.violations_.empty() ? std::string() : fixture.violations_.front();
+}
+
+} // namespace tamarack::fixture
