--- a/tests/unit-controlfaults.cpp
+++ b/tests/unit-controlfaults.cpp
@@ -32,7 +32,7 @@
         fleet.daemons_[0].mode_ = StoreMode::Down;
         const WaiterId waiter = admit(fleet, 100, "r1");
         auto bundle = makeBundle(2, 1000);
-        bundle->budgets_.clear();
+        bundle->budgets_ = BudgetTable {};
         adopt(fleet, 0, bundle);
         run(fleet, Millis {100});
         REQUIRE(refused(fleet, waiter));
