--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -45,8 +45,11 @@
     void operator()(const PeerReceived &event) const { onPeerMessage(state_, event, now_, out_); }
     void operator()(const MembersSeen &event) const { onMembersSeen(state_, event, now_, out_); }
     void operator()(const HostListSeen &event) const { onHostListSeen(state_, event, now_, out_); }
-    void operator()(const HolderDead &event) const { onHolderDead(state_, event, now_, out_); }
-    void operator()(const ReleaseAsked &) const { }
+    void operator()(const HolderDead &event) const
+    {
+        noteDeadHolder(state_, event, now_);
+        billDeadEntry(state_, event, now_, out_);
+    }
     void operator()(const StopRequested &) const { onStop(state_, out_); }
     void operator()(const StopForced &event) const { onStopForced(state_, event, now_, out_); }
     void operator()(const Tick &) const { }
@@ -54,6 +57,7 @@
     void operator()(const LoadReported &event) const { onLoad(state_, event, now_); }
     void operator()(const UpstreamHealthSeen &event) const { onHealth(state_, event, now_, out_); }
     void operator()(const CacheEventsSeen &event) const { onCacheEvents(state_, event, now_); }
+    void operator()(const ReleaseAsked &event) const { onReleaseAsked(state_, event, now_, out_); }
 };
 
 template <typename Shards>
@@ -78,13 +82,17 @@
 Commands handle(ControlState &state, const Event &event, Now now)
 {
     Commands out;
+    // A daemon that wakes up late refuses what has expired before it looks at anything else.
+    detail::expireRequests(state, now, out);
     detail::deliver(state, event, now, out);
     detail::checkUnconfirmed(state, now, out);
     detail::expireRequests(state, now, out);
     detail::driveMembership(state, now, out);
     detail::driveEntry(state, now, out);
     detail::driveHome(state, now, out);
+    detail::serveFreed(state, now, out);
     detail::serveWaiting(state, now, out);
+    detail::releaseIdleGrants(state, now);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
     detail::routeReleases(state, out);
@@ -96,6 +104,9 @@
     std::optional<MonoTime> earliest = detail::unconfirmedAt(state);
     detail::collectCallTimes(state.ledger_, earliest);
     detail::collectCallTimes(state.requestShards_, earliest);
+    const std::optional<MonoTime> idle = detail::nextIdleRelease(state);
+    if (idle && (!earliest || *idle < *earliest))
+        earliest = idle;
     for (const auto &[id, request] : state.active_) {
         const bool waits = waitsForDecision(request.stage_);
         if (waits && (!earliest || request.ask_.deadline_ < *earliest))
@@ -110,21 +121,32 @@
     return earliest;
 }
 
-Result<void> checkInvariants(const ControlState &state)
+namespace {
+
+Result<void> checkGrant(const ControlState &state, const HeldGrant &grant)
 {
-    for (const auto &[budget, grant] : state.grants_) {
-        BOOST_LEAF_CHECK(checkInvariants(grant));
-        Tokens reserved;
-        for (const auto &[id, request] : state.active_) {
-            if (request.ask_.budget_ == budget && request.home_.isEmpty())
-                reserved += request.reserved_;
-        }
-        if (reserved != grant.reserved_)
-            return fail(ErrorKind::LedgerInvariant, "tamarack.control.101",
-                        fmt::format("budget {}: requests hold {} tokens but the grant counts {} as "
-                                    "reserved; restart this daemon and report this",
-                                    budget.value_, reserved.count_, grant.reserved_.count_));
+    BOOST_LEAF_CHECK(checkInvariants(grant));
+    Tokens reserved;
+    for (const auto &[id, request] : state.active_) {
+        if (request.grant_ == grant.id_)
+            reserved += request.reserved_;
     }
+    if (reserved != grant.reserved_)
+        return fail(ErrorKind::LedgerInvariant, "tamarack.control.101",
+                    fmt::format("grant {}: requests hold {} tokens but the grant counts {} as "
+                                "reserved; restart this daemon and report this",
+                                grant.id_.value_, reserved.count_, grant.reserved_.count_));
+    return {};
+}
+
+} // namespace
+
+Result<void> checkInvariants(const ControlState &state)
+{
+    for (const auto &[budget, grant] : state.grants_)
+        BOOST_LEAF_CHECK(checkGrant(state, grant));
+    for (const auto &[id, retired] : state.retired_)
+        BOOST_LEAF_CHECK(checkGrant(state, retired.held_));
     for (const auto &[number, shard] : state.ledger_)
         BOOST_LEAF_CHECK(checkInvariants(shard.copy_));
     return {};
--- a/src/core/controlreserve.cpp
+++ b/src/core/controlreserve.cpp
@@ -71,7 +71,8 @@
          {"charged", std::to_string(spent.count_)}});
     rememberEnded(state, request.peer_->admission_, now);
     if (request.stage_ == RequestStage::HeldForPeer)
-        settleReservation(state, request.ask_.budget_, request.reserved_, spent, now);
+        settleReservation(state, request.ask_.budget_, request.grant_, request.reserved_, spent,
+                          now);
     removeRequest(state, local);
 }
 
@@ -157,7 +158,7 @@
     sendToPeer(state, message.entry_, SettleAck {message.admission_, self}, out);
 }
 
-void onHolderDead(ControlState &state, const HolderDead &event, Now now, Commands &out)
+void billDeadEntry(ControlState &state, const HolderDead &event, Now now, Commands &out)
 {
     std::vector<AdmissionId> affected;
     for (const auto &[admission, local] : state.home_.reservations_) {
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -149,7 +149,8 @@
     std::vector<ListedHost> hosts_;
 };
 
-/// @brief A holder is dead by the membership's verdict.
+/// @brief A holder is dead by the membership's verdict. It may only be paused, so its armed tokens
+/// stay set aside.
 struct HolderDead
 {
     HolderId holder_;
