Connect tamarackd to its peers, its registration and the host list

A daemon with peers.address registers under a store lease, reads all registrations when a watch reports a change, reads the host list and exchanges messages.

The end-to-end tests now take ports below the range of outgoing connections: fake programs ended with an address in use in e2e-thinpath and e2e-home when other tests ran beside them.

--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -2,7 +2,9 @@
 # service and one daemon. Sourced by run-demo.sh and by the end-to-end tests.
 # Needs BIN (folder of the programs); sets WORK, CALLERS, ADMIN, STORE and TAMARACK_TOKEN.
 
-BASE_PORT=${BASE_PORT:-$((20000 + ($$ % 400) * 100))}
+# Below 32768, where the system starts to give ports to outgoing connections: a program could not
+# listen on a port that a connection of another test had.
+BASE_PORT=${BASE_PORT:-$((20000 + ($$ % 250) * 50))}
 STORE=127.0.0.1:$((BASE_PORT + 1))
 ENGINE=127.0.0.1:$((BASE_PORT + 2))
 SERVICE=127.0.0.1:$((BASE_PORT + 3))
@@ -35,7 +37,8 @@
     curl -s -o /dev/null --retry 60 --retry-delay 1 --retry-all-errors "$@" "$url"
 }
 
-start_fleet() {
+# Starts everything but daemons and makes the operator's key; sets public.
+start_platform() {
     start store "$BIN/fake-store" --address "$STORE"
     # shellcheck disable=SC2086
     start engine "$BIN/fake-engine" --address "$ENGINE" ${ENGINE_OPTIONS:-}
@@ -43,6 +46,10 @@
     "$BIN/tamarackctl" keygen >"$WORK/keys"
     sed -n 's/^private //p' "$WORK/keys" >"$WORK/operator.key"
     public=$(sed -n 's/^public //p' "$WORK/keys")
+}
+
+start_fleet() {
+    start_platform
     cat >"$WORK/settings.json" <<JSON
 {
   "host": "entry-1",
--- a/src/adapters/etcd/client.cpp
+++ b/src/adapters/etcd/client.cpp
@@ -134,11 +134,16 @@
         == StoreStatus::Ok;
 }
 
-bool waitForChange(Gateway &gateway, const StoreKey &key, Revision seen, Millis limit)
+/// Returns the first key after all keys with a prefix.
+/// @pre the prefix ends in an ASCII character
+std::string endOfPrefix(std::string prefix)
+{
+    ++prefix.back();
+    return prefix;
+}
+
+bool watchOnce(Gateway &gateway, const Object &create, Millis limit)
 {
-    Object create;
-    create.set("key", base64Encode(key.value_));
-    create.set("start_revision", std::to_string(seen.value_ + 1));
     Object body;
     body.set("create_request", create);
     bool changed = false;
@@ -151,6 +156,55 @@
     return changed;
 }
 
+bool waitForChange(Gateway &gateway, const StoreKey &key, Revision seen, Millis limit)
+{
+    Object create;
+    create.set("key", base64Encode(key.value_));
+    create.set("start_revision", std::to_string(seen.value_ + 1));
+    return watchOnce(gateway, create, limit);
+}
+
+bool waitForPrefixChange(Gateway &gateway, const StoreKey &prefix, Revision seen, Millis limit)
+{
+    Object create;
+    create.set("key", base64Encode(prefix.value_));
+    create.set("range_end", base64Encode(endOfPrefix(prefix.value_)));
+    create.set("start_revision", std::to_string(seen.value_ + 1));
+    return watchOnce(gateway, create, limit);
+}
+
+Result<StoredEntry> decodeEntry(const Object::Ptr &entry, StoredKind kind)
+{
+    BOOST_LEAF_AUTO(key, base64Decode(entry->getValue<std::string>("key")));
+    BOOST_LEAF_AUTO(bytes, base64Decode(entry->optValue<std::string>("value", "")));
+    BOOST_LEAF_AUTO(value, decodeStoredValue(kind, bytes));
+    return StoredEntry {StoreKey {key}, Revision {numberField(entry, "create_revision")},
+                        std::move(value)};
+}
+
+PrefixReply readPrefix(Gateway &gateway, const StoreKey &prefix, StoredKind kind)
+{
+    Object body;
+    body.set("key", base64Encode(prefix.value_));
+    body.set("range_end", base64Encode(endOfPrefix(prefix.value_)));
+    const GatewayReply reply = postJson(gateway, "/v3/kv/range", body, Effect::Repeatable);
+    if (reply.status_ != StoreStatus::Ok)
+        return PrefixReply {reply.status_, {}, {}};
+    PrefixReply result;
+    result.revision_ = Revision {numberField(reply.body_->getObject("header"), "revision")};
+    const Array::Ptr entries = reply.body_->getArray("kvs");
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<PrefixReply> {
+            for (unsigned i = 0; entries && i < entries->size(); ++i) {
+                BOOST_LEAF_AUTO(entry, decodeEntry(entries->getObject(i), kind));
+                result.entries_.push_back(std::move(entry));
+            }
+            result.status_ = StoreStatus::Ok;
+            return result;
+        },
+        [] { return PrefixReply {}; });
+}
+
 /// Carries out a call; an answer that is not of the expected form counts as none.
 template <typename Call>
 auto answerOr(decltype(std::declval<Call>()()) fallback, const Call &call)
@@ -195,6 +249,13 @@
     port.cancelWaits_ = [gateway] {
         cancelStreams(*gateway);
     };
+    port.readPrefix_ = [gateway](const StoreKey &prefix, StoredKind kind) {
+        return answerOr(PrefixReply {StoreStatus::Unknown, {}, {}},
+                        [&] { return readPrefix(*gateway, prefix, kind); });
+    };
+    port.waitForPrefixChange_ = [gateway](const StoreKey &prefix, Revision seen, Millis limit) {
+        return answerOr(false, [&] { return waitForPrefixChange(*gateway, prefix, seen, limit); });
+    };
     return port;
 }
 
--- /dev/null
+++ b/src/adapters/hostlist/hostlistclient.cpp
@@ -0,0 +1,104 @@
+// The platform's list of hosts by HTTP.
+#include "adapters/hostlist/hostlistclient.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+
+#include <istream>
+
+namespace tamarack {
+
+namespace {
+
+boost::leaf::error_id malformed(const std::string &detail)
+{
+    return fail(ErrorKind::InvalidMessage, "tamarack.hostlist.101",
+                "the host list is malformed (" + detail
+                    + "); check that hostList.address names the platform's list");
+}
+
+ListedHost readHost(const Poco::JSON::Object &object)
+{
+    ListedHost host;
+    host.host_ = HostId {object.getValue<std::string>("host")};
+    host.zone_ = ZoneId {object.getValue<std::string>("zone")};
+    host.address_ = object.getValue<std::string>("address");
+    host.leaving_ = object.getValue<std::string>("state") == "leaving";
+    return host;
+}
+
+/// Reads a body up to a size; nothing if it is larger.
+std::optional<std::string> readBody(std::istream &stream, std::size_t maxBytes)
+{
+    std::string text(maxBytes + 1, '\0');
+    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<std::size_t>(stream.gcount()));
+    if (text.size() > maxBytes)
+        return std::nullopt;
+    return text;
+}
+
+std::optional<std::string> fetch(const HostListSettings &settings)
+{
+    try {
+        Poco::Net::HTTPClientSession session {Poco::Net::SocketAddress(settings.address_)};
+        session.setTimeout(
+            Poco::Timespan(std::chrono::duration_cast<Micros>(settings.timeout_).count()));
+        Poco::Net::HTTPRequest request("GET", "/hosts", Poco::Net::HTTPRequest::HTTP_1_1);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::istream &body = session.receiveResponse(response);
+        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
+            return std::nullopt;
+        return readBody(body, settings.maxBytes_);
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+Result<std::vector<ListedHost>> parseHostList(const std::string &text, std::size_t maxHosts)
+{
+    try {
+        Poco::JSON::Parser parser;
+        const auto array = parser.parse(text).extract<Poco::JSON::Array::Ptr>();
+        if (array->size() > maxHosts)
+            return fail(ErrorKind::InvalidMessage, "tamarack.hostlist.102",
+                        "the host list has more than " + std::to_string(maxHosts)
+                            + " hosts; check hostList.address");
+        std::vector<ListedHost> hosts;
+        for (unsigned i = 0; i < array->size(); ++i) {
+            const Poco::JSON::Object::Ptr object = array->getObject(i);
+            if (!object)
+                return malformed("an entry is not an object");
+            hosts.push_back(readHost(*object));
+        }
+        return hosts;
+    } catch (const Poco::Exception &error) {
+        return malformed(error.displayText());
+    }
+}
+
+HostListPort makeHostListPort(HostListSettings settings)
+{
+    return HostListPort {[settings]() -> std::optional<std::vector<ListedHost>> {
+        const std::optional<std::string> text = fetch(settings);
+        if (!text)
+            return std::nullopt;
+        return boost::leaf::try_handle_all(
+            [&]() -> Result<std::optional<std::vector<ListedHost>>> {
+                BOOST_LEAF_AUTO(hosts, parseHostList(*text, settings.maxHosts_));
+                return std::optional {std::move(hosts)};
+            },
+            [] { return std::optional<std::vector<ListedHost>> {}; });
+    }};
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/hostlist/hostlistclient.h
@@ -0,0 +1,29 @@
+// The platform's list of hosts: GET /hosts answers a JSON array of
+// {"host", "address", "zone", "state": "live" | "leaving"}.
+#pragma once
+
+#include "core/error.h"
+#include "ports/hostlist.h"
+
+#include <cstddef>
+#include <string>
+
+namespace tamarack {
+
+struct HostListSettings
+{
+    /// "IP:port" of the list.
+    std::string address_;
+    Millis timeout_ {1000};
+    std::size_t maxBytes_ = 1U << 20U;
+    std::size_t maxHosts_ = 10'000;
+};
+
+/// @brief Reads a list.
+/// @return an error with id tamarack.hostlist.101 if it is malformed, .102 if it has too many hosts
+Result<std::vector<ListedHost>> parseHostList(const std::string &text, std::size_t maxHosts);
+
+/// @brief Returns a port that reads the list by HTTP.
+HostListPort makeHostListPort(HostListSettings settings);
+
+} // namespace tamarack
--- a/src/adapters/json/settings.cpp
+++ b/src/adapters/json/settings.cpp
@@ -31,9 +31,42 @@
         addFault(admin, "tokensSha256", "is empty",
                  "list the SHA-256 of at least one operator token");
     rejectUnknownFields(admin, {"address", "tokenSha256", "tokensSha256"});
+}
+
+/// Reads an optional count and keeps its present value as the fallback.
+template <typename Number>
+void readCount(const JsonReader &reader, const char *field, Range range, Number &value)
+{
+    value = static_cast<Number>(
+        readInteger(reader, field, Need::Optional, range, static_cast<std::int64_t>(value)));
+}
+
+void readPeers(const JsonReader &root, Settings &settings)
+{
     const JsonReader peers = readObject(root, "peers", Need::Optional);
-    settings.peerAddress_ = readString(peers, "address", Need::Optional);
-    rejectUnknownFields(peers, {"address"});
+    const auto millis = [&peers](const char *field, Millis &value) {
+        value = readMillis(peers, field, Need::Optional, timeoutRange, value);
+    };
+    PeerOptions &options = settings.peers_;
+    settings.peerAddress_ = readAddress(peers, "address", Need::Optional);
+    millis("heartbeatMs", options.membership_.heartbeatInterval_);
+    readCount(peers, "zoneFanout", Range {1, 64}, options.membership_.zoneFanout_);
+    readCount(peers, "farFanout", Range {1, 64}, options.membership_.farFanout_);
+    millis("deadGraceMs", options.membership_.deadGrace_);
+    millis("holdDownMs", options.membership_.holdDown_);
+    millis("homeLimitMs", options.home_.answerLimit_);
+    millis("askIntervalMs", options.home_.askInterval_);
+    options.lease_
+        = readMillis(peers, "leaseMs", Need::Optional, Range {2000, 3'600'000}, options.lease_);
+    readCount(peers, "maxMessageBytes", Range {1024, 64 << 20}, options.maxMessageBytes_);
+    readCount(peers, "queueMessages", Range {16, 100'000}, options.queueMessages_);
+    if (options.home_.askInterval_ >= options.home_.answerLimit_)
+        addFault(peers, "askIntervalMs", "is not below homeLimitMs",
+                 "use a half or less of homeLimitMs, so that a lost message can be repeated");
+    rejectUnknownFields(peers,
+                        {"address", "heartbeatMs", "zoneFanout", "farFanout", "deadGraceMs",
+                         "holdDownMs", "homeLimitMs", "askIntervalMs", "leaseMs", "maxMessageBytes",
+                         "queueMessages"});
 }
 
 void readPlatform(const JsonReader &root, Settings &settings)
@@ -50,7 +83,9 @@
     rejectUnknownFields(store, {"endpoints", "prefix", "timeoutMs", "workers"});
     const JsonReader hosts = readObject(root, "hostList", Need::Optional);
     settings.hostListAddress_ = readString(hosts, "address", Need::Optional);
-    rejectUnknownFields(hosts, {"address"});
+    settings.hostListInterval_
+        = readMillis(hosts, "intervalMs", Need::Optional, timeoutRange, settings.hostListInterval_);
+    rejectUnknownFields(hosts, {"address", "intervalMs"});
     readObjects(root, "operators", Need::Required, [&settings](const JsonReader &reader) {
         settings.operators_.push_back(
             TrustedOperator {OperatorId {readString(reader, "id", Need::Required)},
@@ -88,6 +123,7 @@
             settings.host_ = HostId {readString(root, "host", Need::Required)};
             settings.zone_ = ZoneId {readString(root, "zone", Need::Required)};
             readListeners(root, settings);
+            readPeers(root, settings);
             readPlatform(root, settings);
             readLimits(root, settings);
             rejectUnknownFields(root,
--- a/src/adapters/json/settings.h
+++ b/src/adapters/json/settings.h
@@ -19,6 +19,17 @@
     std::string publicKey_;
 };
 
+/// @brief Intervals and limits of the traffic between daemons.
+struct PeerOptions
+{
+    MembershipSettings membership_;
+    HomeSettings home_;
+    Millis lease_ {15'000};
+    std::size_t maxMessageBytes_ = 1U << 20U;
+    /// Messages that wait for one peer.
+    std::size_t queueMessages_ = 1000;
+};
+
 /// @brief Settings of one daemon. Addresses are "IP:port".
 struct Settings
 {
@@ -31,12 +42,15 @@
     std::string adminAddress_;
     /// SHA-256 of each operator token that the admin listener accepts.
     std::vector<std::string> adminTokensSha256_;
+    /// Empty if this daemon works alone.
     std::string peerAddress_;
+    PeerOptions peers_;
     std::vector<std::string> storeEndpoints_;
     std::string storePrefix_ = "/tamarack";
     Millis storeTimeout_ {1000};
     std::uint32_t storeWorkers_ = 4;
     std::string hostListAddress_;
+    Millis hostListInterval_ {5000};
     std::vector<TrustedOperator> operators_;
     Millis flushInterval_ {1000};
     Millis redrawInterval_ {250};
--- a/src/adapters/peers/peersocket.cpp
+++ b/src/adapters/peers/peersocket.cpp
@@ -280,6 +280,8 @@
     }
     state.thread_.join();
     state.wake_.close();
+    // Closing a socket only starts its end; the listener's address is free once the context ended.
+    state.context_.close();
 }
 
 } // namespace tamarack
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,6 +9,7 @@
 #include "daemon/bundlewatch.h"
 #include "daemon/controlloop.h"
 #include "daemon/livesettings.h"
+#include "daemon/peering.h"
 #include "daemon/plannedstop.h"
 
 #include <CLI/CLI.hpp>
@@ -85,6 +86,11 @@
     ControlLoop loop {queue, workers, traffic, log, [mainThread] {
                           signalStopped(mainThread);
                       }};
+    Peering peering;
+    // Other threads run already and would block an orderly return.
+    if (!startPeering(peering, *settings, state, store, events, log))
+        std::_Exit(1);
+    connectPeering(peering, loop);
     std::thread controlThread([&loop, &state] { runControlLoop(loop, std::move(state)); });
 
     const AdminContext admin {bundles, traffic, settings->host_};
@@ -102,10 +108,12 @@
     awaitStopSignal([&live, &log] { reloadSettings(live, log); });
     const PlannedStop plan {settings->stopLimit_, [&callers] { stopAccepting(callers); },
                             [&callers] { callers.server_->stopAll(false); }, events, log};
+    announceLeaving(peering);
     runPlannedStop(plan);
     stopWatchingBundles(bundles);
     stopAccepting(adminServer);
     controlThread.join();
+    stopPeering(peering);
     bundleThread.join();
     stopStoreWorkers(workers);
     return 0;
--- /dev/null
+++ b/src/daemon/registration.cpp
@@ -0,0 +1,197 @@
+// Keeping the registration in the store and watching those of others.
+#include "daemon/registration.h"
+
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+StoreKey membersPrefix(const RegistrationThreads &threads)
+{
+    return StoreKey {threads.settings_.storePrefix_ + "/members/"};
+}
+
+StoreKey ownKey(const RegistrationThreads &threads)
+{
+    return StoreKey {membersPrefix(threads).value_ + threads.self_.holder_.value_};
+}
+
+void logLine(const RegistrationThreads &threads, LogLevel level, std::string name)
+{
+    threads.log_.write_(
+        LogEvent {level, std::move(name), {{"holder", threads.self_.holder_.value_}}});
+}
+
+bool writeRegistration(const RegistrationThreads &threads, LeaseState &state, bool leaving)
+{
+    Registration value = threads.self_;
+    value.leaving_ = leaving;
+    const SwapCall swap {ownKey(threads), state.revision_, StoredValue {value}, state.lease_};
+    const StoreReply reply = threads.store_.call_(StoreCall {swap});
+    // Only this daemon writes the key, so a conflict shows its own earlier write or an expiry.
+    if (reply.status_ == StoreStatus::Ok || reply.status_ == StoreStatus::Conflict)
+        state.revision_ = reply.current_.revision_;
+    if (reply.status_ != StoreStatus::Ok)
+        return false;
+    state.leavingWritten_ = leaving;
+    return true;
+}
+
+/// Waits until @a limit passes or a flag that the thread must react to is set.
+/// @return false if the threads stop
+bool pause(RegistrationThreads &threads, Millis limit, const bool &reactTo, bool known)
+{
+    std::unique_lock lock(threads.mutex_);
+    threads.changed_.wait_for(lock, limit, [&] { return threads.stopping_ || reactTo != known; });
+    return !threads.stopping_;
+}
+
+bool isLeaving(RegistrationThreads &threads)
+{
+    const std::lock_guard lock(threads.mutex_);
+    return threads.leaving_;
+}
+
+void keepRegistration(RegistrationThreads &threads)
+{
+    LeaseState state;
+    bool registered = false;
+    bool leaving = false;
+    do {
+        leaving = isLeaving(threads);
+        const bool confirmed = refreshRegistration(threads, state, leaving);
+        if (confirmed != registered)
+            logLine(threads, confirmed ? LogLevel::Info : LogLevel::Warning,
+                    confirmed ? "registration.confirmed" : "registration.unconfirmed");
+        registered = confirmed;
+    } while (pause(threads,
+                   registered ? threads.settings_.keepInterval_ : threads.settings_.retryInterval_,
+                   threads.leaving_, leaving));
+    if (state.lease_ != LeaseId {})
+        threads.store_.revokeLease_(state.lease_);
+}
+
+/// Reads all registrations and posts them.
+/// @return the revision they were read at, or nothing if the store did not answer
+std::optional<Revision> readMembers(RegistrationThreads &threads)
+{
+    const PrefixReply reply
+        = threads.store_.readPrefix_(membersPrefix(threads), StoredKind::Registration);
+    if (reply.status_ != StoreStatus::Ok)
+        return std::nullopt;
+    MembersSeen seen;
+    for (const StoredEntry &entry : reply.entries_)
+        seen.members_.push_back(
+            RegisteredMember {std::get<Registration>(entry.value_), entry.created_});
+    threads.events_.post_(std::move(seen));
+    return reply.revision_;
+}
+
+bool takeRefresh(RegistrationThreads &threads)
+{
+    const std::lock_guard lock(threads.mutex_);
+    return std::exchange(threads.refresh_, false);
+}
+
+bool isStopping(RegistrationThreads &threads)
+{
+    const std::lock_guard lock(threads.mutex_);
+    return threads.stopping_;
+}
+
+/// Waits for a change of the registrations. A watch that fails at once is followed by a pause.
+bool awaitChange(RegistrationThreads &threads, Revision seen)
+{
+    const Millis limit = threads.settings_.watchLimit_;
+    const MonoTime start = std::chrono::steady_clock::now();
+    if (threads.store_.waitForPrefixChange_(membersPrefix(threads), seen, limit))
+        return true;
+    if (std::chrono::steady_clock::now() - start < limit / 2)
+        pause(threads, threads.settings_.retryInterval_, threads.stopping_, false);
+    return false;
+}
+
+void watchMembers(RegistrationThreads &threads)
+{
+    std::optional<Revision> seen;
+    MonoTime readAt {};
+    while (!isStopping(threads)) {
+        const MonoTime now = std::chrono::steady_clock::now();
+        const bool old = now - readAt >= threads.settings_.rereadInterval_;
+        if (!seen || takeRefresh(threads) || old) {
+            seen = readMembers(threads);
+            readAt = now;
+        }
+        if (seen && awaitChange(threads, *seen))
+            seen.reset();
+        else if (!seen)
+            pause(threads, threads.settings_.retryInterval_, threads.stopping_, false);
+    }
+}
+
+void watchHostList(RegistrationThreads &threads)
+{
+    do {
+        std::optional<std::vector<ListedHost>> hosts = threads.hostList_.read_();
+        if (hosts)
+            threads.events_.post_(HostListSeen {std::move(*hosts)});
+    } while (pause(threads, threads.settings_.hostListInterval_, threads.stopping_, false));
+}
+
+} // namespace
+
+bool refreshRegistration(const RegistrationThreads &threads, LeaseState &state, bool leaving)
+{
+    if (state.lease_ != LeaseId {} && !threads.store_.keepLease_(state.lease_)) {
+        // The lease may have lapsed, or the store is unreachable; a new one serves both cases.
+        state.lease_ = LeaseId {};
+    }
+    if (state.lease_ == LeaseId {}) {
+        state.lease_ = threads.store_.grantLease_(threads.settings_.leaseTime_);
+        if (state.lease_ == LeaseId {})
+            return false;
+        return writeRegistration(threads, state, leaving)
+            || writeRegistration(threads, state, leaving);
+    }
+    if (state.revision_ != Revision {} && state.leavingWritten_ == leaving)
+        return true;
+    return writeRegistration(threads, state, leaving) || writeRegistration(threads, state, leaving);
+}
+
+void startRegistration(RegistrationThreads &threads)
+{
+    threads.threads_.emplace_back(keepRegistration, std::ref(threads));
+    threads.threads_.emplace_back(watchMembers, std::ref(threads));
+    if (threads.hostList_.read_)
+        threads.threads_.emplace_back(watchHostList, std::ref(threads));
+}
+
+void announceLeaving(RegistrationThreads &threads)
+{
+    {
+        const std::lock_guard lock(threads.mutex_);
+        threads.leaving_ = true;
+    }
+    threads.changed_.notify_all();
+}
+
+void requestRefresh(RegistrationThreads &threads)
+{
+    const std::lock_guard lock(threads.mutex_);
+    threads.refresh_ = true;
+}
+
+void stopRegistration(RegistrationThreads &threads)
+{
+    {
+        const std::lock_guard lock(threads.mutex_);
+        threads.stopping_ = true;
+    }
+    threads.changed_.notify_all();
+    for (std::thread &thread : threads.threads_)
+        thread.join();
+    threads.threads_.clear();
+}
+
+} // namespace tamarack
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ports/exchange.h"
+#include "ports/hostlist.h"
 #include "ports/peers.h"
 #include "ports/store.h"
 
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -6,9 +6,28 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace tamarack {
 
+/// @brief One key below a prefix.
+struct StoredEntry
+{
+    StoreKey key_;
+    Revision created_;
+    StoredValue value_;
+};
+
+/// @brief All keys below a prefix.
+struct PrefixReply
+{
+    /// Unavailable if a value can't be decoded, because a listing with a gap would mislead.
+    StoreStatus status_ = StoreStatus::Unavailable;
+    /// Revision of the store when it was read.
+    Revision revision_;
+    std::vector<StoredEntry> entries_;
+};
+
 /// @brief Calls to the store. All functions block up to the adapter's timeout and are safe to call
 /// from any thread.
 struct StorePort
@@ -27,6 +46,10 @@
     std::function<bool(const StoreKey &key, Revision seen, Millis limit)> waitForChange_;
     /// Ends all waits in progress; those that follow return false at once.
     std::function<void()> cancelWaits_;
+    /// Reads all keys that start with a prefix; they hold values of one kind.
+    std::function<PrefixReply(const StoreKey &prefix, StoredKind kind)> readPrefix_;
+    /// Like waitForChange_, for changes and deletions of all keys that start with a prefix.
+    std::function<bool(const StoreKey &prefix, Revision seen, Millis limit)> waitForPrefixChange_;
 };
 
 } // namespace tamarack
--- /dev/null
+++ b/tests/contract-registration.cpp
@@ -0,0 +1,120 @@
+// The registration of a daemon in the store. Guards against a daemon that stays unregistered after
+// a lapse, a lost answer or an outage.
+#include "daemon/registration.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+namespace tamarack {
+
+namespace {
+
+/// A store in memory with leases that the test ends.
+struct LeaseStore
+{
+    std::map<StoreKey, VersionedValue> entries_;
+    std::set<LeaseId> leases_;
+    std::uint64_t revision_ = 0;
+    std::uint64_t lastLease_ = 0;
+    bool down_ = false;
+    bool losesAnswers_ = false;
+};
+
+StoreReply swap(LeaseStore &store, const SwapCall &call)
+{
+    StoreReply reply;
+    if (store.down_)
+        return reply;
+    VersionedValue &current = store.entries_[call.key_];
+    reply.status_ = current.revision_ == call.expected_ ? StoreStatus::Ok : StoreStatus::Conflict;
+    if (reply.status_ == StoreStatus::Ok)
+        current = VersionedValue {Revision {++store.revision_}, call.value_};
+    reply.current_ = current;
+    if (store.losesAnswers_)
+        return StoreReply {{}, StoreStatus::Unknown, {}};
+    return reply;
+}
+
+StorePort portOf(LeaseStore &store)
+{
+    StorePort port;
+    port.call_ = [&store](const StoreCall &call) {
+        return swap(store, std::get<SwapCall>(call));
+    };
+    port.grantLease_ = [&store](Seconds) {
+        if (store.down_)
+            return LeaseId {};
+        const LeaseId lease {++store.lastLease_};
+        store.leases_.insert(lease);
+        return lease;
+    };
+    port.keepLease_ = [&store](LeaseId lease) {
+        return !store.down_ && store.leases_.contains(lease);
+    };
+    return port;
+}
+
+void lapse(LeaseStore &store)
+{
+    store.leases_.clear();
+    store.entries_.clear();
+}
+
+} // namespace
+
+TEST_CASE("registration")
+{
+    LeaseStore store;
+    RegistrationThreads threads;
+    threads.settings_.storePrefix_ = "/t";
+    threads.self_.holder_ = HolderId {"h-1"};
+    threads.store_ = portOf(store);
+    LeaseState state;
+    const auto stored = [&store]() -> const Registration * {
+        const auto it = store.entries_.find(StoreKey {"/t/members/h-1"});
+        return it == store.entries_.end() || !it->second.value_
+            ? nullptr
+            : &std::get<Registration>(*it->second.value_);
+    };
+    REQUIRE(refreshRegistration(threads, state, false));
+    REQUIRE(stored());
+
+    SECTION("a kept lease needs no further write")
+    {
+        const std::uint64_t before = store.revision_;
+        CHECK(refreshRegistration(threads, state, false));
+        CHECK(store.revision_ == before);
+    }
+    SECTION("after a lapse it registers again")
+    {
+        lapse(store);
+        CHECK(refreshRegistration(threads, state, false));
+        CHECK(stored());
+    }
+    SECTION("an outage is not confirmed and ends")
+    {
+        store.down_ = true;
+        CHECK_FALSE(refreshRegistration(threads, state, false));
+        store.down_ = false;
+        lapse(store);
+        CHECK(refreshRegistration(threads, state, false));
+        CHECK(stored());
+    }
+    SECTION("a planned stop is written")
+    {
+        CHECK(refreshRegistration(threads, state, true));
+        CHECK(stored()->leaving_);
+    }
+    SECTION("a lost answer is resolved by the next write")
+    {
+        store.losesAnswers_ = true;
+        CHECK_FALSE(refreshRegistration(threads, state, true));
+        store.losesAnswers_ = false;
+        CHECK(refreshRegistration(threads, state, true));
+        CHECK(stored()->leaving_);
+    }
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/e2e-home.sh
@@ -0,0 +1,107 @@
+#!/usr/bin/env bash
+# Two daemons of one availability zone. Guards against an entry daemon that does not reserve at the
+# home daemon, or that stops serving when the home daemon dies.
+set -euo pipefail
+BIN=${1:?usage: e2e-home.sh BIN_FOLDER}
+# shellcheck source=examples/fleet.sh
+. "$(dirname "$0")/../examples/fleet.sh"
+
+fail() {
+    echo "FAILED: $1" >&2
+    tail -n 50 "$WORK"/daemon-*.log >&2
+    exit 1
+}
+
+expect() {
+    case $2 in
+    *"$3"*) echo "ok: $1" ;;
+    *) fail "$1: expected $3 in: $2" ;;
+    esac
+}
+
+# await_log NAME PATTERN: waits for a line in the log of a daemon.
+await_log() {
+    for _ in $(seq 200); do
+        grep -q "$2" "$WORK/$1.log" && return 0
+        sleep 0.1
+    done
+    fail "$1 did not log $2"
+}
+
+# start_daemon NUMBER: starts daemon-NUMBER; its ports follow from the number.
+start_daemon() {
+    base=$((BASE_PORT + 10 * $1))
+    cat >"$WORK/settings-$1.json" <<JSON
+{
+  "host": "entry-$1",
+  "zone": "brest-a",
+  "callers": {"address": "127.0.0.1:$((base + 1))"},
+  "admin": {"address": "127.0.0.1:$((base + 2))", "tokenSha256": "$("$BIN/tamarackctl" hash-key "$TAMARACK_TOKEN")"},
+  "peers": {"address": "127.0.0.1:$((base + 3))", "heartbeatMs": 200, "leaseMs": 2000, "deadGraceMs": 1000},
+  "store": {"endpoints": ["$STORE"]},
+  "hostList": {"address": "$HOSTLIST", "intervalMs": 200},
+  "operators": [{"id": "operator-1", "publicKey": "$public"}],
+  "limits": {"flushIntervalMs": 100}
+}
+JSON
+    start "daemon-$1" "$BIN/tamarackd" --settings "$WORK/settings-$1.json"
+    pids[$1]=$!
+    await "http://127.0.0.1:$((base + 2))/v1/status"
+}
+
+# ask NUMBER: sends a request to a daemon.
+ask() {
+    CALLERS=127.0.0.1:$((BASE_PORT + 10 * $1 + 1)) chat \
+        '{"model":"small","messages":[{"role":"user","content":"hello"}],"max_tokens":32}'
+}
+
+pids=()
+HOSTLIST=127.0.0.1:$((BASE_PORT + 6))
+start hostlist "$BIN/fake-hostlist" --address "$HOSTLIST"
+start_platform
+start_daemon 1
+start_daemon 2
+write_bundle 5000
+ADMIN=127.0.0.1:$((BASE_PORT + 12)) submit 1
+for number in 1 2; do
+    await_log "daemon-$number" 'event=bundle.applied version=1'
+    await_log "daemon-$number" 'event=member.state .*state=live'
+done
+expect "answer of daemon 1" "$(ask 1)" '"total_tokens":12'
+expect "answer of daemon 2" "$(ask 2)" '"total_tokens":12'
+if grep -q event=home.reserved "$WORK/daemon-1.log"; then
+    home=1 entry=2
+else
+    home=2 entry=1
+fi
+await_log "daemon-$home" 'event=home.reserved'
+await_log "daemon-$home" 'event=home.settled .*charged=12'
+if grep -q event=budget.draw "$WORK/daemon-$entry.log"; then
+    fail "the entry daemon drew a grant although the home daemon lives"
+fi
+echo "ok: daemon $entry reserved at home daemon $home"
+
+kill -KILL "${pids[$home]}"
+expect "answer without the home daemon" "$(ask "$entry")" '"total_tokens":12'
+await_log "daemon-$entry" 'event=home.bypassed'
+await_log "daemon-$entry" 'event=member.dead'
+expect "answer after the verdict" "$(ask "$entry")" '"total_tokens":12'
+await_log "daemon-$entry" 'event=request.billed '
+
+# A host that returns is a new holder and is used again.
+start_daemon "$home"
+await_log "daemon-$home" 'event=bundle.applied version=1'
+await_log "daemon-$home" 'event=member.state .*state=live'
+for _ in $(seq 50); do
+    ask "$entry" >/dev/null
+    grep -q event=home.reserved "$WORK/daemon-$home.log" && break
+    sleep 0.1
+done
+await_log "daemon-$home" 'event=home.reserved'
+echo "ok: the restarted home daemon is used again"
+
+curl -s -X PUT -d '[{"host":"entry-'"$home"'","address":"127.0.0.1","zone":"brest-a","state":"leaving"}]' \
+    "http://$HOSTLIST/hosts" >/dev/null
+await_log "daemon-$entry" 'event=member.state .*state=leaving'
+echo "ok: the host list shows the home daemon as leaving"
+expect "answer with a leaving home daemon" "$(ask "$entry")" '"total_tokens":12'
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -4,14 +4,18 @@
 #include "fakes/fakehttp.h"
 
 #include <CLI/CLI.hpp>
+#include <Poco/Base64Decoder.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <fmt/format.h>
 
 #include <chrono>
 #include <condition_variable>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <ostream>
+#include <sstream>
+#include <vector>
 
 namespace tamarack::fakes {
 
@@ -33,6 +37,19 @@
     std::string lease_;
 };
 
+struct Lease
+{
+    std::chrono::seconds timeToLive_ {};
+    std::chrono::steady_clock::time_point expiresAt_;
+};
+
+/// A deleted key, so that watches can report it.
+struct Deletion
+{
+    std::string key_;
+    std::uint64_t revision_ = 0;
+};
+
 struct Store
 {
     std::mutex mutex_;
@@ -40,6 +57,8 @@
     std::map<std::string, Entry> entries_;
     std::uint64_t revision_ = 1;
     std::uint64_t lastLease_ = 0;
+    std::map<std::string, Lease> leases_;
+    std::vector<Deletion> deletions_;
     std::string mode_ = "none";
     std::map<std::string, std::uint64_t> calls_;
 };
@@ -61,14 +80,57 @@
     return object;
 }
 
+std::string decode(const std::string &base64)
+{
+    std::istringstream in(base64);
+    Poco::Base64Decoder decoder(in);
+    return {std::istreambuf_iterator<char>(decoder), std::istreambuf_iterator<char>()};
+}
+
+/// Returns true if a key belongs to a range; without range_end the range is one key.
+bool isInRange(const Object::Ptr &request, const std::string &key)
+{
+    const auto first = request->getValue<std::string>("key");
+    if (!request->has("range_end"))
+        return key == first;
+    const std::string plain = decode(key);
+    return plain >= decode(first) && plain < decode(request->getValue<std::string>("range_end"));
+}
+
+void deleteLease(Store &store, const std::string &lease)
+{
+    store.leases_.erase(lease);
+    ++store.revision_;
+    for (const auto &[key, entry] : store.entries_) {
+        if (entry.lease_ == lease)
+            store.deletions_.push_back(Deletion {key, store.revision_});
+    }
+    std::erase_if(store.entries_, [&](const auto &item) { return item.second.lease_ == lease; });
+    store.changed_.notify_all();
+}
+
+void expireLeases(Store &store)
+{
+    std::vector<std::string> expired;
+    for (const auto &[id, lease] : store.leases_) {
+        if (lease.expiresAt_ <= std::chrono::steady_clock::now())
+            expired.push_back(id);
+    }
+    for (const std::string &id : expired)
+        deleteLease(store, id);
+}
+
 Object range(const Store &store, const Object::Ptr &request)
 {
     Object result;
     result.set("header", header(store));
-    const auto key = request->getValue<std::string>("key");
-    const auto it = store.entries_.find(key);
-    if (it != store.entries_.end())
-        result.set("kvs", Array().add(entryObject(key, it->second)));
+    Array entries;
+    for (const auto &[key, entry] : store.entries_) {
+        if (isInRange(request, key))
+            entries.add(entryObject(key, entry));
+    }
+    if (!entries.empty())
+        result.set("kvs", entries);
     return result;
 }
 
@@ -119,26 +181,59 @@
 
 Object lease(Store &store, const std::string &path, const Object::Ptr &request)
 {
+    const auto now = std::chrono::steady_clock::now();
     Object result;
     if (path == "/v3/lease/grant") {
-        result.set("ID", std::to_string(++store.lastLease_));
-        result.set("TTL", request->getValue<std::string>("TTL"));
+        const std::chrono::seconds time {request->getValue<std::int64_t>("TTL")};
+        const std::string id = std::to_string(++store.lastLease_);
+        store.leases_[id] = Lease {time, now + time};
+        result.set("ID", id);
+        result.set("TTL", std::to_string(time.count()));
     } else if (path == "/v3/lease/keepalive") {
+        const auto id = request->getValue<std::string>("ID");
         Object inner;
-        inner.set("ID", request->getValue<std::string>("ID"));
-        inner.set("TTL", "10");
+        inner.set("ID", id);
+        const auto it = store.leases_.find(id);
+        // The service leaves out the TTL of a lease that does not exist.
+        if (it != store.leases_.end()) {
+            it->second.expiresAt_ = now + it->second.timeToLive_;
+            inner.set("TTL", std::to_string(it->second.timeToLive_.count()));
+        }
         result.set("result", inner);
     } else {
-        const auto id = request->getValue<std::string>("ID");
-        std::erase_if(store.entries_, [&id](const auto &item) { return item.second.lease_ == id; });
+        deleteLease(store, request->getValue<std::string>("ID"));
     }
     return result;
 }
 
+/// Returns the events of a range since a revision.
+Array eventsSince(const Store &store, const Object::Ptr &create, std::uint64_t start)
+{
+    Array events;
+    for (const auto &[key, entry] : store.entries_) {
+        if (entry.modRevision_ < start || !isInRange(create, key))
+            continue;
+        Object event;
+        event.set("kv", entryObject(key, entry));
+        events.add(event);
+    }
+    for (const Deletion &deletion : store.deletions_) {
+        if (deletion.revision_ < start || !isInRange(create, deletion.key_))
+            continue;
+        Object kv;
+        kv.set("key", deletion.key_);
+        kv.set("mod_revision", std::to_string(deletion.revision_));
+        Object event;
+        event.set("type", "DELETE");
+        event.set("kv", kv);
+        events.add(event);
+    }
+    return events;
+}
+
 void watch(Store &store, const Object::Ptr &request, HTTPServerResponse &response)
 {
     const Object::Ptr create = request->getObject("create_request");
-    const auto key = create->getValue<std::string>("key");
     const auto start = create->getValue<std::uint64_t>("start_revision");
     response.setChunkedTransferEncoding(true);
     std::ostream &out = response.send();
@@ -146,13 +241,12 @@
     while (out.good()) {
         std::unique_lock lock(store.mutex_);
         store.changed_.wait_for(lock, watchProbe);
-        const auto it = store.entries_.find(key);
-        if (it == store.entries_.end() || it->second.modRevision_ < start)
+        expireLeases(store);
+        const Array events = eventsSince(store, create, start);
+        if (events.empty())
             continue;
-        Object event;
-        event.set("kv", entryObject(key, it->second));
         Object result;
-        result.set("events", Array().add(event));
+        result.set("events", events);
         Object line;
         line.set("result", result);
         lock.unlock();
@@ -186,6 +280,7 @@
         return;
     }
     std::unique_lock lock(store.mutex_);
+    expireLeases(store);
     ++store.calls_[path];
     const std::string mode = store.mode_;
     if (path == "/calls") {
--- a/tests/unit-home.cpp
+++ b/tests/unit-home.cpp
@@ -86,8 +86,10 @@
         fleet.rule_ = fault.rule_;
         fleet.reorder_ = fault.reorder_;
         const HostId entry = otherThan(fleet, homeHost(fleet, HostId {"h1"}));
+        constexpr std::size_t requests = 5;
         std::vector<WaiterId> waiters;
-        for (int i = 0; i < 5; ++i)
+        waiters.reserve(requests);
+        for (std::size_t i = 0; i < requests; ++i)
             waiters.push_back(admit(fleet, entry, 100, "r" + std::to_string(i)));
         run(fleet, Seconds {2});
         for (const WaiterId waiter : waiters) {
@@ -96,7 +98,7 @@
         }
         run(fleet, Seconds {100});
         const BudgetRecord record = budgetRecord(fleet);
-        CHECK(record.charged_ == Tokens {5 * 40});
+        CHECK(record.charged_ == Tokens {200});
         CHECK(reservedAnywhere(fleet) == Tokens {});
         for (const auto &[host, daemon] : fleet.daemons_) {
             CHECK(daemon.state_.active_.empty());
