--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -150,6 +150,9 @@
                         {in.parts().begin(), in.parts().end()}};
 }
 
+/// What refusalCode() returns for a number that is no reason.
+constexpr std::string_view unknownRefusalCode = "internal";
+
 boost::leaf::error_id unknownCode(std::uint32_t code)
 {
     return fail(ErrorKind::InvalidMessage, "tamarack.peers.102",
@@ -159,7 +162,7 @@
 
 Result<PeerMessage> refused(const peer::Refused &in)
 {
-    if (in.reason() > static_cast<std::uint32_t>(RefusalReason::Stopping))
+    if (refusalCode(static_cast<RefusalReason>(in.reason())) == unknownRefusalCode)
         return unknownCode(in.reason());
     if (in.execution() > static_cast<std::uint32_t>(Execution::Unknown))
         return unknownCode(in.execution());
--- a/src/core/controlhome.cpp
+++ b/src/core/controlhome.cpp
@@ -109,6 +109,13 @@
     return it == state.home_.asks_.end() || it->second.home_ != home ? nullptr : &it->second;
 }
 
+/// Returns true if a refusal holds for every daemon, and not only for the home daemon's own state.
+bool concernsBudget(RefusalReason reason)
+{
+    return reason == RefusalReason::BudgetExhausted || reason == RefusalReason::BudgetHeldElsewhere
+        || reason == RefusalReason::BudgetUnconfirmed || reason == RefusalReason::BudgetNotOwned;
+}
+
 /// Returns true if this run of the daemon made the admission.
 bool isOwnAdmission(const ControlState &state, const AdmissionId &admission)
 {
@@ -199,8 +206,11 @@
         return;
     // A refusal is true only on the bundle that this daemon knows, or a newer one.
     const bool outdated = message.bundle_ < state.bundle_->version_;
-    if (outdated || message.refusal_.reason_ == RefusalReason::Stopping) {
-        actAsHome(state, admission, outdated ? "older bundle" : "stopping", now, out);
+    if (outdated || !concernsBudget(message.refusal_.reason_)) {
+        actAsHome(state, admission,
+                  outdated ? std::string_view {"older bundle"}
+                           : refusalCode(message.refusal_.reason_),
+                  now, out);
         return;
     }
     state.home_.asks_.erase(admission);
--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -150,6 +150,12 @@
         CHECK(copy.worstCase_ == Tokens {99});
         CHECK(copy.remaining_ == Millis {1234});
     }
+    SECTION("a refusal with an unknown reason is refused")
+    {
+        Refused message;
+        message.refusal_.reason_ = static_cast<RefusalReason>(1000);
+        CHECK_FALSE(decodePeerMessage(encodePeerMessage(PeerEnvelope {HostId {"a"}, message})));
+    }
     SECTION("malformed bytes are refused")
     {
         const std::string good = encodePeerMessage(PeerEnvelope {HostId {"a"}, heartbeat(1)});
--- a/tests/unit-home.cpp
+++ b/tests/unit-home.cpp
@@ -1,9 +1,12 @@
 // Entry and home daemons under faults. Guards against overspend, a second bill, false refusals and
 // tokens that stay reserved when messages are lost, doubled or reordered or a daemon dies.
+#include "core/controlparts.h"
 #include "homefleet.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace tamarack {
 
 using namespace homefleet;
@@ -299,6 +302,33 @@
         CHECK(fleet.daemons_.at(home).stopped_);
         CHECK(budgetRecord(fleet).charged_ == Tokens {50});
     }
+    SECTION("a daemon that hears of a newer bundle asks for it")
+    {
+        ControlState &state = fleet.daemons_.at(entry).state_;
+        Heartbeat heartbeat;
+        heartbeat.holder_ = HolderId {home.value_ + "-1"};
+        heartbeat.zone_ = zone;
+        const auto asksForBundle = [&](std::uint64_t version) {
+            heartbeat.bundle_ = BundleVersion {version};
+            const Commands commands = handle(state, PeerReceived {home, heartbeat}, fleet.now_);
+            return std::any_of(commands.begin(), commands.end(), [](const Command &command) {
+                return std::holds_alternative<RefreshBundle>(command);
+            });
+        };
+        CHECK_FALSE(asksForBundle(1));
+        CHECK(asksForBundle(2));
+    }
+    SECTION("an ask to release tokens reaches its holder and no later run of its host")
+    {
+        ControlState &state = fleet.daemons_.at(entry).state_;
+        Commands out {AskRelease {HolderId {home.value_ + "-1"}, budget},
+                      AskRelease {HolderId {"unknown-1"}, budget}};
+        detail::routeReleases(state, out);
+        REQUIRE(out.size() == 1);
+        const auto &sent = std::get<SendPeer>(out.at(0));
+        CHECK(sent.host_ == home);
+        CHECK(std::get<ReleaseRequest>(sent.message_).holder_ == HolderId {home.value_ + "-1"});
+    }
     SECTION("a home with an older bundle does not refuse for a daemon with a newer one")
     {
         const WaiterId first = admit(fleet, entry, 900, "r1");
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -237,6 +237,7 @@
     SECTION("only the keys of a lost daemon move")
     {
         std::vector<RegisteredMember> members;
+        members.reserve(20);
         for (int i = 0; i < 20; ++i)
             members.push_back(registered("m" + std::to_string(i)));
         noteMembers(membership, members, start);
@@ -260,6 +261,7 @@
         const int nearCount = *rc::gen::inRange(0, 80);
         const int farCount = *rc::gen::inRange(0, 200);
         std::vector<RegisteredMember> members;
+        members.reserve(static_cast<std::size_t>(nearCount + farCount));
         for (int i = 0; i < nearCount; ++i)
             members.push_back(registered("n" + std::to_string(i)));
         for (int i = 0; i < farCount; ++i)
