--- a/tests/unit-home.cpp
+++ b/tests/unit-home.cpp
@@ -284,6 +284,39 @@
         CHECK(reservedAnywhere(fleet) == Tokens {});
         CHECK(budgetRecord(fleet).charged_ == Tokens {30});
     }
+    SECTION("a bill that the entry daemon pays itself is not charged to the home as well")
+    {
+        fleet.rule_ = loseFirst<Reserved>(8);
+        const WaiterId waiter = admit(fleet, entry, 100, "r1");
+        run(fleet, Millis {250});
+        fleet.cuts_.insert({home, entry});
+        run(fleet, Seconds {5});
+        REQUIRE(dispatched(fleet, entry, waiter));
+        finish(fleet, entry, waiter, 30);
+        run(fleet, Seconds {5});
+        kill(fleet, entry);
+        run(fleet, Seconds {60});
+        CHECK(requestRecord(fleet, "r1").charged_ == Tokens {30});
+        CHECK(budgetRecord(fleet).charged_ == Tokens {30});
+        CHECK(reservedAnywhere(fleet) == Tokens {});
+    }
+    SECTION("a Reserve that arrives after its Settle reserves nothing")
+    {
+        const HolderId asked {home.value_ + "-1"};
+        Reserve late;
+        late.admission_ = AdmissionId {entry.value_ + "-1.000000000099"};
+        late.entry_ = HolderId {entry.value_ + "-1"};
+        late.home_ = asked;
+        late.account_ = account;
+        late.budget_ = budget;
+        late.worstCase_ = Tokens {100};
+        late.remaining_ = Seconds {10};
+        fleet.bus_.push_back(
+            Transit {entry, home, Settle {late.admission_, late.entry_, asked, Tokens {}}});
+        fleet.bus_.push_back(Transit {entry, home, late});
+        run(fleet, Millis {100});
+        CHECK_FALSE(hasLogged(fleet, "home.reserved"));
+    }
     SECTION("the home leaves by a planned stop: reservations are settled first")
     {
         const WaiterId waiter = admit(fleet, entry, 100, "r1");
