--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -106,9 +106,12 @@
                           {"admin", settings->adminAddress_}}});
 
     awaitStopSignal([&live, &log] { reloadSettings(live, log); });
-    const PlannedStop plan {settings->stopLimit_, [&callers] { stopAccepting(callers); },
+    const auto leave = [&callers, &peering] {
+        announceLeaving(peering);
+        stopAccepting(callers);
+    };
+    const PlannedStop plan {settings->stopLimit_, leave,
                             [&callers] { callers.server_->stopAll(false); }, events, log};
-    announceLeaving(peering);
     runPlannedStop(plan);
     stopWatchingBundles(bundles);
     stopAccepting(adminServer);
