--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -2,7 +2,9 @@
 # service and one daemon. Sourced by run-demo.sh and by the end-to-end tests.
 # Needs BIN (folder of the programs); sets WORK, CALLERS, ADMIN, STORE and TAMARACK_TOKEN.
 
-BASE_PORT=${BASE_PORT:-$((20000 + ($$ % 400) * 100))}
+# Below 32768, where the system starts to give ports to outgoing connections: a program could not
+# listen on a port that a connection of another test had.
+BASE_PORT=${BASE_PORT:-$((20000 + ($$ % 250) * 50))}
 STORE=127.0.0.1:$((BASE_PORT + 1))
 ENGINE=127.0.0.1:$((BASE_PORT + 2))
 SERVICE=127.0.0.1:$((BASE_PORT + 3))
--- a/src/adapters/json/settings.cpp
+++ b/src/adapters/json/settings.cpp
@@ -48,7 +48,7 @@
         value = readMillis(peers, field, Need::Optional, timeoutRange, value);
     };
     PeerOptions &options = settings.peers_;
-    settings.peerAddress_ = readString(peers, "address", Need::Optional);
+    settings.peerAddress_ = readAddress(peers, "address", Need::Optional);
     millis("heartbeatMs", options.membership_.heartbeatInterval_);
     readCount(peers, "zoneFanout", Range {1, 64}, options.membership_.zoneFanout_);
     readCount(peers, "farFanout", Range {1, 64}, options.membership_.farFanout_);
--- a/tests/unit-home.cpp
+++ b/tests/unit-home.cpp
@@ -1,9 +1,12 @@
 // Entry and home daemons under faults. Guards against overspend, a second bill, false refusals and
 // tokens that stay reserved when messages are lost, doubled or reordered or a daemon dies.
+#include "core/controlparts.h"
 #include "homefleet.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace tamarack {
 
 using namespace homefleet;
@@ -86,8 +89,10 @@
         fleet.rule_ = fault.rule_;
         fleet.reorder_ = fault.reorder_;
         const HostId entry = otherThan(fleet, homeHost(fleet, HostId {"h1"}));
+        constexpr std::size_t requests = 5;
         std::vector<WaiterId> waiters;
-        for (int i = 0; i < 5; ++i)
+        waiters.reserve(requests);
+        for (std::size_t i = 0; i < requests; ++i)
             waiters.push_back(admit(fleet, entry, 100, "r" + std::to_string(i)));
         run(fleet, Seconds {2});
         for (const WaiterId waiter : waiters) {
@@ -96,7 +101,7 @@
         }
         run(fleet, Seconds {100});
         const BudgetRecord record = budgetRecord(fleet);
-        CHECK(record.charged_ == Tokens {5 * 40});
+        CHECK(record.charged_ == Tokens {200});
         CHECK(reservedAnywhere(fleet) == Tokens {});
         for (const auto &[host, daemon] : fleet.daemons_) {
             CHECK(daemon.state_.active_.empty());
@@ -279,6 +284,39 @@
         CHECK(reservedAnywhere(fleet) == Tokens {});
         CHECK(budgetRecord(fleet).charged_ == Tokens {30});
     }
+    SECTION("a bill that the entry daemon pays itself is not charged to the home as well")
+    {
+        fleet.rule_ = loseFirst<Reserved>(8);
+        const WaiterId waiter = admit(fleet, entry, 100, "r1");
+        run(fleet, Millis {250});
+        fleet.cuts_.insert({home, entry});
+        run(fleet, Seconds {5});
+        REQUIRE(dispatched(fleet, entry, waiter));
+        finish(fleet, entry, waiter, 30);
+        run(fleet, Seconds {5});
+        kill(fleet, entry);
+        run(fleet, Seconds {60});
+        CHECK(requestRecord(fleet, "r1").charged_ == Tokens {30});
+        CHECK(budgetRecord(fleet).charged_ == Tokens {30});
+        CHECK(reservedAnywhere(fleet) == Tokens {});
+    }
+    SECTION("a Reserve that arrives after its Settle reserves nothing")
+    {
+        const HolderId asked {home.value_ + "-1"};
+        Reserve late;
+        late.admission_ = AdmissionId {entry.value_ + "-1.000000000099"};
+        late.entry_ = HolderId {entry.value_ + "-1"};
+        late.home_ = asked;
+        late.account_ = account;
+        late.budget_ = budget;
+        late.worstCase_ = Tokens {100};
+        late.remaining_ = Seconds {10};
+        fleet.bus_.push_back(
+            Transit {entry, home, Settle {late.admission_, late.entry_, asked, Tokens {}}});
+        fleet.bus_.push_back(Transit {entry, home, late});
+        run(fleet, Millis {100});
+        CHECK_FALSE(hasLogged(fleet, "home.reserved"));
+    }
     SECTION("the home leaves by a planned stop: reservations are settled first")
     {
         const WaiterId waiter = admit(fleet, entry, 100, "r1");
@@ -297,6 +335,33 @@
         CHECK(fleet.daemons_.at(home).stopped_);
         CHECK(budgetRecord(fleet).charged_ == Tokens {50});
     }
+    SECTION("a daemon that hears of a newer bundle asks for it")
+    {
+        ControlState &state = fleet.daemons_.at(entry).state_;
+        Heartbeat heartbeat;
+        heartbeat.holder_ = HolderId {home.value_ + "-1"};
+        heartbeat.zone_ = zone;
+        const auto asksForBundle = [&](std::uint64_t version) {
+            heartbeat.bundle_ = BundleVersion {version};
+            const Commands commands = handle(state, PeerReceived {home, heartbeat}, fleet.now_);
+            return std::any_of(commands.begin(), commands.end(), [](const Command &command) {
+                return std::holds_alternative<RefreshBundle>(command);
+            });
+        };
+        CHECK_FALSE(asksForBundle(1));
+        CHECK(asksForBundle(2));
+    }
+    SECTION("an ask to release tokens reaches its holder and no later run of its host")
+    {
+        ControlState &state = fleet.daemons_.at(entry).state_;
+        Commands out {AskRelease {HolderId {home.value_ + "-1"}, budget},
+                      AskRelease {HolderId {"unknown-1"}, budget}};
+        detail::routeReleases(state, out);
+        REQUIRE(out.size() == 1);
+        const auto &sent = std::get<SendPeer>(out.at(0));
+        CHECK(sent.host_ == home);
+        CHECK(std::get<ReleaseRequest>(sent.message_).holder_ == HolderId {home.value_ + "-1"});
+    }
     SECTION("a home with an older bundle does not refuse for a daemon with a newer one")
     {
         const WaiterId first = admit(fleet, entry, 900, "r1");
