--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -35,7 +35,8 @@
     curl -s -o /dev/null --retry 60 --retry-delay 1 --retry-all-errors "$@" "$url"
 }
 
-start_fleet() {
+# Starts everything but daemons and makes the operator's key; sets public.
+start_platform() {
     start store "$BIN/fake-store" --address "$STORE"
     # shellcheck disable=SC2086
     start engine "$BIN/fake-engine" --address "$ENGINE" ${ENGINE_OPTIONS:-}
@@ -43,6 +44,10 @@
     "$BIN/tamarackctl" keygen >"$WORK/keys"
     sed -n 's/^private //p' "$WORK/keys" >"$WORK/operator.key"
     public=$(sed -n 's/^public //p' "$WORK/keys")
+}
+
+start_fleet() {
+    start_platform
     cat >"$WORK/settings.json" <<JSON
 {
   "host": "entry-1",
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -42,11 +42,22 @@
     {
         onBundleConfirmed(state_, event, now_, out_);
     }
+    void operator()(const PeerReceived &event) const { onPeerMessage(state_, event, now_, out_); }
+    void operator()(const MembersSeen &event) const { onMembersSeen(state_, event, now_, out_); }
+    void operator()(const HostListSeen &event) const { onHostListSeen(state_, event, now_, out_); }
+    void operator()(const HolderDead &event) const
+    {
+        requestWriteOff(state_, event, now_);
+        onHolderDead(state_, event, now_, out_);
+    }
+    void operator()(const ReleaseAsked &event) const { onReleaseAsked(state_, event, now_, out_); }
     void operator()(const StopRequested &) const { onStop(state_, out_); }
     void operator()(const StopForced &event) const { onStopForced(state_, event, now_, out_); }
     void operator()(const Tick &) const { }
-    void operator()(const ReleaseAsked &event) const { onReleaseAsked(state_, event, now_, out_); }
-    void operator()(const HolderDead &event) const { onHolderDead(state_, event, now_); }
+    void operator()(const FirstTokenSeen &event) const { onFirstToken(state_, event, now_); }
+    void operator()(const LoadReported &event) const { onLoad(state_, event, now_); }
+    void operator()(const UpstreamHealthSeen &event) const { onHealth(state_, event, now_, out_); }
+    void operator()(const CacheEventsSeen &event) const { onCacheEvents(state_, event, now_); }
 };
 
 template <typename Shards>
@@ -61,6 +72,11 @@
 
 } // namespace
 
+void deliver(ControlState &state, const Event &event, Now now, Commands &out)
+{
+    std::visit(Handler {state, now, out}, event);
+}
+
 } // namespace detail
 
 Commands handle(ControlState &state, const Event &event, Now now)
@@ -68,13 +84,18 @@
     Commands out;
     // A daemon that wakes up late refuses what has expired before it looks at anything else.
     detail::expireRequests(state, now, out);
-    std::visit(detail::Handler {state, now, out}, event);
+    detail::deliver(state, event, now, out);
     detail::checkUnconfirmed(state, now, out);
     detail::expireRequests(state, now, out);
+    detail::driveMembership(state, now, out);
+    detail::driveEntry(state, now, out);
+    detail::driveHome(state, now, out);
+    detail::serveWaiting(state, now, out);
     detail::serveFreed(state, now, out);
     detail::releaseIdleGrants(state, now);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
+    detail::routeReleases(state, out);
     return out;
 }
 
@@ -87,11 +108,16 @@
     if (idle && (!earliest || *idle < *earliest))
         earliest = idle;
     for (const auto &[id, request] : state.active_) {
-        const bool waits = request.stage_ == RequestStage::AwaitingTokens
-            || request.stage_ == RequestStage::AwaitingIntent;
+        const bool waits = waitsForDecision(request.stage_);
         if (waits && (!earliest || request.ask_.deadline_ < *earliest))
             earliest = request.ask_.deadline_;
     }
+    for (const std::optional<MonoTime> &wake :
+         {detail::nextMembershipWake(state), detail::nextHomeWake(state),
+          nextAdmissionWake(state.admission_)}) {
+        if (wake && (!earliest || *wake < *earliest))
+            earliest = wake;
+    }
     return earliest;
 }
 
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -2,9 +2,12 @@
 // events and the current time go in, commands come out.
 #pragma once
 
+#include "core/admission.h"
 #include "core/command.h"
 #include "core/event.h"
 #include "core/grants.h"
+#include "core/home.h"
+#include "core/membership.h"
 #include "core/routing.h"
 #include "core/shardcommit.h"
 
@@ -36,24 +39,41 @@
     Millis idleRelease_ {Seconds {120}};
     /// Exchanges with upstreams for one request, the first included.
     std::uint32_t maxAttempts_ = 3;
+    /// Silence limit of an upstream whose speed is not known yet.
     Millis silenceLimit_ {5000};
+    RoutingSettings routing_;
+    AdmissionSettings admission_;
 };
 
 /// @brief How far a request has come inside this daemon.
 enum class RequestStage {
+    /// Waits for the home daemon's answer.
+    AwaitingHome,
     /// Waits for tokens of its budget.
     AwaitingTokens,
     /// Waits for its intent record to be committed.
     AwaitingIntent,
+    /// Waits in the daemon until an upstream has room.
+    AwaitingSlot,
     /// An exchange with an upstream is permitted.
     Running,
     /// The caller is answered; the bill is not committed yet.
     Billing,
+    /// At the home daemon: the tokens are reserved for an entry daemon.
+    HeldForPeer,
 };
 
+/// @brief Returns true if the request has no permission to be sent yet.
+constexpr bool waitsForDecision(RequestStage stage)
+{
+    return stage == RequestStage::AwaitingHome || stage == RequestStage::AwaitingTokens
+        || stage == RequestStage::AwaitingIntent;
+}
+
 /// @brief One admitted request.
 ///
-/// Invariant: reserved_ is part of HeldGrant::reserved_ of grant_ from stage AwaitingIntent on.
+/// Invariant: reserved_ is part of HeldGrant::reserved_ of grant_ from stage AwaitingIntent on,
+/// unless a home daemon holds it (home_ is set).
 struct ActiveRequest
 {
     AdmitRequested ask_;
@@ -73,6 +93,13 @@
     UpstreamId upstream_;
     bool attemptOpen_ = false;
     MonoTime admittedAt_ {};
+    /// The home daemon that reserved the tokens; empty if this daemon did.
+    HolderId home_;
+    /// Set if this daemon is the home and another daemon serves the caller.
+    std::optional<PeerAsk> peer_;
+    MonoTime dispatchedAt_ {};
+    /// Counted in AccountAdmission::inFlight_.
+    bool counted_ = false;
 };
 
 using LedgerCommit = ShardCommit<LedgerShard, LedgerOp>;
@@ -117,6 +144,9 @@
     MonoTime bundleConfirmedAt_ {};
     /// The bundle's unconfirmedLimit has passed since then.
     bool unconfirmed_ = false;
+    Membership membership_;
+    HomeState home_;
+    AdmissionState admission_;
     bool stopping_ = false;
     bool stopCompleted_ = false;
     std::uint64_t lastId_ = 0;
--- a/src/core/controlrequests.cpp
+++ b/src/core/controlrequests.cpp
@@ -11,23 +11,17 @@
 
 void reply(const ActiveRequest &request, Decision decision, Commands &out)
 {
-    out.emplace_back(ReplyTo {request.waiter_, std::move(decision)});
-}
-
-void removeRequest(ControlState &state, const AdmissionId &admission)
-{
-    const auto it = state.active_.find(admission);
-    const auto byRequest = state.byRequest_.find(it->second.ask_.request_);
-    if (byRequest != state.byRequest_.end() && byRequest->second == admission)
-        state.byRequest_.erase(byRequest);
-    state.active_.erase(it);
+    if (!request.peer_)
+        out.emplace_back(ReplyTo {request.waiter_, std::move(decision)});
 }
 
 /// Withdraws the intent of a request that will never be sent.
 void withdrawIntent(ControlState &state, const AdmissionId &admission, Now now)
 {
     const ActiveRequest &request = state.active_.at(admission);
-    if (request.ask_.idempotent_ || request.stage_ == RequestStage::AwaitingTokens)
+    const bool hasIntent = request.stage_ != RequestStage::AwaitingHome
+        && request.stage_ != RequestStage::AwaitingTokens;
+    if (request.ask_.idempotent_ || !hasIntent)
         return;
     submitOp(requestShard(state, request.ask_.request_),
              RequestOp {WithdrawIntentOp {request.ask_.request_, admission, now.wall_}}, now.mono_);
@@ -37,8 +31,10 @@
 void dropUnbilled(ControlState &state, const AdmissionId &admission, Now now)
 {
     const ActiveRequest &request = state.active_.at(admission);
+    leaveAccount(state, admission, now);
     withdrawIntent(state, admission, now);
-    if (request.reserved_ > Tokens {})
+    endAtHome(state, admission, Tokens {}, now);
+    if (request.reserved_ > Tokens {} && request.home_.isEmpty())
         settleReservation(state, request.ask_.budget_, request.grant_, request.reserved_, Tokens {},
                           now);
     removeRequest(state, admission);
@@ -67,13 +63,16 @@
         dropUnbilled(state, admission, now);
         return;
     }
-    settleReservation(state, request.ask_.budget_, request.grant_,
-                      request.reserved_ - request.used_, Tokens {}, now);
+    leaveAccount(state, admission, now);
+    if (request.home_.isEmpty())
+        settleReservation(state, request.ask_.budget_, request.grant_,
+                          request.reserved_ - request.used_, Tokens {}, now);
     request.reserved_ = request.used_;
     request.stage_ = RequestStage::Billing;
     BillOp bill;
     bill.request_ = request.ask_.request_;
-    bill.holder_ = state.settings_.holder_;
+    // The holder whose grant pays; it alone charges the bill.
+    bill.holder_ = request.home_.isEmpty() ? state.settings_.holder_ : request.home_;
     bill.admission_ = admission;
     bill.account_ = request.ask_.account_;
     bill.budget_ = request.ask_.budget_;
@@ -84,75 +83,21 @@
              now.mono_ + state.settings_.flushInterval_);
 }
 
-void closeAttempt(ControlState &state, ActiveRequest &request, AttemptResult result, Now now)
+void closeAttempt(ControlState &state, ActiveRequest &request, const AttemptEnded &event, Now now)
 {
     if (!request.attemptOpen_)
         return;
     request.attemptOpen_ = false;
-    noteAttemptEnded(state.routing_, request.upstream_, result, now.mono_);
-}
-
-Refusal noUpstream(const ActiveRequest &request)
-{
-    const bool engine = request.ask_.kind_ == UpstreamKind::ModelEngine;
-    const std::string &name = engine ? request.ask_.model_.value_ : request.ask_.service_.value_;
-    return Refusal {RefusalReason::NoUpstream, Execution::NotRun,
-                    fmt::format("no live upstream serves {} {}; retry later or ask the operators",
-                                engine ? "model" : "service", name),
-                    Millis {1000}};
+    noteAttemptClosed(state, request, event, now);
 }
 
-Refusal attemptsFailed(const ActiveRequest &request)
-{
-    if (!request.sent_)
-        return Refusal {RefusalReason::UpstreamFailed, Execution::NotRun,
-                        "no upstream could be reached; retry later", Millis {1000}};
-    return Refusal {RefusalReason::UpstreamFailed, Execution::Unknown,
-                    request.ask_.idempotent_
-                        ? "all permitted attempts failed; retry with the same idempotency key"
-                        : "the upstream did not confirm the call; check its effect before a retry",
-                    std::nullopt};
-}
-
-/// Permits the next exchange with an upstream, or refuses the request.
-void dispatch(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
-{
-    ActiveRequest &request = state.active_.at(admission);
-    const RouteQuery query {request.ask_.kind_, request.ask_.model_, request.ask_.service_,
-                            state.settings_.zone_, request.tried_};
-    const std::optional<UpstreamId> chosen
-        = chooseUpstream(state.routing_, *state.bundle_, query, now.mono_);
-    if (!chosen) {
-        refuse(state, admission, request.sent_ ? attemptsFailed(request) : noUpstream(request), now,
-               out);
-        return;
-    }
-    request.stage_ = RequestStage::Running;
-    request.upstream_ = *chosen;
-    request.attempt_ = AttemptId {fmt::format("{}.{}", admission.value_, request.tried_.size())};
-    request.attemptOpen_ = true;
-    request.tried_.push_back(*chosen);
-    noteDispatch(state.routing_, *chosen);
-    log(out, LogLevel::Info, "request.dispatch",
-        {{"request", request.ask_.request_.value_},
-         {"attempt", request.attempt_.value_},
-         {"upstream", chosen->value_},
-         {"account", request.ask_.account_.value_},
-         {"reserved", std::to_string(request.reserved_.count_)}});
-    reply(request,
-          Dispatch {admission, request.attempt_, *chosen,
-                    state.bundle_->upstreams_.at(*chosen).address_, state.settings_.silenceLimit_},
-          out);
-}
-
-bool mayRetry(const ControlState &state, const ActiveRequest &request, AttemptResult result,
-              Now now)
+bool mayRetry(ControlState &state, const ActiveRequest &request, AttemptResult result, Now now)
 {
     // A non-idempotent request is never sent again once a byte has left.
     if (!request.ask_.idempotent_ && result != AttemptResult::NotSent)
         return false;
     return request.tried_.size() < state.settings_.maxAttempts_
-        && now.mono_ < request.ask_.deadline_;
+        && now.mono_ < request.ask_.deadline_ && retryPermitted(state, request, result, now);
 }
 
 /// Refuses a non-idempotent request that another admission of the same request id precedes.
@@ -175,6 +120,19 @@
            now, out);
 }
 
+} // namespace
+
+void removeRequest(ControlState &state, const AdmissionId &admission)
+{
+    const auto it = state.active_.find(admission);
+    if (it->second.peer_)
+        state.home_.reservations_.erase(it->second.peer_->admission_);
+    const auto byRequest = state.byRequest_.find(it->second.ask_.request_);
+    if (byRequest != state.byRequest_.end() && byRequest->second == admission)
+        state.byRequest_.erase(byRequest);
+    state.active_.erase(it);
+}
+
 std::optional<Refusal> admissionFault(const ControlState &state, const AdmitRequested &ask)
 {
     if (state.stopping_)
@@ -201,7 +159,50 @@
     return std::nullopt;
 }
 
-} // namespace
+Refusal attemptsFailed(const ActiveRequest &request)
+{
+    if (!request.sent_)
+        return Refusal {RefusalReason::UpstreamFailed, Execution::NotRun,
+                        "no upstream could be reached; retry later", Millis {1000}};
+    return Refusal {RefusalReason::UpstreamFailed, Execution::Unknown,
+                    request.ask_.idempotent_
+                        ? "all permitted attempts failed; retry with the same idempotency key"
+                        : "the upstream did not confirm the call; check its effect before a retry",
+                    std::nullopt};
+}
+
+void dispatch(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
+{
+    ActiveRequest &request = state.active_.at(admission);
+    RouteStep step = routeOrWait(state, admission, now);
+    if (step.outcome_ == RouteOutcome::AllFull)
+        return;
+    if (step.outcome_ == RouteOutcome::NoUpstream) {
+        refuse(state, admission, request.sent_ ? attemptsFailed(request) : std::move(step.refusal_),
+               now, out);
+        return;
+    }
+    const UpstreamId &chosen = step.choice_.upstream_;
+    request.stage_ = RequestStage::Running;
+    request.upstream_ = chosen;
+    request.attempt_ = AttemptId {fmt::format("{}.{}", admission.value_, request.tried_.size())};
+    request.attemptOpen_ = true;
+    request.tried_.push_back(chosen);
+    const Millis silence = noteDispatched(state, request, step.choice_, now);
+    std::vector<LogField> fields {{"request", request.ask_.request_.value_},
+                                  {"attempt", request.attempt_.value_},
+                                  {"upstream", chosen.value_},
+                                  {"account", request.ask_.account_.value_},
+                                  {"reserved", std::to_string(request.reserved_.count_)},
+                                  {"silence_limit_ms", std::to_string(silence.count())}};
+    for (LogField &field : routeFields(step.choice_))
+        fields.push_back(std::move(field));
+    log(out, LogLevel::Info, "request.dispatch", std::move(fields));
+    reply(request,
+          Dispatch {admission, request.attempt_, chosen,
+                    state.bundle_->upstreams_.at(chosen).address_, silence},
+          out);
+}
 
 void refuse(ControlState &state, const AdmissionId &admission, Refusal refusal, Now now,
             Commands &out)
@@ -213,6 +214,8 @@
          {"budget", request.ask_.budget_.value_},
          {"reason", std::string(refusalCode(refusal.reason_))},
          {"execution", std::string(executionCode(refusal.execution_))}});
+    if (request.peer_)
+        refuseToPeer(state, *request.peer_, refusal, out);
     reply(request, std::move(refusal), out);
     if (request.sent_)
         startBilling(state, admission, request.used_, Completeness::None, now, out);
@@ -222,7 +225,10 @@
 
 void onAdmit(ControlState &state, const AdmitRequested &ask, Now now, Commands &out)
 {
-    if (std::optional<Refusal> fault = admissionFault(state, ask)) {
+    std::optional<Refusal> fault = admissionFault(state, ask);
+    if (!fault)
+        fault = limitFault(state, ask, now);
+    if (fault) {
         log(out, LogLevel::Info, "request.refuse",
             {{"request", ask.request_.value_},
              {"account", ask.account_.value_},
@@ -238,14 +244,20 @@
     request.ask_ = ask;
     request.waiter_ = ask.waiter_;
     request.admittedAt_ = now.mono_;
+    enterAccount(state, request, now);
     state.active_.emplace(admission, std::move(request));
     state.byRequest_.try_emplace(ask.request_, admission);
-    serveBudget(state, ask.budget_, false, now, out);
+    placeRequest(state, admission, now, out);
 }
 
 void onReserved(ControlState &state, const AdmissionId &admission, Now now, Commands &out)
 {
     ActiveRequest &request = state.active_.at(admission);
+    if (request.peer_) {
+        request.stage_ = RequestStage::HeldForPeer;
+        confirmToPeer(state, admission, now, out);
+        return;
+    }
     if (request.ask_.idempotent_) {
         dispatch(state, admission, now, out);
         return;
@@ -274,7 +286,7 @@
     if (it == state.active_.end() || it->second.attempt_ != event.attempt_)
         return;
     ActiveRequest &request = it->second;
-    closeAttempt(state, request, event.result_, now);
+    closeAttempt(state, request, event, now);
     request.sent_ |= event.result_ != AttemptResult::NotSent;
     request.used_ = std::max(request.used_, event.used_);
     log(out, LogLevel::Info, "request.attempt_ended",
@@ -296,7 +308,7 @@
     const auto it = state.active_.find(event.admission_);
     if (it == state.active_.end() || it->second.stage_ != RequestStage::Running)
         return;
-    closeAttempt(state, it->second, AttemptResult::Whole, now);
+    closeAttempt(state, it->second, AttemptEnded {}, now);
     log(out, LogLevel::Info, "request.finished",
         {{"request", it->second.ask_.request_.value_},
          {"account", it->second.ask_.account_.value_},
@@ -309,16 +321,21 @@
 
 void onBillCommitted(ControlState &state, const BillOp &op, Now now, Commands &out)
 {
+    if (onEstimateCommitted(state, op, now, out))
+        return;
     const auto it = state.active_.find(op.admission_);
     if (it == state.active_.end())
         return;
-    const bool own = ownsBill(requestShard(state, op.request_).copy_, op.request_, op.admission_);
+    const RequestShard &shard = requestShard(state, op.request_).copy_;
+    const bool own = ownsBill(shard, op.request_, op.admission_);
+    const Tokens charged = chargeOf(shard, op, op.holder_);
     log(out, LogLevel::Info, own ? "request.billed" : "request.bill_dropped",
         {{"request", op.request_.value_},
          {"budget", op.budget_.value_},
-         {"charged", std::to_string(op.charged_.count_)}});
-    settleReservation(state, op.budget_, it->second.grant_, it->second.reserved_,
-                      own ? op.charged_ : Tokens {}, now);
+         {"charged", std::to_string(charged.count_)}});
+    endAtHome(state, op.admission_, charged, now);
+    if (it->second.home_.isEmpty())
+        settleReservation(state, op.budget_, it->second.grant_, it->second.reserved_, charged, now);
     removeRequest(state, op.admission_);
 }
 
@@ -330,7 +347,9 @@
     if (it == state.active_.end() || it->second.stage_ == RequestStage::Billing)
         return;
     const AdmissionId admission = it->first;
-    closeAttempt(state, it->second, AttemptResult::Cancelled, now);
+    AttemptEnded cancelled;
+    cancelled.result_ = AttemptResult::Cancelled;
+    closeAttempt(state, it->second, cancelled, now);
     log(out, LogLevel::Warning, "request.abandoned",
         {{"request", it->second.ask_.request_.value_}});
     if (it->second.sent_)
@@ -356,8 +375,7 @@
 {
     std::vector<AdmissionId> expired;
     for (const auto &[id, request] : state.active_) {
-        const bool waits = request.stage_ == RequestStage::AwaitingTokens
-            || request.stage_ == RequestStage::AwaitingIntent;
+        const bool waits = waitsForDecision(request.stage_);
         if (waits && request.ask_.deadline_ <= now.mono_)
             expired.push_back(id);
     }
@@ -371,7 +389,8 @@
                             "not sent, retry later",
                             Millis {1000}},
                    now, out);
-        else if (heldElsewhere(state, request, now))
+        else if (request.stage_ == RequestStage::AwaitingTokens
+                 && heldElsewhere(state, request, now))
             refuse(
                 state, id,
                 Refusal {RefusalReason::BudgetHeldElsewhere, Execution::NotRun,
@@ -381,14 +400,14 @@
                          Millis {1000}},
                 now, out);
         else
-            refuse(
-                state, id,
-                Refusal {RefusalReason::BudgetUnconfirmed, Execution::NotRun,
-                         fmt::format("the store could not confirm tokens of budget {} before the "
-                                     "deadline; retry later",
-                                     budget),
-                         Millis {1000}},
-                now, out);
+            refuse(state, id,
+                   Refusal {RefusalReason::BudgetUnconfirmed, Execution::NotRun,
+                            fmt::format(
+                                "tokens of budget {} could not be confirmed before the deadline; "
+                                "retry later",
+                                budget),
+                            Millis {1000}},
+                   now, out);
     }
 }
 
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -3,16 +3,20 @@
 
 #include "core/bundle.h"
 #include "core/ids.h"
+#include "core/membership.h"
+#include "core/peermessage.h"
 #include "core/requestrecords.h"
 #include "core/routing.h"
 #include "core/store.h"
 #include "core/time.h"
 #include "core/tokens.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace tamarack {
 
@@ -36,6 +40,16 @@
     bool keyed_ = false;
     /// The caller is answered by then, one way or the other.
     MonoTime deadline_;
+    /// Part of worstCase_ that is the prompt: its bytes, an upper bound of its tokens.
+    Tokens promptBound_ {};
+    /// Hashes of the prompt from its start to the end of each block, for the prefix cache.
+    std::vector<std::uint64_t> promptBlocks_ {};
+    AdapterId adapter_ {};
+    ModelVersionId version_ {};
+    /// The answer is a stream, so its first byte is its first token.
+    bool stream_ = false;
+    /// The traffic thread posts FirstTokenSeen.
+    bool reportsFirstToken_ = false;
 };
 
 /// @brief The traffic thread stopped waiting and has sent nothing to an upstream.
@@ -56,6 +70,37 @@
     Tokens used_;
     /// Set if the traffic thread waits for another attempt or a refusal.
     std::optional<WaiterId> retryWaiter_;
+    /// Tokens of this attempt's answer.
+    std::uint32_t outputTokens_ = 0;
+    /// The upstream refused the request because it is leaving.
+    bool upstreamLeaving_ = false;
+};
+
+/// @brief The first token of an answer has arrived.
+struct FirstTokenSeen
+{
+    AdmissionId admission_;
+    AttemptId attempt_;
+    Micros after_ {};
+};
+
+/// @brief An engine answered GET /load.
+struct LoadReported
+{
+    LoadReport report_;
+};
+
+/// @brief An upstream answered GET /health, or did not answer.
+struct UpstreamHealthSeen
+{
+    UpstreamId upstream_;
+    UpstreamHealth health_ = UpstreamHealth::Live;
+};
+
+/// @brief An engine answered GET /cache-events.
+struct CacheEventsSeen
+{
+    CacheEventBatch batch_;
 };
 
 /// @brief The caller has been answered; the request's real cost is known.
@@ -84,18 +129,38 @@
     BundleVersion version_;
 };
 
-/// @brief Another holder waits for tokens of a budget that this daemon holds.
-struct ReleaseAsked
+/// @brief A message from another daemon arrived.
+struct PeerReceived
 {
-    BudgetId budget_;
+    /// Host that the message names as its sender.
+    HostId from_;
+    PeerMessage message_;
 };
 
-/// @brief A holder is believed dead. It may only be paused, so its armed tokens stay set aside.
+/// @brief All registrations were read from the store.
+struct MembersSeen
+{
+    std::vector<RegisteredMember> members_;
+};
+
+/// @brief The platform's list of hosts was read.
+struct HostListSeen
+{
+    std::vector<ListedHost> hosts_;
+};
+
+/// @brief A holder is dead by the membership's verdict.
 struct HolderDead
 {
     HolderId holder_;
 };
 
+/// @brief Another daemon needs tokens of a budget that this daemon may hold unspent.
+struct ReleaseAsked
+{
+    BudgetId budget_;
+};
+
 /// @brief An operator or the platform asks the daemon to stop.
 struct StopRequested
 { };
@@ -112,7 +177,8 @@
 { };
 
 using Event = std::variant<AdmitRequested, AdmitAbandoned, AttemptEnded, RequestFinished,
-                           StoreReplied, BundleSeen, BundleConfirmed, StopRequested, StopForced,
-                           Tick, ReleaseAsked, HolderDead>;
+                           StoreReplied, BundleSeen, BundleConfirmed, PeerReceived, MembersSeen,
+                           HostListSeen, HolderDead, ReleaseAsked, StopRequested, StopForced, Tick,
+                           FirstTokenSeen, LoadReported, UpstreamHealthSeen, CacheEventsSeen>;
 
 } // namespace tamarack
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "ports/exchange.h"
+#include "ports/hostlist.h"
+#include "ports/peers.h"
 #include "ports/store.h"
 
 #include "core/core.h"
