--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -47,9 +47,10 @@
     void operator()(const HostListSeen &event) const { onHostListSeen(state_, event, now_, out_); }
     void operator()(const HolderDead &event) const
     {
-        noteDeadHolder(state_, event, now_);
-        billDeadEntry(state_, event, now_, out_);
+        requestWriteOff(state_, event, now_);
+        onHolderDead(state_, event, now_, out_);
     }
+    void operator()(const ReleaseAsked &event) const { onReleaseAsked(state_, event, now_, out_); }
     void operator()(const StopRequested &) const { onStop(state_, out_); }
     void operator()(const StopForced &event) const { onStopForced(state_, event, now_, out_); }
     void operator()(const Tick &) const { }
@@ -57,7 +58,6 @@
     void operator()(const LoadReported &event) const { onLoad(state_, event, now_); }
     void operator()(const UpstreamHealthSeen &event) const { onHealth(state_, event, now_, out_); }
     void operator()(const CacheEventsSeen &event) const { onCacheEvents(state_, event, now_); }
-    void operator()(const ReleaseAsked &event) const { onReleaseAsked(state_, event, now_, out_); }
 };
 
 template <typename Shards>
@@ -92,6 +92,7 @@
     detail::driveHome(state, now, out);
     detail::serveFreed(state, now, out);
     detail::serveWaiting(state, now, out);
+    detail::serveFreed(state, now, out);
     detail::releaseIdleGrants(state, now);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -72,8 +72,8 @@
 
 /// @brief One admitted request.
 ///
-/// Invariant: reserved_ is part of HeldGrant::reserved_ of grant_ from stage AwaitingIntent on, unless
-/// a home daemon holds it (home_ is set).
+/// Invariant: reserved_ is part of HeldGrant::reserved_ of grant_ from stage AwaitingIntent on,
+/// unless a home daemon holds it (home_ is set).
 struct ActiveRequest
 {
     AdmitRequested ask_;
--- a/src/core/controlparts.h
+++ b/src/core/controlparts.h
@@ -126,8 +126,8 @@
 void retireWrittenOff(ControlState &state, ShardNumber shard, Now now);
 /// @brief Writes off the grants of holders that were reported dead.
 void writeOffDeadHolders(ControlState &state, ShardNumber shard, Now now, Commands &out);
-/// @brief Remembers a dead holder, so that its grants are written off where this daemon draws.
-void noteDeadHolder(ControlState &state, const HolderDead &event, Now now);
+/// @brief Has the grants of a dead holder written off after the next look at each loaded shard.
+void requestWriteOff(ControlState &state, const HolderDead &event, Now now);
 void onReleaseAsked(ControlState &state, const ReleaseAsked &event, Now now, Commands &out);
 /// @brief Hands back grants that were not used for a while.
 void releaseIdleGrants(ControlState &state, Now now);
--- a/src/core/controlrequests.cpp
+++ b/src/core/controlrequests.cpp
@@ -56,7 +56,6 @@
                   Completeness completeness, Now now, Commands &out)
 {
     ActiveRequest &request = state.active_.at(admission);
-    leaveAccount(state, admission, now);
     request.used_ = boundedCost(request, used, out);
     // A bill of nothing for nothing would make the caller's retry free of charge.
     const bool nothing = completeness == Completeness::None && request.used_ == Tokens {};
@@ -64,6 +63,7 @@
         dropUnbilled(state, admission, now);
         return;
     }
+    leaveAccount(state, admission, now);
     if (request.home_.isEmpty())
         settleReservation(state, request.ask_.budget_, request.grant_,
                           request.reserved_ - request.used_, Tokens {}, now);
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -149,8 +149,7 @@
     std::vector<ListedHost> hosts_;
 };
 
-/// @brief A holder is dead by the membership's verdict. It may only be paused, so its armed tokens
-/// stay set aside.
+/// @brief A holder is dead by the membership's verdict.
 struct HolderDead
 {
     HolderId holder_;
--- a/src/daemon/controlloop.cpp
+++ b/src/daemon/controlloop.cpp
@@ -23,8 +23,6 @@
         if (loop_.peers_.send_)
             loop_.peers_.send_(std::move(command));
     }
-    // handle() turns it into SendPeer.
-    void operator()(const AskRelease &) const { }
     void operator()(const RefreshBundle &command) const
     {
         if (loop_.refreshBundle_)
@@ -41,6 +39,8 @@
     }
     void operator()(const WriteLog &command) const { loop_.log_.write_(command.event_); }
     void operator()(const StopCompleted &) const { running_ = false; }
+    // handle() turns it into SendPeer.
+    void operator()(const AskRelease &) const { }
 };
 
 Now currentTime()
