--- a/tests/servescene.h
+++ b/tests/servescene.h
@@ -141,7 +141,7 @@
 }
 
 /// Streams events numbered from the request's offset up to @a end.
-inline Exchange streamUpTo(std::uint64_t end, ExchangeResult result)
+inline Exchange streamUpTo(std::uint64_t end, const ExchangeResult &result)
 {
     return [end, result](const ExchangeRequest &request, const EventSink &sink) {
         for (std::uint64_t i = request.resumeOffset_; i < end; ++i) {
@@ -152,7 +152,7 @@
     };
 }
 
-inline Exchange ends(ExchangeResult result)
+inline Exchange ends(const ExchangeResult &result)
 {
     return [result](const ExchangeRequest &, const EventSink &) {
         return result;
