Tell routing of first tokens, output and leaving upstreams

The routing events FirstTokenSeen, outputTokens_ and upstreamLeaving_ were never filled by the traffic threads.

--- a/src/traffic/attempts.cpp
+++ b/src/traffic/attempts.cpp
@@ -60,9 +60,20 @@
     return exchange;
 }
 
-bool takeEvent(Service &service, const StreamEvent &event)
+/// One exchange whose events arrive.
+struct EventSource
+{
+    const Dispatch &dispatch_;
+    MonoTime sentAt_;
+};
+
+bool takeEvent(Service &service, const EventSource &source, const StreamEvent &event)
 {
     ++service.received_;
+    if (!event.usageOnly_ && ++service.attemptEvents_ == 1)
+        service.context_.events_.post_(FirstTokenSeen {
+            source.dispatch_.admission_, source.dispatch_.attempt_,
+            std::chrono::ceil<Micros>(std::chrono::steady_clock::now() - source.sentAt_)});
     if (event.usageOnly_ && !service.request_.wantsUsage_)
         return true;
     if (!service.response_.sendEvent_(event.data_)) {
@@ -80,10 +91,13 @@
         result.detail_ = "the caller's deadline passed before the request was sent";
         return result;
     }
+    const EventSource source {dispatch, std::chrono::steady_clock::now()};
     try {
-        result = service.context_.upstreams_.exchange_(
-            exchangeRequest(service, dispatch, resumes),
-            [&service](const StreamEvent &event) { return takeEvent(service, event); });
+        result
+            = service.context_.upstreams_.exchange_(exchangeRequest(service, dispatch, resumes),
+                                                    [&service, &source](const StreamEvent &event) {
+                                                        return takeEvent(service, source, event);
+                                                    });
     } catch (const std::exception &error) {
         // Whether a byte was sent is not known, so the request counts as sent.
         result.result_ = AttemptResult::Failed;
@@ -139,6 +153,7 @@
 
 ExchangeResult runAttempt(Service &service, const Dispatch &dispatch)
 {
+    service.attemptEvents_ = 0;
     for (std::uint32_t resumes = 0;; ++resumes) {
         const std::uint64_t before = service.received_;
         ExchangeResult result = exchangeOnce(service, dispatch, resumes);
--- a/src/traffic/attempts.h
+++ b/src/traffic/attempts.h
@@ -24,6 +24,8 @@
     /// Events of the stream that the caller has received.
     std::uint64_t delivered_ = 0;
     bool callerGone_ = false;
+    /// Events with output that the current or last attempt received.
+    std::uint64_t attemptEvents_ = 0;
 };
 
 /// @brief Makes the exchanges of one dispatch: a stream that is cut is resumed at the same engine.
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -37,8 +37,11 @@
 AttemptEnded attemptEnded(const Service &service, const Dispatch &dispatch,
                           const ExchangeResult &result)
 {
-    return AttemptEnded {dispatch.admission_, dispatch.attempt_,       result.result_,
-                         result.firstByte_,   costOf(service, result), std::nullopt};
+    AttemptEnded ended {dispatch.admission_, dispatch.attempt_,       result.result_,
+                        result.firstByte_,   costOf(service, result), std::nullopt};
+    ended.outputTokens_ = static_cast<std::uint32_t>(service.attemptEvents_);
+    ended.upstreamLeaving_ = result.probe_ == ProbeResult::Leaving;
+    return ended;
 }
 
 /// Sends the answer, then reports the request's end with what the caller received.
@@ -215,6 +218,9 @@
     ask.idempotent_ = service.idempotent_;
     ask.keyed_ = !request.idempotencyKey_.empty();
     ask.deadline_ = service.deadline_;
+    ask.promptBound_ = request.promptBound_;
+    ask.stream_ = request.stream_;
+    ask.reportsFirstToken_ = request.stream_;
     exchangeUntilDone(service, decide(service, [&ask](WaiterId waiter) {
                           ask.waiter_ = waiter;
                           return ask;
--- a/tests/unit-serve.cpp
+++ b/tests/unit-serve.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <stdexcept>
 
@@ -48,6 +49,36 @@
     CHECK(finished(*scene).front().completeness_ == Completeness::Whole);
 }
 
+TEST_CASE("routing is told of the first token once and of what was generated")
+{
+    const auto scene = makeScene();
+    scene->decisions_ = {dispatchTo("one", "a1")};
+    scene->exchanges_ = {streamUpTo(3, resultOf(AttemptResult::Cut)), streamUpTo(6, wholeWith(26))};
+    run(*scene);
+    CHECK(std::count_if(
+              scene->events_.begin(), scene->events_.end(),
+              [](const Event &event) { return std::holds_alternative<FirstTokenSeen>(event); })
+          == 1);
+    const auto *ask = std::get_if<AdmitRequested>(&scene->events_.front());
+    REQUIRE(ask);
+    CHECK(ask->promptBound_ == Tokens {20});
+    CHECK(ask->reportsFirstToken_);
+    const auto *ended = std::get_if<AttemptEnded>(&scene->events_.at(2));
+    REQUIRE(ended);
+    CHECK(ended->outputTokens_ == 6);
+}
+
+TEST_CASE("an upstream that refuses because it is leaving is reported as leaving")
+{
+    const auto scene = makeScene();
+    scene->decisions_ = {dispatchTo("one", "a1"), failed()};
+    scene->exchanges_ = {ends(resultOf(AttemptResult::Rejected, ProbeResult::Leaving))};
+    run(*scene);
+    const auto *ended = std::get_if<AttemptEnded>(&scene->events_.at(1));
+    REQUIRE(ended);
+    CHECK(ended->upstreamLeaving_);
+}
+
 TEST_CASE("a stream that nobody resumes is marked as cut")
 {
     const auto scene = makeScene();
