--- a/src/adapters/http/upstreamclient.cpp
+++ b/src/adapters/http/upstreamclient.cpp
@@ -4,6 +4,7 @@
 #include "adapters/http/answer.h"
 #include "adapters/http/connectionpool.h"
 #include "adapters/http/eventstream.h"
+#include "adapters/http/shortrequest.h"
 #include "adapters/json/json.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -12,7 +13,6 @@
 
 #include <array>
 #include <memory>
-#include <sstream>
 
 namespace tamarack {
 
@@ -22,8 +22,6 @@
 using Poco::Net::HTTPResponse;
 
 constexpr std::string_view streamTerminator = "[DONE]";
-constexpr Millis probeLimit {1000};
-constexpr std::size_t maxProbeBytes = 64U << 10U;
 /// Fields of an answer that callers of plain services need to use its body.
 constexpr std::array forwardedFields
     = {"Cache-Control", "Content-Disposition", "Content-Encoding", "Content-Language",
@@ -35,15 +33,6 @@
     ConnectionPool pool_;
 };
 
-std::string requestText(HTTPRequest &request, const std::string &address, const std::string &body)
-{
-    request.setHost(address);
-    request.setContentLength64(static_cast<std::int64_t>(body.size()));
-    std::ostringstream text;
-    request.write(text);
-    return text.str() + body;
-}
-
 std::string exchangeText(const ExchangeRequest &exchange)
 {
     HTTPRequest request(exchange.method_, exchange.path_, HTTPRequest::HTTP_1_1);
@@ -61,53 +50,6 @@
     return requestText(request, exchange.address_, exchange.body_);
 }
 
-/// Answer to a short request on a new connection.
-struct ShortAnswer
-{
-    int status_ = 0;
-    std::string body_;
-};
-
-std::optional<ShortAnswer> askShortly(const std::string &address, const char *method,
-                                      const std::string &path, Millis limit)
-{
-    std::string detail;
-    std::optional<Connection> connection = connectTo(address, limit, detail);
-    HTTPRequest request(method, path, HTTPRequest::HTTP_1_1);
-    request.set("Connection", "close");
-    if (!connection
-        || sendAll(*connection, requestText(request, address, {}), limit) != Receipt::Data)
-        return std::nullopt;
-    WaitLimits limits;
-    limits.silence_ = limit;
-    limits.deadline_ = std::chrono::steady_clock::now() + limit;
-    AnswerHead head;
-    if (readHead(*connection, limits, method, head) != Receipt::Data)
-        return std::nullopt;
-    ShortAnswer answer {head.response_.getStatus(), {}};
-    std::string piece;
-    while (!head.body_.ended_ && answer.body_.size() < maxProbeBytes
-           && readPiece(*connection, limits, head.body_, piece) == Receipt::Data)
-        answer.body_ += piece;
-    return answer;
-}
-
-ProbeResult probe(const std::string &address)
-{
-    const std::optional<ShortAnswer> answer
-        = askShortly(address, HTTPRequest::HTTP_GET.c_str(), "/health", probeLimit);
-    if (!answer || answer->status_ >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
-        return ProbeResult::Failed;
-    return saysLeaving(answer->body_) ? ProbeResult::Leaving : ProbeResult::Live;
-}
-
-std::optional<Tokens> cancel(const std::string &address, const RequestId &request, Millis limit)
-{
-    const std::optional<ShortAnswer> answer
-        = askShortly(address, HTTPRequest::HTTP_POST.c_str(), "/cancel/" + request.value_, limit);
-    return answer ? parseUsage(answer->body_) : std::nullopt;
-}
-
 void endBy(ExchangeResult &result, Receipt receipt)
 {
     result.detail_ = receiptText(receipt);
@@ -346,7 +288,7 @@
     exchange.limits_.deadline_ = request.deadline_;
     exchange.limits_.callerSocket_ = request.callerSocket_;
     exchange.limits_.mayWaitOn_ = [&exchange] {
-        exchange.result_.probe_ = probe(exchange.request_.address_);
+        exchange.result_.probe_ = probeUpstream(exchange.request_.address_);
         // Nothing is expected of a plain answer until it is complete, so a live upstream may go on.
         return !exchange.request_.stream_ && exchange.result_.probe_ != ProbeResult::Failed;
     };
@@ -402,7 +344,7 @@
     port.exchange_ = [client](const ExchangeRequest &request, const EventSink &sink) {
         return runExchange(*client, request, sink);
     };
-    port.cancel_ = cancel;
+    port.cancel_ = cancelRequest;
     return port;
 }
 
