Answer bundle history, parts and rollout waits on the admin listener

tamarackctl could not see who accepted which version or wait for a rollout. GET /v1/bundle, /v1/bundle/history, /v1/bundle/parts/DIGEST and /v1/rollout answer that; the last one waits on a condition variable.

--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -1,6 +1,8 @@
 // The administration interface of a daemon.
 #include "daemon/admin.h"
 
+#include "daemon/adminbundle.h"
+
 #include <Poco/JSON/Object.h>
 
 #include <sstream>
@@ -21,13 +23,6 @@
     return text.str();
 }
 
-AdminReply errorReply(int status, const std::string &message)
-{
-    Object object;
-    object.set("error", message);
-    return AdminReply {status, "application/json", format(object)};
-}
-
 std::shared_ptr<const Bundle> currentBundle(const AdminContext &context)
 {
     const std::shared_ptr<const Snapshot> snapshot = context.traffic_.snapshot_.load();
@@ -45,23 +40,6 @@
     return AdminReply {200, "application/json", format(object)};
 }
 
-AdminReply submit(const AdminContext &context, const AdminCall &call)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> Result<AdminReply> {
-            BOOST_LEAF_AUTO(submission, parseSubmission(call.body_));
-            BOOST_LEAF_AUTO(version, submitBundle(context.bundles_, submission));
-            Object object;
-            object.set("version", version.value_);
-            return AdminReply {200, "application/json", format(object)};
-        },
-        [](const Error &error) {
-            const bool unavailable = error.kind_ == ErrorKind::StoreUnavailable;
-            return errorReply(unavailable ? 503 : 409, error.id_ + ": " + error.message_);
-        },
-        [] { return errorReply(500, "internal error; report this"); });
-}
-
 Object grantObject(const GrantId &id, const Grant &grant)
 {
     Object object(Poco::JSON_PRESERVE_KEY_ORDER);
@@ -78,18 +56,18 @@
 {
     const std::shared_ptr<const Bundle> bundle = currentBundle(context);
     if (!bundle)
-        return errorReply(503, "no bundle is loaded yet; retry later");
+        return adminError(503, "no bundle is loaded yet; retry later");
     const ShardNumber shard = ledgerShardOf(id, bundle->policies_.ledgerShards_);
     const StoreReply reply = context.bundles_.store_.call_(
         ReadCall {StoreKey {context.bundles_.prefix_ + "/ledger/" + std::to_string(shard.value_)},
                   StoredKind::LedgerShard});
     if (reply.status_ != StoreStatus::Ok)
-        return errorReply(503, "the store does not answer; retry later");
+        return adminError(503, "the store does not answer; retry later");
     const LedgerShard ledger
         = reply.current_.value_ ? std::get<LedgerShard>(*reply.current_.value_) : LedgerShard {};
     const auto found = ledger.budgets_.find(id);
     if (found == ledger.budgets_.end())
-        return errorReply(404, "budget " + id.value_ + " was never drawn on; check its name");
+        return adminError(404, "budget " + id.value_ + " was never drawn on; check its name");
     const BudgetRecord &record = found->second;
     Poco::JSON::Array grants;
     for (const auto &[grantId, grant] : record.grants_)
@@ -123,18 +101,18 @@
 {
     const std::shared_ptr<const Bundle> bundle = currentBundle(context);
     if (!bundle)
-        return errorReply(503, "no bundle is loaded yet; retry later");
+        return adminError(503, "no bundle is loaded yet; retry later");
     const ShardNumber shard = requestShardOf(id, bundle->policies_.requestShards_);
     const StoreReply reply = context.bundles_.store_.call_(
         ReadCall {StoreKey {context.bundles_.prefix_ + "/requests/" + std::to_string(shard.value_)},
                   StoredKind::RequestShard});
     if (reply.status_ != StoreStatus::Ok)
-        return errorReply(503, "the store does not answer; retry later");
+        return adminError(503, "the store does not answer; retry later");
     const RequestShard records
         = reply.current_.value_ ? std::get<RequestShard>(*reply.current_.value_) : RequestShard {};
     const auto found = records.records_.find(id);
     if (found == records.records_.end())
-        return errorReply(404, "request " + id.value_ + " has no record; check its id");
+        return adminError(404, "request " + id.value_ + " has no record; check its id");
     const RequestRecord &record = found->second;
     Object object(Poco::JSON_PRESERVE_KEY_ORDER);
     object.set("request", id.value_);
@@ -151,15 +129,15 @@
 
 AdminReply handleAdmin(const AdminContext &context, const AdminCall &call)
 {
-    if (call.method_ == "POST" && call.path_ == "/v1/bundle")
-        return submit(context, call);
+    if (std::optional<AdminReply> reply = handleBundleCall(context, call))
+        return std::move(*reply);
     if (call.method_ == "GET" && call.path_ == "/v1/status")
         return status(context);
     if (call.method_ == "GET" && call.path_.starts_with(budgetsPrefix))
         return budget(context, BudgetId {call.path_.substr(budgetsPrefix.size())});
     if (call.method_ == "GET" && call.path_.starts_with(requestsPrefix))
         return requestRecord(context, RequestId {call.path_.substr(requestsPrefix.size())});
-    return errorReply(404, "no such path; see docs/operations.md for the administration interface");
+    return adminError(404, "no such path; see docs/operations.md for the administration interface");
 }
 
 } // namespace tamarack
--- a/src/daemon/admin.h
+++ b/src/daemon/admin.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "adapters/http/http.h"
+#include "daemon/appliedversion.h"
 #include "daemon/bundlestore.h"
 #include "traffic/traffic.h"
 
@@ -12,6 +13,8 @@
 {
     BundleStore bundles_;
     TrafficContext &traffic_;
+    AppliedVersion &applied_;
+    LogPort log_;
     HostId host_;
 };
 
--- /dev/null
+++ b/src/daemon/adminbundle.cpp
@@ -0,0 +1,151 @@
+// Bundles in the administration interface.
+#include "daemon/adminbundle.h"
+
+#include "adapters/crypto/crypto.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include <charconv>
+#include <functional>
+#include <sstream>
+
+namespace tamarack {
+
+namespace {
+
+using Poco::JSON::Object;
+
+constexpr std::string_view partsPrefix = "/v1/bundle/parts/";
+constexpr std::size_t maxHistory = 1000;
+constexpr std::uint64_t defaultHistory = 20;
+/// A call that waits holds one of the listener's threads.
+constexpr Millis maxWait {Seconds {10}};
+
+AdminReply jsonReply(const Object &object)
+{
+    std::ostringstream text;
+    object.stringify(text);
+    return AdminReply {200, "application/json", text.str()};
+}
+
+/// Returns a number of the query, such as N in "?version=N".
+std::uint64_t queryNumber(const std::string &path, const std::string &name, std::uint64_t fallback)
+{
+    const std::size_t question = std::min(path.find('?'), path.size());
+    const std::string query = '&' + path.substr(std::min(question + 1, path.size()));
+    const std::size_t at = query.find('&' + name + '=');
+    if (at == std::string::npos)
+        return fallback;
+    std::uint64_t number = fallback;
+    const char *first = query.data() + at + name.size() + 2;
+    std::from_chars(first, query.data() + query.size(), number);
+    return number;
+}
+
+/// Runs a call that can fail and turns its error into an answer.
+AdminReply replyOrError(const std::function<Result<AdminReply>()> &call)
+{
+    return boost::leaf::try_handle_all(
+        call,
+        [](const Error &error) {
+            const bool unavailable = error.kind_ == ErrorKind::StoreUnavailable;
+            return adminError(unavailable ? 503 : 409, error.id_ + ": " + error.message_);
+        },
+        [] { return adminError(500, "internal error; report this"); });
+}
+
+Result<AdminReply> submit(const AdminContext &context, const AdminCall &call)
+{
+    BOOST_LEAF_AUTO(submission, parseSubmission(call.body_));
+    BOOST_LEAF_AUTO(version, submitBundle(context.bundles_, submission));
+    context.log_.write_(LogEvent {
+        LogLevel::Info,
+        "bundle.accepted",
+        {{"version", std::to_string(version.value_)}, {"operator", submission.operator_.value_}}});
+    Object object;
+    object.set("version", version.value_);
+    return jsonReply(object);
+}
+
+Result<AdminReply> head(const AdminContext &context)
+{
+    BOOST_LEAF_AUTO(accepted, readHead(context.bundles_));
+    Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("version", accepted.version_.value_);
+    object.set("operator", accepted.operator_.value_);
+    object.set("signature", base64Encode(accepted.signature_));
+    object.set("manifest", accepted.manifest_);
+    return jsonReply(object);
+}
+
+Result<AdminReply> history(const AdminContext &context, const AdminCall &call)
+{
+    const std::uint64_t count = queryNumber(call.path_, "count", defaultHistory);
+    BOOST_LEAF_AUTO(heads,
+                    readHistory(context.bundles_, std::min<std::uint64_t>(count, maxHistory)));
+    Poco::JSON::Array versions;
+    for (const BundleHead &entry : heads) {
+        Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+        object.set("version", entry.version_.value_);
+        object.set("operator", entry.operator_.value_);
+        object.set("signature", base64Encode(entry.signature_));
+        versions.add(object);
+    }
+    Object object;
+    object.set("versions", versions);
+    return jsonReply(object);
+}
+
+AdminReply part(const AdminContext &context, const std::string &sha256)
+{
+    const std::optional<std::string> content = readPart(context.bundles_, sha256);
+    if (!content)
+        return adminError(404,
+                          "part " + sha256 + " cannot be read; check its digest and the store");
+    return AdminReply {200, "application/json", *content};
+}
+
+AdminReply rollout(const AdminContext &context, const AdminCall &call)
+{
+    const BundleVersion wanted {queryNumber(call.path_, "version", 1)};
+    const Millis wait {static_cast<std::int64_t>(std::min<std::uint64_t>(
+        queryNumber(call.path_, "wait_ms", 0), static_cast<std::uint64_t>(maxWait.count())))};
+    const BundleVersion inForce = awaitApplied(context.applied_, wanted, wait);
+    Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("host", context.host_.value_);
+    object.set("bundle_version", inForce.value_);
+    object.set("reached", inForce >= wanted);
+    return jsonReply(object);
+}
+
+} // namespace
+
+AdminReply adminError(int status, const std::string &message)
+{
+    Object object;
+    object.set("error", message);
+    AdminReply reply = jsonReply(object);
+    reply.status_ = status;
+    return reply;
+}
+
+std::optional<AdminReply> handleBundleCall(const AdminContext &context, const AdminCall &call)
+{
+    const std::string path = call.path_.substr(0, call.path_.find('?'));
+    if (call.method_ == "POST" && path == "/v1/bundle")
+        return replyOrError([&] { return submit(context, call); });
+    if (call.method_ != "GET")
+        return std::nullopt;
+    if (path == "/v1/bundle")
+        return replyOrError([&] { return head(context); });
+    if (path == "/v1/bundle/history")
+        return replyOrError([&] { return history(context, call); });
+    if (path.starts_with(partsPrefix))
+        return part(context, path.substr(partsPrefix.size()));
+    if (path == "/v1/rollout")
+        return rollout(context, call);
+    return std::nullopt;
+}
+
+} // namespace tamarack
--- a/src/daemon/controlloop.h
+++ b/src/daemon/controlloop.h
@@ -1,6 +1,7 @@
 // The control thread: the only thread that touches the control state.
 #pragma once
 
+#include "daemon/appliedversion.h"
 #include "daemon/eventqueue.h"
 #include "daemon/storeworkers.h"
 #include "traffic/traffic.h"
@@ -16,6 +17,7 @@
     StoreWorkers &store_;
     TrafficContext &traffic_;
     LogPort log_;
+    AppliedVersion &applied_;
     /// Called once, when a planned stop is complete.
     std::function<void()> onStopped_;
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -82,12 +82,13 @@
     ControlState state;
     state.settings_
         = controlSettings(*settings, HolderId {settings->host_.value_ + '-' + randomHex(idBytes)});
-    ControlLoop loop {queue, workers, traffic, log, [mainThread] {
+    AppliedVersion applied;
+    ControlLoop loop {queue, workers, traffic, log, applied, [mainThread] {
                           signalStopped(mainThread);
                       }};
     std::thread controlThread([&loop, &state] { runControlLoop(loop, std::move(state)); });
 
-    const AdminContext admin {bundles, traffic, settings->host_};
+    const AdminContext admin {bundles, traffic, applied, log, settings->host_};
     CallerServer adminServer
         = startAdminServer(adminServerSettings(live),
                            [&admin](const AdminCall &call) { return handleAdmin(admin, call); });
