--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -2,13 +2,16 @@
 #include "adapters/crypto/crypto.h"
 #include "ctl/adminclient.h"
 #include "ctl/bundlecommands.h"
+#include "ctl/rollout.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fstream>
 #include <functional>
 #include <iterator>
+#include <vector>
 
 namespace tamarack {
 
@@ -20,22 +23,41 @@
     return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
+/// Exit codes, documented in docs/operations.md.
+enum ExitCode {
+    ExitOk = 0,
+    /// The daemon refused the call, or a document has faults.
+    ExitRefused = 1,
+    /// The daemon cannot be reached, or the store does not answer it.
+    ExitUnavailable = 3,
+    /// The version is accepted but not in force on every daemon.
+    ExitIncomplete = 4,
+};
+
 /// Options of all commands.
 struct Options
 {
     AdminTarget target_;
+    /// Daemons that a rollout waits for.
+    std::vector<std::string> daemons_;
     std::string file_;
     std::string keyFile_;
+    std::string outFile_;
     std::string operator_;
     std::string name_;
     std::uint64_t version_ = 0;
+    std::uint64_t count_ = 20;
+    std::int64_t timeoutMs_ = 15'000;
+    bool json_ = false;
 };
 
 int report(const AdminAnswer &answer)
 {
     const bool ok = answer.status_ >= 200 && answer.status_ < 300;
     fmt::print(ok ? stdout : stderr, "{}\n", answer.body_);
-    return ok ? 0 : 1;
+    if (ok)
+        return ExitOk;
+    return answer.status_ == 0 || answer.status_ == 503 ? ExitUnavailable : ExitRefused;
 }
 
 /// Runs a command that can fail and prints its error.
@@ -60,16 +82,59 @@
     return 0;
 }
 
-Result<int> submit(const Options &options)
+Result<Submission> signFile(const Options &options)
 {
     std::string key = readFile(options.keyFile_);
     key.erase(key.find_last_not_of(" \n\r") + 1);
-    BOOST_LEAF_AUTO(submission,
-                    signBundle(readFile(options.file_), BundleVersion {options.version_},
-                               OperatorId {options.operator_}, key));
+    return signBundle(readFile(options.file_), BundleVersion {options.version_},
+                      OperatorId {options.operator_}, key);
+}
+
+Result<int> signOnly(const Options &options)
+{
+    BOOST_LEAF_AUTO(submission, signFile(options));
+    std::ofstream(options.outFile_, std::ios::binary) << formatSubmission(submission);
+    fmt::print("signed version {} with {} parts; submit it with tamarackctl bundle submit\n",
+               options.version_, submission.parts_.size());
+    return ExitOk;
+}
+
+/// Signs the file, or takes it as signed before if no key is given.
+Result<int> submit(const Options &options)
+{
+    if (options.keyFile_.empty())
+        return report(callAdmin(options.target_, "POST", "/v1/bundle", readFile(options.file_)));
+    BOOST_LEAF_AUTO(submission, signFile(options));
     return report(callAdmin(options.target_, "POST", "/v1/bundle", formatSubmission(submission)));
 }
 
+int showRollout(const Options &options)
+{
+    std::vector<AdminTarget> daemons;
+    for (const std::string &address : options.daemons_)
+        daemons.push_back(AdminTarget {address, options.target_.token_});
+    const BundleVersion version {options.version_};
+    const std::vector<RolloutRow> rows
+        = awaitRollout(daemons, version, Millis {options.timeoutMs_});
+    fmt::print("{}", options.json_ ? formatRolloutJson(rows, version) : formatRollout(rows));
+    const bool complete
+        = std::all_of(rows.begin(), rows.end(), [](const RolloutRow &row) { return row.reached_; });
+    if (!complete)
+        fmt::print(stderr,
+                   "version {} is not in force on every daemon; see the table and the "
+                   "daemons' logs, the daemons go on trying\n",
+                   options.version_);
+    return complete ? ExitOk : ExitIncomplete;
+}
+
+Result<int> rollout(const Options &options)
+{
+    Options first = options;
+    first.target_.address_ = options.daemons_.front();
+    BOOST_LEAF_AUTO(submitted, submit(first));
+    return submitted == ExitOk ? showRollout(options) : submitted;
+}
+
 Result<int> check(const Options &options)
 {
     BOOST_LEAF_CHECK(checkBundle(readFile(options.file_)));
@@ -97,23 +162,67 @@
     });
 }
 
+void addDaemons(CLI::App &command, Options &options)
+{
+    command.add_option("--admin", options.daemons_, "IP:port of each daemon's admin listener")
+        ->required();
+    command.add_option("--token", options.target_.token_, "operators' token")
+        ->envname("TAMARACK_TOKEN")
+        ->required();
+    command.add_option("--timeout-ms", options.timeoutMs_, "longest wait for the daemons");
+    command.add_flag("--json", options.json_, "print JSON");
+}
+
+void addSigning(CLI::App &command, Options &options)
+{
+    command.add_option("file", options.file_)->required()->check(CLI::ExistingFile);
+    CLI::Option *version
+        = command.add_option("--version", options.version_, "the accepted version plus one");
+    CLI::Option *signer = command.add_option("--operator", options.operator_, "operator id");
+    command
+        .add_option("--key", options.keyFile_,
+                    "file with the private key; without it the file "
+                    "must be signed already")
+        ->check(CLI::ExistingFile)
+        ->needs(version)
+        ->needs(signer);
+}
+
 void addBundleCommands(CLI::App &app, Options &options, int &exitCode)
 {
-    CLI::App *bundle = app.add_subcommand("bundle", "check, sign and submit bundles");
+    CLI::App *bundle = app.add_subcommand("bundle", "check, sign, submit and roll out bundles");
     bundle->require_subcommand(1);
     CLI::App *checkCommand = bundle->add_subcommand("check", "check a bundle document");
     checkCommand->add_option("file", options.file_)->required()->check(CLI::ExistingFile);
     checkCommand->callback([&] { exitCode = runCommand([&options] { return check(options); }); });
-    CLI::App *submitCommand = bundle->add_subcommand("submit", "sign a bundle and submit it");
+    CLI::App *signCommand = bundle->add_subcommand("sign", "sign a bundle without submitting it");
+    addSigning(*signCommand, options);
+    signCommand->add_option("--out", options.outFile_, "file for the signed bundle")->required();
+    signCommand->callback([&] { exitCode = runCommand([&options] { return signOnly(options); }); });
+    CLI::App *submitCommand = bundle->add_subcommand("submit", "submit a bundle");
     addTarget(*submitCommand, options);
-    submitCommand->add_option("file", options.file_)->required()->check(CLI::ExistingFile);
-    submitCommand->add_option("--version", options.version_, "the accepted version plus one")
-        ->required();
-    submitCommand->add_option("--operator", options.operator_, "operator id")->required();
-    submitCommand->add_option("--key", options.keyFile_, "file with the private key")
-        ->required()
-        ->check(CLI::ExistingFile);
+    addSigning(*submitCommand, options);
     submitCommand->callback([&] { exitCode = runCommand([&options] { return submit(options); }); });
+    CLI::App *rolloutCommand
+        = bundle->add_subcommand("rollout", "submit a bundle and wait for all daemons");
+    addDaemons(*rolloutCommand, options);
+    addSigning(*rolloutCommand, options);
+    rolloutCommand->get_option("--version")->required();
+    rolloutCommand->callback(
+        [&] { exitCode = runCommand([&options] { return rollout(options); }); });
+    CLI::App *statusCommand
+        = bundle->add_subcommand("status", "show which daemons have a version in force");
+    addDaemons(*statusCommand, options);
+    statusCommand->add_option("--version", options.version_, "the version to wait for")->required();
+    statusCommand->callback([&] { exitCode = showRollout(options); });
+    CLI::App *historyCommand = bundle->add_subcommand("history", "show the accepted versions");
+    addTarget(*historyCommand, options);
+    historyCommand->add_option("--count", options.count_, "number of versions");
+    historyCommand->callback([&] {
+        exitCode
+            = report(callAdmin(options.target_, "GET",
+                               fmt::format("/v1/bundle/history?count={}", options.count_), ""));
+    });
 }
 
 int run(int argc, char **argv)
