Apply the store client's time-outs and reuse its connections

Contract tests of the store client showed four faults: POCO ignores the time-out of a session on a connected socket, so a silent store or watch blocked its thread without limit; sessions did not keep their connection; a swap answer with a succeeded field that is no boolean, or without revision, counted as done; and one without a range counted as a conflict with an absent key.

--- a/src/adapters/etcd/client.cpp
+++ b/src/adapters/etcd/client.cpp
@@ -96,14 +96,21 @@
     const GatewayReply reply = postJson(gateway, "/v3/kv/txn", swapBody(call), Effect::Once);
     if (reply.status_ != StoreStatus::Ok)
         return StoreReply {{}, reply.status_, {}};
-    if (reply.body_->optValue("succeeded", false)) {
+    const Poco::Dynamic::Var succeeded = reply.body_->get("succeeded");
+    // The gateway leaves out a false value; anything but a boolean is not an answer.
+    if (!succeeded.isEmpty() && !succeeded.isBoolean())
+        return StoreReply {{}, StoreStatus::Unknown, {}};
+    if (!succeeded.isEmpty() && succeeded.convert<bool>()) {
         const Revision revision {numberField(reply.body_->getObject("header"), "revision")};
+        if (revision == Revision {})
+            return StoreReply {{}, StoreStatus::Unknown, {}};
         return StoreReply {{}, StoreStatus::Ok, VersionedValue {revision, std::nullopt}};
     }
     const Array::Ptr responses = reply.body_->getArray("responses");
     const Object::Ptr first = responses && !responses->empty() ? responses->getObject(0) : nullptr;
-    VersionedValue value
-        = decodeRange(first ? first->getObject("response_range") : nullptr, kindOf(call.value_));
+    if (!first || !first->isObject("response_range"))
+        return StoreReply {{}, StoreStatus::Unknown, {}};
+    VersionedValue value = decodeRange(first->getObject("response_range"), kindOf(call.value_));
     const StoreStatus status = isReadable(value) ? StoreStatus::Conflict : StoreStatus::Unavailable;
     return StoreReply {{}, status, std::move(value)};
 }
--- a/src/adapters/etcd/gateway.cpp
+++ b/src/adapters/etcd/gateway.cpp
@@ -100,7 +100,10 @@
     request.setContentType("application/json");
     request.setContentLength(static_cast<std::streamsize>(body.size()));
     request.setKeepAlive(true);
-    session.setTimeout(timespan(timeout), timespan(timeout), timespan(timeout));
+    // A session on a connected socket ignores its own time-outs, so they are set on the socket.
+    session.socket().setSendTimeout(timespan(timeout));
+    session.socket().setReceiveTimeout(timespan(timeout));
+    session.setKeepAlive(true);
     session.sendRequest(request) << body << std::flush;
 }
 
--- /dev/null
+++ b/tests/fakes/fakestorecore.cpp
@@ -0,0 +1,256 @@
+// The part of etcd's v3 JSON gateway that the daemon uses, in memory.
+#include "fakes/fakestorecore.h"
+
+#include "fakes/fakehttp.h"
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <fmt/format.h>
+
+#include <ostream>
+#include <thread>
+
+namespace tamarack::fakes {
+
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+/// How often a watch without events looks whether its client is still there.
+constexpr std::chrono::milliseconds watchProbe {200};
+
+Object header(const Store &store)
+{
+    Object object;
+    object.set("revision", std::to_string(store.revision_));
+    return object;
+}
+
+Object entryObject(const std::string &key, const StoreEntry &entry)
+{
+    Object object;
+    object.set("key", key);
+    object.set("value", entry.value_);
+    object.set("mod_revision", std::to_string(entry.modRevision_));
+    object.set("create_revision", std::to_string(entry.createRevision_));
+    return object;
+}
+
+Object range(const Store &store, const Object::Ptr &request)
+{
+    Object result;
+    result.set("header", header(store));
+    const auto key = request->getValue<std::string>("key");
+    const auto it = store.entries_.find(key);
+    if (it != store.entries_.end())
+        result.set("kvs", Array().add(entryObject(key, it->second)));
+    return result;
+}
+
+void put(Store &store, const Object::Ptr &request)
+{
+    StoreEntry &entry = store.entries_[request->getValue<std::string>("key")];
+    entry.value_ = request->getValue<std::string>("value");
+    entry.modRevision_ = ++store.revision_;
+    if (entry.createRevision_ == 0)
+        entry.createRevision_ = entry.modRevision_;
+    entry.lease_ = request->optValue<std::string>("lease", "");
+    store.changed_.notify_all();
+}
+
+bool compareHolds(const Store &store, const Object::Ptr &compare)
+{
+    const auto it = store.entries_.find(compare->getValue<std::string>("key"));
+    const std::uint64_t revision = it == store.entries_.end() ? 0 : it->second.modRevision_;
+    return revision == compare->getValue<std::uint64_t>("mod_revision");
+}
+
+Object txn(Store &store, const Object::Ptr &request)
+{
+    const Array::Ptr compares = request->getArray("compare");
+    bool holds = true;
+    for (std::size_t i = 0; i < compares->size(); ++i)
+        holds = holds && compareHolds(store, compares->getObject(static_cast<unsigned>(i)));
+    Array responses;
+    const Array::Ptr ops = request->getArray(holds ? "success" : "failure");
+    for (std::size_t i = 0; ops && i < ops->size(); ++i) {
+        const Object::Ptr op = ops->getObject(static_cast<unsigned>(i));
+        Object response;
+        if (op->has("request_put")) {
+            put(store, op->getObject("request_put"));
+            response.set("response_put", Object());
+        } else {
+            response.set("response_range", range(store, op->getObject("request_range")));
+        }
+        responses.add(response);
+    }
+    Object result;
+    result.set("header", header(store));
+    if (holds)
+        result.set("succeeded", true);
+    result.set("responses", responses);
+    return result;
+}
+
+void deleteKeysOf(Store &store, const std::string &lease)
+{
+    std::erase_if(store.entries_,
+                  [&lease](const auto &item) { return item.second.lease_ == lease; });
+}
+
+/// Deletes expired leases and their keys. Called before each operation.
+void expireLeases(Store &store)
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto it = store.leases_.begin(); it != store.leases_.end();) {
+        if (it->second.expires_ > now) {
+            ++it;
+            continue;
+        }
+        deleteKeysOf(store, it->first);
+        it = store.leases_.erase(it);
+    }
+}
+
+Object keepAlive(Store &store, const std::string &id)
+{
+    Object inner;
+    inner.set("ID", id);
+    const auto found = store.leases_.find(id);
+    if (found != store.leases_.end()) {
+        found->second.expires_ = std::chrono::steady_clock::now() + found->second.timeToLive_;
+        inner.set("TTL", std::to_string(found->second.timeToLive_.count()));
+    }
+    Object result;
+    result.set("result", inner);
+    return result;
+}
+
+Object lease(Store &store, const std::string &path, const Object::Ptr &request)
+{
+    if (path == "/v3/lease/keepalive")
+        return keepAlive(store, request->getValue<std::string>("ID"));
+    Object result;
+    if (path == "/v3/lease/grant") {
+        const std::string id = std::to_string(++store.lastLease_);
+        const std::chrono::seconds time {request->getValue<std::int64_t>("TTL")};
+        store.leases_[id] = StoreLease {time, std::chrono::steady_clock::now() + time};
+        result.set("ID", id);
+        result.set("TTL", request->getValue<std::string>("TTL"));
+    } else {
+        const auto id = request->getValue<std::string>("ID");
+        deleteKeysOf(store, id);
+        store.leases_.erase(id);
+    }
+    return result;
+}
+
+void watch(Store &store, const Object::Ptr &request, HTTPServerResponse &response)
+{
+    const Object::Ptr create = request->getObject("create_request");
+    const auto key = create->getValue<std::string>("key");
+    const auto start = create->getValue<std::uint64_t>("start_revision");
+    response.setChunkedTransferEncoding(true);
+    std::ostream &out = response.send();
+    out << R"({"result":{"created":true}})" << std::endl;
+    while (out.good()) {
+        std::unique_lock lock(store.mutex_);
+        store.changed_.wait_for(lock, watchProbe);
+        if (store.stopping_)
+            return;
+        if (store.mode_ == "silent-watch")
+            continue;
+        const auto it = store.entries_.find(key);
+        if (it == store.entries_.end() || it->second.modRevision_ < start)
+            continue;
+        Object event;
+        event.set("kv", entryObject(key, it->second));
+        Object result;
+        result.set("events", Array().add(event));
+        Object line;
+        line.set("result", result);
+        lock.unlock();
+        out << toText(line) << std::endl;
+        return;
+    }
+}
+
+Object carryOut(Store &store, const std::string &path, const Object::Ptr &request)
+{
+    if (path == "/v3/kv/range")
+        return range(store, request);
+    if (path == "/v3/kv/txn")
+        return txn(store, request);
+    return lease(store, path, request);
+}
+
+void closeWithoutAnswer(HTTPServerRequest &request)
+{
+    dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().shutdown();
+}
+
+void setFault(Store &store, const Object::Ptr &body)
+{
+    const std::lock_guard lock(store.mutex_);
+    store.mode_ = body->getValue<std::string>("mode");
+    store.delay_ = std::chrono::milliseconds {body->optValue<std::int64_t>("delay_ms", 0)};
+}
+
+Object callCounts(const Store &store)
+{
+    Object counts;
+    for (const auto &[name, count] : store.calls_)
+        counts.set(name, count);
+    return counts;
+}
+
+} // namespace
+
+void handleStoreCall(Store &store, HTTPServerRequest &request, HTTPServerResponse &response)
+{
+    const std::string path = request.getURI();
+    const std::string text = readBody(request);
+    if (path == "/faults") {
+        setFault(store, parseJson(text));
+        sendText(response, 200, "application/json", "{}");
+        return;
+    }
+    std::unique_lock lock(store.mutex_);
+    if (path == "/calls") {
+        const Object counts = callCounts(store);
+        lock.unlock();
+        sendJson(response, counts);
+        return;
+    }
+    ++store.calls_[path];
+    const std::string mode = store.mode_;
+    if (mode == "down") {
+        lock.unlock();
+        sendText(response, 503, "text/plain", "unavailable");
+        return;
+    }
+    if (path == "/v3/watch") {
+        lock.unlock();
+        watch(store, parseJson(text), response);
+        return;
+    }
+    expireLeases(store);
+    const Object result = carryOut(store, path, parseJson(text));
+    const auto delay = store.delay_;
+    lock.unlock();
+    if (mode == "slow")
+        std::this_thread::sleep_for(delay);
+    if (mode == "lose-answer")
+        closeWithoutAnswer(request);
+    else if (mode == "malformed")
+        sendText(response, 200, "application/json", "{\"kvs\": [");
+    else if (mode == "wrong-types")
+        sendText(response, 200, "application/json",
+                 R"({"succeeded":"?","kvs":[{"mod_revision":"x","value":"?"}],"header":5})");
+    else
+        sendJson(response, result);
+}
+
+} // namespace tamarack::fakes
