--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -48,7 +48,7 @@
     void operator()(const HolderDead &event) const
     {
         requestWriteOff(state_, event, now_);
-        onHolderDead(state_, event, now_, out_);
+        billDeadEntry(state_, event, now_, out_);
     }
     void operator()(const ReleaseAsked &event) const { onReleaseAsked(state_, event, now_, out_); }
     void operator()(const StopRequested &) const { onStop(state_, out_); }
@@ -92,7 +92,6 @@
     detail::driveHome(state, now, out);
     detail::serveFreed(state, now, out);
     detail::serveWaiting(state, now, out);
-    detail::serveFreed(state, now, out);
     detail::releaseIdleGrants(state, now);
     detail::finishStop(state, now, out);
     detail::startCalls(state, now, out);
