Let the fault fixture's daemons know each other as members

An ask to release tokens becomes a message to a registered member and is dropped otherwise. The fixture had no members, so the ask was lost after home daemons were merged; its daemons now know each other, each alone in an availability zone.

--- a/src/core/controlpeers.cpp
+++ b/src/core/controlpeers.cpp
@@ -152,19 +152,13 @@
 
 void routeReleases(const ControlState &state, Commands &out)
 {
-    // A holder that is not a member has no address; the command stays as it is then.
-    const auto isRouted = [&state](const Command &command) {
-        const auto *ask = std::get_if<AskRelease>(&command);
-        return ask && state.membership_.members_.contains(ask->holder_);
-    };
     Commands messages;
     for (const Command &command : out) {
-        if (!isRouted(command))
-            continue;
-        const AskRelease &ask = std::get<AskRelease>(command);
-        sendToPeer(state, ask.holder_, ReleaseRequest {ask.holder_, ask.budget_}, messages);
+        if (const auto *ask = std::get_if<AskRelease>(&command))
+            sendToPeer(state, ask->holder_, ReleaseRequest {ask->holder_, ask->budget_}, messages);
     }
-    std::erase_if(out, isRouted);
+    std::erase_if(
+        out, [](const Command &command) { return std::holds_alternative<AskRelease>(command); });
     out.insert(out.end(), std::make_move_iterator(messages.begin()),
                std::make_move_iterator(messages.end()));
 }
--- a/tests/contract-bundlestore.cpp
+++ b/tests/contract-bundlestore.cpp
@@ -61,7 +61,8 @@
         {OperatorId {"anna"}, fixture.keys_["anna"].publicKey_},
         {OperatorId {"bert"}, fixture.keys_["bert"].publicKey_}};
     fixture.store_ = BundleStore {fakes::memoryPort(fixture.memory_), "/t",
-                                  [trusted]() -> std::vector<TrustedOperator> { return trusted; }, &fixture.cache_, &fixture.stop_};
+                                  [trusted]() -> std::vector<TrustedOperator> { return trusted; },
+                                  &fixture.cache_, &fixture.stop_};
 }
 
 Submission signedBy(Fixture &fixture, const std::string &name, std::uint64_t version,
--- a/tests/controlfixture.h
+++ b/tests/controlfixture.h
@@ -79,7 +79,7 @@
     std::map<WaiterId, Ask> asks_;
     std::uint64_t lastWaiter_ = 0;
     std::shared_ptr<const Bundle> bundle_;
-    std::vector<AskRelease> releaseAsks_;
+    std::vector<ReleaseRequest> releaseAsks_;
     std::vector<std::string> violations_;
     /// False for measurements: the checks cost more than the code under test.
     bool checks_ = true;
@@ -282,6 +282,13 @@
                 fmt::format("{} billed but {} committed", billed.count_, committed(stored).count_));
 }
 
+/// Keeps the messages that ask another holder for tokens; the others have no receiver here.
+inline void takeMessage(Fixture &fixture, const SendPeer &message)
+{
+    if (const auto *ask = std::get_if<ReleaseRequest>(&message.message_))
+        fixture.releaseAsks_.push_back(*ask);
+}
+
 inline void send(Fixture &fixture, std::size_t index, const Event &event,
                  const BudgetRecord *seen = nullptr)
 {
@@ -291,8 +298,8 @@
             daemon.calls_.push_back(std::move(*call));
         else if (const auto *reply = std::get_if<ReplyTo>(&command))
             takeDecision(fixture, daemon, *reply, seen);
-        else if (const auto *ask = std::get_if<AskRelease>(&command))
-            fixture.releaseAsks_.push_back(*ask);
+        else if (const auto *message = std::get_if<SendPeer>(&command))
+            takeMessage(fixture, *message);
     }
     if (!fixture.checks_)
         return;
@@ -338,7 +345,7 @@
 /// Delivers the daemons' requests to each other, unless one of the two is cut off.
 inline void deliverReleaseAsks(Fixture &fixture)
 {
-    for (const AskRelease &ask : std::exchange(fixture.releaseAsks_, {})) {
+    for (const ReleaseRequest &ask : std::exchange(fixture.releaseAsks_, {})) {
         for (std::size_t i = 0; i < fixture.daemons_.size(); ++i) {
             const Daemon &daemon = fixture.daemons_[i];
             if (runs(daemon) && daemon.mode_ == StoreMode::Answers
@@ -473,13 +480,35 @@
     }
 }
 
-/// Starts a daemon; a restarted daemon is a new holder.
+/// Lets a daemon know another one, so that it can send messages to it.
+inline void introduce(ControlState &state, const Registration &other)
+{
+    Member member;
+    member.registration_ = other;
+    member.registered_ = true;
+    state.membership_.members_[other.holder_] = member;
+}
+
+/// Starts a daemon; a restarted daemon is a new holder. Each is alone in its availability zone, so
+/// it is the home of all its budgets.
 inline std::size_t startDaemon(Fixture &fixture)
 {
     const std::size_t index = fixture.daemons_.size();
-    Daemon &daemon = fixture.daemons_.emplace_back();
-    daemon.state_.settings_.holder_ = HolderId {fmt::format("h{}", index)};
-    daemon.state_.bundle_ = fixture.bundle_;
+    ControlState &state = fixture.daemons_.emplace_back().state_;
+    Registration &self = state.membership_.self_;
+    self.host_ = HostId {fmt::format("host{}", index)};
+    self.holder_ = HolderId {fmt::format("h{}", index)};
+    self.zone_ = ZoneId {fmt::format("zone{}", index)};
+    self.peerAddress_ = "127.0.0.1:1";
+    state.settings_.host_ = self.host_;
+    state.settings_.holder_ = self.holder_;
+    state.settings_.zone_ = self.zone_;
+    state.bundle_ = fixture.bundle_;
+    for (std::size_t i = 0; i < index; ++i) {
+        ControlState &other = fixture.daemons_[i].state_;
+        introduce(other, self);
+        introduce(state, other.membership_.self_);
+    }
     return index;
 }
 
