Move billed request records to create-only segments

Request shards grew without bound: at 151 bytes a record, 16 shards reach the store's limit of 1 MB after about 111,000 requests and every bill after that fails. Whoever finds a segment that the shard does not count completes the move.

Expiry would have deleted bills, so it is replaced. Keyed records stay for their retention.

--- a/src/adapters/shardcodec/storedvalue.cpp
+++ b/src/adapters/shardcodec/storedvalue.cpp
@@ -33,6 +33,7 @@
 std::string encode(const RequestShard &shard)
 {
     stored::RequestShard message;
+    message.set_segments(shard.segments_);
     for (const auto &[id, record] : shard.records_) {
         stored::RequestRecord &out = *message.add_records();
         out.set_id(id.value_);
@@ -45,6 +46,7 @@
         out.set_completeness(
             static_cast<stored::RequestRecord::Completeness>(record.completeness_));
         out.set_estimated(record.estimated_);
+        out.set_keyed(record.keyed_);
         out.set_updated_ms(
             std::chrono::duration_cast<Millis>(record.updated_.time_since_epoch()).count());
     }
@@ -111,6 +113,7 @@
 RequestShard fromMessage(const stored::RequestShard &message)
 {
     RequestShard shard;
+    shard.segments_ = message.segments();
     for (const stored::RequestRecord &in : message.records()) {
         RequestRecord &record = shard.records_[RequestId {in.id()}];
         record.phase_ = static_cast<RequestPhase>(in.phase());
@@ -121,6 +124,7 @@
         record.charged_ = Tokens {in.charged()};
         record.completeness_ = static_cast<Completeness>(in.completeness());
         record.estimated_ = in.estimated();
+        record.keyed_ = in.keyed();
         record.updated_ = WallTime {Millis {in.updated_ms()}};
     }
     return shard;
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -94,6 +94,7 @@
     detail::serveWaiting(state, now, out);
     detail::releaseIdleGrants(state, now);
     detail::finishStop(state, now, out);
+    detail::archiveRequests(state, now, out);
     detail::startCalls(state, now, out);
     detail::routeReleases(state, out);
     return out;
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -119,6 +119,18 @@
     ShardNumber shard_;
 };
 
+/// @brief Moving the records of one request shard to its next segment.
+///
+/// Invariant: requests_ are the records in the segment that call_ writes.
+struct ArchiveState
+{
+    std::optional<CallId> call_;
+    std::uint64_t segment_ = 0;
+    std::vector<RequestId> requests_;
+    /// The shard is not looked at before this time.
+    MonoTime notBefore_ {};
+};
+
 /// @brief All control state of one daemon.
 ///
 /// Invariants: each grant id is in grants_ or in retired_, never in both; byRequest_ maps each
@@ -139,6 +151,7 @@
     std::map<AdmissionId, ActiveRequest> active_;
     std::unordered_map<RequestId, AdmissionId> byRequest_;
     std::unordered_map<CallId, ShardCall> calls_;
+    std::map<ShardNumber, ArchiveState> archives_;
     RoutingState routing_;
     /// When the store last confirmed bundle_.
     MonoTime bundleConfirmedAt_ {};
--- a/src/core/controlcommits.cpp
+++ b/src/core/controlcommits.cpp
@@ -116,6 +116,8 @@
 
 void onStoreReply(ControlState &state, const StoreReply &reply, Now now, Commands &out)
 {
+    if (onArchiveReply(state, reply, now, out))
+        return;
     const auto it = state.calls_.find(reply.call_);
     if (it == state.calls_.end())
         return;
--- a/src/core/controlparts.h
+++ b/src/core/controlparts.h
@@ -194,4 +194,12 @@
 /// @brief Starts every call that is due.
 void startCalls(ControlState &state, Now now, Commands &out);
 
+// Archive (controlarchive.cpp)
+
+/// @brief Starts to move records out of request shards that have grown large.
+void archiveRequests(ControlState &state, Now now, Commands &out);
+/// @brief Takes the reply to the write of a segment.
+/// @return false if the call was another one
+bool onArchiveReply(ControlState &state, const StoreReply &reply, Now now, Commands &out);
+
 } // namespace tamarack::detail
--- a/src/core/requestrecords.cpp
+++ b/src/core/requestrecords.cpp
@@ -3,10 +3,18 @@
 
 #include "core/hash.h"
 
+#include <fmt/format.h>
+
 namespace tamarack {
 
 namespace {
 
+const RequestRecord *findRecord(const RequestShard &shard, const RequestId &request)
+{
+    auto it = shard.records_.find(request);
+    return it == shard.records_.end() ? nullptr : &it->second;
+}
+
 bool apply(RequestShard &shard, const CreateIntentOp &op)
 {
     auto [it, created] = shard.records_.try_emplace(op.request_);
@@ -17,6 +25,7 @@
     it->second.admission_ = op.admission_;
     it->second.account_ = op.account_;
     it->second.budget_ = op.budget_;
+    it->second.keyed_ = true;
     it->second.updated_ = op.at_;
     return true;
 }
@@ -44,23 +53,22 @@
     record.charged_ = op.charged_;
     record.completeness_ = op.completeness_;
     record.estimated_ = op.estimated_;
+    record.keyed_ |= op.keyed_;
     record.updated_ = op.at_;
     return true;
 }
 
-bool apply(RequestShard &shard, const ExpireOp &op)
-{
-    const auto erased = std::erase_if(shard.records_, [&op](const auto &entry) {
-        const RequestRecord &record = entry.second;
-        return record.phase_ != RequestPhase::Intent && record.updated_ < op.before_;
-    });
-    return erased > 0;
-}
-
-const RequestRecord *findRecord(const RequestShard &shard, const RequestId &request)
+bool apply(RequestShard &shard, const ArchiveOp &op)
 {
-    auto it = shard.records_.find(request);
-    return it == shard.records_.end() ? nullptr : &it->second;
+    if (op.segment_ != shard.segments_)
+        return false;
+    for (const RequestId &request : op.requests_) {
+        const RequestRecord *record = findRecord(shard, request);
+        if (record && record->phase_ == RequestPhase::Billed)
+            shard.records_.erase(request);
+    }
+    ++shard.segments_;
+    return true;
 }
 
 } // namespace
@@ -82,6 +90,11 @@
     return record && record->phase_ == RequestPhase::Billed && record->admission_ == admission;
 }
 
+StoreKey requestSegmentKey(const StoreKey &shard, std::uint64_t segment)
+{
+    return StoreKey {fmt::format("{}/segments/{:08}", shard.value_, segment)};
+}
+
 ShardNumber requestShardOf(const RequestId &request, std::uint32_t shardCount)
 {
     return ShardNumber {hash64(request.value_) % shardCount};
--- a/src/core/requestrecords.h
+++ b/src/core/requestrecords.h
@@ -10,8 +10,10 @@
 #include "core/time.h"
 #include "core/tokens.h"
 
+#include <cstdint>
 #include <map>
 #include <variant>
+#include <vector>
 
 namespace tamarack {
 
@@ -48,6 +50,8 @@
     Completeness completeness_ = Completeness::None;
     /// The charge is the worst case, because the daemon that knew the real cost died.
     bool estimated_ = false;
+    /// The caller gave an idempotency key, so the same request id may arrive again.
+    bool keyed_ = false;
     WallTime updated_;
 };
 
@@ -55,6 +59,8 @@
 struct RequestShard
 {
     std::map<RequestId, RequestRecord> records_;
+    /// Number of create-only segments that records were moved to.
+    std::uint64_t segments_ = 0;
 };
 
 /// @brief Creates the intent unless another admission has one or the request is billed.
@@ -87,20 +93,23 @@
     Tokens charged_;
     Completeness completeness_ = Completeness::Whole;
     bool estimated_ = false;
+    bool keyed_ = false;
     WallTime at_;
 };
 
-/// @brief Removes records last updated before @a before_, except unresolved intents.
-struct ExpireOp
+/// @brief Removes the billed records that a stored segment holds. Has no effect for any but the next
+/// segment, so that it can be repeated.
+struct ArchiveOp
 {
-    WallTime before_;
+    std::uint64_t segment_ = 0;
+    std::vector<RequestId> requests_;
 };
 
-using RequestOp = std::variant<CreateIntentOp, WithdrawIntentOp, BillOp, ExpireOp>;
+using RequestOp = std::variant<CreateIntentOp, WithdrawIntentOp, BillOp, ArchiveOp>;
 
 /// @brief Applies one operation to a shard.
 /// @return true if the shard changed
-/// @note O(log records); ExpireOp is O(records)
+/// @note O(log records) for each request the operation names
 bool applyOp(RequestShard &shard, const RequestOp &op);
 
 /// @brief Returns true if @a admission created the intent and may send the request.
@@ -109,6 +118,9 @@
 /// @brief Returns true if @a admission recorded the bill of @a request.
 bool ownsBill(const RequestShard &shard, const RequestId &request, const AdmissionId &admission);
 
+/// @brief Returns the key of a create-only segment of a request shard.
+StoreKey requestSegmentKey(const StoreKey &shard, std::uint64_t segment);
+
 /// @brief Returns the shard of a request: a hash of its id modulo the number of shards.
 ShardNumber requestShardOf(const RequestId &request, std::uint32_t shardCount);
 
--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::string_view budgetsPrefix = "/v1/budgets/";
 constexpr std::string_view requestsPrefix = "/v1/requests/";
+/// Bounds the reads of one look-up; older records are found by a longer search of the store only.
+constexpr std::uint64_t maxSegmentsSearched = 100;
 
 std::string format(const Object &object)
 {
@@ -97,6 +99,30 @@
     return "billed";
 }
 
+/// Looks for a record in the shard, then in its segments, the newest first.
+std::optional<RequestRecord> findRecord(const AdminContext &context, ShardNumber number,
+                                        const RequestShard &shard, const RequestId &id)
+{
+    const auto current = shard.records_.find(id);
+    if (current != shard.records_.end())
+        return current->second;
+    const StoreKey shardKey {context.bundles_.prefix_ + "/requests/"
+                             + std::to_string(number.value_)};
+    const std::uint64_t first
+        = shard.segments_ > maxSegmentsSearched ? shard.segments_ - maxSegmentsSearched : 0;
+    for (std::uint64_t segment = shard.segments_; segment > first; --segment) {
+        const StoreReply reply = context.bundles_.store_.call_(
+            ReadCall {requestSegmentKey(shardKey, segment - 1), StoredKind::RequestShard});
+        if (reply.status_ != StoreStatus::Ok || !reply.current_.value_)
+            continue;
+        const auto &records = std::get<RequestShard>(*reply.current_.value_).records_;
+        const auto found = records.find(id);
+        if (found != records.end())
+            return found->second;
+    }
+    return std::nullopt;
+}
+
 AdminReply requestRecord(const AdminContext &context, const RequestId &id)
 {
     const std::shared_ptr<const Bundle> bundle = currentBundle(context);
@@ -110,10 +136,10 @@
         return adminError(503, "the store does not answer; retry later");
     const RequestShard records
         = reply.current_.value_ ? std::get<RequestShard>(*reply.current_.value_) : RequestShard {};
-    const auto found = records.records_.find(id);
-    if (found == records.records_.end())
+    const std::optional<RequestRecord> found = findRecord(context, shard, records, id);
+    if (!found)
         return adminError(404, "request " + id.value_ + " has no record; check its id");
-    const RequestRecord &record = found->second;
+    const RequestRecord &record = *found;
     Object object(Poco::JSON_PRESERVE_KEY_ORDER);
     object.set("request", id.value_);
     object.set("phase", phaseName(record.phase_));
