--- a/tests/controlfixture.h
+++ b/tests/controlfixture.h
@@ -97,6 +97,7 @@
     bundle->budgets_[budget] = Budget {budget, account, Tokens {funded}};
     Upstream upstream;
     upstream.id_ = UpstreamId {"u1"};
+    upstream.host_ = HostId {"engine-host"};
     upstream.address_ = "127.0.0.1:1";
     upstream.models_ = {ModelId {"m"}};
     bundle->upstreams_[upstream.id_] = upstream;
--- a/tests/unit-control.cpp
+++ b/tests/unit-control.cpp
@@ -100,6 +100,18 @@
         CHECK(record(fleet).grants_.empty());
         CHECK(record(fleet).charged_ == Tokens {30});
     }
+    SECTION("an upstream whose host is listed as leaving gets no new work")
+    {
+        const WaiterId before = admit(fleet, 100, "r1");
+        run(fleet, Millis {100});
+        REQUIRE(dispatched(fleet, before));
+        send(fleet, 0, HostListSeen {{ListedHost {HostId {"engine-host"}, {}, {}, true}}});
+        const WaiterId after = admit(fleet, 100, "r2");
+        run(fleet, Seconds {1});
+        REQUIRE(refused(fleet, after));
+        CHECK(refused(fleet, after)->reason_ == RefusalReason::NoUpstream);
+        CHECK(refused(fleet, after)->execution_ == Execution::NotRun);
+    }
     CHECK(firstViolation(fleet).empty());
 }
 
