Answer GET /metrics with counts and levels of the control thread

The listener let the path through but nothing answered it. A port of callables records decisions, store calls and their outcomes, and the time for each event; prometheus-cpp's core library formats them.

--- /dev/null
+++ b/src/adapters/metrics/metrics.h
@@ -0,0 +1,4 @@
+// Public header of the metrics adapter.
+#pragma once
+
+#include "adapters/metrics/registry.h"
--- /dev/null
+++ b/src/adapters/metrics/registry.cpp
@@ -0,0 +1,131 @@
+// Metrics by prometheus-cpp.
+#include "adapters/metrics/registry.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/text_serializer.h>
+
+namespace tamarack {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+/// Upper bounds of the histogram of handling times, in seconds.
+const prometheus::Histogram::BucketBoundaries handlingBounds {0.00001, 0.0001, 0.001, 0.01, 0.1};
+
+std::string statusName(StoreStatus status)
+{
+    switch (status) {
+    case StoreStatus::Ok:
+        return "ok";
+    case StoreStatus::Conflict:
+        return "conflict";
+    case StoreStatus::Unknown:
+        return "unknown";
+    case StoreStatus::Unavailable:
+        break;
+    }
+    return "unavailable";
+}
+
+std::function<void(const Decision &)> countDecisions(prometheus::Registry &registry)
+{
+    auto &dispatches = BuildCounter()
+                           .Name("tamarack_dispatches_total")
+                           .Help("Permitted exchanges with upstreams")
+                           .Register(registry)
+                           .Add({});
+    auto &refusals = BuildCounter()
+                         .Name("tamarack_refusals_total")
+                         .Help("Refused requests by reason and whether they ran")
+                         .Register(registry);
+    return [&dispatches, &refusals](const Decision &decision) {
+        if (const auto *refusal = std::get_if<Refusal>(&decision))
+            refusals
+                .Add({{"reason", std::string(refusalCode(refusal->reason_))},
+                      {"execution", std::string(executionCode(refusal->execution_))}})
+                .Increment();
+        else
+            dispatches.Increment();
+    };
+}
+
+std::function<void(const StoreCall &)> countStoreCalls(prometheus::Registry &registry)
+{
+    auto &calls = BuildCounter()
+                      .Name("tamarack_store_calls_total")
+                      .Help("Calls of the control thread to the store")
+                      .Register(registry);
+    auto &reads = calls.Add({{"kind", "read"}});
+    auto &swaps = calls.Add({{"kind", "swap"}});
+    return [&reads, &swaps](const StoreCall &call) {
+        (std::holds_alternative<ReadCall>(call) ? reads : swaps).Increment();
+    };
+}
+
+std::function<void(StoreStatus)> countStoreReplies(prometheus::Registry &registry)
+{
+    auto &replies = BuildCounter()
+                        .Name("tamarack_store_replies_total")
+                        .Help("Outcomes of calls to the store")
+                        .Register(registry);
+    return [&replies](StoreStatus status) {
+        replies.Add({{"status", statusName(status)}}).Increment();
+    };
+}
+
+std::function<void(Micros, const ControlLevels &)> recordLevels(prometheus::Registry &registry)
+{
+    auto &times = BuildHistogram()
+                      .Name("tamarack_control_event_seconds")
+                      .Help("Time the control thread needs for one event")
+                      .Register(registry)
+                      .Add({}, handlingBounds);
+    const auto gauge = [&registry](const char *name, const char *help) {
+        return &BuildGauge().Name(name).Help(help).Register(registry).Add({});
+    };
+    auto *requests = gauge("tamarack_requests_in_flight", "Admitted requests that are not billed");
+    auto *grants = gauge("tamarack_grants_held", "Budgets that this daemon holds a grant of");
+    auto *queued
+        = gauge("tamarack_control_queue_events", "Events that wait for the control thread");
+    auto *bundle = gauge("tamarack_bundle_version", "Version of the bundle in force");
+    return [&times, requests, grants, queued, bundle](Micros time, const ControlLevels &levels) {
+        times.Observe(std::chrono::duration<double>(time).count());
+        requests->Set(static_cast<double>(levels.requestsInFlight_));
+        grants->Set(static_cast<double>(levels.grantsHeld_));
+        queued->Set(static_cast<double>(levels.queuedEvents_));
+        bundle->Set(static_cast<double>(levels.bundle_.value_));
+    };
+}
+
+} // namespace
+
+MetricsPort makeMetricsPort(std::shared_ptr<prometheus::Registry> registry)
+{
+    MetricsPort port;
+    port.decided_ = [registry, count = countDecisions(*registry)](const Decision &decision) {
+        count(decision);
+    };
+    port.storeCalled_ = [registry, count = countStoreCalls(*registry)](const StoreCall &call) {
+        count(call);
+    };
+    port.storeReplied_ = [registry, count = countStoreReplies(*registry)](StoreStatus status) {
+        count(status);
+    };
+    port.handled_
+        = [registry, record = recordLevels(*registry)](Micros time, const ControlLevels &levels) {
+              record(time, levels);
+          };
+    return port;
+}
+
+std::string formatMetrics(const prometheus::Registry &registry)
+{
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+} // namespace tamarack
--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -14,6 +14,8 @@
 using Poco::JSON::Object;
 
 constexpr std::string_view budgetsPrefix = "/v1/budgets/";
+/// Content type of the text format, version 0.0.4.
+constexpr const char *metricsContentType = "text/plain; version=0.0.4";
 constexpr std::string_view requestsPrefix = "/v1/requests/";
 /// Bounds the reads of one look-up; older records are found by a longer search of the store only.
 constexpr std::uint64_t maxSegmentsSearched = 100;
@@ -157,6 +159,8 @@
 {
     if (std::optional<AdminReply> reply = handleBundleCall(context, call))
         return std::move(*reply);
+    if (call.method_ == "GET" && call.path_ == "/metrics")
+        return AdminReply {200, metricsContentType, context.metrics_()};
     if (call.method_ == "GET" && call.path_ == "/v1/status")
         return status(context);
     if (call.method_ == "GET" && call.path_.starts_with(budgetsPrefix))
--- a/src/daemon/admin.h
+++ b/src/daemon/admin.h
@@ -6,6 +6,9 @@
 #include "daemon/bundlestore.h"
 #include "traffic/traffic.h"
 
+#include <functional>
+#include <string>
+
 namespace tamarack {
 
 /// @brief What the administration interface reads and changes.
@@ -16,6 +19,8 @@
     AppliedVersion &applied_;
     LogPort log_;
     HostId host_;
+    /// Returns all metrics in the text format of Prometheus.
+    std::function<std::string()> metrics_;
 };
 
 /// @brief Answers one call.
--- a/src/daemon/controlloop.cpp
+++ b/src/daemon/controlloop.cpp
@@ -12,10 +12,14 @@
 
     void operator()(ReplyTo &command) const
     {
+        if (loop_.metrics_.decided_)
+            loop_.metrics_.decided_(command.decision_);
         fillSlot(loop_.traffic_.slots_, command.waiter_, std::move(command.decision_));
     }
     void operator()(SubmitStoreCall &command) const
     {
+        if (loop_.metrics_.storeCalled_)
+            loop_.metrics_.storeCalled_(command.call_);
         submitStoreCall(loop_.store_, std::move(command));
     }
     void operator()(SendPeer &command) const
@@ -51,15 +55,36 @@
     return Now {std::chrono::steady_clock::now(), std::chrono::system_clock::now()};
 }
 
+std::size_t queuedEvents(EventQueue &queue)
+{
+    const std::lock_guard lock(queue.mutex_);
+    return queue.events_.size();
+}
+
+void recordEvent(ControlLoop &loop, const ControlState &state, const Event &event, MonoTime started)
+{
+    const MetricsPort &metrics = loop.metrics_;
+    if (const auto *replied = std::get_if<StoreReplied>(&event); replied && metrics.storeReplied_)
+        metrics.storeReplied_(replied->reply_.status_);
+    if (!metrics.handled_)
+        return;
+    const BundleVersion version = state.bundle_ ? state.bundle_->version_ : BundleVersion {};
+    metrics.handled_(std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now() - started),
+                     ControlLevels {state.active_.size(), state.grants_.size(),
+                                    queuedEvents(loop.queue_), version});
+}
+
 } // namespace
 
 void runControlLoop(ControlLoop &loop, ControlState state)
 {
     bool running = true;
     while (running) {
-        const std::optional<Event> event = take(loop.queue_, nextWake(state));
-        for (Command &command : handle(state, event.value_or(Tick {}), currentTime()))
+        const Event event = take(loop.queue_, nextWake(state)).value_or(Tick {});
+        const Now now = currentTime();
+        for (Command &command : handle(state, event, now))
             std::visit(Executor {loop, running}, command);
+        recordEvent(loop, state, event, now.mono_);
     }
     loop.onStopped_();
 }
--- a/src/daemon/controlloop.h
+++ b/src/daemon/controlloop.h
@@ -26,6 +26,7 @@
     std::function<void(BundleVersion)> refreshBundle_ {};
     /// Called when a peer knows other members. Must not block.
     std::function<void()> refreshMembers_ {};
+    MetricsPort metrics_ {};
 };
 
 /// @brief Runs until a planned stop is complete.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include "adapters/http/http.h"
 #include "adapters/json/json.h"
 #include "adapters/logging/logging.h"
+#include "adapters/metrics/metrics.h"
 #include "daemon/admin.h"
 #include "daemon/bundlewatch.h"
 #include "daemon/controlloop.h"
@@ -92,9 +93,13 @@
     if (!startPeering(peering, *settings, state, store, events, log))
         std::_Exit(1);
     connectPeering(peering, loop);
+    const auto registry = std::make_shared<prometheus::Registry>();
+    loop.metrics_ = makeMetricsPort(registry);
     std::thread controlThread([&loop, &state] { runControlLoop(loop, std::move(state)); });
 
-    const AdminContext admin {bundles, traffic, applied, log, settings->host_};
+    const AdminContext admin {bundles, traffic, applied, log, settings->host_, [registry] {
+                                  return formatMetrics(*registry);
+                              }};
     CallerServer adminServer
         = startAdminServer(adminServerSettings(live),
                            [&admin](const AdminCall &call) { return handleAdmin(admin, call); });
--- /dev/null
+++ b/src/ports/metrics.h
@@ -0,0 +1,29 @@
+// The port to the metrics.
+#pragma once
+
+#include "core/core.h"
+
+#include <functional>
+
+namespace tamarack {
+
+/// @brief Levels of the control state, as they are after an event.
+struct ControlLevels
+{
+    std::size_t requestsInFlight_ = 0;
+    std::size_t grantsHeld_ = 0;
+    std::size_t queuedEvents_ = 0;
+    BundleVersion bundle_;
+};
+
+/// @brief Records what the control thread decides. Empty functions record nothing.
+struct MetricsPort
+{
+    std::function<void(const Decision &)> decided_;
+    std::function<void(const StoreCall &)> storeCalled_;
+    std::function<void(StoreStatus)> storeReplied_;
+    /// An event was handled in @a time.
+    std::function<void(Micros time, const ControlLevels &)> handled_;
+};
+
+} // namespace tamarack
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -4,6 +4,7 @@
 
 #include "ports/exchange.h"
 #include "ports/hostlist.h"
+#include "ports/metrics.h"
 #include "ports/peers.h"
 #include "ports/store.h"
 
--- a/tests/e2e-thinpath.sh
+++ b/tests/e2e-thinpath.sh
@@ -45,6 +45,7 @@
     sleep 0.1
 done
 expect "charged exactly" "$shown" '"charged":41,'
+expect "metrics" "$(curl -s "http://$ADMIN/metrics")" "tamarack_dispatches_total"
 kill -TERM "${PIDS##* }"
 for _ in $(seq 100); do
     grep -q daemon.stopped "$WORK/daemon.log" && break
