--- a/src/adapters/metrics/registry.cpp
+++ b/src/adapters/metrics/registry.cpp
@@ -104,7 +104,7 @@
 
 } // namespace
 
-MetricsPort makeMetricsPort(std::shared_ptr<prometheus::Registry> registry)
+MetricsPort makeMetricsPort(const std::shared_ptr<prometheus::Registry> &registry)
 {
     MetricsPort port;
     port.decided_ = [registry, count = countDecisions(*registry)](const Decision &decision) {
--- a/src/adapters/metrics/registry.h
+++ b/src/adapters/metrics/registry.h
@@ -11,7 +11,7 @@
 namespace tamarack {
 
 /// @brief Returns a port that records into a registry. Safe to call from any thread.
-MetricsPort makeMetricsPort(std::shared_ptr<prometheus::Registry> registry);
+MetricsPort makeMetricsPort(const std::shared_ptr<prometheus::Registry> &registry);
 
 /// @brief Returns all metrics of a registry in the text format.
 std::string formatMetrics(const prometheus::Registry &registry);
