--- a/src/core/requestrecords.h
+++ b/src/core/requestrecords.h
@@ -97,8 +97,8 @@
     WallTime at_;
 };
 
-/// @brief Removes the billed records that a stored segment holds. Has no effect for any but the next
-/// segment, so that it can be repeated.
+/// @brief Removes the billed records that a stored segment holds. Has no effect for any but the
+/// next segment, so that it can be repeated.
 struct ArchiveOp
 {
     std::uint64_t segment_ = 0;
