--- a/src/adapters/etcd/client.cpp
+++ b/src/adapters/etcd/client.cpp
@@ -2,7 +2,7 @@
 #include "adapters/etcd/client.h"
 
 #include "adapters/crypto/crypto.h"
-#include "adapters/etcd/gateway.h"
+#include "adapters/jsonhttp/jsonhttp.h"
 #include "adapters/shardcodec/shardcodec.h"
 
 #include <Poco/JSON/Array.h>
@@ -254,7 +254,7 @@
         return answerOr(false, [&] { return waitForChange(*gateway, key, seen, limit); });
     };
     port.cancelWaits_ = [gateway] {
-        cancelStreams(*gateway);
+        cancelCalls(*gateway);
     };
     port.readPrefix_ = [gateway](const StoreKey &prefix, StoredKind kind) {
         return answerOr(PrefixReply {StoreStatus::Unknown, {}, {}},
--- a/src/adapters/json/address.h
+++ b/src/adapters/json/address.h
@@ -1,4 +1,4 @@
-// Checks of "IP:port" addresses. Internal to the JSON adapter.
+// Checks of "IP:port" addresses.
 #pragma once
 
 #include "adapters/json/jsonreader.h"
--- a/src/adapters/json/json.h
+++ b/src/adapters/json/json.h
@@ -1,9 +1,12 @@
 // Public header of the JSON adapter: settings, bundles, manifests and chat messages.
 #pragma once
 
+#include "adapters/json/address.h"
 #include "adapters/json/bundlejson.h"
 #include "adapters/json/bundleparts.h"
 #include "adapters/json/chat.h"
 #include "adapters/json/fault.h"
+#include "adapters/json/jsonreader.h"
 #include "adapters/json/manifest.h"
+#include "adapters/json/relaysettings.h"
 #include "adapters/json/settings.h"
--- a/src/adapters/json/jsonreader.h
+++ b/src/adapters/json/jsonreader.h
@@ -1,4 +1,4 @@
-// Reading of JSON objects that collects every fault with its path. Internal to the JSON adapter.
+// Reading of JSON objects that collects every fault with its path.
 #pragma once
 
 #include "adapters/json/fault.h"
--- a/src/adapters/etcd/gateway.cpp
+++ b/src/adapters/jsonhttp/gateway.cpp
@@ -1,5 +1,5 @@
-// HTTP calls to the JSON gateway by POCO.
-#include "adapters/etcd/gateway.h"
+// HTTP calls with JSON bodies by POCO.
+#include "adapters/jsonhttp/gateway.h"
 
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -37,6 +37,13 @@
     return parser.parse(text).extract<Poco::JSON::Object::Ptr>();
 }
 
+std::string stringify(const Poco::JSON::Object &object)
+{
+    std::ostringstream text;
+    object.stringify(text);
+    return text.str();
+}
+
 /// Connects on its own, because a failure to connect is the only proof that nothing was sent.
 std::optional<Poco::Net::StreamSocket> connect(const std::vector<std::string> &endpoints,
                                                Millis timeout)
@@ -93,51 +100,84 @@
     gateway.idle_.clear();
 }
 
-void send(HTTPClientSession &session, const std::string &path, const std::string &body,
-          Millis timeout)
+void send(HTTPClientSession &session, const GatewayCall &call, Millis timeout)
 {
-    Poco::Net::HTTPRequest request("POST", path, Poco::Net::HTTPRequest::HTTP_1_1);
-    request.setContentType("application/json");
-    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    Poco::Net::HTTPRequest request(call.method_, call.path_, Poco::Net::HTTPRequest::HTTP_1_1);
     request.setKeepAlive(true);
+    // A session on a connected socket knows no host name.
+    request.setHost(session.socket().peerAddress().toString());
+    if (!call.body_.empty()) {
+        request.setContentType("application/json");
+        request.setContentLength(static_cast<std::streamsize>(call.body_.size()));
+    }
     // A session on a connected socket ignores its own time-outs, so they are set on the socket.
     session.socket().setSendTimeout(timespan(timeout));
     session.socket().setReceiveTimeout(timespan(timeout));
     session.setKeepAlive(true);
-    session.sendRequest(request) << body << std::flush;
+    session.sendRequest(request) << call.body_ << std::flush;
 }
 
-GatewayReply receive(HTTPClientSession &session, bool &keep)
+HttpReply receive(HTTPClientSession &session, bool &keep)
 {
     Poco::Net::HTTPResponse response;
     std::istream &stream = session.receiveResponse(response);
     std::string text;
     Poco::StreamCopier::copyToString(stream, text);
-    // Any other status may be sent after the change was made, for example on a time-out.
-    if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
-        return GatewayReply {StoreStatus::Unknown, nullptr};
     const bool whole = !response.hasContentLength()
         || response.getContentLength64() == static_cast<std::int64_t>(text.size());
     if (!whole)
-        return GatewayReply {StoreStatus::Unknown, nullptr};
-    GatewayReply reply {StoreStatus::Ok, parse(text)};
+        return HttpReply {StoreStatus::Unknown, 0, nullptr};
+    HttpReply reply {StoreStatus::Ok, response.getStatus(), nullptr};
+    if (text.starts_with('{'))
+        reply.body_ = parse(text);
+    else if (reply.status_ == Poco::Net::HTTPResponse::HTTP_OK && !text.empty())
+        return HttpReply {StoreStatus::Unknown, 0, nullptr};
     keep = response.getKeepAlive();
     return reply;
 }
 
+/// Registers a connection so that another thread can end a call on it.
+struct CancelEntry
+{
+    Gateway &gateway_;
+    std::list<Poco::Net::StreamSocket>::iterator place_;
+    bool entered_ = false;
+
+    CancelEntry(Gateway &gateway, const Poco::Net::StreamSocket &socket)
+        : gateway_(gateway)
+    {
+        const std::lock_guard lock(gateway_.mutex_);
+        if (gateway_.cancelled_)
+            return;
+        place_ = gateway_.streams_.insert(gateway_.streams_.end(), socket);
+        entered_ = true;
+    }
+    ~CancelEntry()
+    {
+        if (!entered_)
+            return;
+        const std::lock_guard lock(gateway_.mutex_);
+        gateway_.streams_.erase(place_);
+    }
+    CancelEntry(const CancelEntry &) = delete;
+    CancelEntry &operator=(const CancelEntry &) = delete;
+};
+
 /// Makes the call on one connection and keeps the connection if the answer is whole.
-GatewayReply exchange(Gateway &gateway, SessionPtr session, const std::string &path,
-                      const std::string &body)
+HttpReply exchange(Gateway &gateway, SessionPtr session, const GatewayCall &call)
 {
     try {
         bool keep = false;
-        send(*session, path, body, gateway.timeout_);
-        GatewayReply reply = receive(*session, keep);
+        std::optional<CancelEntry> entry;
+        if (call.cancellable_ && !entry.emplace(gateway, session->socket()).entered_)
+            return HttpReply {};
+        send(*session, call, call.timeout_.value_or(gateway.timeout_));
+        HttpReply reply = receive(*session, keep);
         if (keep)
             keepIdle(gateway, std::move(session));
         return reply;
     } catch (const Poco::Exception &) {
-        return GatewayReply {StoreStatus::Unknown, nullptr};
+        return HttpReply {StoreStatus::Unknown, 0, nullptr};
     }
 }
 
@@ -162,23 +202,33 @@
 
 Gateway::~Gateway() = default;
 
-GatewayReply postJson(Gateway &gateway, const std::string &path, const Poco::JSON::Object &body,
-                      Effect effect)
+HttpReply callJson(Gateway &gateway, const GatewayCall &call)
 {
-    std::ostringstream text;
-    body.stringify(text);
     if (SessionPtr kept = takeIdle(gateway)) {
-        GatewayReply reply = exchange(gateway, std::move(kept), path, text.str());
-        if (reply.status_ == StoreStatus::Ok)
+        HttpReply reply = exchange(gateway, std::move(kept), call);
+        if (reply.delivery_ == StoreStatus::Ok)
             return reply;
         dropIdle(gateway);
-        if (effect == Effect::Once)
+        if (call.effect_ == Effect::Once)
             return reply;
     }
     std::optional<Poco::Net::StreamSocket> socket = connect(gateway.endpoints_, gateway.timeout_);
     if (!socket)
-        return GatewayReply {};
-    return exchange(gateway, std::make_unique<HTTPClientSession>(*socket), path, text.str());
+        return HttpReply {};
+    return exchange(gateway, std::make_unique<HTTPClientSession>(*socket), call);
+}
+
+GatewayReply postJson(Gateway &gateway, const std::string &path, const Poco::JSON::Object &body,
+                      Effect effect)
+{
+    const HttpReply reply = callJson(
+        gateway, GatewayCall {"POST", path, stringify(body), effect, std::nullopt, false});
+    if (reply.delivery_ != StoreStatus::Ok)
+        return GatewayReply {reply.delivery_, nullptr};
+    // Any other status may be sent after the change was made, for example on a time-out.
+    if (reply.status_ != Poco::Net::HTTPResponse::HTTP_OK || !reply.body_)
+        return GatewayReply {StoreStatus::Unknown, nullptr};
+    return GatewayReply {StoreStatus::Ok, reply.body_};
 }
 
 void postJsonStream(Gateway &gateway, const std::string &path, const Poco::JSON::Object &body,
@@ -190,27 +240,20 @@
         = connect(gateway.endpoints_, gateway.timeout_);
     if (!socket)
         return;
-    std::list<Poco::Net::StreamSocket>::iterator place;
-    {
-        const std::lock_guard lock(gateway.mutex_);
-        if (gateway.cancelled_)
-            return;
-        place = gateway.streams_.insert(gateway.streams_.end(), *socket);
-    }
+    const CancelEntry entry(gateway, *socket);
+    if (!entry.entered_)
+        return;
     try {
-        std::ostringstream text;
-        body.stringify(text);
         HTTPClientSession session(*socket);
-        send(session, path, text.str(), limit);
+        send(session, GatewayCall {"POST", path, stringify(body), Effect::Repeatable, limit, true},
+             limit);
         receiveLines(session, deadline, onLine);
     } catch (const Poco::Exception &) {
         // The stream ended or was silent until the limit; the caller reads the key again.
     }
-    const std::lock_guard lock(gateway.mutex_);
-    gateway.streams_.erase(place);
 }
 
-void cancelStreams(Gateway &gateway)
+void cancelCalls(Gateway &gateway)
 {
     const std::lock_guard lock(gateway.mutex_);
     gateway.cancelled_ = true;
@@ -218,7 +261,7 @@
         try {
             socket.shutdown();
         } catch (const Poco::Exception &) {
-            // The stream has ended on its own.
+            // The call has ended on its own.
         }
     }
 }
--- a/src/adapters/etcd/gateway.h
+++ b/src/adapters/jsonhttp/gateway.h
@@ -1,4 +1,4 @@
-// HTTP calls to the JSON gateway. Internal to the store adapter.
+// HTTP calls with JSON bodies to a service, on connections that are kept.
 #pragma once
 
 #include "core/store.h"
@@ -11,6 +11,7 @@
 #include <list>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,7 +35,7 @@
     Millis timeout_ {1000};
     std::mutex mutex_;
     std::list<IdleConnection> idle_;
-    /// Streams in progress, so that another thread can end them.
+    /// Streams and cancellable calls in progress, so that another thread can end them.
     std::list<Poco::Net::StreamSocket> streams_;
     bool cancelled_ = false;
 
@@ -52,7 +53,30 @@
     Once,
 };
 
-/// @brief The outcome of an HTTP call.
+/// @brief An HTTP call. The body is empty or JSON.
+struct GatewayCall
+{
+    std::string method_ = "POST";
+    std::string path_;
+    std::string body_;
+    Effect effect_ = Effect::Once;
+    /// Longest silence; the gateway's own limit if it is not set.
+    std::optional<Millis> timeout_;
+    /// cancelCalls() ends it.
+    bool cancellable_ = false;
+};
+
+/// @brief What became of an HTTP call.
+struct HttpReply
+{
+    /// Ok: a whole answer arrived. Unavailable: the service did not receive the call.
+    StoreStatus delivery_ = StoreStatus::Unavailable;
+    int status_ = 0;
+    /// Empty if the answer has no JSON object.
+    Poco::JSON::Object::Ptr body_;
+};
+
+/// @brief The outcome of a call that has to be answered with 200.
 struct GatewayReply
 {
     /// Ok, Unknown or Unavailable.
@@ -60,10 +84,16 @@
     Poco::JSON::Object::Ptr body_;
 };
 
-/// @brief Posts a JSON object to the first endpoint that accepts a connection.
+/// @brief Makes a call on a kept connection or a new one to the first endpoint that accepts it.
 ///
-/// A kept connection is used if there is one. When it fails, the store may have received the call,
-/// so the outcome is Unknown unless the call is repeatable.
+/// When a kept connection fails, the service may have received the call, so the outcome is Unknown
+/// unless the call is repeatable.
+HttpReply callJson(Gateway &gateway, const GatewayCall &call);
+
+/// @brief Ends all streams and cancellable calls in progress; those that follow fail at once.
+void cancelCalls(Gateway &gateway);
+
+/// @brief Posts a JSON object as callJson() does.
 GatewayReply postJson(Gateway &gateway, const std::string &path, const Poco::JSON::Object &body,
                       Effect effect);
 
@@ -73,7 +103,4 @@
                     Millis limit,
                     const std::function<bool(const Poco::JSON::Object::Ptr &)> &onLine);
 
-/// @brief Ends all streams in progress; those that follow end at once.
-void cancelStreams(Gateway &gateway);
-
 } // namespace tamarack
--- a/src/adapters/logging/logging.h
+++ b/src/adapters/logging/logging.h
@@ -2,3 +2,4 @@
 #pragma once
 
 #include "adapters/logging/logline.h"
+#include "adapters/logging/logsink.h"
--- /dev/null
+++ b/src/adapters/logging/logsink.cpp
@@ -0,0 +1,166 @@
+// The bounded log queue and its writing thread.
+#include "adapters/logging/logsink.h"
+
+#include "adapters/logging/logline.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace tamarack {
+
+namespace {
+
+bool isStopping(LogSink &sink)
+{
+    const std::lock_guard lock(sink.mutex_);
+    return sink.stopping_;
+}
+
+/// Waits until standard output takes bytes.
+/// @return false if it does not in time
+bool awaitWritable(LogSink &sink)
+{
+    const MonoTime start = std::chrono::steady_clock::now();
+    while (true) {
+        pollfd entry {STDOUT_FILENO, POLLOUT, 0};
+        const int ready = ::poll(&entry, 1, static_cast<int>(sink.settings_.linger_.count()));
+        if (ready > 0)
+            return true;
+        const bool late = std::chrono::steady_clock::now() - start >= sink.settings_.linger_;
+        if (late && isStopping(sink))
+            return false;
+    }
+}
+
+/// @return false if the reader is gone or the sink stops before it reads
+bool writeAll(LogSink &sink, const std::string &text)
+{
+    std::size_t written = 0;
+    while (written < text.size()) {
+        if (!awaitWritable(sink))
+            return false;
+        const ssize_t count = ::write(STDOUT_FILENO, text.data() + written, text.size() - written);
+        if (count >= 0)
+            written += static_cast<std::size_t>(count);
+        else if (errno != EINTR && errno != EAGAIN)
+            return false;
+    }
+    return true;
+}
+
+std::string takeText(LogSink &sink)
+{
+    std::unique_lock lock(sink.mutex_);
+    sink.queued_.wait(lock, [&sink] { return sink.stopping_ || !sink.lines_.empty(); });
+    sink.queued_.wait_for(lock, sink.settings_.collect_, [&sink] { return sink.stopping_; });
+    std::string text;
+    for (const LogSink::Line &line : sink.lines_) {
+        text += line.text_;
+        text += '\n';
+    }
+    sink.lines_.clear();
+    if (const std::uint64_t dropped = std::exchange(sink.dropped_, 0)) {
+        const LogEvent event {
+            LogLevel::Warning, "log.dropped", {{"lines", std::to_string(dropped)}}};
+        text += formatLogLine(event, std::chrono::system_clock::now()) + '\n';
+    }
+    return text;
+}
+
+void writeLines(LogSink &sink)
+{
+    while (true) {
+        const std::string text = takeText(sink);
+        const bool written = writeAll(sink, text);
+        const std::lock_guard lock(sink.mutex_);
+        if (sink.stopping_ && (sink.lines_.empty() || !written))
+            return;
+    }
+}
+
+void drop(LogSink &sink)
+{
+    ++sink.dropped_;
+    ++sink.droppedTotal_;
+}
+
+/// Takes the place of the oldest info line.
+/// @return false if there is none
+bool displaceInfo(LogSink &sink)
+{
+    const auto info = std::find_if(sink.lines_.begin(), sink.lines_.end(),
+                                   [](const auto &line) { return line.level_ == LogLevel::Info; });
+    if (info == sink.lines_.end())
+        return false;
+    sink.lines_.erase(info);
+    return true;
+}
+
+bool exceedsRate(LogSink &sink, MonoTime now)
+{
+    if (now - sink.second_ >= Seconds {1}) {
+        sink.second_ = now;
+        sink.infoInSecond_ = 0;
+    }
+    return ++sink.infoInSecond_ > sink.settings_.infoPerSecond_;
+}
+
+} // namespace
+
+void startLogSink(LogSink &sink)
+{
+    sink.thread_ = std::thread([&sink] { writeLines(sink); });
+}
+
+void queueLogLine(LogSink &sink, const LogEvent &event)
+{
+    LogSink::Line line {event.level_, formatLogLine(event, std::chrono::system_clock::now())};
+    const bool info = event.level_ == LogLevel::Info;
+    bool wake = false;
+    {
+        const std::lock_guard lock(sink.mutex_);
+        if (info && exceedsRate(sink, std::chrono::steady_clock::now())) {
+            drop(sink);
+            return;
+        }
+        if (sink.lines_.size() >= sink.settings_.maxLines_) {
+            drop(sink);
+            if (info || !displaceInfo(sink))
+                return;
+        }
+        wake = sink.lines_.empty();
+        sink.lines_.push_back(std::move(line));
+    }
+    if (wake)
+        sink.queued_.notify_one();
+}
+
+std::uint64_t droppedLogLines(LogSink &sink)
+{
+    const std::lock_guard lock(sink.mutex_);
+    return sink.droppedTotal_;
+}
+
+void stopLogSink(LogSink &sink)
+{
+    {
+        const std::lock_guard lock(sink.mutex_);
+        sink.stopping_ = true;
+    }
+    sink.queued_.notify_all();
+    if (sink.thread_.joinable())
+        sink.thread_.join();
+}
+
+LogPort logPort(LogSink &sink)
+{
+    return LogPort {[&sink](const LogEvent &event) {
+        queueLogLine(sink, event);
+    }};
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/adapters/relayhttp/sockets.cpp
@@ -0,0 +1,167 @@
+// Socket and epoll calls of the front end. Source: Linux man-pages, epoll(7), tcp(7).
+#include "adapters/relayhttp/frontparts.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <ctime>
+
+namespace tamarack::front {
+
+namespace {
+
+constexpr std::size_t receiveBytes = 16U << 10U;
+
+/// A connection without traffic is given up after three unanswered probes of one second each.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 3;
+
+std::optional<sockaddr_in> parseAddress(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    std::uint16_t port = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc {} || parsed.ptr != end)
+        return std::nullopt;
+    address.sin_port = htons(port);
+    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1)
+        return std::nullopt;
+    return address;
+}
+
+void setOption(int fd, int level, int option, int value)
+{
+    // An option that the kernel lacks costs promptness, not correctness.
+    (void)::setsockopt(fd, level, option, &value, sizeof value);
+}
+
+} // namespace
+
+std::chrono::nanoseconds bootTime()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return Seconds {time.tv_sec} + std::chrono::nanoseconds {time.tv_nsec};
+}
+
+void watch(FrontState &state, Endpoint &endpoint, std::uint32_t interest)
+{
+    if (endpoint.interest_ == interest)
+        return;
+    epoll_event event {};
+    event.events = interest;
+    event.data.u64 = endpoint.id_.value_;
+    const int operation = endpoint.interest_ == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+    ::epoll_ctl(state.epoll_.fd_, operation, endpoint.socket_.fd_, &event);
+    endpoint.interest_ = interest;
+}
+
+void setDeadline(FrontState &state, Endpoint &endpoint, std::optional<MonoTime> deadline)
+{
+    if (endpoint.deadline_)
+        state.deadlines_.erase({*endpoint.deadline_, endpoint.id_});
+    endpoint.deadline_ = deadline;
+    if (deadline)
+        state.deadlines_.emplace(*deadline, endpoint.id_);
+}
+
+SendState flush(Endpoint &endpoint)
+{
+    OutputBuffer &out = endpoint.out_;
+    while (out.sent_ < out.bytes_.size()) {
+        const ssize_t sent = ::send(endpoint.socket_.fd_, out.bytes_.data() + out.sent_,
+                                    out.bytes_.size() - out.sent_, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent < 0 && errno == EINTR)
+            continue;
+        if (sent < 0)
+            return errno == EAGAIN || errno == EWOULDBLOCK ? SendState::Blocked : SendState::Failed;
+        out.sent_ += static_cast<std::size_t>(sent);
+    }
+    out.bytes_.clear();
+    out.sent_ = 0;
+    return SendState::Sent;
+}
+
+ReceiveState receive(const Endpoint &endpoint, std::string &bytes)
+{
+    std::array<char, receiveBytes> buffer;
+    while (true) {
+        const ssize_t received
+            = ::recv(endpoint.socket_.fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (received > 0) {
+            bytes.append(buffer.data(), static_cast<std::size_t>(received));
+            return ReceiveState::Received;
+        }
+        if (received == 0)
+            return ReceiveState::Ended;
+        if (errno == EINTR)
+            continue;
+        return errno == EAGAIN || errno == EWOULDBLOCK ? ReceiveState::Blocked
+                                                       : ReceiveState::Failed;
+    }
+}
+
+Result<Descriptor> listenOn(const std::string &address, int backlog)
+{
+    const auto problem = [&address](const char *call) {
+        return fail(ErrorKind::ConnectionFailed, "tamarack.front.101",
+                    fmt::format("can't listen on {}: {}: {}; check the address in the settings",
+                                address, call, std::strerror(errno)));
+    };
+    const std::optional<sockaddr_in> parsed = parseAddress(address);
+    if (!parsed) {
+        errno = EINVAL;
+        return problem("parse");
+    }
+    Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (socket.fd_ < 0)
+        return problem("socket");
+    setOption(socket.fd_, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (::bind(socket.fd_, reinterpret_cast<const sockaddr *>(&*parsed), sizeof *parsed) != 0)
+        return problem("bind");
+    if (::listen(socket.fd_, backlog) != 0)
+        return problem("listen");
+    return socket;
+}
+
+Descriptor startConnect(const std::string &address, Millis unackedLimit)
+{
+    const std::optional<sockaddr_in> parsed = parseAddress(address);
+    if (!parsed)
+        return {};
+    Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (socket.fd_ < 0)
+        return {};
+    setClientOptions(socket.fd_, unackedLimit);
+    const int result
+        = ::connect(socket.fd_, reinterpret_cast<const sockaddr *>(&*parsed), sizeof *parsed);
+    if (result != 0 && errno != EINPROGRESS)
+        return {};
+    return socket;
+}
+
+void setClientOptions(int fd, Millis unackedLimit)
+{
+    setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unackedLimit.count()));
+    setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+}
+
+} // namespace tamarack::front
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -75,7 +75,8 @@
 
 /// @brief Sets the cumulative funding if @a version_ is newer than the one recorded.
 ///
-/// Funding never drops below what is already committed.
+/// Funding never drops below what is already committed; an operation of the recorded version only
+/// lowers it further, once less is committed.
 struct FundOp
 {
     BudgetId budget_;
--- /dev/null
+++ b/src/core/relay/answers.cpp
@@ -0,0 +1,31 @@
+// What an upstream's answer means.
+#include "core/relay/answers.h"
+
+namespace tamarack {
+
+namespace {
+
+constexpr int statusMisdirected = 421;
+
+} // namespace
+
+AnswerMeaning judgeAnswer(const AnswerFacts &facts, const RequestId &request)
+{
+    if (facts.echoed_ && *facts.echoed_ != request)
+        return AnswerMeaning::Foreign;
+    if (facts.status_ == statusMisdirected)
+        return AnswerMeaning::WrongInstance;
+    if (facts.notExecuted_)
+        return AnswerMeaning::NotExecuted;
+    if (facts.encoded_)
+        return AnswerMeaning::Malformed;
+    const bool success = facts.status_ >= 200 && facts.status_ < 300;
+    // An answer without id or signature may have been meant for anybody.
+    if (success)
+        return facts.signed_ && facts.echoed_ ? AnswerMeaning::Deliver : AnswerMeaning::Malformed;
+    const bool ownAnswer = facts.status_ >= 300 && facts.status_ < 500 && facts.signed_;
+    const bool promise = facts.status_ == 408 || facts.status_ == 429;
+    return ownAnswer && !promise ? AnswerMeaning::Deliver : AnswerMeaning::HoldFailure;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/relay/instances.cpp
@@ -0,0 +1,77 @@
+// The directory of upstream instances.
+#include "core/relay/instances.h"
+
+#include <algorithm>
+#include <set>
+
+namespace tamarack {
+
+bool putInstance(InstanceDirectory &directory, const ListedInstance &listed)
+{
+    const auto removed = directory.removed_.find(listed.instance_.id_);
+    if (removed != directory.removed_.end() && removed->second >= listed.revision_)
+        return false;
+    KnownInstance &known = directory.known_[listed.instance_.id_];
+    if (known.revision_ > listed.revision_)
+        return false;
+    if (known.revision_ == listed.revision_ && !known.missingSince_)
+        return false;
+    known = KnownInstance {listed.instance_, listed.revision_, std::nullopt};
+    if (removed != directory.removed_.end())
+        directory.removed_.erase(removed);
+    return true;
+}
+
+bool removeInstance(InstanceDirectory &directory, const UpstreamId &id, Revision revision,
+                    MonoTime now)
+{
+    Revision &removed = directory.removed_[id];
+    removed = std::max(removed, revision);
+    const auto it = directory.known_.find(id);
+    if (it == directory.known_.end() || it->second.revision_ > revision || it->second.missingSince_)
+        return false;
+    it->second.missingSince_ = now;
+    return true;
+}
+
+std::vector<UpstreamId> applyListing(InstanceDirectory &directory,
+                                     const std::vector<ListedInstance> &listing, Revision revision,
+                                     MonoTime now)
+{
+    std::set<UpstreamId> listed;
+    for (const ListedInstance &entry : listing) {
+        listed.insert(entry.instance_.id_);
+        putInstance(directory, entry);
+    }
+    std::vector<UpstreamId> missing;
+    for (auto &[id, known] : directory.known_) {
+        if (!listed.contains(id) && removeInstance(directory, id, revision, now))
+            missing.push_back(id);
+    }
+    return missing;
+}
+
+std::vector<UpstreamId> forgetMissing(InstanceDirectory &directory, Millis retention, MonoTime now)
+{
+    std::vector<UpstreamId> forgotten;
+    std::erase_if(directory.known_, [&](const auto &item) {
+        const auto &missing = item.second.missingSince_;
+        if (!missing || now - *missing < retention)
+            return false;
+        forgotten.push_back(item.first);
+        return true;
+    });
+    return forgotten;
+}
+
+std::optional<MonoTime> nextForgetting(const InstanceDirectory &directory, Millis retention)
+{
+    std::optional<MonoTime> next;
+    for (const auto &[id, known] : directory.known_) {
+        if (known.missingSince_ && (!next || *known.missingSince_ + retention < *next))
+            next = *known.missingSince_ + retention;
+    }
+    return next;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/relay/prepaid.cpp
@@ -0,0 +1,295 @@
+// Prepaid balances of a relay daemon.
+#include "core/relay/prepaid.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+/// Requests a second that a new grant expects of the size of its first one, until it has seen more.
+constexpr double firstBurnRequestsPerSecond = 2.0;
+
+PrepaidShard &shardOf(PrepaidState &state, const PrepaidSettings &settings,
+                      const AccountId &account)
+{
+    const ShardNumber number = ledgerShardOf(BudgetId {account.value_}, settings.shards_);
+    auto [it, created] = state.shards_.try_emplace(number);
+    if (created)
+        it->second.key_ = StoreKey {fmt::format("{}/{}", settings.keyPrefix_, number.value_)};
+    return it->second;
+}
+
+const BudgetRecord *recordOf(const PrepaidState &state, const PrepaidSettings &settings,
+                             const AccountId &account)
+{
+    const BudgetId budget {account.value_};
+    const auto shard = state.shards_.find(ledgerShardOf(budget, settings.shards_));
+    if (shard == state.shards_.end())
+        return nullptr;
+    const auto &budgets = shard->second.copy_.budgets_;
+    const auto record = budgets.find(budget);
+    return record == budgets.end() ? nullptr : &record->second;
+}
+
+void submitFunding(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                   const PrepaidBalance &balance, MonoTime due)
+{
+    submitOp(shardOf(state, settings, account),
+             LedgerOp {FundOp {BudgetId {account.value_}, balance.funded_,
+                               BundleVersion {balance.fundedBy_.value_}}},
+             due);
+}
+
+Tokens reachTokens(const PrepaidSettings &settings, const HeldGrant &grant)
+{
+    const std::chrono::duration<double> reach = settings.reach_.offlineReach_;
+    return Tokens {static_cast<std::int64_t>(grant.burnRate_ * reach.count())};
+}
+
+/// Unallocated tokens as the last copy shows them; the whole total before the first copy.
+Tokens unallocatedOf(const PrepaidState &state, const PrepaidSettings &settings,
+                     const AccountId &account, const PrepaidBalance &balance)
+{
+    const BudgetRecord *record = recordOf(state, settings, account);
+    return record ? unallocated(*record) : balance.funded_;
+}
+
+void submitDraw(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                PrepaidBalance &balance, Tokens needed, MonoTime due)
+{
+    HeldGrant &grant = balance.grant_;
+    DrawOp op;
+    op.budget_ = BudgetId {account.value_};
+    op.grant_ = grant.id_;
+    op.holder_ = state.holder_;
+    op.armedTotal_ = drawTarget(grant, needed, unallocatedOf(state, settings, account, balance),
+                                settings.reach_);
+    op.atLeast_ = grant.returned_ + grant.spent_ + grant.reserved_ + needed;
+    op.create_ = grant.armed_ == Tokens {};
+    if (op.armedTotal_ <= grant.armed_)
+        return;
+    // Funding goes first: a draw from a budget without a record has no effect.
+    if (!balance.fundingCommitted_)
+        submitFunding(state, settings, account, balance, due);
+    submitOp(shardOf(state, settings, account), LedgerOp {op}, due);
+    grant.drawing_ = true;
+}
+
+void submitReturn(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                  PrepaidBalance &balance, Tokens amount, MonoTime due)
+{
+    if (amount <= Tokens {})
+        return;
+    HeldGrant &grant = balance.grant_;
+    grant.returned_ += amount;
+    PrepaidShard &shard = shardOf(state, settings, account);
+    const BudgetId budget {account.value_};
+    submitOp(shard, LedgerOp {SettleOp {budget, grant.id_, grant.spent_}}, due);
+    submitOp(shard, LedgerOp {ReturnOp {budget, grant.id_, grant.returned_}}, due);
+    submitFunding(state, settings, account, balance, due);
+}
+
+/// The holder's own copy of its grant follows the store's.
+void takeOverGrant(const PrepaidState &state, const PrepaidSettings &settings,
+                   const AccountId &account, PrepaidBalance &balance)
+{
+    const BudgetRecord *record = recordOf(state, settings, account);
+    if (!record)
+        return;
+    balance.fundingCommitted_ = record->fundedBy_.value_ >= balance.fundedBy_.value_;
+    const auto grant = record->grants_.find(balance.grant_.id_);
+    if (grant == record->grants_.end())
+        return;
+    // Armed totals only grow, so an older copy never takes tokens back.
+    balance.grant_.armed_ = std::max(balance.grant_.armed_, grant->second.armed_);
+    balance.grant_.settled_ = std::max(balance.grant_.settled_, grant->second.settled_);
+}
+
+bool isScarce(const PrepaidSettings &settings, const BudgetRecord &record)
+{
+    return static_cast<double>(unallocated(record).count_)
+        < static_cast<double>(record.funded_.count_) * settings.scarceShare_;
+}
+
+void reviewBalance(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                   PrepaidBalance &balance, MonoTime now)
+{
+    HeldGrant &grant = balance.grant_;
+    const BudgetRecord *record = recordOf(state, settings, account);
+    if (record && isScarce(settings, *record)) {
+        // What is needed next is drawn when a request asks for it.
+        submitReturn(state, settings, account, balance,
+                     returnable(grant, settings.scarceReach_, now), now + settings.drawDelay_);
+        return;
+    }
+    const double wanted
+        = static_cast<double>(reachTokens(settings, grant).count_) * settings.refillShare_;
+    const bool low = static_cast<double>(available(grant).count_) < wanted;
+    if (low && !grant.drawing_ && grant.armed_ > Tokens {})
+        submitDraw(state, settings, account, balance, Tokens {}, now + settings.drawDelay_);
+}
+
+} // namespace
+
+void fundAccounts(PrepaidState &state, const PrepaidSettings &settings, const RelayConfig &config,
+                  MonoTime now)
+{
+    for (const auto &[id, account] : config.accounts_) {
+        if (!account.prepaid_)
+            continue;
+        PrepaidBalance &balance = state.balances_[id];
+        if (balance.grant_.id_.isEmpty())
+            balance.grant_.id_ = GrantId {state.holder_.value_};
+        if (balance.fundedBy_ >= config.version_)
+            continue;
+        const bool lowered = *account.prepaid_ < balance.funded_;
+        const bool changed = *account.prepaid_ != balance.funded_;
+        balance.funded_ = *account.prepaid_;
+        balance.fundedBy_ = config.version_;
+        if (!changed)
+            continue;
+        balance.fundingCommitted_ = false;
+        if (lowered)
+            submitReturn(state, settings, id, balance, available(balance.grant_), now);
+        else if (balance.grant_.armed_ > Tokens {})
+            submitFunding(state, settings, id, balance, now + settings.drawDelay_);
+    }
+}
+
+bool reserveTokens(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                   Tokens amount, MonoTime now)
+{
+    PrepaidBalance &balance = state.balances_[account];
+    HeldGrant &grant = balance.grant_;
+    if (grant.burnRate_ == 0.0) {
+        grant.burnRate_ = static_cast<double>(amount.count_) * firstBurnRequestsPerSecond;
+        grant.lastSpent_ = now;
+    }
+    const bool reserved = tryReserve(grant, amount);
+    if (!reserved)
+        submitDraw(state, settings, account, balance, amount, now);
+    else if (!grant.drawing_)
+        reviewBalance(state, settings, account, balance, now);
+    return reserved;
+}
+
+void settleTokens(PrepaidState &state, const PrepaidSettings &, const AccountId &account,
+                  Tokens reserved, Tokens spent, MonoTime now)
+{
+    PrepaidBalance &balance = state.balances_[account];
+    spendReserved(balance.grant_, reserved, std::min(spent, reserved), now);
+}
+
+Shortage judgeShortage(const PrepaidState &state, const PrepaidSettings &settings,
+                       const AccountId &account, Tokens amount)
+{
+    const BudgetRecord *record = recordOf(state, settings, account);
+    const auto balance = state.balances_.find(account);
+    if (!record || balance == state.balances_.end() || !balance->second.fundingCommitted_)
+        return Shortage::Unknown;
+    const HeldGrant &own = balance->second.grant_;
+    if (unallocated(*record) + available(own) >= amount)
+        return Shortage::None;
+    // Settlements of others arrive late, so their unsettled tokens count as unspent.
+    const Tokens left = record->funded_ - record->charged_ - (own.spent_ - own.settled_);
+    return left < amount ? Shortage::Exhausted : Shortage::HeldElsewhere;
+}
+
+std::vector<SubmitStoreCall> startPrepaidCalls(PrepaidState &state, const PrepaidSettings &settings,
+                                               MonoTime now)
+{
+    std::vector<SubmitStoreCall> calls;
+    for (auto &[number, shard] : state.shards_) {
+        if (!shard.call_ && now - state.copiedAt_[number] > settings.copyLifetime_)
+            shard.loaded_ = false;
+        const CallId id {state.lastCall_ + 1};
+        std::optional<StoreCall> call = startCall(shard, id, now);
+        if (!call)
+            continue;
+        state.lastCall_ = id.value_;
+        state.calls_[id] = number;
+        calls.push_back(SubmitStoreCall {id, std::move(*call)});
+    }
+    return calls;
+}
+
+std::set<AccountId> finishPrepaidCall(PrepaidState &state, const PrepaidSettings &settings,
+                                      const StoreReply &reply, MonoTime now)
+{
+    std::set<AccountId> changed;
+    const auto call = state.calls_.find(reply.call_);
+    if (call == state.calls_.end())
+        return changed;
+    const ShardNumber number = call->second;
+    state.calls_.erase(call);
+    PrepaidShard &shard = state.shards_.at(number);
+    const std::vector<LedgerOp> committed = finishCall(shard, reply, now);
+    if (!shard.loaded_)
+        return changed;
+    state.copiedAt_[number] = now;
+    for (const LedgerOp &op : committed) {
+        const auto balance = state.balances_.find(AccountId {budgetOf(op).value_});
+        if (balance != state.balances_.end() && std::holds_alternative<DrawOp>(op))
+            balance->second.grant_.drawing_ = false;
+    }
+    for (auto &[account, balance] : state.balances_) {
+        if (ledgerShardOf(BudgetId {account.value_}, settings.shards_) != number)
+            continue;
+        takeOverGrant(state, settings, account, balance);
+        changed.insert(account);
+    }
+    return changed;
+}
+
+void reviewBalances(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
+{
+    for (auto &[account, balance] : state.balances_) {
+        if (balance.grant_.armed_ == Tokens {} || now < balance.reviewAt_)
+            continue;
+        balance.reviewAt_ = now + settings.reviewInterval_;
+        reviewBalance(state, settings, account, balance, now);
+        requestCall(shardOf(state, settings, account), now + settings.drawDelay_);
+    }
+}
+
+void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
+{
+    for (auto &[account, balance] : state.balances_) {
+        if (balance.grant_.armed_ > Tokens {})
+            submitReturn(state, settings, account, balance, available(balance.grant_), now);
+    }
+}
+
+bool isPrepaidIdle(const PrepaidState &state)
+{
+    return std::all_of(state.shards_.begin(), state.shards_.end(),
+                       [](const auto &item) { return isIdle(item.second); });
+}
+
+std::optional<MonoTime> nextPrepaidTime(const PrepaidState &state)
+{
+    std::optional<MonoTime> next;
+    const auto consider = [&next](std::optional<MonoTime> time) {
+        if (time && (!next || *time < *next))
+            next = time;
+    };
+    for (const auto &[number, shard] : state.shards_)
+        consider(nextCallTime(shard));
+    for (const auto &[account, balance] : state.balances_) {
+        if (balance.grant_.armed_ > Tokens {})
+            consider(balance.reviewAt_);
+    }
+    return next;
+}
+
+Result<void> checkInvariants(const PrepaidState &state)
+{
+    for (const auto &[account, balance] : state.balances_)
+        BOOST_LEAF_CHECK(checkInvariants(balance.grant_));
+    return {};
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/relay/prepaid.h
@@ -0,0 +1,123 @@
+// Prepaid balances of a relay daemon: the grants that it holds in the ledger and the reservations
+// of requests against them. Calls to the store are group commits of ledger shards.
+#pragma once
+
+#include "core/command.h"
+#include "core/grants.h"
+#include "core/ids.h"
+#include "core/ledger.h"
+#include "core/relay/config.h"
+#include "core/shardcommit.h"
+#include "core/time.h"
+#include "core/tokens.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+struct PrepaidSettings
+{
+    /// Key prefix of the ledger shards in the store.
+    std::string keyPrefix_ = "tamarack/ledger";
+    std::uint32_t shards_ = 1;
+    /// Tokens that a killed daemon held stay lost, so a grant covers seconds, not minutes; it must
+    /// still outlast most outages of the store.
+    ReachPolicy reach_ {Millis {5000}, 40};
+    /// A grant is drawn again once less than this share of its reach is left.
+    double refillShare_ = 0.5;
+    /// A draw that no request waits for joins others for this long.
+    Millis drawDelay_ {150};
+    /// Interval of the reads that show whether tokens should be handed back.
+    Millis reviewInterval_ {3000};
+    /// Holders hand back tokens once less than this share of the funding is unallocated.
+    double scarceShare_ = 0.15;
+    /// What a holder keeps of a scarce budget, as time at its burn rate.
+    Millis scarceReach_ {700};
+    /// A copy of a shard older than this is read again before a write, because a read costs less
+    /// than a write that fails on its condition.
+    Millis copyLifetime_ {30};
+};
+
+/// @brief The balance of one client account.
+struct PrepaidBalance
+{
+    HeldGrant grant_;
+    Tokens funded_;
+    ConfigVersion fundedBy_;
+    /// The FundOp of fundedBy_ is committed.
+    bool fundingCommitted_ = false;
+    MonoTime reviewAt_ {};
+};
+
+using PrepaidShard = ShardCommit<LedgerShard, LedgerOp>;
+
+/// @brief All balances of this daemon.
+struct PrepaidState
+{
+    HolderId holder_;
+    std::map<AccountId, PrepaidBalance> balances_;
+    std::map<ShardNumber, PrepaidShard> shards_;
+    std::map<ShardNumber, MonoTime> copiedAt_;
+    std::map<CallId, ShardNumber> calls_;
+    std::uint64_t lastCall_ = 0;
+};
+
+/// @brief Takes over the totals of a configuration.
+void fundAccounts(PrepaidState &state, const PrepaidSettings &settings, const RelayConfig &config,
+                  MonoTime now);
+
+/// @brief Reserves the worst case of a request.
+/// @return false if the grant does not cover it; a draw is submitted then
+bool reserveTokens(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                   Tokens amount, MonoTime now);
+
+/// @brief Ends a reservation.
+/// @param spent what the request used, at most @a reserved
+void settleTokens(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                  Tokens reserved, Tokens spent, MonoTime now);
+
+/// @brief What the ledger's last copy says about an amount that the grant does not cover.
+enum class Shortage {
+    /// The store has not answered yet.
+    Unknown,
+    /// What is left of the total is smaller than the amount.
+    Exhausted,
+    /// The total would cover the amount, but other daemons hold too much of it.
+    HeldElsewhere,
+    /// A draw can still succeed.
+    None,
+};
+
+/// @brief Judges why an amount can't be reserved.
+Shortage judgeShortage(const PrepaidState &state, const PrepaidSettings &settings,
+                       const AccountId &account, Tokens amount);
+
+/// @brief Starts the calls to the store that are due.
+std::vector<SubmitStoreCall> startPrepaidCalls(PrepaidState &state, const PrepaidSettings &settings,
+                                               MonoTime now);
+
+/// @brief Applies a reply.
+/// @return the accounts whose ledger record was read or changed by this call
+std::set<AccountId> finishPrepaidCall(PrepaidState &state, const PrepaidSettings &settings,
+                                      const StoreReply &reply, MonoTime now);
+
+/// @brief Submits draws, returns and reads whose time has come.
+void reviewBalances(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
+
+/// @brief Submits the hand-back of all grants that no request needs.
+void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
+
+/// @brief Returns true if the store holds everything that was submitted.
+bool isPrepaidIdle(const PrepaidState &state);
+
+/// @brief Returns when startPrepaidCalls() or reviewBalances() has work to do next.
+std::optional<MonoTime> nextPrepaidTime(const PrepaidState &state);
+
+/// @brief Checks the invariants of all grants.
+Result<void> checkInvariants(const PrepaidState &state);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/relay/relaycontrol.cpp
@@ -0,0 +1,346 @@
+// Dispatch of events and of the passage of time.
+#include "core/relay/relaycontrol.h"
+
+#include "core/relay/relayparts.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+using namespace relaydetail;
+
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusServiceUnavailable = 503;
+
+std::string sourceName(ChangeSource source)
+{
+    return source == ChangeSource::Store ? "store" : "peer";
+}
+
+/// Removals are remembered for this many instances, far more than leave within a stale answer's
+/// age.
+constexpr std::size_t maxRemembered = 2000;
+
+void updateReady(RelayState &state, RelayCommands &out)
+{
+    const bool ready = state.config_ && state.instancesKnown_ && !state.stopAsked_;
+    if (ready == state.ready_)
+        return;
+    state.ready_ = ready;
+    out.emplace_back(SetReady {ready});
+    logLine(out, LogLevel::Info, "daemon.readiness",
+            {{"ready", ready ? "yes" : "no"},
+             {"config", std::to_string(state.config_ ? state.config_->version_.value_ : 0)},
+             {"instances", std::to_string(state.directory_.known_.size())}});
+}
+
+/// Returns the status to refuse with, 0 if the request is allowed.
+int checkAccess(ActiveRelay &active)
+{
+    const RelayConfig &config = *active.config_;
+    active.route_ = findRoute(config, active.request_.host_, active.request_.path_);
+    if (!active.route_)
+        return statusNotFound;
+    if (config.accountByKey_.empty() && config.accounts_.empty())
+        return 0;
+    const auto account = config.accountByKey_.find(active.request_.key_);
+    if (account != config.accountByKey_.end())
+        active.account_ = account->second;
+    else if (!active.route_->public_)
+        return statusUnauthorized;
+    return 0;
+}
+
+void creditService(RelayState &state, const ActiveRelay &active, MonoTime now)
+{
+    RetrySettings settings;
+    const double daemons = std::max(state.fleet_.daemons_, 1U);
+    settings.share_ = state.settings_.retries_.share_ * state.settings_.retryMargin_;
+    settings.initial_
+        = state.settings_.retries_.extra_ * state.settings_.retryMargin_ / daemons / 2;
+    settings.burst_ = settings.initial_;
+    const std::vector<ServiceId> services
+        = servicesInOrder(*active.route_, active.request_.request_);
+    if (!services.empty())
+        creditRequest(state.retries_[services.front()], settings, now);
+}
+
+void onEvent(RelayState &state, const RequestRead &event, MonoTime now, RelayCommands &out)
+{
+    ActiveRelay &active = state.active_[event.request_.id_];
+    active.request_ = event.request_;
+    active.config_ = state.config_;
+    active.deadline_
+        = event.request_.arrivedAt_ + event.request_.patience_.value_or(Millis {Seconds {60}});
+    if (!state.config_) {
+        refuse(state, active, statusServiceUnavailable, "no_configuration", now, out);
+        return;
+    }
+    if (const int status = checkAccess(active)) {
+        refuse(state, active, status, status == statusNotFound ? "no_route" : "unknown_key", now,
+               out);
+        return;
+    }
+    if (active.route_->timeout_ > Millis {})
+        active.deadline_
+            = std::min(active.deadline_, event.request_.arrivedAt_ + active.route_->timeout_);
+    creditService(state, active, now);
+    admit(state, active, now, out);
+}
+
+void onEvent(RelayState &state, const OutputStarted &event, MonoTime now, RelayCommands &)
+{
+    const auto it = state.active_.find(event.id_);
+    if (it == state.active_.end() || it->second.attempts_ != event.attempt_)
+        return;
+    ActiveRelay &active = it->second;
+    active.outputStarted_ = true;
+    active.mayHaveRun_ = true;
+    if (!active.firstOutputAt_)
+        active.firstOutputAt_ = event.at_;
+    active.stageEnd_.reset();
+    schedule(state, active);
+    noteFirstOutput(state.choice_, state.settings_.choice_, *active.choice_,
+                    event.at_ - active.sentAt_, now);
+}
+
+void onEvent(RelayState &state, const RelayAttemptEnded &event, MonoTime now, RelayCommands &out)
+{
+    const auto it = state.active_.find(event.id_);
+    if (it == state.active_.end() || it->second.stage_ != RelayStage::Sent)
+        return;
+    // An answer that went to the client ends the request, also when a repeat was just ordered.
+    if (it->second.attempts_ != event.attempt_ && event.end_ != AttemptEnd::Delivered)
+        return;
+    onAttemptEnded(state, it->second, event, now, out);
+}
+
+void onEvent(RelayState &state, const ClientLeft &event, MonoTime now, RelayCommands &out)
+{
+    const auto it = state.active_.find(event.id_);
+    if (it == state.active_.end())
+        return;
+    ActiveRelay &active = it->second;
+    if (active.stage_ != RelayStage::Sent) {
+        finish(state, active, "client_left", now, out);
+        return;
+    }
+    RelayAttemptEnded ended;
+    ended.id_ = event.id_;
+    ended.attempt_ = active.attempts_;
+    ended.end_ = AttemptEnd::ClientLeft;
+    ended.events_ = event.events_;
+    onAttemptEnded(state, active, ended, now, out);
+}
+
+void onEvent(RelayState &state, const ConfigSeen &event, MonoTime now, RelayCommands &out)
+{
+    if (state.config_ && event.config_->version_ <= state.config_->version_)
+        return;
+    state.config_ = event.config_;
+    fundAccounts(state.prepaid_, state.settings_.prepaid_, *state.config_, now);
+    out.emplace_back(ApplyLimits {state.config_->limits_});
+    logLine(out, LogLevel::Info, "config.applied",
+            {{"version", std::to_string(state.config_->version_.value_)},
+             {"routes", std::to_string(state.config_->routes_.size())},
+             {"accounts", std::to_string(state.config_->accounts_.size())},
+             {"source", sourceName(event.source_)}});
+    updateReady(state, out);
+}
+
+void logInstance(RelayCommands &out, const Instance &instance, Revision revision,
+                 ChangeSource source)
+{
+    logLine(out, LogLevel::Info, "instance.changed",
+            {{"upstream", instance.id_.value_},
+             {"service", instance.service_.value_},
+             {"address", instance.address_},
+             {"zone", instance.zone_.value_},
+             {"state", instance.state_ == InstanceState::Ready ? "ready" : "draining"},
+             {"revision", std::to_string(revision.value_)},
+             {"source", sourceName(source)}});
+}
+
+void onEvent(RelayState &state, const InstancesListed &event, MonoTime now, RelayCommands &out)
+{
+    const std::vector<UpstreamId> missing
+        = applyListing(state.directory_, event.instances_, event.revision_, now);
+    state.instancesKnown_ = true;
+    logLine(out, LogLevel::Info, "instances.listed",
+            {{"count", std::to_string(event.instances_.size())},
+             {"missing", std::to_string(missing.size())},
+             {"revision", std::to_string(event.revision_.value_)},
+             {"source", sourceName(event.source_)}});
+    updateReady(state, out);
+    serveUnplaced(state, now, out);
+}
+
+void onEvent(RelayState &state, const InstanceChanged &event, MonoTime now, RelayCommands &out)
+{
+    if (!putInstance(state.directory_, event.listed_))
+        return;
+    logInstance(out, event.listed_.instance_, event.listed_.revision_, event.source_);
+    serveUnplaced(state, now, out);
+}
+
+void onEvent(RelayState &state, const InstanceRemoved &event, MonoTime now, RelayCommands &out)
+{
+    if (!removeInstance(state.directory_, event.id_, event.revision_, now))
+        return;
+    logLine(out, LogLevel::Info, "instance.missing",
+            {{"upstream", event.id_.value_},
+             {"revision", std::to_string(event.revision_.value_)},
+             {"source", sourceName(event.source_)}});
+}
+
+void onEvent(RelayState &state, const FleetCounted &event, MonoTime, RelayCommands &out)
+{
+    if (event.daemons_ == state.fleet_.daemons_ && event.zoneDaemons_ == state.fleet_.zoneDaemons_)
+        return;
+    state.fleet_ = event;
+    logLine(out, LogLevel::Info, "fleet.counted",
+            {{"daemons", std::to_string(event.daemons_)},
+             {"zone_daemons", std::to_string(event.zoneDaemons_)}});
+}
+
+void onEvent(RelayState &, const DependencyChanged &event, MonoTime, RelayCommands &out)
+{
+    logLine(out, event.available_ ? LogLevel::Info : LogLevel::Warning,
+            event.available_ ? "dependency.regained" : "dependency.lost",
+            {{"name", event.name_}, {"detail", event.detail_}});
+}
+
+void onEvent(RelayState &state, const StoreReplied &event, MonoTime now, RelayCommands &out)
+{
+    if (event.reply_.status_ == StoreStatus::Unknown
+        || event.reply_.status_ == StoreStatus::Unavailable)
+        logLine(out, LogLevel::Warning, "ledger.call_failed",
+                {{"call", std::to_string(event.reply_.call_.value_)},
+                 {"outcome",
+                  event.reply_.status_ == StoreStatus::Unknown ? "unknown" : "unavailable"}});
+    const std::set<AccountId> accounts
+        = finishPrepaidCall(state.prepaid_, state.settings_.prepaid_, event.reply_, now);
+    for (const AccountId &account : accounts)
+        serveWaiting(state, account, now, out);
+}
+
+void onEvent(RelayState &state, const RelayStopAsked &event, MonoTime now, RelayCommands &out)
+{
+    if (state.stopAsked_)
+        return;
+    state.stopAsked_ = now;
+    state.stopLimit_ = event.limit_ - state.settings_.stopMargin_;
+    logLine(out, LogLevel::Info, "daemon.stopping",
+            {{"active", std::to_string(state.active_.size())}});
+    out.emplace_back(StopKeepingClients {});
+    updateReady(state, out);
+}
+
+void passStop(RelayState &state, MonoTime now, RelayCommands &out)
+{
+    if (!state.stopAsked_ || state.stopCompleted_)
+        return;
+    const bool lingered = now >= *state.stopAsked_ + state.settings_.stopLinger_;
+    if (lingered && !state.idleClosed_) {
+        state.idleClosed_ = true;
+        out.emplace_back(CloseIdleClients {});
+        releaseGrants(state.prepaid_, state.settings_.prepaid_, now);
+    }
+    const bool done = state.idleClosed_ && state.active_.empty() && isPrepaidIdle(state.prepaid_);
+    if (!done && now < state.stopLimit_)
+        return;
+    state.stopCompleted_ = true;
+    logLine(out, done ? LogLevel::Info : LogLevel::Warning, "daemon.stopped",
+            {{"cut", std::to_string(state.active_.size())},
+             {"ledger_settled", isPrepaidIdle(state.prepaid_) ? "yes" : "no"}});
+    out.emplace_back(RelayStopCompleted {});
+}
+
+void startCalls(RelayState &state, MonoTime now, RelayCommands &out)
+{
+    for (SubmitStoreCall &call : startPrepaidCalls(state.prepaid_, state.settings_.prepaid_, now))
+        out.emplace_back(std::move(call));
+}
+
+void consider(std::optional<MonoTime> &next, std::optional<MonoTime> time)
+{
+    if (time && (!next || *time < *next))
+        next = time;
+}
+
+} // namespace
+
+RelayCommands handleRelay(RelayState &state, const RelayEvent &event, MonoTime now)
+{
+    RelayCommands out;
+    std::visit([&](const auto &concrete) { onEvent(state, concrete, now, out); }, event);
+    RelayCommands later = passTime(state, now);
+    std::move(later.begin(), later.end(), std::back_inserter(out));
+    return out;
+}
+
+RelayCommands passTime(RelayState &state, MonoTime now)
+{
+    RelayCommands out;
+    while (!state.timers_.empty() && state.timers_.begin()->first <= now) {
+        ActiveRelay &active = state.active_.at(state.timers_.begin()->second);
+        if (active.stage_ == RelayStage::AwaitingInstance && now < active.deadline_) {
+            // An ejection may have ended meanwhile.
+            dispatch(state, active, now, out);
+            if (active.stage_ == RelayStage::Sent)
+                continue;
+        }
+        onTimer(state, active, now, out);
+    }
+    const std::vector<UpstreamId> forgotten
+        = forgetMissing(state.directory_, state.settings_.missingRetention_, now);
+    for (const UpstreamId &id : forgotten) {
+        state.choice_.records_.erase(id);
+        logLine(out, LogLevel::Info, "instance.forgotten", {{"upstream", id.value_}});
+    }
+    if (state.directory_.removed_.size() > maxRemembered)
+        state.directory_.removed_.clear();
+    if (!state.stopAsked_)
+        reviewBalances(state.prepaid_, state.settings_.prepaid_, now);
+    passStop(state, now, out);
+    startCalls(state, now, out);
+    return out;
+}
+
+std::optional<MonoTime> nextRelayTime(const RelayState &state)
+{
+    std::optional<MonoTime> next;
+    if (!state.timers_.empty())
+        consider(next, state.timers_.begin()->first);
+    consider(next, nextForgetting(state.directory_, state.settings_.missingRetention_));
+    consider(next, nextPrepaidTime(state.prepaid_));
+    if (state.stopAsked_ && !state.stopCompleted_) {
+        if (!state.idleClosed_)
+            consider(next, *state.stopAsked_ + state.settings_.stopLinger_);
+        consider(next, state.stopLimit_);
+    }
+    return next;
+}
+
+Result<void> checkInvariants(const RelayState &state)
+{
+    std::size_t timers = 0;
+    for (const auto &[id, active] : state.active_) {
+        if (active.timer_ && state.timers_.contains({*active.timer_, id}))
+            ++timers;
+    }
+    if (timers != state.timers_.size())
+        return fail(ErrorKind::Internal, "tamarack.relay.101",
+                    fmt::format("{} timers for {} requests that have one; restart this daemon and "
+                                "report this",
+                                state.timers_.size(), timers));
+    BOOST_LEAF_CHECK(checkInvariants(state.prepaid_));
+    return checkInvariants(state.choice_);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/relay/relayrequests.cpp
@@ -0,0 +1,263 @@
+// Admission of requests and their first attempt.
+#include "core/hash.h"
+#include "core/relay/relayparts.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace tamarack::relaydetail {
+
+namespace {
+
+constexpr int statusPaymentRequired = 402;
+constexpr int statusServiceUnavailable = 503;
+
+Tokens worstCase(const PromptUsage &usage)
+{
+    return usage.prompt_ + usage.maxOutput_;
+}
+
+bool isPrepaid(const ActiveRelay &active)
+{
+    const auto account = active.config_->accounts_.find(active.account_);
+    return active.request_.usage_ && account != active.config_->accounts_.end()
+        && account->second.prepaid_.has_value();
+}
+
+const RelayService *serviceOf(const ActiveRelay &active, const ServiceId &id)
+{
+    const auto it = active.config_->services_.find(id);
+    return it == active.config_->services_.end() ? nullptr : &it->second;
+}
+
+/// Tokens that the request used: its prompt once, and its output as far as it went to the client.
+Tokens usedTokens(const ActiveRelay &active)
+{
+    if (!active.mayHaveRun_)
+        return {};
+    const PromptUsage &usage = *active.request_.usage_;
+    const RelayService *service = serviceOf(active, active.service_);
+    const std::uint32_t perEvent
+        = service && service->engine_ ? service->engine_->tokensPerEvent_ : 0;
+    if (perEvent == 0 || active.outputUnknown_)
+        return worstCase(usage);
+    const Tokens output {static_cast<std::int64_t>(active.events_ * perEvent)};
+    return usage.prompt_ + std::min(output, usage.maxOutput_);
+}
+
+/// Spreads clients that come back, without a generator: the id of a request is random.
+Millis comeBackAfter(const RelayState &state, const ActiveRelay &active)
+{
+    const Millis base = state.settings_.retryAfter_;
+    const auto spread = static_cast<std::uint64_t>(base.count()) + 1;
+    return base + Millis {hash64(active.request_.request_.value_) % spread};
+}
+
+std::uint32_t connectionsPerInstance(const RelayState &state, const RelayService &service)
+{
+    const double share = service.maxConnections_ * state.settings_.connectionShare_
+        / std::max(state.fleet_.daemons_, 1U);
+    return std::max(static_cast<std::uint32_t>(share), 1U);
+}
+
+struct Placement
+{
+    Choice choice_;
+    const RelayService *service_ = nullptr;
+};
+
+std::optional<Placement> place(const RelayState &state, const ActiveRelay &active, MonoTime now)
+{
+    for (const ServiceId &id : servicesInOrder(*active.route_, active.request_.request_)) {
+        const RelayService *service = serviceOf(active, id);
+        if (!service)
+            continue;
+        const ChoiceAsk ask {&active.request_, service, state.settings_.zone_,
+                             state.fleet_.zoneDaemons_, active.tried_};
+        std::optional<Choice> choice
+            = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, ask, now);
+        if (choice)
+            return Placement {std::move(*choice), service};
+    }
+    return std::nullopt;
+}
+
+void send(RelayState &state, ActiveRelay &active, const Placement &placement, MonoTime now,
+          RelayCommands &out)
+{
+    const Choice &choice = placement.choice_;
+    active.stage_ = RelayStage::Sent;
+    active.choice_ = choice;
+    active.service_ = placement.service_->id_;
+    active.tried_.insert(choice.instance_);
+    ++active.attempts_;
+    active.sentAt_ = now;
+    active.outputStarted_ = false;
+    active.stageEnd_.reset();
+    const bool mayRepeat = active.route_->repeat_ == RepeatRule::Repeatable
+        && active.attempts_ < active.route_->maxAttempts_;
+    if (mayRepeat && active.route_->latencyObjective_ > Millis {}) {
+        const PreciseMicros silence
+            = PreciseMicros {active.route_->latencyObjective_} * state.settings_.silenceObjectives_;
+        active.stageEnd_ = now + std::chrono::duration_cast<Micros>(silence);
+    }
+    const Instance &instance = state.directory_.known_.at(choice.instance_).instance_;
+    noteSent(state.choice_, state.settings_.choice_, choice, active.request_, instance.startedAt_,
+             now);
+    schedule(state, active);
+    std::vector<LogField> fields = requestFields(active);
+    fields.push_back({"attempt", std::to_string(active.attempts_)});
+    fields.push_back({"upstream", choice.instance_.value_});
+    fields.push_back({"address", choice.address_});
+    fields.push_back({"predicted_ms", fmt::format("{:.0f}", choice.predicted_.count() / 1000.0)});
+    fields.push_back({"uncached", std::to_string(choice.uncached_.count_)});
+    fields.push_back({"same_zone", choice.sameZone_ ? "yes" : "no"});
+    logLine(out, LogLevel::Info, "request.dispatch", std::move(fields));
+    out.emplace_back(SendAttempt {
+        active.request_.id_, active.attempts_, choice.instance_, choice.address_, active.account_,
+        active.deadline_, active.route_->repeat_, active.route_->streaming_,
+        connectionsPerInstance(state, *placement.service_), state.settings_.connectLimit_});
+}
+
+void awaitTokens(RelayState &state, ActiveRelay &active, MonoTime now, RelayCommands &out)
+{
+    const Tokens amount = worstCase(*active.request_.usage_);
+    PrepaidState &prepaid = state.prepaid_;
+    if (reserveTokens(prepaid, state.settings_.prepaid_, active.account_, amount, now)) {
+        active.reserved_ = amount;
+        dispatch(state, active, now, out);
+        return;
+    }
+    if (active.stage_ != RelayStage::AwaitingTokens || !active.stageEnd_) {
+        active.stage_ = RelayStage::AwaitingTokens;
+        active.stageEnd_ = now + state.settings_.tokenWait_;
+        schedule(state, active);
+    }
+}
+
+} // namespace
+
+void logLine(RelayCommands &out, LogLevel level, std::string name, std::vector<LogField> fields)
+{
+    out.emplace_back(WriteLog {LogEvent {level, std::move(name), std::move(fields)}});
+}
+
+std::vector<LogField> requestFields(const ActiveRelay &active)
+{
+    return {{"request", active.request_.request_.value_},
+            {"route", active.route_ ? active.route_->id_.value_ : "none"},
+            {"config", std::to_string(active.config_ ? active.config_->version_.value_ : 0)}};
+}
+
+void schedule(RelayState &state, ActiveRelay &active)
+{
+    if (active.timer_)
+        state.timers_.erase({*active.timer_, active.request_.id_});
+    active.timer_ = active.deadline_;
+    if (active.stageEnd_)
+        active.timer_ = std::min(*active.timer_, *active.stageEnd_);
+    state.timers_.emplace(*active.timer_, active.request_.id_);
+}
+
+void refuse(RelayState &state, ActiveRelay &active, int status, const std::string &reason,
+            MonoTime now, RelayCommands &out)
+{
+    std::optional<Millis> retryAfter;
+    if (status == statusServiceUnavailable)
+        retryAfter = comeBackAfter(state, active);
+    out.emplace_back(AnswerClient {active.request_.id_, status, retryAfter, reason});
+    finish(state, active, fmt::format("{} {}", status, reason), now, out);
+}
+
+void finish(RelayState &state, ActiveRelay &active, const std::string &outcome, MonoTime now,
+            RelayCommands &out)
+{
+    Tokens used;
+    if (active.reserved_ > Tokens {}) {
+        used = usedTokens(active);
+        settleTokens(state.prepaid_, state.settings_.prepaid_, active.account_, active.reserved_,
+                     used, now);
+    }
+    const auto millis = [&](MonoTime time) {
+        return std::to_string(
+            std::chrono::duration_cast<Millis>(time - active.request_.arrivedAt_).count());
+    };
+    std::vector<LogField> fields = requestFields(active);
+    fields.push_back({"account", active.account_.value_});
+    fields.push_back({"outcome", outcome});
+    fields.push_back({"attempts", std::to_string(active.attempts_)});
+    fields.push_back({"may_have_run", active.mayHaveRun_ ? "yes" : "no"});
+    if (active.choice_)
+        fields.push_back({"upstream", active.choice_->instance_.value_});
+    if (active.firstOutputAt_)
+        fields.push_back({"first_output_ms", millis(*active.firstOutputAt_)});
+    fields.push_back({"total_ms", millis(now)});
+    fields.push_back({"events", std::to_string(active.events_)});
+    fields.push_back({"tokens", std::to_string(used.count_)});
+    logLine(out, LogLevel::Info, "request.end", std::move(fields));
+    if (active.timer_)
+        state.timers_.erase({*active.timer_, active.request_.id_});
+    state.active_.erase(active.request_.id_);
+}
+
+void dispatch(RelayState &state, ActiveRelay &active, MonoTime now, RelayCommands &out)
+{
+    if (const std::optional<Placement> placement = place(state, active, now)) {
+        send(state, active, *placement, now, out);
+        return;
+    }
+    if (active.stage_ == RelayStage::AwaitingInstance)
+        return;
+    const PreciseMicros wait
+        = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
+    active.stage_ = RelayStage::AwaitingInstance;
+    active.stageEnd_ = active.request_.arrivedAt_ + std::chrono::duration_cast<Micros>(wait);
+    schedule(state, active);
+}
+
+void admit(RelayState &state, ActiveRelay &active, MonoTime now, RelayCommands &out)
+{
+    if (isPrepaid(active))
+        awaitTokens(state, active, now, out);
+    else
+        dispatch(state, active, now, out);
+}
+
+void serveWaiting(RelayState &state, const AccountId &account, MonoTime now, RelayCommands &out)
+{
+    std::vector<ExchangeId> waiting;
+    for (const auto &[id, active] : state.active_) {
+        if (active.stage_ == RelayStage::AwaitingTokens && active.account_ == account)
+            waiting.push_back(id);
+    }
+    for (const ExchangeId id : waiting) {
+        ActiveRelay &active = state.active_.at(id);
+        const Tokens amount = worstCase(*active.request_.usage_);
+        switch (judgeShortage(state.prepaid_, state.settings_.prepaid_, account, amount)) {
+        case Shortage::Exhausted:
+            refuse(state, active, statusPaymentRequired, "budget_exhausted", now, out);
+            break;
+        case Shortage::HeldElsewhere:
+            refuse(state, active, statusServiceUnavailable, "budget_held_elsewhere", now, out);
+            break;
+        case Shortage::None:
+        case Shortage::Unknown:
+            awaitTokens(state, active, now, out);
+            break;
+        }
+    }
+}
+
+void serveUnplaced(RelayState &state, MonoTime now, RelayCommands &out)
+{
+    std::vector<ExchangeId> waiting;
+    for (const auto &[id, active] : state.active_) {
+        if (active.stage_ == RelayStage::AwaitingInstance)
+            waiting.push_back(id);
+    }
+    for (const ExchangeId id : waiting)
+        dispatch(state, state.active_.at(id), now, out);
+}
+
+} // namespace tamarack::relaydetail
--- a/src/daemon/bundlestore.h
+++ b/src/daemon/bundlestore.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "daemon/bundlecache.h"
-#include "daemon/stopflag.h"
 #include "ports/ports.h"
+#include "runtime/stopflag.h"
 
 #include <functional>
 #include <string>
--- a/src/daemon/controlloop.cpp
+++ b/src/daemon/controlloop.cpp
@@ -55,10 +55,10 @@
     return Now {std::chrono::steady_clock::now(), std::chrono::system_clock::now()};
 }
 
-std::size_t queuedEvents(EventQueue &queue)
+std::size_t queuedEvents(WaitQueue<Event> &queue)
 {
     const std::lock_guard lock(queue.mutex_);
-    return queue.events_.size();
+    return queue.items_.size();
 }
 
 void recordEvent(ControlLoop &loop, const ControlState &state, const Event &event, MonoTime started)
--- a/src/daemon/controlloop.h
+++ b/src/daemon/controlloop.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "daemon/appliedversion.h"
-#include "daemon/eventqueue.h"
-#include "daemon/storeworkers.h"
+#include "runtime/storeworkers.h"
+#include "runtime/waitqueue.h"
 #include "traffic/traffic.h"
 
 #include <functional>
@@ -13,7 +13,7 @@
 /// @brief What the control thread needs to carry out commands.
 struct ControlLoop
 {
-    EventQueue &queue_;
+    WaitQueue<Event> &queue_;
     StoreWorkers &store_;
     TrafficContext &traffic_;
     LogPort log_;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,7 +11,7 @@
 #include "daemon/controlloop.h"
 #include "daemon/livesettings.h"
 #include "daemon/peering.h"
-#include "daemon/plannedstop.h"
+#include "runtime/plannedstop.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
@@ -61,7 +61,7 @@
     const pthread_t mainThread = pthread_self();
     const std::shared_ptr<const Settings> settings = live.current_.load();
     const LogPort log {writeLogLine};
-    EventQueue queue;
+    WaitQueue<Event> queue;
     const EventPort events {[&queue](Event event) {
         post(queue, std::move(event));
     }};
--- a/src/daemon/peering.h
+++ b/src/daemon/peering.h
@@ -4,7 +4,7 @@
 #include "adapters/json/json.h"
 #include "adapters/peers/peers.h"
 #include "daemon/controlloop.h"
-#include "daemon/registration.h"
+#include "runtime/registration.h"
 
 #include <optional>
 
--- /dev/null
+++ b/src/relayd/relayloop.h
@@ -0,0 +1,29 @@
+// The control thread of a relay daemon.
+#pragma once
+
+#include "core/relay/relay.h"
+#include "ports/ports.h"
+#include "ports/relay.h"
+#include "runtime/runtime.h"
+
+#include <atomic>
+#include <functional>
+
+namespace tamarack {
+
+/// @brief What the control thread uses to carry out its commands.
+struct RelayLoop
+{
+    WaitQueue<RelayEvent> &queue_;
+    StoreWorkers &store_;
+    RelayFrontPort front_;
+    LogPort log_;
+    std::atomic<bool> &ready_;
+    /// Called when the daemon may exit.
+    std::function<void()> stopped_;
+};
+
+/// @brief Handles events until the stop is complete.
+void runRelayLoop(RelayLoop &loop, RelayState state);
+
+} // namespace tamarack
--- a/src/daemon/plannedstop.cpp
+++ b/src/runtime/plannedstop.cpp
@@ -1,5 +1,5 @@
 // Signals of the process and the order of a planned stop.
-#include "daemon/plannedstop.h"
+#include "runtime/plannedstop.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/src/daemon/registration.cpp
+++ b/src/runtime/registration.cpp
@@ -1,5 +1,5 @@
 // Keeping the registration in the store and watching those of others.
-#include "daemon/registration.h"
+#include "runtime/registration.h"
 
 #include <utility>
 
--- a/src/daemon/stopflag.cpp
+++ b/src/runtime/stopflag.cpp
@@ -1,5 +1,5 @@
 // A flag that ends pauses of threads at once when the daemon stops.
-#include "daemon/stopflag.h"
+#include "runtime/stopflag.h"
 
 namespace tamarack {
 
--- a/src/daemon/storeworkers.cpp
+++ b/src/runtime/storeworkers.cpp
@@ -1,5 +1,5 @@
 // Threads that carry out calls to the store.
-#include "daemon/storeworkers.h"
+#include "runtime/storeworkers.h"
 
 namespace tamarack {
 
--- /dev/null
+++ b/src/runtime/waitqueue.h
@@ -0,0 +1,53 @@
+// Queues between threads.
+#pragma once
+
+#include "core/time.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace tamarack {
+
+/// @brief Items that wait for one thread. All functions are safe to call from any thread.
+template <typename Item>
+struct WaitQueue
+{
+    std::mutex mutex_;
+    std::condition_variable posted_;
+    std::deque<Item> items_;
+};
+
+/// @brief Appends an item.
+template <typename Item>
+void post(WaitQueue<Item> &queue, Item item)
+{
+    {
+        const std::lock_guard lock(queue.mutex_);
+        queue.items_.push_back(std::move(item));
+    }
+    queue.posted_.notify_one();
+}
+
+/// @brief Takes the first item; blocks until there is one or @a deadline passes.
+/// @param deadline nothing to wait without limit
+/// @return nothing if the deadline passed
+template <typename Item>
+std::optional<Item> take(WaitQueue<Item> &queue, std::optional<MonoTime> deadline)
+{
+    std::unique_lock lock(queue.mutex_);
+    const auto hasItem = [&queue] {
+        return !queue.items_.empty();
+    };
+    if (!deadline)
+        queue.posted_.wait(lock, hasItem);
+    else if (!queue.posted_.wait_until(lock, *deadline, hasItem))
+        return std::nullopt;
+    Item item = std::move(queue.items_.front());
+    queue.items_.pop_front();
+    return item;
+}
+
+} // namespace tamarack
--- a/tests/contract-registration.cpp
+++ b/tests/contract-registration.cpp
@@ -1,6 +1,6 @@
 // The registration of a daemon in the store. Guards against a daemon that stays unregistered after
 // a lapse, a lost answer or an outage.
-#include "daemon/registration.h"
+#include "runtime/registration.h"
 
 #include <catch2/catch.hpp>
 
