--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -17,6 +17,8 @@
 {
     const ShardNumber number = ledgerShardOf(BudgetId {account.value_}, settings.shards_);
     auto [it, created] = state.shards_.try_emplace(number);
+    if (created)
+        it->second.maxBackoff_ = settings.maxBackoff_;
     if (created)
         it->second.key_ = StoreKey {fmt::format("{}/{}", settings.keyPrefix_, number.value_)};
     return it->second;
@@ -45,7 +47,7 @@
 
 Tokens reachTokens(const PrepaidSettings &settings, const HeldGrant &grant)
 {
-    const std::chrono::duration<double> reach = settings.reach_.offlineReach_;
+    const std::chrono::duration<double> reach = settings.reach_;
     return Tokens {static_cast<std::int64_t>(grant.burnRate_ * reach.count())};
 }
 
@@ -57,6 +59,13 @@
     return record ? unallocated(*record) : balance.funded_;
 }
 
+ReachPolicy reachPolicy(const PrepaidState &state, const PrepaidSettings &settings)
+{
+    constexpr double perMille = 1000.0;
+    const double share = settings.heldShare_ * perMille / std::max(state.daemons_, 1U);
+    return ReachPolicy {settings.reach_, std::max(static_cast<std::uint32_t>(share), 1U)};
+}
+
 void submitDraw(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                 PrepaidBalance &balance, Tokens needed, MonoTime due)
 {
@@ -66,7 +75,7 @@
     op.grant_ = grant.id_;
     op.holder_ = state.holder_;
     op.armedTotal_ = drawTarget(grant, needed, unallocatedOf(state, settings, account, balance),
-                                settings.reach_);
+                                reachPolicy(state, settings));
     op.atLeast_ = grant.returned_ + grant.spent_ + grant.reserved_ + needed;
     op.create_ = grant.armed_ == Tokens {};
     if (op.armedTotal_ <= grant.armed_)
@@ -92,6 +101,15 @@
     submitFunding(state, settings, account, balance, due);
 }
 
+/// What a full grant holds: its reach, but not more than its share of what is left.
+Tokens fullGrant(const PrepaidState &state, const PrepaidSettings &settings,
+                 const AccountId &account, const PrepaidBalance &balance)
+{
+    const std::int64_t unallocated = unallocatedOf(state, settings, account, balance).count_;
+    const Tokens share {unallocated * reachPolicy(state, settings).maxSharePerMille_ / 1000};
+    return std::min(reachTokens(settings, balance.grant_), share);
+}
+
 /// The holder's own copy of its grant follows the store's.
 void takeOverGrant(const PrepaidState &state, const PrepaidSettings &settings,
                    const AccountId &account, PrepaidBalance &balance)
@@ -114,6 +132,18 @@
         < static_cast<double>(record.funded_.count_) * settings.scarceShare_;
 }
 
+/// Returns true if a grant in use has less than a share of what it should hold.
+bool isBelow(const PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+             const PrepaidBalance &balance, double share)
+{
+    const HeldGrant &grant = balance.grant_;
+    if (grant.drawing_ || grant.armed_ == Tokens {})
+        return false;
+    const double wanted
+        = static_cast<double>(fullGrant(state, settings, account, balance).count_) * share;
+    return static_cast<double>(available(grant).count_) < wanted;
+}
+
 void reviewBalance(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                    PrepaidBalance &balance, MonoTime now)
 {
@@ -125,13 +155,29 @@
                      returnable(grant, settings.scarceReach_, now), now + settings.drawDelay_);
         return;
     }
-    const double wanted
-        = static_cast<double>(reachTokens(settings, grant).count_) * settings.refillShare_;
-    const bool low = static_cast<double>(available(grant).count_) < wanted;
-    if (low && !grant.drawing_ && grant.armed_ > Tokens {})
+    if (isBelow(state, settings, account, balance, settings.refillShare_))
         submitDraw(state, settings, account, balance, Tokens {}, now + settings.drawDelay_);
 }
 
+/// Draws for the other accounts of a shard that will need it soon, because a call costs the same for
+/// all of them.
+void joinCall(PrepaidState &state, const PrepaidSettings &settings, ShardNumber number,
+              MonoTime now)
+{
+    for (auto &[account, balance] : state.balances_) {
+        if (ledgerShardOf(BudgetId {account.value_}, settings.shards_) == number
+            && isBelow(state, settings, account, balance, settings.joinShare_))
+            submitDraw(state, settings, account, balance, Tokens {}, now);
+    }
+}
+
+bool hasDraw(const PrepaidShard &shard)
+{
+    return std::any_of(shard.pending_.begin(), shard.pending_.end(), [](const LedgerOp &op) {
+        return std::holds_alternative<DrawOp>(op);
+    });
+}
+
 } // namespace
 
 void fundAccounts(PrepaidState &state, const PrepaidSettings &settings, const RelayConfig &config,
@@ -205,6 +251,9 @@
     for (auto &[number, shard] : state.shards_) {
         if (!shard.call_ && now - state.copiedAt_[number] > settings.copyLifetime_)
             shard.loaded_ = false;
+        const std::optional<MonoTime> due = nextCallTime(shard);
+        if (due && *due <= now && hasDraw(shard))
+            joinCall(state, settings, number, now);
         const CallId id {state.lastCall_ + 1};
         std::optional<StoreCall> call = startCall(shard, id, now);
         if (!call)
@@ -263,6 +312,14 @@
     }
 }
 
+bool isLedgerFailing(const PrepaidState &state, const PrepaidSettings &settings,
+                     const AccountId &account)
+{
+    const auto shard
+        = state.shards_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
+    return shard != state.shards_.end() && shard->second.failures_ > 0;
+}
+
 bool isPrepaidIdle(const PrepaidState &state)
 {
     return std::all_of(state.shards_.begin(), state.shards_.end(),
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -24,11 +24,15 @@
     /// Key prefix of the ledger shards in the store.
     std::string keyPrefix_ = "tamarack/ledger";
     std::uint32_t shards_ = 1;
-    /// Tokens that a killed daemon held stay lost, so a grant covers seconds, not minutes; it must
-    /// still outlast most outages of the store.
-    ReachPolicy reach_ {Millis {5000}, 40};
+    /// A grant covers this long at the current burn rate, which outlasts most outages of the store.
+    Millis reach_ {10'000};
+    /// What all daemons together may hold of the unallocated tokens. Tokens that a killed daemon held
+    /// stay lost, so grants shrink with what is left.
+    double heldShare_ = 0.5;
     /// A grant is drawn again once less than this share of its reach is left.
     double refillShare_ = 0.5;
+    /// Grants below this share of their reach join a call that is made for another one.
+    double joinShare_ = 0.85;
     /// A draw that no request waits for joins others for this long.
     Millis drawDelay_ {150};
     /// Interval of the reads that show whether tokens should be handed back.
@@ -40,6 +44,8 @@
     /// A copy of a shard older than this is read again before a write, because a read costs less
     /// than a write that fails on its condition.
     Millis copyLifetime_ {30};
+    /// Longest pause after failed calls.
+    Millis maxBackoff_ {400};
 };
 
 /// @brief The balance of one client account.
@@ -64,6 +70,8 @@
     std::map<ShardNumber, MonoTime> copiedAt_;
     std::map<CallId, ShardNumber> calls_;
     std::uint64_t lastCall_ = 0;
+    /// Daemons that share the budgets, this one included.
+    std::uint32_t daemons_ = 1;
 };
 
 /// @brief Takes over the totals of a configuration.
@@ -111,6 +119,10 @@
 /// @brief Submits the hand-back of all grants that no request needs.
 void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
 
+/// @brief Returns true if the last call to an account's shard failed.
+bool isLedgerFailing(const PrepaidState &state, const PrepaidSettings &settings,
+                     const AccountId &account);
+
 /// @brief Returns true if the store holds everything that was submitted.
 bool isPrepaidIdle(const PrepaidState &state);
 
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -203,6 +203,7 @@
     if (event.daemons_ == state.fleet_.daemons_ && event.zoneDaemons_ == state.fleet_.zoneDaemons_)
         return;
     state.fleet_ = event;
+    state.prepaid_.daemons_ = event.daemons_;
     logLine(out, LogLevel::Info, "fleet.counted",
             {{"daemons", std::to_string(event.daemons_)},
              {"zone_daemons", std::to_string(event.zoneDaemons_)}});
@@ -263,8 +264,17 @@
 
 void startCalls(RelayState &state, MonoTime now, RelayCommands &out)
 {
-    for (SubmitStoreCall &call : startPrepaidCalls(state.prepaid_, state.settings_.prepaid_, now))
+    for (SubmitStoreCall &call : startPrepaidCalls(state.prepaid_, state.settings_.prepaid_, now)) {
+        const ShardNumber shard = state.prepaid_.calls_.at(call.id_);
+        const bool writes = std::holds_alternative<SwapCall>(call.call_);
+        logLine(out, LogLevel::Info, "ledger.call",
+                {{"call", std::to_string(call.id_.value_)},
+                 {"kind", writes ? "swap" : "read"},
+                 {"shard", std::to_string(shard.value_)},
+                 {"operations",
+                  std::to_string(state.prepaid_.shards_.at(shard).inFlight_.size())}});
         out.emplace_back(std::move(call));
+    }
 }
 
 void consider(std::optional<MonoTime> &next, std::optional<MonoTime> time)
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -43,8 +43,8 @@
     /// An instance whose entry is missing is used as a last resort for this long.
     Millis missingRetention_ {1500};
     Millis connectLimit_ {300};
-    /// How long a request waits for tokens before it is refused.
-    Millis tokenWait_ {400};
+    /// Share of the latency objective for which a request waits for tokens while the ledger answers.
+    double tokenWaitShare_ = 0.3;
     /// Share of the latency objective for which a request waits for an instance.
     double instanceWaitShare_ = 0.125;
     /// A repeatable request without output is sent to another instance after this many latency
@@ -52,8 +52,12 @@
     double silenceObjectives_ = 2.0;
     /// No repeat is started with less time left.
     Millis minRepeatTime_ {100};
-    /// Time to come back after a refusal, in a random part of it and its double.
+    /// Time to come back after a refusal, between it and its double.
     Millis retryAfter_ {250};
+    /// The same when the ledger can't be reached, which lasts longer.
+    Millis retryAfterOutage_ {1200};
+    /// Clients come back after a part of the time they have left at most.
+    double retryAfterShare_ = 0.3;
     /// Part of an upstream's connections that the daemons share out among themselves.
     double connectionShare_ = 0.8;
     /// A stopping daemon goes on accepting for this long, because new connections still reach it.
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -47,11 +47,19 @@
 }
 
 /// Spreads clients that come back, without a generator: the id of a request is random.
-Millis comeBackAfter(const RelayState &state, const ActiveRelay &active)
+Millis comeBackAfter(const RelayState &state, const ActiveRelay &active, MonoTime now)
 {
-    const Millis base = state.settings_.retryAfter_;
+    const RelaySettings &settings = state.settings_;
+    const bool outage = active.stage_ == RelayStage::AwaitingTokens
+        && isLedgerFailing(state.prepaid_, settings.prepaid_, active.account_);
+    const Millis base = outage ? settings.retryAfterOutage_ : settings.retryAfter_;
     const auto spread = static_cast<std::uint64_t>(base.count()) + 1;
-    return base + Millis {hash64(active.request_.request_.value_) % spread};
+    const Millis wanted = base + Millis {hash64(active.request_.request_.value_) % spread};
+    if (!active.request_.patience_)
+        return wanted;
+    const PreciseMicros left = active.request_.arrivedAt_ + *active.request_.patience_ - now;
+    const auto longest = std::chrono::duration_cast<Millis>(left * settings.retryAfterShare_);
+    return std::clamp(longest, Millis {0}, wanted);
 }
 
 std::uint32_t connectionsPerInstance(const RelayState &state, const RelayService &service)
@@ -131,7 +139,12 @@
     }
     if (active.stage_ != RelayStage::AwaitingTokens || !active.stageEnd_) {
         active.stage_ = RelayStage::AwaitingTokens;
-        active.stageEnd_ = now + state.settings_.tokenWait_;
+        // Nothing is gained by holding a request back while the ledger can't be reached.
+        const bool failing
+            = isLedgerFailing(prepaid, state.settings_.prepaid_, active.account_);
+        const PreciseMicros wait = PreciseMicros {active.route_->latencyObjective_}
+            * (failing ? 0.0 : state.settings_.tokenWaitShare_);
+        active.stageEnd_ = now + std::chrono::duration_cast<Micros>(wait);
         schedule(state, active);
     }
 }
@@ -165,7 +178,7 @@
 {
     std::optional<Millis> retryAfter;
     if (status == statusServiceUnavailable)
-        retryAfter = comeBackAfter(state, active);
+        retryAfter = comeBackAfter(state, active, now);
     out.emplace_back(AnswerClient {active.request_.id_, status, retryAfter, reason});
     finish(state, active, fmt::format("{} {}", status, reason), now, out);
 }
--- a/src/core/shardcommit.h
+++ b/src/core/shardcommit.h
@@ -15,6 +15,10 @@
 
 namespace tamarack {
 
+/// First back-off after a failed call; it doubles up to the limit of the shard.
+inline constexpr Millis minCommitBackoff {20};
+inline constexpr Millis maxCommitBackoff {2000};
+
 /// @brief Commit state of one shard.
 ///
 /// Invariants: inFlight_ is empty unless call_ is set; copy_ and revision_ are valid only if
@@ -38,12 +42,9 @@
     /// No call is started before this time (back-off after failures).
     MonoTime notBefore_ {};
     std::uint32_t failures_ = 0;
+    Millis maxBackoff_ = maxCommitBackoff;
 };
 
-/// First back-off after a failed call; it doubles up to maxCommitBackoff.
-inline constexpr Millis minCommitBackoff {20};
-inline constexpr Millis maxCommitBackoff {2000};
-
 /// @brief Adds an operation that should be written by @a due at the latest.
 template <typename Shard, typename Op>
 void submitOp(ShardCommit<Shard, Op> &shard, Op op, MonoTime due)
@@ -134,7 +135,7 @@
         // The value in the store is not known any more, so it is read before the next write.
         shard.loaded_ = false;
         const Millis backoff = minCommitBackoff * (1U << std::min(shard.failures_, 7U));
-        shard.notBefore_ = now + std::min(backoff, maxCommitBackoff);
+        shard.notBefore_ = now + std::min(backoff, shard.maxBackoff_);
         ++shard.failures_;
     }
     // Unfinished operations go first again, so that the order of submission is kept.
