--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -75,7 +75,9 @@
             readStore(root, settings);
             readRetries(root, settings);
             readLimits(root, settings);
-            rejectUnknownFields(root, {"host", "zone", "listen", "store", "retries", "limits"});
+            settings.seeds_ = readStrings(root, "seeds", Need::Optional);
+            rejectUnknownFields(root,
+                                {"host", "zone", "listen", "seeds", "store", "retries", "limits"});
             return {};
         },
         [&faults](const Error &error) {
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -21,7 +21,10 @@
     std::string localAddress_;
     /// Metrics alone; empty if they are served on the local address only.
     std::string metricsAddress_;
+    /// Other daemons' questions; without it the daemon learns from the store only.
     std::string peerAddress_;
+    /// Listeners of daemons that may be asked before the store has named any.
+    std::vector<std::string> seeds_;
     std::string storeAddress_;
     std::string storePrefix_ = "tamarack";
     std::uint32_t ledgerShards_ = 1;
--- a/src/adapters/metrics/metrics.h
+++ b/src/adapters/metrics/metrics.h
@@ -2,3 +2,4 @@
 #pragma once
 
 #include "adapters/metrics/registry.h"
+#include "adapters/metrics/relaymetrics.h"
--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -108,6 +108,27 @@
     envelope.mutable_leaving()->set_holder(message.holder_.value_);
 }
 
+void fill(peer::Envelope &envelope, const DocumentsAsked &message)
+{
+    peer::DocumentsAsked &out = *envelope.mutable_documents_asked();
+    out.set_reply_address(message.replyAddress_);
+    out.set_after(message.after_.value_);
+}
+
+void fill(peer::Envelope &envelope, const DocumentsOffered &message)
+{
+    peer::DocumentsOffered &out = *envelope.mutable_documents_offered();
+    out.set_after(message.after_.value_);
+    out.set_at(message.at_.value_);
+    for (const PeerDocument &document : message.documents_) {
+        peer::Document &entry = *out.add_documents();
+        entry.set_key(document.key_.value_);
+        entry.set_revision(document.revision_.value_);
+        entry.set_removed(!document.value_);
+        entry.set_value(document.value_.value_or(""));
+    }
+}
+
 PeerMessage fromMessage(const peer::Heartbeat &in)
 {
     Heartbeat message;
@@ -150,6 +171,19 @@
                         {in.parts().begin(), in.parts().end()}};
 }
 
+PeerMessage fromMessage(const peer::DocumentsOffered &in)
+{
+    DocumentsOffered message {Revision {in.after()}, Revision {in.at()}, {}};
+    for (const peer::Document &document : in.documents()) {
+        PeerDocument decoded {StoreKey {document.key()}, Revision {document.revision()},
+                              std::nullopt};
+        if (!document.removed())
+            decoded.value_ = document.value();
+        message.documents_.push_back(std::move(decoded));
+    }
+    return message;
+}
+
 /// What refusalCode() returns for a number that is no reason.
 constexpr std::string_view unknownRefusalCode = "internal";
 
@@ -209,6 +243,11 @@
                                             BudgetId {in.release_asked().budget()}}};
     case peer::Envelope::kLeaving:
         return PeerMessage {Leaving {HolderId {in.leaving().holder()}}};
+    case peer::Envelope::kDocumentsAsked:
+        return PeerMessage {DocumentsAsked {in.documents_asked().reply_address(),
+                                            Revision {in.documents_asked().after()}}};
+    case peer::Envelope::kDocumentsOffered:
+        return fromMessage(in.documents_offered());
     case peer::Envelope::MESSAGE_NOT_SET:
         break;
     }
--- a/src/core/controlpeers.cpp
+++ b/src/core/controlpeers.cpp
@@ -81,6 +81,9 @@
     // The bundle's bytes are kept by the bundle store, outside the control state.
     void operator()(const BundleFetch &) const { }
     void operator()(const BundleParts &) const { }
+    // A relay's messages; this daemon follows a bundle instead.
+    void operator()(const DocumentsAsked &) const { }
+    void operator()(const DocumentsOffered &) const { }
     void operator()(const ReleaseRequest &message) const
     {
         if (message.holder_ == state_.membership_.self_.holder_)
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -8,6 +8,7 @@
 #include "core/tokens.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -122,8 +123,37 @@
     HolderId holder_;
 };
 
-using PeerMessage
-    = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle, SettleAck,
-                   BundleOffer, BundleFetch, BundleParts, ReleaseRequest, Leaving>;
+/// @brief A document of the store as it was written, or its removal.
+struct PeerDocument
+{
+    StoreKey key_;
+    Revision revision_;
+    /// Nothing if the key was removed.
+    std::optional<std::string> value_;
+};
+
+/// @brief Asks a peer for the documents that it knows newer versions of, because the store does not
+/// answer this daemon.
+struct DocumentsAsked
+{
+    /// "IP:port" that the answer goes to.
+    std::string replyAddress_;
+    /// The asker knows all documents up to this revision.
+    Revision after_;
+};
+
+/// @brief The answer to DocumentsAsked.
+struct DocumentsOffered
+{
+    /// The revision that was asked with. An answer to 0 holds all documents.
+    Revision after_;
+    /// The sender knows all documents up to this revision.
+    Revision at_;
+    std::vector<PeerDocument> documents_;
+};
+
+using PeerMessage = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle,
+                                 SettleAck, BundleOffer, BundleFetch, BundleParts, ReleaseRequest,
+                                 Leaving, DocumentsAsked, DocumentsOffered>;
 
 } // namespace tamarack
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -6,6 +6,7 @@
 #include "core/event.h"
 #include "core/ids.h"
 #include "core/relay/config.h"
+#include "core/relay/documentsync.h"
 #include "core/relay/instances.h"
 #include "core/relay/prepaid.h"
 #include "core/relay/request.h"
@@ -115,15 +116,16 @@
     ChangeSource source_ = ChangeSource::Store;
 };
 
-/// @brief How many daemons are alive, this one included.
+/// @brief How many daemons are alive, this one included, and where the others listen.
 struct FleetCounted
 {
     std::uint32_t daemons_ = 1;
     std::uint32_t zoneDaemons_ = 1;
+    std::vector<PeerAddress> peers_;
 };
 
-/// @brief A dependency was lost or is back.
-struct DependencyChanged
+/// @brief The store stopped or began to answer a feed of documents.
+struct FeedChanged
 {
     std::string name_;
     bool available_ = false;
@@ -139,7 +141,7 @@
 
 using RelayEvent = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, ClientLeft,
                                 ConfigSeen, InstancesListed, InstanceChanged, InstanceRemoved,
-                                FleetCounted, DependencyChanged, StoreReplied, RelayStopAsked>;
+                                FleetCounted, FeedChanged, StoreReplied, RelayStopAsked>;
 
 /// @brief Sends a request to an instance, in place of the attempt before.
 struct SendAttempt
@@ -186,6 +188,12 @@
     ClientLimits limits_;
 };
 
+/// @brief Asks other daemons for newer documents.
+struct AskPeers
+{
+    std::vector<PeerAddress> peers_;
+};
+
 struct SetReady
 {
     bool ready_ = false;
@@ -204,7 +212,7 @@
 { };
 
 using RelayCommand = std::variant<SendAttempt, AnswerClient, PassOnAnswer, CutAnswer, ApplyLimits,
-                                  SetReady, StopKeepingClients, CloseIdleClients, SubmitStoreCall,
-                                  WriteLog, RelayStopCompleted>;
+                                  AskPeers, SetReady, StopKeepingClients, CloseIdleClients,
+                                  SubmitStoreCall, WriteLog, RelayStopCompleted>;
 
 } // namespace tamarack
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -4,6 +4,7 @@
 #include "core/relay/answers.h"
 #include "core/relay/choice.h"
 #include "core/relay/config.h"
+#include "core/relay/documentsync.h"
 #include "core/relay/events.h"
 #include "core/relay/instances.h"
 #include "core/relay/prepaid.h"
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -200,6 +200,8 @@
 
 void onEvent(RelayState &state, const FleetCounted &event, MonoTime, RelayCommands &out)
 {
+    if (!event.peers_.empty())
+        state.sync_.peers_ = event.peers_;
     if (event.daemons_ == state.fleet_.daemons_ && event.zoneDaemons_ == state.fleet_.zoneDaemons_)
         return;
     state.fleet_ = event;
@@ -209,8 +211,9 @@
              {"zone_daemons", std::to_string(event.zoneDaemons_)}});
 }
 
-void onEvent(RelayState &, const DependencyChanged &event, MonoTime, RelayCommands &out)
+void onEvent(RelayState &state, const FeedChanged &event, MonoTime now, RelayCommands &out)
 {
+    noteFeed(state.sync_, event.name_, event.available_, now);
     logLine(out, event.available_ ? LogLevel::Info : LogLevel::Warning,
             event.available_ ? "dependency.regained" : "dependency.lost",
             {{"name", event.name_}, {"detail", event.detail_}});
@@ -267,12 +270,12 @@
     for (SubmitStoreCall &call : startPrepaidCalls(state.prepaid_, state.settings_.prepaid_, now)) {
         const ShardNumber shard = state.prepaid_.calls_.at(call.id_);
         const bool writes = std::holds_alternative<SwapCall>(call.call_);
-        logLine(out, LogLevel::Info, "ledger.call",
-                {{"call", std::to_string(call.id_.value_)},
-                 {"kind", writes ? "swap" : "read"},
-                 {"shard", std::to_string(shard.value_)},
-                 {"operations",
-                  std::to_string(state.prepaid_.shards_.at(shard).inFlight_.size())}});
+        logLine(
+            out, LogLevel::Info, "ledger.call",
+            {{"call", std::to_string(call.id_.value_)},
+             {"kind", writes ? "swap" : "read"},
+             {"shard", std::to_string(shard.value_)},
+             {"operations", std::to_string(state.prepaid_.shards_.at(shard).inFlight_.size())}});
         out.emplace_back(std::move(call));
     }
 }
@@ -315,6 +318,10 @@
     }
     if (state.directory_.removed_.size() > maxRemembered)
         state.directory_.removed_.clear();
+    std::vector<PeerAddress> peers
+        = peersToAsk(state.sync_, state.settings_.sync_, state.settings_.zone_, now);
+    if (!peers.empty())
+        out.emplace_back(AskPeers {std::move(peers)});
     if (!state.stopAsked_)
         reviewBalances(state.prepaid_, state.settings_.prepaid_, now);
     passStop(state, now, out);
@@ -329,6 +336,7 @@
         consider(next, state.timers_.begin()->first);
     consider(next, nextForgetting(state.directory_, state.settings_.missingRetention_));
     consider(next, nextPrepaidTime(state.prepaid_));
+    consider(next, nextQuestion(state.sync_));
     if (state.stopAsked_ && !state.stopCompleted_) {
         if (!state.idleClosed_)
             consider(next, *state.stopAsked_ + state.settings_.stopLinger_);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "core/relay/choice.h"
 #include "core/relay/config.h"
+#include "core/relay/documentsync.h"
 #include "core/relay/events.h"
 #include "core/relay/instances.h"
 #include "core/relay/prepaid.h"
@@ -37,13 +38,15 @@
     ZoneId zone_;
     ChoiceSettings choice_;
     PrepaidSettings prepaid_;
+    DocumentSyncSettings sync_;
     SharedRetryLimit retries_;
     /// Part of the shared retry limit that the daemons use, because their counts of each other lag.
     double retryMargin_ = 0.7;
     /// An instance whose entry is missing is used as a last resort for this long.
     Millis missingRetention_ {1500};
     Millis connectLimit_ {300};
-    /// Share of the latency objective for which a request waits for tokens while the ledger answers.
+    /// Share of the latency objective for which a request waits for tokens while the ledger
+    /// answers.
     double tokenWaitShare_ = 0.3;
     /// Share of the latency objective for which a request waits for an instance.
     double instanceWaitShare_ = 0.125;
@@ -117,6 +120,7 @@
     std::map<ExchangeId, ActiveRelay> active_;
     std::set<std::pair<MonoTime, ExchangeId>> timers_;
     FleetCounted fleet_;
+    DocumentSync sync_;
     bool ready_ = false;
     std::optional<MonoTime> stopAsked_;
     MonoTime stopLimit_ {};
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -20,4 +20,24 @@
     std::function<void(RelayCommand)> submit_;
 };
 
+/// @brief Levels of the control state, as they are after an event.
+struct RelayLevels
+{
+    std::size_t active_ = 0;
+    std::size_t instances_ = 0;
+    ConfigVersion config_;
+    std::uint32_t daemons_ = 0;
+    Tokens tokensAvailable_;
+    std::uint64_t droppedLogLines_ = 0;
+};
+
+/// @brief Records what the control thread sees and decides. Empty functions record nothing.
+struct RelayMetricsPort
+{
+    std::function<void(const RelayEvent &)> event_;
+    std::function<void(const RelayCommand &)> command_;
+    /// An event was handled in @a time.
+    std::function<void(Micros time, const RelayLevels &)> handled_;
+};
+
 } // namespace tamarack
--- a/src/relayd/follower.cpp
+++ b/src/relayd/follower.cpp
@@ -55,6 +55,7 @@
             noteAvailability(handlers, state, true, {});
             state.pause_ = settings.pause_;
             state.at_ = state.at_ ? std::max(*state.at_, reply.at_) : reply.at_;
+            handlers.onProgress_(*state.at_);
             continue;
         }
         if (reply.status_ == FeedStatus::HistoryGone) {
--- a/src/relayd/follower.h
+++ b/src/relayd/follower.h
@@ -27,6 +27,8 @@
 {
     std::function<void(const std::vector<FeedEntry> &, Revision at)> onListing_;
     std::function<void(const FeedEntry &)> onChange_;
+    /// All changes up to this revision were passed on.
+    std::function<void(Revision at)> onProgress_;
     /// The store answers again, or does not any more.
     std::function<void(bool available, const std::string &detail)> onAvailability_;
 };
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -4,6 +4,9 @@
 #include "adapters/crypto/crypto.h"
 #include "adapters/json/json.h"
 #include "adapters/logging/logging.h"
+#include "adapters/metrics/metrics.h"
+#include "adapters/peers/peers.h"
+#include "relayd/documents.h"
 #include "relayd/follower.h"
 #include "relayd/relayloop.h"
 #include "runtime/runtime.h"
@@ -23,6 +26,9 @@
 constexpr std::size_t holderBytes = 6;
 /// Reads and writes of the ledger; more than one so that a slow call does not hold up the next.
 constexpr std::uint32_t storeWorkers = 2;
+/// Lifetime of the registration without renewal, and the pause between renewals.
+constexpr Seconds registrationLease {5};
+constexpr Millis registrationInterval {1500};
 /// Descriptors that are not for clients: files, listeners and upstreams.
 constexpr std::size_t clientDescriptorShare = 2;
 
@@ -43,115 +49,6 @@
 
 using RelayQueue = WaitQueue<RelayEvent>;
 
-void postTo(RelayQueue &queue, RelayEvent event)
-{
-    post(queue, std::move(event));
-}
-
-/// Decodes a document or logs why that failed.
-template <typename Value>
-std::optional<Value> decodeOrLog(const LogPort &log, const std::string &key,
-                                 const std::function<Result<Value>()> &decode)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> Result<std::optional<Value>> {
-            BOOST_LEAF_AUTO(value, decode());
-            return std::optional<Value>(std::move(value));
-        },
-        [&](const Error &error) {
-            log.write_(
-                LogEvent {LogLevel::Warning,
-                          "document.rejected",
-                          {{"key", key}, {"error", error.id_}, {"problem", error.message_}}});
-            return std::optional<Value>();
-        },
-        [&] {
-            log.write_(LogEvent {LogLevel::Warning, "document.rejected", {{"key", key}}});
-            return std::optional<Value>();
-        });
-}
-
-void onConfigEntry(const RelayDocuments &documents, RelayQueue &queue, const LogPort &log,
-                   const FeedEntry &entry)
-{
-    if (entry.key_.value_ != documents.configKey_ || !entry.value_)
-        return;
-    std::optional<RelayConfig> config = decodeOrLog<RelayConfig>(
-        log, entry.key_.value_, [&] { return documents.decodeConfig_(*entry.value_); });
-    if (config)
-        postTo(queue,
-               ConfigSeen {std::make_shared<const RelayConfig>(std::move(*config)),
-                           ChangeSource::Store});
-}
-
-std::optional<ListedInstance> decodeInstanceEntry(const RelayDocuments &documents,
-                                                  const LogPort &log, const FeedEntry &entry)
-{
-    const std::string id = entry.key_.value_.substr(documents.instancePrefix_.size());
-    std::optional<Instance> instance = decodeOrLog<Instance>(
-        log, entry.key_.value_, [&] { return documents.decodeInstance_(id, *entry.value_); });
-    if (!instance)
-        return std::nullopt;
-    return ListedInstance {std::move(*instance), entry.revision_};
-}
-
-void onInstanceEntry(const RelayDocuments &documents, RelayQueue &queue, const LogPort &log,
-                     const FeedEntry &entry)
-{
-    if (!entry.key_.value_.starts_with(documents.instancePrefix_))
-        return;
-    const UpstreamId id {entry.key_.value_.substr(documents.instancePrefix_.size())};
-    std::optional<ListedInstance> listed;
-    if (entry.value_)
-        listed = decodeInstanceEntry(documents, log, entry);
-    // An entry that can't be read names no instance to use.
-    if (listed)
-        postTo(queue, InstanceChanged {std::move(*listed), ChangeSource::Store});
-    else
-        postTo(queue, InstanceRemoved {id, entry.revision_, ChangeSource::Store});
-}
-
-FollowerHandlers configHandlers(const RelayDocuments &documents, RelayQueue &queue,
-                                const LogPort &log)
-{
-    const auto onEntry = [&documents, &queue, &log](const FeedEntry &entry) {
-        onConfigEntry(documents, queue, log, entry);
-    };
-    FollowerHandlers handlers;
-    handlers.onChange_ = onEntry;
-    handlers.onListing_ = [onEntry](const std::vector<FeedEntry> &entries, Revision) {
-        for (const FeedEntry &entry : entries)
-            onEntry(entry);
-    };
-    handlers.onAvailability_ = [&queue](bool available, const std::string &detail) {
-        postTo(queue, DependencyChanged {"store.config", available, detail});
-    };
-    return handlers;
-}
-
-FollowerHandlers instanceHandlers(const RelayDocuments &documents, RelayQueue &queue,
-                                  const LogPort &log)
-{
-    FollowerHandlers handlers;
-    handlers.onChange_ = [&documents, &queue, &log](const FeedEntry &entry) {
-        onInstanceEntry(documents, queue, log, entry);
-    };
-    handlers.onListing_
-        = [&documents, &queue, &log](const std::vector<FeedEntry> &entries, Revision at) {
-              InstancesListed listing;
-              listing.revision_ = at;
-              for (const FeedEntry &entry : entries) {
-                  if (auto listed = decodeInstanceEntry(documents, log, entry))
-                      listing.instances_.push_back(std::move(*listed));
-              }
-              postTo(queue, std::move(listing));
-          };
-    handlers.onAvailability_ = [&queue](bool available, const std::string &detail) {
-        postTo(queue, DependencyChanged {"store.instances", available, detail});
-    };
-    return handlers;
-}
-
 FrontSettings frontSettings(const RelayDaemonSettings &settings, const RelayPlatform &platform)
 {
     FrontSettings front;
@@ -162,26 +59,33 @@
     return front;
 }
 
+FleetCounted countFleet(const MembersSeen &members, const RelayDaemonSettings &settings)
+{
+    FleetCounted counted {0, 0, {}};
+    for (const RegisteredMember &member : members.members_) {
+        const Registration &registration = member.registration_;
+        if (registration.leaving_)
+            continue;
+        ++counted.daemons_;
+        if (registration.zone_ == settings.zone_)
+            ++counted.zoneDaemons_;
+        if (registration.host_ != settings.host_ && !registration.peerAddress_.empty())
+            counted.peers_.push_back(
+                PeerAddress {registration.host_, registration.zone_, registration.peerAddress_});
+    }
+    counted.daemons_ = std::max(counted.daemons_, 1U);
+    counted.zoneDaemons_ = std::max(counted.zoneDaemons_, 1U);
+    return counted;
+}
+
 /// Turns what the shared store threads post into events of the relay.
 EventPort storeEvents(RelayQueue &queue, const RelayDaemonSettings &settings)
 {
-    return EventPort {[&queue, zone = settings.zone_](Event event) {
+    return EventPort {[&queue, &settings](Event event) {
         if (auto *replied = std::get_if<StoreReplied>(&event))
-            postTo(queue, std::move(*replied));
-        const auto *members = std::get_if<MembersSeen>(&event);
-        if (!members)
-            return;
-        FleetCounted counted {0, 0};
-        for (const RegisteredMember &member : members->members_) {
-            if (member.registration_.leaving_)
-                continue;
-            ++counted.daemons_;
-            if (member.registration_.zone_ == zone)
-                ++counted.zoneDaemons_;
-        }
-        counted.daemons_ = std::max(counted.daemons_, 1U);
-        counted.zoneDaemons_ = std::max(counted.zoneDaemons_, 1U);
-        postTo(queue, counted);
+            post(queue, RelayEvent {std::move(*replied)});
+        else if (const auto *members = std::get_if<MembersSeen>(&event))
+            post(queue, RelayEvent {countFleet(*members, settings)});
     }};
 }
 
@@ -194,103 +98,210 @@
                          {{"valid", valid ? "yes" : "no"}, {"faults", formatFaults(faults)}}});
 }
 
-LocalPages localPages(const RelayPlatform &platform, const std::atomic<bool> &ready)
+LocalPages localPages(const RelayPlatform &platform, const std::atomic<bool> &ready,
+                      const std::shared_ptr<prometheus::Registry> &registry)
 {
-    return [&platform, &ready](const std::string &path) {
+    return [&platform, &ready, registry](const std::string &path) {
         LocalAnswer answer;
         if (path == platform.readinessPath_) {
             answer.status_ = ready ? 200 : 503;
             answer.body_ = ready ? "ready\n" : "not ready\n";
+        } else if (path == platform.metricsPath_) {
+            answer.status_ = 200;
+            answer.body_ = formatMetrics(*registry);
         }
         return answer;
     };
 }
 
-int runWith(const RelayPlatform &platform, const RelayDaemonSettings &settings,
-            const std::string &settingsPath)
+/// Takes a result or logs its error.
+template <typename Value>
+std::optional<Value> takeOrLog(const LogPort &log, const std::function<Result<Value>()> &start)
 {
-    blockHandledSignals();
-    const pthread_t mainThread = pthread_self();
-    LogSink sink;
-    startLogSink(sink);
-    const LogPort log = logPort(sink);
-    log.write_(LogEvent {LogLevel::Info,
-                         "daemon.started",
-                         {{"host", settings.host_.value_},
-                          {"zone", settings.zone_.value_},
-                          {"clients", settings.clientAddress_},
-                          {"store", settings.storeAddress_}}});
-    RelayQueue queue;
-    std::atomic<bool> ready = false;
-    const RelayEventPort events {[&queue](RelayEvent event) {
-        postTo(queue, std::move(event));
-    }};
-    std::optional<Front> front = boost::leaf::try_handle_all(
-        [&]() -> Result<std::optional<Front>> {
-            BOOST_LEAF_AUTO(
-                started,
-                startFront(frontSettings(settings, platform), events, localPages(platform, ready)));
-            return std::optional<Front>(std::move(started));
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::optional<Value>> {
+            BOOST_LEAF_AUTO(value, start());
+            return std::optional<Value>(std::move(value));
         },
         [&log](const Error &error) {
             log.write_(LogEvent {LogLevel::Error,
                                  "daemon.not_started",
                                  {{"error", error.id_}, {"problem", error.message_}}});
-            return std::optional<Front>();
+            return std::optional<Value>();
         },
-        [] { return std::optional<Front>(); });
-    if (!front) {
-        stopLogSink(sink);
-        return EXIT_FAILURE;
-    }
+        [] { return std::optional<Value>(); });
+}
 
-    const HolderId holder {settings.host_.value_ + '-' + randomHex(holderBytes)};
-    const StorePort store = platform.makeStore_(settings.storeAddress_);
-    const FeedPort feed = platform.makeFeed_(settings.storeAddress_);
-    const EventPort sharedEvents = storeEvents(queue, settings);
-    StoreWorkers workers;
-    workers.store_ = store;
-    workers.events_ = sharedEvents;
-    startStoreWorkers(workers, storeWorkers);
+/// The parts of a running daemon. They refer to each other, so it stays where it was made.
+struct Running
+{
+    const RelayPlatform &platform_;
+    const RelayDaemonSettings &settings_;
+    HolderId holder_;
+    RelayQueue queue_;
+    std::atomic<bool> ready_ = false;
+    StopFlag stop_;
+    LogSink sink_;
+    LogPort log_;
+    std::shared_ptr<prometheus::Registry> registry_;
+    std::optional<Front> front_;
+    std::optional<PeerSocket> peers_;
+    StorePort store_;
+    FeedPort feed_;
+    StoreWorkers workers_;
+    RegistrationThreads registration_;
+    std::unique_ptr<DocumentReader> documents_;
+    std::vector<std::thread> followers_;
 
-    RegistrationThreads registration;
-    registration.settings_.storePrefix_ = settings.storePrefix_;
-    registration.settings_.leaseTime_ = Seconds {5};
-    registration.settings_.keepInterval_ = Millis {1500};
-    registration.self_
-        = Registration {settings.host_, holder, settings.zone_, settings.peerAddress_, false};
-    registration.store_ = store;
-    registration.events_ = sharedEvents;
-    registration.log_ = log;
-    startRegistration(registration);
+    Running(const RelayPlatform &platform, const RelayDaemonSettings &settings)
+        : platform_(platform)
+        , settings_(settings)
+        , holder_(settings.host_.value_ + '-' + randomHex(holderBytes))
+        , log_(logPort(sink_))
+        , registry_(std::make_shared<prometheus::Registry>())
+        , store_(platform.makeStore_(settings.storeAddress_))
+        , feed_(platform.makeFeed_(settings.storeAddress_))
+        , documents_(new DocumentReader {platform.documents_, queue_, log_, {}})
+    { }
+};
 
-    StopFlag stop;
-    FollowerSettings configSettings;
-    configSettings.prefix_ = platform.documents_.configKey_;
-    FollowerSettings instanceSettings;
-    instanceSettings.prefix_ = platform.documents_.instancePrefix_;
-    std::thread configThread([&] {
-        followPrefix(feed, configSettings, configHandlers(platform.documents_, queue, log), stop);
+/// Questions and answers of other daemons.
+void onPeerEvent(Running &running, const Event &event)
+{
+    const auto *received = std::get_if<PeerReceived>(&event);
+    if (!received)
+        return;
+    if (const auto *asked = std::get_if<DocumentsAsked>(&received->message_))
+        peerPort(*running.peers_)
+            .send_(SendPeer {received->from_, asked->replyAddress_,
+                             answerQuestion(*running.documents_, *asked)});
+    else if (const auto *offered = std::get_if<DocumentsOffered>(&received->message_))
+        takeOffer(*running.documents_, *offered);
+}
+
+void askPeers(Running &running, const std::vector<PeerAddress> &peers)
+{
+    if (!running.peers_)
+        return;
+    const DocumentsAsked question
+        = documentQuestion(*running.documents_, running.settings_.peerAddress_);
+    for (const PeerAddress &peer : peers)
+        peerPort(*running.peers_).send_(SendPeer {peer.host_, peer.address_, question});
+}
+
+bool startFrontEnd(Running &running)
+{
+    const RelayEventPort events {[&running](RelayEvent event) {
+        post(running.queue_, std::move(event));
+    }};
+    running.front_ = takeOrLog<Front>(running.log_, [&] {
+        return startFront(frontSettings(running.settings_, running.platform_), events,
+                          localPages(running.platform_, running.ready_, running.registry_));
     });
-    std::thread instanceThread([&] {
-        followPrefix(feed, instanceSettings, instanceHandlers(platform.documents_, queue, log),
-                     stop);
+    return running.front_.has_value();
+}
+
+bool startPeers(Running &running)
+{
+    if (running.settings_.peerAddress_.empty())
+        return true;
+    PeerSettings settings;
+    settings.host_ = running.settings_.host_;
+    settings.address_ = running.settings_.peerAddress_;
+    running.peers_ = takeOrLog<PeerSocket>(running.log_, [&] {
+        return startPeerSocket(settings, EventPort {[&running](Event event) {
+                                   onPeerEvent(running, event);
+                               }},
+                               running.log_);
     });
+    return running.peers_.has_value();
+}
+
+void startRegistering(Running &running)
+{
+    RegistrationThreads &registration = running.registration_;
+    registration.settings_.storePrefix_ = running.settings_.storePrefix_;
+    registration.settings_.leaseTime_ = registrationLease;
+    registration.settings_.keepInterval_ = registrationInterval;
+    registration.self_
+        = Registration {running.settings_.host_, running.holder_, running.settings_.zone_,
+                        running.settings_.peerAddress_, false};
+    registration.store_ = running.store_;
+    registration.events_ = storeEvents(running.queue_, running.settings_);
+    registration.log_ = running.log_;
+    startRegistration(registration);
+}
+
+void startFollowers(Running &running)
+{
+    const auto follow = [&running](const std::string &prefix, FollowerHandlers handlers) {
+        FollowerSettings settings;
+        settings.prefix_ = prefix;
+        running.followers_.emplace_back([&running, settings, handlers = std::move(handlers)] {
+            followPrefix(running.feed_, settings, handlers, running.stop_);
+        });
+    };
+    follow(running.platform_.documents_.configKey_, configHandlers(*running.documents_));
+    follow(running.platform_.documents_.instancePrefix_, instanceHandlers(*running.documents_));
+}
 
+RelayState initialState(const Running &running)
+{
     RelayState state;
-    state.settings_ = relayControlSettings(settings);
-    state.prepaid_.holder_ = holder;
-    RelayLoop loop {queue, workers, frontPort(*front), log, ready, [mainThread] {
+    state.settings_ = relayControlSettings(running.settings_);
+    state.prepaid_.holder_ = running.holder_;
+    for (const std::string &seed : running.settings_.seeds_) {
+        if (seed != running.settings_.peerAddress_)
+            state.sync_.peers_.push_back(PeerAddress {HostId {seed}, ZoneId {}, seed});
+    }
+    return state;
+}
+
+int runWith(const RelayPlatform &platform, const RelayDaemonSettings &settings,
+            const std::string &settingsPath)
+{
+    blockHandledSignals();
+    const pthread_t mainThread = pthread_self();
+    Running running(platform, settings);
+    startLogSink(running.sink_);
+    running.log_.write_(LogEvent {LogLevel::Info,
+                                  "daemon.started",
+                                  {{"host", settings.host_.value_},
+                                   {"zone", settings.zone_.value_},
+                                   {"holder", running.holder_.value_},
+                                   {"clients", settings.clientAddress_},
+                                   {"store", settings.storeAddress_}}});
+    if (!startFrontEnd(running) || !startPeers(running)) {
+        stopLogSink(running.sink_);
+        // Threads that run already would block an orderly return.
+        std::_Exit(EXIT_FAILURE);
+    }
+    running.workers_.store_ = running.store_;
+    running.workers_.events_ = storeEvents(running.queue_, settings);
+    startStoreWorkers(running.workers_, storeWorkers);
+    startRegistering(running);
+    startFollowers(running);
+
+    RelayLoop loop {running.queue_,
+                    running.workers_,
+                    frontPort(*running.front_),
+                    running.log_,
+                    running.ready_,
+                    [&running](const auto &peers) { askPeers(running, peers); },
+                    makeRelayMetricsPort(running.registry_),
+                    [&running] { return droppedLogLines(running.sink_); },
+                    [mainThread] {
                         signalStopped(mainThread);
                     }};
-    std::thread controlThread([&loop, &state] { runRelayLoop(loop, std::move(state)); });
+    std::thread controlThread([&loop, &running] { runRelayLoop(loop, initialState(running)); });
 
-    awaitStopSignal([&settingsPath, &log] { checkAgain(settingsPath, log); });
-    announceLeaving(registration);
-    postTo(queue, RelayStopAsked {std::chrono::steady_clock::now() + settings.stopLimit_});
+    awaitStopSignal([&settingsPath, &running] { checkAgain(settingsPath, running.log_); });
+    announceLeaving(running.registration_);
+    post(running.queue_,
+         RelayEvent {RelayStopAsked {std::chrono::steady_clock::now() + settings.stopLimit_}});
     controlThread.join();
-    stopFront(*front);
-    stopLogSink(sink);
+    stopFront(*running.front_);
+    stopLogSink(running.sink_);
     // Threads that wait for the store hold nothing that has to be written.
     std::_Exit(EXIT_SUCCESS);
 }
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -16,6 +16,7 @@
     }
     void operator()(WriteLog &command) const { loop_.log_.write_(command.event_); }
     void operator()(SetReady &command) const { loop_.ready_ = command.ready_; }
+    void operator()(AskPeers &command) const { loop_.askPeers_(command.peers_); }
     void operator()(RelayStopCompleted &) const { running_ = false; }
     /// The front end carries out all others. The overloads above take no const reference, because
     /// this one would match better.
@@ -26,6 +27,19 @@
     }
 };
 
+RelayLevels levelsOf(const RelayLoop &loop, const RelayState &state)
+{
+    RelayLevels levels;
+    levels.active_ = state.active_.size();
+    levels.instances_ = state.directory_.known_.size();
+    levels.config_ = state.config_ ? state.config_->version_ : ConfigVersion {};
+    levels.daemons_ = state.fleet_.daemons_;
+    for (const auto &[account, balance] : state.prepaid_.balances_)
+        levels.tokensAvailable_ += available(balance.grant_);
+    levels.droppedLogLines_ = loop.droppedLogLines_();
+    return levels;
+}
+
 } // namespace
 
 void runRelayLoop(RelayLoop &loop, RelayState state)
@@ -35,8 +49,15 @@
         const std::optional<RelayEvent> event = take(loop.queue_, nextRelayTime(state));
         const MonoTime now = std::chrono::steady_clock::now();
         RelayCommands commands = event ? handleRelay(state, *event, now) : passTime(state, now);
-        for (RelayCommand &command : commands)
+        if (event)
+            loop.metrics_.event_(*event);
+        for (RelayCommand &command : commands) {
+            loop.metrics_.command_(command);
             std::visit(Executor {loop, running}, command);
+        }
+        const auto time
+            = std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now() - now);
+        loop.metrics_.handled_(time, levelsOf(loop, state));
     }
     loop.stopped_();
 }
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -19,6 +19,9 @@
     RelayFrontPort front_;
     LogPort log_;
     std::atomic<bool> &ready_;
+    std::function<void(const std::vector<PeerAddress> &)> askPeers_;
+    RelayMetricsPort metrics_;
+    std::function<std::uint64_t()> droppedLogLines_;
     /// Called when the daemon may exit.
     std::function<void()> stopped_;
 };
