--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -66,6 +66,18 @@
     return ReachPolicy {settings.reach_, std::max(static_cast<std::uint32_t>(share), 1U)};
 }
 
+/// Returns true if a fresh copy of the ledger shows that a draw can't succeed.
+bool isKnownShort(const PrepaidState &state, const PrepaidSettings &settings,
+                  const AccountId &account, Tokens amount, MonoTime now)
+{
+    const auto copied = state.copiedAt_.find(
+        ledgerShardOf(BudgetId {account.value_}, settings.shards_));
+    if (copied == state.copiedAt_.end() || now - copied->second > settings.shortageLifetime_)
+        return false;
+    const Shortage shortage = judgeShortage(state, settings, account, amount);
+    return shortage == Shortage::Exhausted || shortage == Shortage::HeldElsewhere;
+}
+
 void submitDraw(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                 PrepaidBalance &balance, Tokens needed, MonoTime due)
 {
@@ -139,8 +151,11 @@
     const HeldGrant &grant = balance.grant_;
     if (grant.drawing_ || grant.armed_ == Tokens {})
         return false;
-    const double wanted
-        = static_cast<double>(fullGrant(state, settings, account, balance).count_) * share;
+    const Tokens full = fullGrant(state, settings, account, balance);
+    const std::chrono::duration<double> minReach = settings.minReach_;
+    if (static_cast<double>(full.count_) < grant.burnRate_ * minReach.count())
+        return false;
+    const double wanted = static_cast<double>(full.count_) * share;
     return static_cast<double>(available(grant).count_) < wanted;
 }
 
@@ -180,6 +195,26 @@
 
 } // namespace
 
+ShortageFigures shortageFigures(const PrepaidState &state, const PrepaidSettings &settings,
+                                const AccountId &account, MonoTime now)
+{
+    ShortageFigures figures;
+    if (const BudgetRecord *record = recordOf(state, settings, account)) {
+        figures.funded_ = record->funded_;
+        figures.charged_ = record->charged_;
+        figures.outstanding_ = outstanding(*record);
+        figures.unallocated_ = unallocated(*record);
+    }
+    const auto balance = state.balances_.find(account);
+    if (balance != state.balances_.end())
+        figures.available_ = available(balance->second.grant_);
+    const auto copied = state.copiedAt_.find(
+        ledgerShardOf(BudgetId {account.value_}, settings.shards_));
+    if (copied != state.copiedAt_.end())
+        figures.age_ = std::chrono::duration_cast<Millis>(now - copied->second);
+    return figures;
+}
+
 void fundAccounts(PrepaidState &state, const PrepaidSettings &settings, const RelayConfig &config,
                   MonoTime now)
 {
@@ -215,6 +250,8 @@
         grant.lastSpent_ = now;
     }
     const bool reserved = tryReserve(grant, amount);
+    if (!reserved && isKnownShort(state, settings, account, amount, now))
+        return false;
     if (!reserved)
         submitDraw(state, settings, account, balance, amount, now);
     else if (!grant.drawing_)
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -44,6 +44,12 @@
     /// A copy of a shard older than this is read again before a write, because a read costs less
     /// than a write that fails on its condition.
     Millis copyLifetime_ {30};
+    /// A refusal relies on a copy up to this age; without that, each request on an exhausted account
+    /// would cost calls.
+    Millis shortageLifetime_ {1000};
+    /// Grants that hold less than this time at the burn rate are drawn for waiting requests only,
+    /// because each draw ahead would last for a request or two.
+    Millis minReach_ {1000};
     /// Longest pause after failed calls.
     Millis maxBackoff_ {400};
 };
@@ -79,6 +85,8 @@
                   MonoTime now);
 
 /// @brief Reserves the worst case of a request.
+///
+/// No draw is submitted while a fresh copy of the ledger shows that it can't succeed.
 /// @return false if the grant does not cover it; a draw is submitted then
 bool reserveTokens(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                    Tokens amount, MonoTime now);
@@ -100,6 +108,23 @@
     None,
 };
 
+/// @brief The figures behind a judgement, for the log.
+struct ShortageFigures
+{
+    Tokens funded_;
+    Tokens charged_;
+    /// Held by all daemons, this one included, and not settled.
+    Tokens outstanding_;
+    Tokens unallocated_;
+    /// Of this daemon's own grant.
+    Tokens available_;
+    /// Age of the ledger's copy.
+    Millis age_ {};
+};
+
+ShortageFigures shortageFigures(const PrepaidState &state, const PrepaidSettings &settings,
+                                const AccountId &account, MonoTime now);
+
 /// @brief Judges why an amount can't be reserved.
 Shortage judgeShortage(const PrepaidState &state, const PrepaidSettings &settings,
                        const AccountId &account, Tokens amount);
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -128,6 +128,36 @@
         connectionsPerInstance(state, *placement.service_), state.settings_.connectLimit_});
 }
 
+/// Refuses a request that the ledger's copy shows no tokens for.
+/// @return false if a draw can still succeed
+bool refuseIfShort(RelayState &state, ActiveRelay &active, Tokens amount, MonoTime now,
+                   RelayCommands &out)
+{
+    const PrepaidSettings &settings = state.settings_.prepaid_;
+    const ShortageFigures figures
+        = shortageFigures(state.prepaid_, settings, active.account_, now);
+    const Shortage shortage
+        = judgeShortage(state.prepaid_, settings, active.account_, amount);
+    const bool isShort = shortage == Shortage::Exhausted || shortage == Shortage::HeldElsewhere;
+    if (!isShort || figures.age_ > settings.shortageLifetime_)
+        return false;
+    std::vector<LogField> fields = requestFields(active);
+    fields.push_back({"account", active.account_.value_});
+    fields.push_back({"amount", std::to_string(amount.count_)});
+    fields.push_back({"funded", std::to_string(figures.funded_.count_)});
+    fields.push_back({"charged", std::to_string(figures.charged_.count_)});
+    fields.push_back({"outstanding", std::to_string(figures.outstanding_.count_)});
+    fields.push_back({"unallocated", std::to_string(figures.unallocated_.count_)});
+    fields.push_back({"available", std::to_string(figures.available_.count_)});
+    fields.push_back({"ledger_age_ms", std::to_string(figures.age_.count())});
+    logLine(out, LogLevel::Info, "budget.shortage", std::move(fields));
+    if (shortage == Shortage::Exhausted)
+        refuse(state, active, statusPaymentRequired, "budget_exhausted", now, out);
+    else
+        refuse(state, active, statusServiceUnavailable, "budget_held_elsewhere", now, out);
+    return true;
+}
+
 void awaitTokens(RelayState &state, ActiveRelay &active, MonoTime now, RelayCommands &out)
 {
     const Tokens amount = worstCase(*active.request_.usage_);
@@ -137,6 +167,8 @@
         dispatch(state, active, now, out);
         return;
     }
+    if (refuseIfShort(state, active, amount, now, out))
+        return;
     if (active.stage_ != RelayStage::AwaitingTokens || !active.stageEnd_) {
         active.stage_ = RelayStage::AwaitingTokens;
         // Nothing is gained by holding a request back while the ledger can't be reached.
@@ -245,20 +277,10 @@
             waiting.push_back(id);
     }
     for (const ExchangeId id : waiting) {
-        ActiveRelay &active = state.active_.at(id);
-        const Tokens amount = worstCase(*active.request_.usage_);
-        switch (judgeShortage(state.prepaid_, state.settings_.prepaid_, account, amount)) {
-        case Shortage::Exhausted:
-            refuse(state, active, statusPaymentRequired, "budget_exhausted", now, out);
-            break;
-        case Shortage::HeldElsewhere:
-            refuse(state, active, statusServiceUnavailable, "budget_held_elsewhere", now, out);
-            break;
-        case Shortage::None:
-        case Shortage::Unknown:
-            awaitTokens(state, active, now, out);
-            break;
-        }
+        // Requests that were refused or sent meanwhile are gone from the list.
+        const auto it = state.active_.find(id);
+        if (it != state.active_.end())
+            awaitTokens(state, it->second, now, out);
     }
 }
 
