--- a/src/core/grants.cpp
+++ b/src/core/grants.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Time constant of the smoothed burn rate.
-constexpr std::chrono::duration<double> burnRateWindow {10.0};
-
 double decayedBurnRate(const HeldGrant &grant, MonoTime now)
 {
     const std::chrono::duration<double> gap = now - grant.lastSpent_;
--- a/src/core/grants.h
+++ b/src/core/grants.h
@@ -45,6 +45,9 @@
     std::optional<MonoTime> lastAsked_;
 };
 
+/// Time constant of the smoothed burn rate.
+inline constexpr std::chrono::duration<double> burnRateWindow {10.0};
+
 /// @brief Tokens that can be reserved now.
 Tokens available(const HeldGrant &grant);
 
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace tamarack {
 
@@ -45,10 +46,23 @@
              due);
 }
 
-Tokens reachTokens(const PrepaidSettings &settings, const HeldGrant &grant)
+/// Tokens a second. The smoothed rate of the grant is too low until its window has passed, which
+/// matters when the store goes away soon after a start.
+double burnRate(const PrepaidBalance &balance, MonoTime now)
+{
+    if (!balance.usedSince_)
+        return 0.0;
+    const std::chrono::duration<double> age
+        = std::max(now - *balance.usedSince_, MonoTime::duration {Seconds {1}});
+    const double seen = 1.0 - std::exp(-age / burnRateWindow);
+    const double guess = balance.firstBurn_ * (1.0 - seen);
+    return std::max(balance.grant_.burnRate_ / seen, guess);
+}
+
+Tokens reachTokens(const PrepaidSettings &settings, const PrepaidBalance &balance, MonoTime now)
 {
     const std::chrono::duration<double> reach = settings.reach_;
-    return Tokens {static_cast<std::int64_t>(grant.burnRate_ * reach.count())};
+    return Tokens {static_cast<std::int64_t>(burnRate(balance, now) * reach.count())};
 }
 
 /// Unallocated tokens as the last copy shows them; the whole total before the first copy.
@@ -70,8 +84,8 @@
 bool isKnownShort(const PrepaidState &state, const PrepaidSettings &settings,
                   const AccountId &account, Tokens amount, MonoTime now)
 {
-    const auto copied = state.copiedAt_.find(
-        ledgerShardOf(BudgetId {account.value_}, settings.shards_));
+    const auto copied
+        = state.copiedAt_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
     if (copied == state.copiedAt_.end() || now - copied->second > settings.shortageLifetime_)
         return false;
     const Shortage shortage = judgeShortage(state, settings, account, amount);
@@ -79,14 +93,16 @@
 }
 
 void submitDraw(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                PrepaidBalance &balance, Tokens needed, MonoTime due)
+                PrepaidBalance &balance, Tokens needed, MonoTime now, MonoTime due)
 {
     HeldGrant &grant = balance.grant_;
+    HeldGrant estimate = grant;
+    estimate.burnRate_ = burnRate(balance, now);
     DrawOp op;
     op.budget_ = BudgetId {account.value_};
     op.grant_ = grant.id_;
     op.holder_ = state.holder_;
-    op.armedTotal_ = drawTarget(grant, needed, unallocatedOf(state, settings, account, balance),
+    op.armedTotal_ = drawTarget(estimate, needed, unallocatedOf(state, settings, account, balance),
                                 reachPolicy(state, settings));
     op.atLeast_ = grant.returned_ + grant.spent_ + grant.reserved_ + needed;
     op.create_ = grant.armed_ == Tokens {};
@@ -115,11 +131,11 @@
 
 /// What a full grant holds: its reach, but not more than its share of what is left.
 Tokens fullGrant(const PrepaidState &state, const PrepaidSettings &settings,
-                 const AccountId &account, const PrepaidBalance &balance)
+                 const AccountId &account, const PrepaidBalance &balance, MonoTime now)
 {
     const std::int64_t unallocated = unallocatedOf(state, settings, account, balance).count_;
     const Tokens share {unallocated * reachPolicy(state, settings).maxSharePerMille_ / 1000};
-    return std::min(reachTokens(settings, balance.grant_), share);
+    return std::min(reachTokens(settings, balance, now), share);
 }
 
 /// The holder's own copy of its grant follows the store's.
@@ -146,14 +162,14 @@
 
 /// Returns true if a grant in use has less than a share of what it should hold.
 bool isBelow(const PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-             const PrepaidBalance &balance, double share)
+             const PrepaidBalance &balance, double share, MonoTime now)
 {
     const HeldGrant &grant = balance.grant_;
     if (grant.drawing_ || grant.armed_ == Tokens {})
         return false;
-    const Tokens full = fullGrant(state, settings, account, balance);
+    const Tokens full = fullGrant(state, settings, account, balance, now);
     const std::chrono::duration<double> minReach = settings.minReach_;
-    if (static_cast<double>(full.count_) < grant.burnRate_ * minReach.count())
+    if (static_cast<double>(full.count_) < burnRate(balance, now) * minReach.count())
         return false;
     const double wanted = static_cast<double>(full.count_) * share;
     return static_cast<double>(available(grant).count_) < wanted;
@@ -170,27 +186,26 @@
                      returnable(grant, settings.scarceReach_, now), now + settings.drawDelay_);
         return;
     }
-    if (isBelow(state, settings, account, balance, settings.refillShare_))
-        submitDraw(state, settings, account, balance, Tokens {}, now + settings.drawDelay_);
+    if (isBelow(state, settings, account, balance, settings.refillShare_, now))
+        submitDraw(state, settings, account, balance, Tokens {}, now, now + settings.drawDelay_);
 }
 
-/// Draws for the other accounts of a shard that will need it soon, because a call costs the same for
-/// all of them.
+/// Draws for the other accounts of a shard that will need it soon, because a call costs the same
+/// for all of them.
 void joinCall(PrepaidState &state, const PrepaidSettings &settings, ShardNumber number,
               MonoTime now)
 {
     for (auto &[account, balance] : state.balances_) {
         if (ledgerShardOf(BudgetId {account.value_}, settings.shards_) == number
-            && isBelow(state, settings, account, balance, settings.joinShare_))
-            submitDraw(state, settings, account, balance, Tokens {}, now);
+            && isBelow(state, settings, account, balance, settings.joinShare_, now))
+            submitDraw(state, settings, account, balance, Tokens {}, now, now);
     }
 }
 
 bool hasDraw(const PrepaidShard &shard)
 {
-    return std::any_of(shard.pending_.begin(), shard.pending_.end(), [](const LedgerOp &op) {
-        return std::holds_alternative<DrawOp>(op);
-    });
+    return std::any_of(shard.pending_.begin(), shard.pending_.end(),
+                       [](const LedgerOp &op) { return std::holds_alternative<DrawOp>(op); });
 }
 
 } // namespace
@@ -208,8 +223,8 @@
     const auto balance = state.balances_.find(account);
     if (balance != state.balances_.end())
         figures.available_ = available(balance->second.grant_);
-    const auto copied = state.copiedAt_.find(
-        ledgerShardOf(BudgetId {account.value_}, settings.shards_));
+    const auto copied
+        = state.copiedAt_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
     if (copied != state.copiedAt_.end())
         figures.age_ = std::chrono::duration_cast<Millis>(now - copied->second);
     return figures;
@@ -245,15 +260,15 @@
 {
     PrepaidBalance &balance = state.balances_[account];
     HeldGrant &grant = balance.grant_;
-    if (grant.burnRate_ == 0.0) {
-        grant.burnRate_ = static_cast<double>(amount.count_) * firstBurnRequestsPerSecond;
-        grant.lastSpent_ = now;
+    if (!balance.usedSince_) {
+        balance.usedSince_ = now;
+        balance.firstBurn_ = static_cast<double>(amount.count_) * firstBurnRequestsPerSecond;
     }
     const bool reserved = tryReserve(grant, amount);
     if (!reserved && isKnownShort(state, settings, account, amount, now))
         return false;
     if (!reserved)
-        submitDraw(state, settings, account, balance, amount, now);
+        submitDraw(state, settings, account, balance, amount, now, now);
     else if (!grant.drawing_)
         reviewBalance(state, settings, account, balance, now);
     return reserved;
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -26,8 +26,8 @@
     std::uint32_t shards_ = 1;
     /// A grant covers this long at the current burn rate, which outlasts most outages of the store.
     Millis reach_ {10'000};
-    /// What all daemons together may hold of the unallocated tokens. Tokens that a killed daemon held
-    /// stay lost, so grants shrink with what is left.
+    /// What all daemons together may hold of the unallocated tokens. Tokens that a killed daemon
+    /// held stay lost, so grants shrink with what is left.
     double heldShare_ = 0.5;
     /// A grant is drawn again once less than this share of its reach is left.
     double refillShare_ = 0.5;
@@ -44,8 +44,8 @@
     /// A copy of a shard older than this is read again before a write, because a read costs less
     /// than a write that fails on its condition.
     Millis copyLifetime_ {30};
-    /// A refusal relies on a copy up to this age; without that, each request on an exhausted account
-    /// would cost calls.
+    /// A refusal relies on a copy up to this age; without that, each request on an exhausted
+    /// account would cost calls.
     Millis shortageLifetime_ {1000};
     /// Grants that hold less than this time at the burn rate are drawn for waiting requests only,
     /// because each draw ahead would last for a request or two.
@@ -63,6 +63,10 @@
     /// The FundOp of fundedBy_ is committed.
     bool fundingCommitted_ = false;
     MonoTime reviewAt_ {};
+    /// When tokens were first asked for.
+    std::optional<MonoTime> usedSince_;
+    /// Tokens a second that the first request suggests.
+    double firstBurn_ = 0.0;
 };
 
 using PrepaidShard = ShardCommit<LedgerShard, LedgerOp>;
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -58,7 +58,7 @@
     /// Time to come back after a refusal, between it and its double.
     Millis retryAfter_ {250};
     /// The same when the ledger can't be reached, which lasts longer.
-    Millis retryAfterOutage_ {1200};
+    Millis retryAfterOutage_ {4000};
     /// Clients come back after a part of the time they have left at most.
     double retryAfterShare_ = 0.3;
     /// Part of an upstream's connections that the daemons share out among themselves.
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -48,6 +48,9 @@
     std::function<void()> cancelWaits_;
     /// Reads all keys that start with a prefix; they hold values of one kind.
     std::function<PrefixReply(const StoreKey &prefix, StoredKind kind)> readPrefix_;
+    /// Like readPrefix_, but what it returns may be seconds old; stores charge less for that. Empty
+    /// if the store has no such read.
+    std::function<PrefixReply(const StoreKey &prefix, StoredKind kind)> readPrefixStale_;
     /// Like waitForChange_, for changes and deletions of all keys that start with a prefix.
     std::function<bool(const StoreKey &prefix, Revision seen, Millis limit)> waitForPrefixChange_;
 };
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -29,6 +29,8 @@
 /// Lifetime of the registration without renewal, and the pause between renewals.
 constexpr Seconds registrationLease {5};
 constexpr Millis registrationInterval {1500};
+/// Pause between reads of the other daemons' registrations.
+constexpr Millis membersInterval {3000};
 /// Descriptors that are not for clients: files, listeners and upstreams.
 constexpr std::size_t clientDescriptorShare = 2;
 
@@ -223,6 +225,7 @@
     registration.settings_.storePrefix_ = running.settings_.storePrefix_;
     registration.settings_.leaseTime_ = registrationLease;
     registration.settings_.keepInterval_ = registrationInterval;
+    registration.settings_.pollInterval_ = membersInterval;
     registration.self_
         = Registration {running.settings_.host_, running.holder_, running.settings_.zone_,
                         running.settings_.peerAddress_, false};
--- a/src/runtime/registration.cpp
+++ b/src/runtime/registration.cpp
@@ -1,6 +1,7 @@
 // Keeping the registration in the store and watching those of others.
 #include "runtime/registration.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tamarack {
@@ -74,10 +75,10 @@
 
 /// Reads all registrations and posts them.
 /// @return the revision they were read at, or nothing if the store did not answer
-std::optional<Revision> readMembers(RegistrationThreads &threads)
+std::optional<Revision> readMembers(RegistrationThreads &threads, bool stale)
 {
-    const PrefixReply reply
-        = threads.store_.readPrefix_(membersPrefix(threads), StoredKind::Registration);
+    const auto &read = stale ? threads.store_.readPrefixStale_ : threads.store_.readPrefix_;
+    const PrefixReply reply = read(membersPrefix(threads), StoredKind::Registration);
     if (reply.status_ != StoreStatus::Ok)
         return std::nullopt;
     MembersSeen seen;
@@ -120,7 +121,7 @@
         const MonoTime now = std::chrono::steady_clock::now();
         const bool old = now - readAt >= threads.settings_.rereadInterval_;
         if (!seen || takeRefresh(threads) || old) {
-            seen = readMembers(threads);
+            seen = readMembers(threads, false);
             readAt = now;
         }
         if (seen && awaitChange(threads, *seen))
@@ -130,6 +131,16 @@
     }
 }
 
+void pollMembers(RegistrationThreads &threads)
+{
+    constexpr Millis firstInterval {500};
+    Millis interval = firstInterval;
+    do {
+        readMembers(threads, true);
+        interval = std::min(interval * 2, *threads.settings_.pollInterval_);
+    } while (pause(threads, interval, threads.stopping_, false));
+}
+
 void watchHostList(RegistrationThreads &threads)
 {
     do {
@@ -162,7 +173,8 @@
 void startRegistration(RegistrationThreads &threads)
 {
     threads.threads_.emplace_back(keepRegistration, std::ref(threads));
-    threads.threads_.emplace_back(watchMembers, std::ref(threads));
+    const bool polls = threads.settings_.pollInterval_ && threads.store_.readPrefixStale_;
+    threads.threads_.emplace_back(polls ? pollMembers : watchMembers, std::ref(threads));
     if (threads.hostList_.read_)
         threads.threads_.emplace_back(watchHostList, std::ref(threads));
 }
--- a/src/runtime/registration.h
+++ b/src/runtime/registration.h
@@ -25,6 +25,10 @@
     Millis watchLimit_ {5000};
     /// All registrations are read again after this time without a change.
     Millis rereadInterval_ {300'000};
+    /// With a value, registrations are polled by stale reads at this interval in place of a watch:
+    /// in a large fleet each start would have all daemons read all registrations. Polls begin
+    /// faster, because a fleet starts together.
+    std::optional<Millis> pollInterval_;
     Millis hostListInterval_ {5000};
 };
 
