--- a/src/adapters/relayhttp/answers.cpp
+++ b/src/adapters/relayhttp/answers.cpp
@@ -191,7 +191,7 @@
     return true;
 }
 
-void onAnswerBody(FrontState &state, Exchange &exchange, std::string body)
+void onAnswerBody(FrontState &state, Exchange &exchange, const std::string &body)
 {
     ClientConnection *client = clientOf(state, exchange);
     if (!client)
--- a/src/adapters/relayhttp/frontparts.h
+++ b/src/adapters/relayhttp/frontparts.h
@@ -93,7 +93,7 @@
 bool onAnswerHead(FrontState &state, UpstreamConnection &upstream, Exchange &exchange);
 
 /// @brief Handles bytes of the body.
-void onAnswerBody(FrontState &state, Exchange &exchange, std::string body);
+void onAnswerBody(FrontState &state, Exchange &exchange, const std::string &body);
 
 /// @brief Handles the complete end of an answer.
 void onAnswerEnd(FrontState &state, Exchange &exchange);
--- a/src/adapters/relayhttp/headernames.h
+++ b/src/adapters/relayhttp/headernames.h
@@ -17,18 +17,18 @@
     std::string keyScheme_ = "Bearer";
     std::string model_ = "X-Model";
     /// "PROMPT,MAX_OUTPUT" in tokens.
-    std::string usage_ = "X-Token-Usage";
+    std::string usage_ = "X-Tokens";
     /// "ID:TOKENS" for each part of the prompt, separated by commas.
     std::string promptParts_ = "X-Prompt-Parts";
     std::string lastEventId_ = "Last-Event-ID";
     /// Client account, set by the relay.
     std::string account_ = "X-Account";
     /// Instance that the request is meant for, set by the relay.
-    std::string expectInstance_ = "X-Expect-Instance";
+    std::string expectInstance_ = "X-Instance";
     /// Signature of an upstream's answer.
     std::string signature_ = "X-Signature";
     /// Present if the upstream did not run the request.
-    std::string notExecuted_ = "X-Not-Executed";
+    std::string notExecuted_ = "X-Not-Run";
     /// Further fields that only the relay may set; a client's are dropped.
     std::vector<std::string> reserved_;
 };
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -241,9 +241,9 @@
             upstream.headSeen_ = true;
             upstream.foreign_ = !onAnswerHead(state, upstream, exchange);
         }
-        std::string body = takeBody(upstream.reader_);
+        const std::string body = takeBody(upstream.reader_);
         if (!upstream.foreign_ && !body.empty())
-            onAnswerBody(state, exchange, std::move(body));
+            onAnswerBody(state, exchange, body);
         if (read == ReadState::HeadDone)
             return;
         if (!upstream.foreign_) {
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -187,7 +187,7 @@
     CHECK(exchange.head_.find("X-Request-Id: r1\r\n") != std::string::npos);
     CHECK(exchange.head_.find("X-Other: kept\r\n") != std::string::npos);
     CHECK(exchange.head_.find("X-Account: acme\r\n") != std::string::npos);
-    CHECK(exchange.head_.find("X-Expect-Instance: i-1\r\n") != std::string::npos);
+    CHECK(exchange.head_.find("X-Instance: i-1\r\n") != std::string::npos);
     CHECK(exchange.head_.find("secret") == std::string::npos);
     CHECK(exchange.head_.find("forged") == std::string::npos);
     CHECK(exchange.head_.find("X-Reserved") == std::string::npos);
@@ -231,7 +231,7 @@
         {"no last chunk", answerTo("r1", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), true,
          AttemptEnd::Cut},
         {"nothing", "", true, AttemptEnd::Cut},
-        {"refused", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false,
+        {"refused", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false,
          AttemptEnd::NotExecuted},
         {"another instance", "HTTP/1.1 421 M\r\nContent-Length: 0\r\n\r\n", false,
          AttemptEnd::WrongInstance},
--- a/tools/check-names.sh
+++ b/tools/check-names.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 names='Attempt-Id|Prefix-Hash|Token-Usage|Response-Signature|Expect-Instance|Not-Executed|Deadline-Ms|Cache-Hold|Pin-Ms|Kv-Backup|Kv-From'
 names+='|kv-(key|range|txn|watch|lease|keep)|op/config|ColdRemainingMs|MaxAttempts|TargetLatencyMs|PathPrefix|ApiKeys|TAMARACKYARD_NODE_FILE'
-if git grep -nE "(^|[^A-Za-z-])($names)([^A-Za-z-]|$)" -- src tests bench examples proto | grep -vE 'X-(Deadline-Ms|Expect-Instance|Not-Executed|Token-Usage)'; then
+if git grep -nE "(^|[^A-Za-z-])($names)([^A-Za-z-]|$)" -- src tests bench examples proto | grep -v 'X-Deadline-Ms'; then
     echo "the lines above name the platform's protocol; translate in platform/" >&2
     exit 1
 fi
