--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -134,10 +134,8 @@
                    RelayCommands &out)
 {
     const PrepaidSettings &settings = state.settings_.prepaid_;
-    const ShortageFigures figures
-        = shortageFigures(state.prepaid_, settings, active.account_, now);
-    const Shortage shortage
-        = judgeShortage(state.prepaid_, settings, active.account_, amount);
+    const ShortageFigures figures = shortageFigures(state.prepaid_, settings, active.account_, now);
+    const Shortage shortage = judgeShortage(state.prepaid_, settings, active.account_, amount);
     const bool isShort = shortage == Shortage::Exhausted || shortage == Shortage::HeldElsewhere;
     if (!isShort || figures.age_ > settings.shortageLifetime_)
         return false;
@@ -172,8 +170,7 @@
     if (active.stage_ != RelayStage::AwaitingTokens || !active.stageEnd_) {
         active.stage_ = RelayStage::AwaitingTokens;
         // Nothing is gained by holding a request back while the ledger can't be reached.
-        const bool failing
-            = isLedgerFailing(prepaid, state.settings_.prepaid_, active.account_);
+        const bool failing = isLedgerFailing(prepaid, state.settings_.prepaid_, active.account_);
         const PreciseMicros wait = PreciseMicros {active.route_->latencyObjective_}
             * (failing ? 0.0 : state.settings_.tokenWaitShare_);
         active.stageEnd_ = now + std::chrono::duration_cast<Micros>(wait);
