--- a/tests/unit-prepaid.cpp
+++ b/tests/unit-prepaid.cpp
@@ -140,6 +140,7 @@
             MonoTime now {Seconds {10}};
             Cell cell;
             std::vector<Daemon> daemons;
+            daemons.reserve(3);
             std::deque<SubmitStoreCall> late;
             for (int i = 0; i < 3; ++i)
                 daemons.push_back(makeDaemon("d" + std::to_string(i), configWith(1, prepaid), now));
