--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -211,7 +211,7 @@
     settings.host_ = running.settings_.host_;
     settings.address_ = running.settings_.peerAddress_;
     running.peers_ = takeOrLog<PeerSocket>(running.log_, [&] {
-        return startPeerSocket(settings, EventPort {[&running](Event event) {
+        return startPeerSocket(settings, EventPort {[&running](const Event &event) {
                                    onPeerEvent(running, event);
                                }},
                                running.log_);
