--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -129,6 +129,30 @@
     }
 }
 
+void fill(peer::Envelope &envelope, const TokensAsked &message)
+{
+    peer::TokensAsked &out = *envelope.mutable_tokens_asked();
+    out.set_borrower(message.borrower_.value_);
+    out.set_reply_address(message.replyAddress_);
+    out.set_lender(message.lender_.value_);
+    out.set_account(message.account_.value_);
+    out.set_needed(message.needed_.count_);
+    out.set_wanted(message.wanted_.count_);
+    out.set_spent(message.spent_.count_);
+    out.set_returned(message.returned_.count_);
+}
+
+void fill(peer::Envelope &envelope, const TokensLent &message)
+{
+    peer::TokensLent &out = *envelope.mutable_tokens_lent();
+    out.set_lender(message.lender_.value_);
+    out.set_account(message.account_.value_);
+    out.set_lent(message.lent_.count_);
+    out.set_refused(message.refused_);
+    out.set_unavailable(message.unavailable_);
+    out.set_recalled(message.recalled_);
+}
+
 PeerMessage fromMessage(const peer::Heartbeat &in)
 {
     Heartbeat message;
@@ -184,6 +208,32 @@
     return message;
 }
 
+PeerMessage fromMessage(const peer::TokensAsked &in)
+{
+    TokensAsked message;
+    message.borrower_ = HolderId {in.borrower()};
+    message.replyAddress_ = in.reply_address();
+    message.lender_ = HolderId {in.lender()};
+    message.account_ = AccountId {in.account()};
+    message.needed_ = Tokens {in.needed()};
+    message.wanted_ = Tokens {in.wanted()};
+    message.spent_ = Tokens {in.spent()};
+    message.returned_ = Tokens {in.returned()};
+    return message;
+}
+
+PeerMessage fromMessage(const peer::TokensLent &in)
+{
+    TokensLent message;
+    message.lender_ = HolderId {in.lender()};
+    message.account_ = AccountId {in.account()};
+    message.lent_ = Tokens {in.lent()};
+    message.refused_ = in.refused();
+    message.unavailable_ = in.unavailable();
+    message.recalled_ = in.recalled();
+    return message;
+}
+
 /// What refusalCode() returns for a number that is no reason.
 constexpr std::string_view unknownRefusalCode = "internal";
 
@@ -248,6 +298,10 @@
                                             Revision {in.documents_asked().after()}}};
     case peer::Envelope::kDocumentsOffered:
         return fromMessage(in.documents_offered());
+    case peer::Envelope::kTokensAsked:
+        return fromMessage(in.tokens_asked());
+    case peer::Envelope::kTokensLent:
+        return fromMessage(in.tokens_lent());
     case peer::Envelope::MESSAGE_NOT_SET:
         break;
     }
--- a/src/core/controlpeers.cpp
+++ b/src/core/controlpeers.cpp
@@ -84,6 +84,8 @@
     // A relay's messages; this daemon follows a bundle instead.
     void operator()(const DocumentsAsked &) const { }
     void operator()(const DocumentsOffered &) const { }
+    void operator()(const TokensAsked &) const { }
+    void operator()(const TokensLent &) const { }
     void operator()(const ReleaseRequest &message) const
     {
         if (message.holder_ == state_.membership_.self_.holder_)
--- a/src/core/grants.cpp
+++ b/src/core/grants.cpp
@@ -10,21 +10,21 @@
 
 namespace {
 
-double decayedBurnRate(const HeldGrant &grant, MonoTime now)
-{
-    const std::chrono::duration<double> gap = now - grant.lastSpent_;
-    return grant.burnRate_ * std::exp(-gap / burnRateWindow);
-}
-
 void updateBurnRate(HeldGrant &grant, Tokens spent, MonoTime now)
 {
     grant.burnRate_
-        = decayedBurnRate(grant, now) + static_cast<double>(spent.count_) / burnRateWindow.count();
+        = burnRateAt(grant, now) + static_cast<double>(spent.count_) / burnRateWindow.count();
     grant.lastSpent_ = now;
 }
 
 } // namespace
 
+double burnRateAt(const HeldGrant &grant, MonoTime now)
+{
+    const std::chrono::duration<double> gap = now - grant.lastSpent_;
+    return grant.burnRate_ * std::exp(-gap / burnRateWindow);
+}
+
 Tokens available(const HeldGrant &grant)
 {
     return grant.armed_ - grant.returned_ - grant.spent_ - grant.reserved_;
@@ -59,7 +59,7 @@
 Tokens returnable(const HeldGrant &grant, Millis keep, MonoTime now)
 {
     const std::chrono::duration<double> time = keep;
-    const Tokens burnt {static_cast<std::int64_t>(decayedBurnRate(grant, now) * time.count())};
+    const Tokens burnt {static_cast<std::int64_t>(burnRateAt(grant, now) * time.count())};
     const Tokens half {available(grant).count_ / 2};
     return available(grant) - std::min(burnt, half);
 }
--- a/src/core/grants.h
+++ b/src/core/grants.h
@@ -55,6 +55,9 @@
 /// @return false if it is not; the grant is unchanged then
 bool tryReserve(HeldGrant &grant, Tokens amount);
 
+/// @brief Returns the smoothed tokens spent per second as of @a now.
+double burnRateAt(const HeldGrant &grant, MonoTime now);
+
 /// @brief Gives back a reservation and spends part of it.
 /// @pre spent <= reserved
 void spendReserved(HeldGrant &grant, Tokens reserved, Tokens spent, MonoTime now);
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -152,8 +152,43 @@
     std::vector<PeerDocument> documents_;
 };
 
-using PeerMessage = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle,
-                                 SettleAck, BundleOffer, BundleFetch, BundleParts, ReleaseRequest,
-                                 Leaving, DocumentsAsked, DocumentsOffered>;
+/// @brief Asks a daemon to lend tokens of an account and reports on those that it lent before.
+/// Totals are cumulative for one run of the lender and one run of the borrower.
+struct TokensAsked
+{
+    HolderId borrower_;
+    /// "IP:port" that the answer goes to.
+    std::string replyAddress_;
+    /// The run of the lender that the totals refer to; empty before its first answer.
+    HolderId lender_;
+    AccountId account_;
+    /// Total that has to have been lent for the request at hand; not above what was lent if this is
+    /// only a report.
+    Tokens needed_;
+    /// Total that would cover the next seconds as well.
+    Tokens wanted_;
+    Tokens spent_;
+    Tokens returned_;
+};
+
+/// @brief Tells a borrower how much it was lent.
+struct TokensLent
+{
+    HolderId lender_;
+    AccountId account_;
+    /// Cumulative.
+    Tokens lent_;
+    /// The lender can't lend what is needed now; the borrower turns to the ledger itself.
+    bool refused_ = false;
+    /// The lender can't reach the ledger, or it stops; another one should be asked.
+    bool unavailable_ = false;
+    /// Little of the account is left, or the lender stops: what is not needed should be returned.
+    bool recalled_ = false;
+};
+
+using PeerMessage
+    = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle, SettleAck,
+                   BundleOffer, BundleFetch, BundleParts, ReleaseRequest, Leaving, DocumentsAsked,
+                   DocumentsOffered, TokensAsked, TokensLent>;
 
 } // namespace tamarack
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -124,6 +124,20 @@
     std::vector<PeerAddress> peers_;
 };
 
+/// @brief Another daemon asks for a loan or reports on one.
+struct LoanAsked
+{
+    HostId from_;
+    TokensAsked ask_;
+};
+
+/// @brief A lender answered.
+struct LoanAnswered
+{
+    HostId from_;
+    TokensLent lent_;
+};
+
 /// @brief The store stopped or began to answer a feed of documents.
 struct FeedChanged
 {
@@ -139,9 +153,10 @@
     MonoTime limit_ {};
 };
 
-using RelayEvent = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, ClientLeft,
-                                ConfigSeen, InstancesListed, InstanceChanged, InstanceRemoved,
-                                FleetCounted, FeedChanged, StoreReplied, RelayStopAsked>;
+using RelayEvent
+    = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, ClientLeft, ConfigSeen,
+                   InstancesListed, InstanceChanged, InstanceRemoved, FleetCounted, LoanAsked,
+                   LoanAnswered, FeedChanged, StoreReplied, RelayStopAsked>;
 
 /// @brief Sends a request to an instance, in place of the attempt before.
 struct SendAttempt
@@ -213,6 +228,6 @@
 
 using RelayCommand = std::variant<SendAttempt, AnswerClient, PassOnAnswer, CutAnswer, ApplyLimits,
                                   AskPeers, SetReady, StopKeepingClients, CloseIdleClients,
-                                  SubmitStoreCall, WriteLog, RelayStopCompleted>;
+                                  SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
 
 } // namespace tamarack
--- /dev/null
+++ b/src/core/relay/lenders.cpp
@@ -0,0 +1,101 @@
+// Choice of the daemons that draw on the ledger for others.
+#include "core/relay/lenders.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace tamarack {
+
+namespace {
+
+/// Key of the order in which daemons become lenders.
+constexpr std::string_view rankKey = "lender";
+
+void sortByRank(std::vector<PeerAddress> &daemons)
+{
+    std::sort(daemons.begin(), daemons.end(), [](const PeerAddress &a, const PeerAddress &b) {
+        const std::uint64_t weightA = rendezvousWeight(rankKey, a.host_.value_);
+        const std::uint64_t weightB = rendezvousWeight(rankKey, b.host_.value_);
+        return weightA != weightB ? weightA > weightB : a.host_ < b.host_;
+    });
+}
+
+struct Usable
+{
+    const Lenders &lenders_;
+    bool ledgerFailing_;
+    MonoTime now_;
+
+    bool operator()(const PeerAddress &daemon) const
+    {
+        if (daemon.host_ == lenders_.self_)
+            return !ledgerFailing_;
+        const auto avoided = lenders_.avoidUntil_.find(daemon.host_);
+        return avoided == lenders_.avoidUntil_.end() || avoided->second <= now_;
+    }
+};
+
+/// The best for an account among the first few that are usable.
+const PeerAddress *bestOf(const std::vector<PeerAddress> &daemons, std::size_t count,
+                          const AccountId &account, const Usable &usable)
+{
+    const PeerAddress *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const PeerAddress &daemon : daemons) {
+        if (count == 0)
+            break;
+        if (!usable(daemon))
+            continue;
+        --count;
+        const std::uint64_t weight = rendezvousWeight(account.value_, daemon.host_.value_);
+        if (!best || weight > bestWeight) {
+            best = &daemon;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+void setLenders(Lenders &lenders, const HostId &self, const ZoneId &zone,
+                const std::vector<PeerAddress> &peers)
+{
+    lenders.self_ = self;
+    lenders.near_ = {PeerAddress {self, zone, {}}};
+    lenders.far_.clear();
+    std::set<ZoneId> zones {zone};
+    for (const PeerAddress &peer : peers) {
+        zones.insert(peer.zone_);
+        (peer.zone_ == zone ? lenders.near_ : lenders.far_).push_back(peer);
+    }
+    lenders.zones_ = static_cast<std::uint32_t>(zones.size());
+    sortByRank(lenders.near_);
+    sortByRank(lenders.far_);
+    std::erase_if(lenders.avoidUntil_, [&peers](const auto &avoided) {
+        return std::none_of(peers.begin(), peers.end(), [&avoided](const PeerAddress &peer) {
+            return peer.host_ == avoided.first;
+        });
+    });
+}
+
+void avoidLender(Lenders &lenders, const HostId &host, MonoTime until)
+{
+    lenders.avoidUntil_[host] = until;
+}
+
+std::optional<PeerAddress> lenderOf(const Lenders &lenders, const LenderSettings &settings,
+                                    const AccountId &account, bool ledgerFailing, MonoTime now)
+{
+    const Usable usable {lenders, ledgerFailing, now};
+    const PeerAddress *best = bestOf(lenders.near_, settings.perZone_, account, usable);
+    if (!best)
+        best = bestOf(lenders.far_, settings.perZone_, account, usable);
+    if (!best || best->host_ == lenders.self_)
+        return std::nullopt;
+    return *best;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/core/relay/loans.cpp
@@ -0,0 +1,320 @@
+// Loans of tokens between daemons.
+#include "core/relay/loans.h"
+
+#include "core/relay/prepaidparts.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+using namespace prepaiddetail;
+
+Tokens usedOf(const HeldGrant &grant)
+{
+    return grant.returned_ + grant.spent_ + grant.reserved_;
+}
+
+Tokens outstandingOf(const CreditLine &line)
+{
+    return line.lent_ - line.spent_ - line.returned_;
+}
+
+Tokens reachOf(const PrepaidSettings &settings, const PrepaidBalance &balance, MonoTime now)
+{
+    const std::chrono::duration<double> reach = settings.loanReach_;
+    return Tokens {static_cast<std::int64_t>(burnRate(balance, now) * reach.count())};
+}
+
+/// A message with the totals of a loan; a report, as long as nothing is wanted.
+TokensAsked reportOf(const PrepaidState &state, const AccountId &account, const HolderId &run,
+                     const Loan &loan)
+{
+    TokensAsked ask;
+    ask.borrower_ = state.holder_;
+    ask.replyAddress_ = state.peerAddress_;
+    ask.lender_ = run;
+    ask.account_ = account;
+    ask.spent_ = loan.grant_.spent_;
+    ask.returned_ = loan.grant_.returned_;
+    return ask;
+}
+
+void noteReported(Loan &loan)
+{
+    loan.grant_.settled_ = loan.grant_.spent_;
+    loan.reportedReturns_ = loan.grant_.returned_;
+}
+
+void sendReport(PrepaidState &state, const AccountId &account, const HolderId &run, Loan &loan)
+{
+    const bool changed = loan.grant_.settled_ != loan.grant_.spent_
+        || loan.reportedReturns_ != loan.grant_.returned_;
+    if (!changed)
+        return;
+    noteReported(loan);
+    state.outbox_.push_back(
+        SendPeer {loan.lenderHost_, loan.lenderAddress_, reportOf(state, account, run, loan)});
+}
+
+/// Takes over what a borrower reports. Totals never decrease and stay within what was lent.
+void settleLine(HeldGrant &grant, CreditLine &line, Tokens spent, Tokens returned, MonoTime now)
+{
+    const Tokens newlySpent = std::clamp(spent - line.spent_, Tokens {}, outstandingOf(line));
+    line.spent_ += newlySpent;
+    spendReserved(grant, newlySpent, newlySpent, now);
+    const Tokens newlyReturned
+        = std::clamp(returned - line.returned_, Tokens {}, outstandingOf(line));
+    line.returned_ += newlyReturned;
+    spendReserved(grant, newlyReturned, Tokens {}, now);
+}
+
+bool isRecalling(const PrepaidState &state, const PrepaidSettings &settings,
+                 const AccountId &account)
+{
+    const BudgetRecord *record = recordOf(state, settings, account);
+    return state.stopping_ || (record && isScarce(settings, *record));
+}
+
+enum class Verdict {
+    Lent,
+    Refused,
+    /// Another lender should be asked.
+    Unavailable,
+};
+
+void answer(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+            CreditLine &line, Verdict verdict)
+{
+    TokensLent lent;
+    lent.lender_ = state.holder_;
+    lent.account_ = account;
+    lent.lent_ = line.lent_;
+    lent.refused_ = verdict == Verdict::Refused;
+    lent.unavailable_ = verdict == Verdict::Unavailable;
+    lent.recalled_ = isRecalling(state, settings, account);
+    line.answerDue_ = false;
+    state.outbox_.push_back(SendPeer {line.borrowerHost_, line.borrowerAddress_, lent});
+}
+
+/// Lends what is asked for, answers why not, or waits for a draw.
+void serveLine(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+               PrepaidBalance &balance, CreditLine &line, MonoTime now)
+{
+    HeldGrant &grant = balance.grant_;
+    const Tokens needed = std::max(line.needed_ - line.lent_, Tokens {});
+    if (state.stopping_) {
+        answer(state, settings, account, line, Verdict::Unavailable);
+        return;
+    }
+    if (available(grant) >= needed) {
+        Tokens amount = needed;
+        if (!isRecalling(state, settings, account)) {
+            const double spare = static_cast<double>((available(grant) - needed).count_);
+            const Tokens ahead = std::max(line.wanted_ - line.lent_, needed) - needed;
+            amount
+                += std::min(ahead, Tokens {static_cast<std::int64_t>(spare * settings.loanShare_)});
+        }
+        grant.reserved_ += amount;
+        line.lent_ += amount;
+        answer(state, settings, account, line, Verdict::Lent);
+        if (!grant.drawing_)
+            reviewBalance(state, settings, account, balance, now);
+        return;
+    }
+    if (isLedgerFailing(state, settings, account))
+        answer(state, settings, account, line, Verdict::Unavailable);
+    else if (isKnownShort(state, settings, account, needed, now))
+        answer(state, settings, account, line, Verdict::Refused);
+    else if (!grant.drawing_)
+        submitDraw(state, settings, account, balance, needed, now, now);
+}
+
+} // namespace
+
+void askForLoan(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                PrepaidBalance &balance, const PeerAddress &lender, Tokens amount, MonoTime now)
+{
+    if (balance.ask_)
+        return;
+    const auto run = state.runs_.find(lender.host_);
+    Loan unknown;
+    Loan *loan = &unknown;
+    HolderId lenderRun;
+    if (run != state.runs_.end()) {
+        lenderRun = run->second;
+        loan = &balance.loans_[lenderRun];
+        loan->lenderHost_ = lender.host_;
+        loan->lenderAddress_ = lender.address_;
+    }
+    TokensAsked ask = reportOf(state, account, lenderRun, *loan);
+    ask.needed_ = usedOf(loan->grant_) + amount;
+    ask.wanted_ = ask.needed_ + reachOf(settings, balance, now);
+    noteReported(*loan);
+    balance.ask_ = PendingAsk {lender.host_, now + settings.loanLimit_};
+    state.outbox_.push_back(SendPeer {lender.host_, lender.address_, std::move(ask)});
+}
+
+void reviewLoans(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                 PrepaidBalance &balance, MonoTime now)
+{
+    if (balance.ask_ || now < balance.ownDrawUntil_ || now - balance.usedAt_ > settings.loanIdle_)
+        return;
+    Tokens held = available(balance.grant_);
+    for (const auto &[run, loan] : balance.loans_)
+        held += available(loan.grant_);
+    const Tokens reach = reachOf(settings, balance, now);
+    if (static_cast<double>(held.count_)
+        >= static_cast<double>(reach.count_) * settings.refillShare_)
+        return;
+    if (const auto lender = drawerFor(state, settings, account, now))
+        askForLoan(state, settings, account, balance, *lender, Tokens {}, now);
+}
+
+void returnIdleLoans(PrepaidState &state, const AccountId &account, PrepaidBalance &balance,
+                     Millis idle, MonoTime now)
+{
+    for (auto &[run, loan] : balance.loans_) {
+        if (now - loan.usedAt_ > idle)
+            loan.grant_.returned_ += available(loan.grant_);
+        sendReport(state, account, run, loan);
+    }
+}
+
+void takeLoanAsk(PrepaidState &state, const PrepaidSettings &settings, const TokensAsked &ask,
+                 const HostId &from, MonoTime now)
+{
+    const auto found = state.balances_.find(ask.account_);
+    if (found == state.balances_.end()) {
+        // The configuration that names the account is not known here yet.
+        CreditLine line;
+        line.borrowerHost_ = from;
+        line.borrowerAddress_ = ask.replyAddress_;
+        answer(state, settings, ask.account_, line, Verdict::Unavailable);
+        return;
+    }
+    PrepaidBalance &balance = found->second;
+    CreditLine &line = balance.lines_[ask.borrower_];
+    line.borrowerHost_ = from;
+    line.borrowerAddress_ = ask.replyAddress_;
+    const bool otherRun = !ask.lender_.isEmpty() && ask.lender_ != state.holder_;
+    if (otherRun) {
+        // The totals are those of an earlier run; the answer names this one.
+        answer(state, settings, ask.account_, line, Verdict::Lent);
+        return;
+    }
+    settleLine(balance.grant_, line, ask.spent_, ask.returned_, now);
+    const bool isReport = ask.wanted_ == Tokens {};
+    if (isReport)
+        return;
+    line.needed_ = ask.needed_;
+    line.wanted_ = ask.wanted_;
+    line.answerDue_ = true;
+    noteFirstUse(balance, std::max(ask.needed_ - line.lent_, Tokens {}), now);
+    serveLine(state, settings, ask.account_, balance, line, now);
+}
+
+void takeLoan(PrepaidState &state, const PrepaidSettings &settings, const TokensLent &lent,
+              const HostId &from, MonoTime now)
+{
+    const auto found = state.balances_.find(lent.account_);
+    if (found == state.balances_.end())
+        return;
+    PrepaidBalance &balance = found->second;
+    state.runs_[from] = lent.lender_;
+    Loan &loan = balance.loans_[lent.lender_];
+    if (loan.grant_.id_.isEmpty()) {
+        loan.grant_.id_ = GrantId {lent.lender_.value_};
+        loan.lenderHost_ = from;
+        loan.usedAt_ = now;
+        const auto &near = state.lenders_.near_;
+        const auto &far = state.lenders_.far_;
+        for (const auto *daemons : {&near, &far}) {
+            const auto lender
+                = std::find_if(daemons->begin(), daemons->end(),
+                               [&from](const PeerAddress &peer) { return peer.host_ == from; });
+            if (lender != daemons->end())
+                loan.lenderAddress_ = lender->address_;
+        }
+    }
+    // An older answer never takes tokens back.
+    loan.grant_.armed_ = std::max(loan.grant_.armed_, lent.lent_);
+    const bool answered = balance.ask_ && balance.ask_->host_ == from;
+    if (answered)
+        balance.ask_.reset();
+    if (lent.refused_)
+        balance.ownDrawUntil_ = now + settings.shortageLifetime_;
+    if (lent.unavailable_)
+        avoidLender(state.lenders_, from, now + settings.lenders_.failingPause_);
+}
+
+void returnRecalled(PrepaidState &state, const PrepaidSettings &settings, const TokensLent &lent,
+                    MonoTime now)
+{
+    const auto found = state.balances_.find(lent.account_);
+    if (!lent.recalled_ || found == state.balances_.end())
+        return;
+    const auto loan = found->second.loans_.find(lent.lender_);
+    if (loan == found->second.loans_.end())
+        return;
+    HeldGrant &grant = loan->second.grant_;
+    grant.returned_ += returnable(grant, settings.scarceReach_, now);
+    sendReport(state, lent.account_, loan->first, loan->second);
+}
+
+void serveBorrowers(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
+{
+    for (auto &[account, balance] : state.balances_) {
+        for (auto &[borrower, line] : balance.lines_) {
+            if (line.answerDue_)
+                serveLine(state, settings, account, balance, line, now);
+        }
+    }
+}
+
+std::set<AccountId> expireAsks(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
+{
+    std::set<AccountId> expired;
+    for (auto &[account, balance] : state.balances_) {
+        if (!balance.ask_ || balance.ask_->expiresAt_ > now)
+            continue;
+        avoidLender(state.lenders_, balance.ask_->host_, now + settings.lenders_.silentPause_);
+        balance.ask_.reset();
+        expired.insert(account);
+    }
+    return expired;
+}
+
+bool isAsking(const PrepaidState &state, const AccountId &account)
+{
+    const auto balance = state.balances_.find(account);
+    return balance != state.balances_.end() && balance->second.ask_.has_value();
+}
+
+void stopLending(PrepaidState &state, const PrepaidSettings &settings)
+{
+    state.stopping_ = true;
+    for (auto &[account, balance] : state.balances_) {
+        for (auto &[borrower, line] : balance.lines_) {
+            if (outstandingOf(line) > Tokens {} || line.answerDue_)
+                answer(state, settings, account, line, Verdict::Unavailable);
+        }
+    }
+}
+
+void closeLoans(PrepaidState &state, const AccountId &account, PrepaidBalance &balance,
+                MonoTime now)
+{
+    for (auto &[run, loan] : balance.loans_) {
+        loan.grant_.returned_ += available(loan.grant_);
+        sendReport(state, account, run, loan);
+    }
+    for (auto &[borrower, line] : balance.lines_) {
+        const Tokens rest = outstandingOf(line);
+        line.spent_ += rest;
+        spendReserved(balance.grant_, rest, rest, now);
+    }
+}
+
+} // namespace tamarack
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -1,142 +1,18 @@
 // Prepaid balances of a relay daemon.
 #include "core/relay/prepaid.h"
 
+#include "core/relay/loans.h"
+#include "core/relay/prepaidparts.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace tamarack {
 
 namespace {
 
-/// Requests a second that a new grant expects of the size of its first one, until it has seen more.
-constexpr double firstBurnRequestsPerSecond = 2.0;
-
-PrepaidShard &shardOf(PrepaidState &state, const PrepaidSettings &settings,
-                      const AccountId &account)
-{
-    const ShardNumber number = ledgerShardOf(BudgetId {account.value_}, settings.shards_);
-    auto [it, created] = state.shards_.try_emplace(number);
-    if (created)
-        it->second.maxBackoff_ = settings.maxBackoff_;
-    if (created)
-        it->second.key_ = StoreKey {fmt::format("{}/{}", settings.keyPrefix_, number.value_)};
-    return it->second;
-}
-
-const BudgetRecord *recordOf(const PrepaidState &state, const PrepaidSettings &settings,
-                             const AccountId &account)
-{
-    const BudgetId budget {account.value_};
-    const auto shard = state.shards_.find(ledgerShardOf(budget, settings.shards_));
-    if (shard == state.shards_.end())
-        return nullptr;
-    const auto &budgets = shard->second.copy_.budgets_;
-    const auto record = budgets.find(budget);
-    return record == budgets.end() ? nullptr : &record->second;
-}
-
-void submitFunding(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                   const PrepaidBalance &balance, MonoTime due)
-{
-    submitOp(shardOf(state, settings, account),
-             LedgerOp {FundOp {BudgetId {account.value_}, balance.funded_,
-                               BundleVersion {balance.fundedBy_.value_}}},
-             due);
-}
-
-/// Tokens a second. The smoothed rate of the grant is too low until its window has passed, which
-/// matters when the store goes away soon after a start.
-double burnRate(const PrepaidBalance &balance, MonoTime now)
-{
-    if (!balance.usedSince_)
-        return 0.0;
-    const std::chrono::duration<double> age
-        = std::max(now - *balance.usedSince_, MonoTime::duration {Seconds {1}});
-    const double seen = 1.0 - std::exp(-age / burnRateWindow);
-    const double guess = balance.firstBurn_ * (1.0 - seen);
-    return std::max(balance.grant_.burnRate_ / seen, guess);
-}
-
-Tokens reachTokens(const PrepaidSettings &settings, const PrepaidBalance &balance, MonoTime now)
-{
-    const std::chrono::duration<double> reach = settings.reach_;
-    return Tokens {static_cast<std::int64_t>(burnRate(balance, now) * reach.count())};
-}
-
-/// Unallocated tokens as the last copy shows them; the whole total before the first copy.
-Tokens unallocatedOf(const PrepaidState &state, const PrepaidSettings &settings,
-                     const AccountId &account, const PrepaidBalance &balance)
-{
-    const BudgetRecord *record = recordOf(state, settings, account);
-    return record ? unallocated(*record) : balance.funded_;
-}
-
-ReachPolicy reachPolicy(const PrepaidState &state, const PrepaidSettings &settings)
-{
-    constexpr double perMille = 1000.0;
-    const double share = settings.heldShare_ * perMille / std::max(state.daemons_, 1U);
-    return ReachPolicy {settings.reach_, std::max(static_cast<std::uint32_t>(share), 1U)};
-}
-
-/// Returns true if a fresh copy of the ledger shows that a draw can't succeed.
-bool isKnownShort(const PrepaidState &state, const PrepaidSettings &settings,
-                  const AccountId &account, Tokens amount, MonoTime now)
-{
-    const auto copied
-        = state.copiedAt_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
-    if (copied == state.copiedAt_.end() || now - copied->second > settings.shortageLifetime_)
-        return false;
-    const Shortage shortage = judgeShortage(state, settings, account, amount);
-    return shortage == Shortage::Exhausted || shortage == Shortage::HeldElsewhere;
-}
-
-void submitDraw(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                PrepaidBalance &balance, Tokens needed, MonoTime now, MonoTime due)
-{
-    HeldGrant &grant = balance.grant_;
-    HeldGrant estimate = grant;
-    estimate.burnRate_ = burnRate(balance, now);
-    DrawOp op;
-    op.budget_ = BudgetId {account.value_};
-    op.grant_ = grant.id_;
-    op.holder_ = state.holder_;
-    op.armedTotal_ = drawTarget(estimate, needed, unallocatedOf(state, settings, account, balance),
-                                reachPolicy(state, settings));
-    op.atLeast_ = grant.returned_ + grant.spent_ + grant.reserved_ + needed;
-    op.create_ = grant.armed_ == Tokens {};
-    if (op.armedTotal_ <= grant.armed_)
-        return;
-    // Funding goes first: a draw from a budget without a record has no effect.
-    if (!balance.fundingCommitted_)
-        submitFunding(state, settings, account, balance, due);
-    submitOp(shardOf(state, settings, account), LedgerOp {op}, due);
-    grant.drawing_ = true;
-}
-
-void submitReturn(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                  PrepaidBalance &balance, Tokens amount, MonoTime due)
-{
-    if (amount <= Tokens {})
-        return;
-    HeldGrant &grant = balance.grant_;
-    grant.returned_ += amount;
-    PrepaidShard &shard = shardOf(state, settings, account);
-    const BudgetId budget {account.value_};
-    submitOp(shard, LedgerOp {SettleOp {budget, grant.id_, grant.spent_}}, due);
-    submitOp(shard, LedgerOp {ReturnOp {budget, grant.id_, grant.returned_}}, due);
-    submitFunding(state, settings, account, balance, due);
-}
-
-/// What a full grant holds: its reach, but not more than its share of what is left.
-Tokens fullGrant(const PrepaidState &state, const PrepaidSettings &settings,
-                 const AccountId &account, const PrepaidBalance &balance, MonoTime now)
-{
-    const std::int64_t unallocated = unallocatedOf(state, settings, account, balance).count_;
-    const Tokens share {unallocated * reachPolicy(state, settings).maxSharePerMille_ / 1000};
-    return std::min(reachTokens(settings, balance, now), share);
-}
+using namespace prepaiddetail;
 
 /// The holder's own copy of its grant follows the store's.
 void takeOverGrant(const PrepaidState &state, const PrepaidSettings &settings,
@@ -154,42 +30,6 @@
     balance.grant_.settled_ = std::max(balance.grant_.settled_, grant->second.settled_);
 }
 
-bool isScarce(const PrepaidSettings &settings, const BudgetRecord &record)
-{
-    return static_cast<double>(unallocated(record).count_)
-        < static_cast<double>(record.funded_.count_) * settings.scarceShare_;
-}
-
-/// Returns true if a grant in use has less than a share of what it should hold.
-bool isBelow(const PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-             const PrepaidBalance &balance, double share, MonoTime now)
-{
-    const HeldGrant &grant = balance.grant_;
-    if (grant.drawing_ || grant.armed_ == Tokens {})
-        return false;
-    const Tokens full = fullGrant(state, settings, account, balance, now);
-    const std::chrono::duration<double> minReach = settings.minReach_;
-    if (static_cast<double>(full.count_) < burnRate(balance, now) * minReach.count())
-        return false;
-    const double wanted = static_cast<double>(full.count_) * share;
-    return static_cast<double>(available(grant).count_) < wanted;
-}
-
-void reviewBalance(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                   PrepaidBalance &balance, MonoTime now)
-{
-    HeldGrant &grant = balance.grant_;
-    const BudgetRecord *record = recordOf(state, settings, account);
-    if (record && isScarce(settings, *record)) {
-        // What is needed next is drawn when a request asks for it.
-        submitReturn(state, settings, account, balance,
-                     returnable(grant, settings.scarceReach_, now), now + settings.drawDelay_);
-        return;
-    }
-    if (isBelow(state, settings, account, balance, settings.refillShare_, now))
-        submitDraw(state, settings, account, balance, Tokens {}, now, now + settings.drawDelay_);
-}
-
 /// Draws for the other accounts of a shard that will need it soon, because a call costs the same
 /// for all of them.
 void joinCall(PrepaidState &state, const PrepaidSettings &settings, ShardNumber number,
@@ -208,6 +48,28 @@
                        [](const LedgerOp &op) { return std::holds_alternative<DrawOp>(op); });
 }
 
+/// Reserves from the own grant or from a loan.
+std::optional<Reservation> reserveHeld(const PrepaidState &state, PrepaidBalance &balance,
+                                       Tokens amount, MonoTime now)
+{
+    // Loans go first: what is left of them can only be returned with another message.
+    for (auto &[run, loan] : balance.loans_) {
+        if (!tryReserve(loan.grant_, amount))
+            continue;
+        loan.usedAt_ = now;
+        return Reservation {run, amount};
+    }
+    if (tryReserve(balance.grant_, amount))
+        return Reservation {state.holder_, amount};
+    return std::nullopt;
+}
+
+/// Returns true if the ledger has to be read in turn for this balance.
+bool isReviewed(const PrepaidBalance &balance)
+{
+    return balance.grant_.armed_ > balance.grant_.returned_ + balance.grant_.spent_;
+}
+
 } // namespace
 
 ShortageFigures shortageFigures(const PrepaidState &state, const PrepaidSettings &settings,
@@ -255,30 +117,34 @@
     }
 }
 
-bool reserveTokens(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                   Tokens amount, MonoTime now)
+std::optional<Reservation> reserveTokens(PrepaidState &state, const PrepaidSettings &settings,
+                                         const AccountId &account, Tokens amount, MonoTime now)
 {
     PrepaidBalance &balance = state.balances_[account];
-    HeldGrant &grant = balance.grant_;
-    if (!balance.usedSince_) {
-        balance.usedSince_ = now;
-        balance.firstBurn_ = static_cast<double>(amount.count_) * firstBurnRequestsPerSecond;
+    noteFirstUse(balance, amount, now);
+    balance.usedAt_ = now;
+    const std::optional<Reservation> reservation = reserveHeld(state, balance, amount, now);
+    if (reservation) {
+        if (!balance.grant_.drawing_)
+            reviewBalance(state, settings, account, balance, now);
+        return reservation;
     }
-    const bool reserved = tryReserve(grant, amount);
-    if (!reserved && isKnownShort(state, settings, account, amount, now))
-        return false;
-    if (!reserved)
+    const std::optional<PeerAddress> lender
+        = now < balance.ownDrawUntil_ ? std::nullopt : drawerFor(state, settings, account, now);
+    if (lender)
+        askForLoan(state, settings, account, balance, *lender, amount, now);
+    else if (!isKnownShort(state, settings, account, amount, now))
         submitDraw(state, settings, account, balance, amount, now, now);
-    else if (!grant.drawing_)
-        reviewBalance(state, settings, account, balance, now);
-    return reserved;
+    return std::nullopt;
 }
 
-void settleTokens(PrepaidState &state, const PrepaidSettings &, const AccountId &account,
-                  Tokens reserved, Tokens spent, MonoTime now)
+void settleTokens(PrepaidState &state, const AccountId &account, const Reservation &reservation,
+                  Tokens spent, MonoTime now)
 {
     PrepaidBalance &balance = state.balances_[account];
-    spendReserved(balance.grant_, reserved, std::min(spent, reserved), now);
+    const auto loan = balance.loans_.find(reservation.from_);
+    HeldGrant &grant = loan == balance.loans_.end() ? balance.grant_ : loan->second.grant_;
+    spendReserved(grant, reservation.amount_, std::min(spent, reservation.amount_), now);
 }
 
 Shortage judgeShortage(const PrepaidState &state, const PrepaidSettings &settings,
@@ -348,17 +214,21 @@
 void reviewBalances(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
 {
     for (auto &[account, balance] : state.balances_) {
-        if (balance.grant_.armed_ == Tokens {} || now < balance.reviewAt_)
+        if (!balance.usedSince_ || now < balance.reviewAt_)
             continue;
         balance.reviewAt_ = now + settings.reviewInterval_;
-        reviewBalance(state, settings, account, balance, now);
-        requestCall(shardOf(state, settings, account), now + settings.drawDelay_);
+        if (!balance.grant_.drawing_)
+            reviewBalance(state, settings, account, balance, now);
+        returnIdleLoans(state, account, balance, settings.loanIdle_, now);
+        if (isReviewed(balance))
+            requestCall(shardOf(state, settings, account), now + settings.drawDelay_);
     }
 }
 
 void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
 {
     for (auto &[account, balance] : state.balances_) {
+        closeLoans(state, account, balance, now);
         if (balance.grant_.armed_ > Tokens {})
             submitReturn(state, settings, account, balance, available(balance.grant_), now);
     }
@@ -388,16 +258,29 @@
     for (const auto &[number, shard] : state.shards_)
         consider(nextCallTime(shard));
     for (const auto &[account, balance] : state.balances_) {
-        if (balance.grant_.armed_ > Tokens {})
+        if (balance.usedSince_ && !state.stopping_)
             consider(balance.reviewAt_);
+        if (balance.ask_)
+            consider(balance.ask_->expiresAt_);
     }
     return next;
 }
 
 Result<void> checkInvariants(const PrepaidState &state)
 {
-    for (const auto &[account, balance] : state.balances_)
+    for (const auto &[account, balance] : state.balances_) {
         BOOST_LEAF_CHECK(checkInvariants(balance.grant_));
+        Tokens lent;
+        for (const auto &[borrower, line] : balance.lines_)
+            lent += line.lent_ - line.spent_ - line.returned_;
+        if (lent > balance.grant_.reserved_)
+            return fail(ErrorKind::LedgerInvariant, "tamarack.loan.101",
+                        fmt::format("account {}: {} tokens are lent but {} are set aside; restart "
+                                    "this daemon and report this",
+                                    account.value_, lent.count_, balance.grant_.reserved_.count_));
+        for (const auto &[run, loan] : balance.loans_)
+            BOOST_LEAF_CHECK(checkInvariants(loan.grant_));
+    }
     return {};
 }
 
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -1,5 +1,6 @@
-// Prepaid balances of a relay daemon: the grants that it holds in the ledger and the reservations
-// of requests against them. Calls to the store are group commits of ledger shards.
+// Prepaid balances of a relay daemon: the grants that it holds in the ledger, the loans from
+// daemons that draw for it (loans.h) and the reservations of requests against both. Calls to the
+// store are group commits of ledger shards.
 #pragma once
 
 #include "core/command.h"
@@ -7,6 +8,7 @@
 #include "core/ids.h"
 #include "core/ledger.h"
 #include "core/relay/config.h"
+#include "core/relay/lenders.h"
 #include "core/shardcommit.h"
 #include "core/time.h"
 #include "core/tokens.h"
@@ -52,6 +54,61 @@
     Millis minReach_ {1000};
     /// Longest pause after failed calls.
     Millis maxBackoff_ {400};
+    LenderSettings lenders_;
+    /// A borrower asks for this much ahead, as time at its burn rate. Less than reach_, because the
+    /// lender answers while the store does not.
+    Millis loanReach_ {3000};
+    /// Part of its available tokens that a lender lends ahead to one borrower.
+    double loanShare_ = 0.125;
+    /// A lender that has not answered for this long is left out. Above the delay of a call to the
+    /// store, and short enough to ask another one within a request's wait for tokens.
+    Millis loanLimit_ {70};
+    /// Loans that no request used for this long are returned.
+    Millis loanIdle_ {Seconds {8}};
+};
+
+/// @brief Tokens that another daemon lent to this one.
+struct Loan
+{
+    /// The totals of the loan: armed_ is what was lent, settled_ what was reported as spent.
+    HeldGrant grant_;
+    HostId lenderHost_;
+    std::string lenderAddress_;
+    /// Part of grant_.returned_ that was reported.
+    Tokens reportedReturns_;
+    MonoTime usedAt_ {};
+};
+
+/// @brief A question to a lender that has not been answered.
+struct PendingAsk
+{
+    HostId host_;
+    MonoTime expiresAt_ {};
+};
+
+/// @brief What this daemon lent to one run of another. Its reservation in the own grant is
+/// lent_ - spent_ - returned_.
+///
+/// Invariant: spent_ >= 0, returned_ >= 0, spent_ + returned_ <= lent_.
+struct CreditLine
+{
+    HostId borrowerHost_;
+    std::string borrowerAddress_;
+    Tokens lent_;
+    Tokens spent_;
+    Tokens returned_;
+    /// Totals of the last question that is not answered yet.
+    Tokens needed_;
+    Tokens wanted_;
+    bool answerDue_ = false;
+};
+
+/// @brief Tokens that are set aside for a request.
+struct Reservation
+{
+    /// The own grant or the lender's run.
+    HolderId from_;
+    Tokens amount_;
 };
 
 /// @brief The balance of one client account.
@@ -65,8 +122,20 @@
     MonoTime reviewAt_ {};
     /// When tokens were first asked for.
     std::optional<MonoTime> usedSince_;
+    /// When this daemon's requests last asked for tokens.
+    MonoTime usedAt_ {};
     /// Tokens a second that the first request suggests.
     double firstBurn_ = 0.0;
+    /// By the lender's run. They are kept after they are spent: a lender that is heard of again
+    /// repeats the total, which must not be taken for new tokens.
+    std::map<HolderId, Loan> loans_;
+    std::optional<PendingAsk> ask_;
+    /// A lender refused, so that this daemon draws on the ledger itself.
+    MonoTime ownDrawUntil_ {};
+    /// When the last draw was submitted.
+    MonoTime drewAt_ {};
+    /// By the borrower's run.
+    std::map<HolderId, CreditLine> lines_;
 };
 
 using PrepaidShard = ShardCommit<LedgerShard, LedgerOp>;
@@ -82,6 +151,15 @@
     std::uint64_t lastCall_ = 0;
     /// Daemons that share the budgets, this one included.
     std::uint32_t daemons_ = 1;
+    Lenders lenders_;
+    /// "IP:port" that answers of lenders go to; without it nothing is borrowed.
+    std::string peerAddress_;
+    /// The last known run of each lender.
+    std::map<HostId, HolderId> runs_;
+    /// Messages to other daemons that are not sent yet.
+    std::vector<SendPeer> outbox_;
+    /// This daemon stops and lends nothing any more.
+    bool stopping_ = false;
 };
 
 /// @brief Takes over the totals of a configuration.
@@ -91,14 +169,15 @@
 /// @brief Reserves the worst case of a request.
 ///
 /// No draw is submitted while a fresh copy of the ledger shows that it can't succeed.
-/// @return false if the grant does not cover it; a draw is submitted then
-bool reserveTokens(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                   Tokens amount, MonoTime now);
+/// @return nothing if neither the grant nor a loan covers it; a draw is submitted or a lender is
+/// asked then
+std::optional<Reservation> reserveTokens(PrepaidState &state, const PrepaidSettings &settings,
+                                         const AccountId &account, Tokens amount, MonoTime now);
 
 /// @brief Ends a reservation.
-/// @param spent what the request used, at most @a reserved
-void settleTokens(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                  Tokens reserved, Tokens spent, MonoTime now);
+/// @param spent what the request used, at most the reserved amount
+void settleTokens(PrepaidState &state, const AccountId &account, const Reservation &reservation,
+                  Tokens spent, MonoTime now);
 
 /// @brief What the ledger's last copy says about an amount that the grant does not cover.
 enum class Shortage {
@@ -145,7 +224,8 @@
 /// @brief Submits draws, returns and reads whose time has come.
 void reviewBalances(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
 
-/// @brief Submits the hand-back of all grants that no request needs.
+/// @brief Submits the hand-back of all grants and loans that no request needs. What was lent is
+/// charged.
 void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
 
 /// @brief Returns true if the last call to an account's shard failed.
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -7,6 +7,8 @@
 #include "core/relay/documentsync.h"
 #include "core/relay/events.h"
 #include "core/relay/instances.h"
+#include "core/relay/lenders.h"
+#include "core/relay/loans.h"
 #include "core/relay/prepaid.h"
 #include "core/relay/relaycontrol.h"
 #include "core/relay/request.h"
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -1,6 +1,7 @@
 // Dispatch of events and of the passage of time.
 #include "core/relay/relaycontrol.h"
 
+#include "core/relay/loans.h"
 #include "core/relay/relayparts.h"
 
 #include <fmt/format.h>
@@ -202,6 +203,7 @@
 {
     if (!event.peers_.empty())
         state.sync_.peers_ = event.peers_;
+    setLenders(state.prepaid_.lenders_, state.settings_.host_, state.settings_.zone_, event.peers_);
     if (event.daemons_ == state.fleet_.daemons_ && event.zoneDaemons_ == state.fleet_.zoneDaemons_)
         return;
     state.fleet_ = event;
@@ -211,6 +213,19 @@
              {"zone_daemons", std::to_string(event.zoneDaemons_)}});
 }
 
+void onEvent(RelayState &state, const LoanAsked &event, MonoTime now, RelayCommands &)
+{
+    takeLoanAsk(state.prepaid_, state.settings_.prepaid_, event.ask_, event.from_, now);
+}
+
+void onEvent(RelayState &state, const LoanAnswered &event, MonoTime now, RelayCommands &out)
+{
+    const TokensLent &lent = event.lent_;
+    takeLoan(state.prepaid_, state.settings_.prepaid_, lent, event.from_, now);
+    serveWaiting(state, lent.account_, now, out);
+    returnRecalled(state.prepaid_, state.settings_.prepaid_, lent, now);
+}
+
 void onEvent(RelayState &state, const FeedChanged &event, MonoTime now, RelayCommands &out)
 {
     noteFeed(state.sync_, event.name_, event.available_, now);
@@ -231,6 +246,7 @@
         = finishPrepaidCall(state.prepaid_, state.settings_.prepaid_, event.reply_, now);
     for (const AccountId &account : accounts)
         serveWaiting(state, account, now, out);
+    serveBorrowers(state.prepaid_, state.settings_.prepaid_, now);
 }
 
 void onEvent(RelayState &state, const RelayStopAsked &event, MonoTime now, RelayCommands &out)
@@ -242,6 +258,7 @@
     logLine(out, LogLevel::Info, "daemon.stopping",
             {{"active", std::to_string(state.active_.size())}});
     out.emplace_back(StopKeepingClients {});
+    stopLending(state.prepaid_, state.settings_.prepaid_);
     updateReady(state, out);
 }
 
@@ -280,6 +297,32 @@
     }
 }
 
+/// Logs the messages about loans that a request waits for or that refuse something, and hands all
+/// of them over.
+void sendLoanMessages(RelayState &state, RelayCommands &out)
+{
+    for (SendPeer &message : std::exchange(state.prepaid_.outbox_, {})) {
+        if (const auto *ask = std::get_if<TokensAsked>(&message.message_)) {
+            if (ask->wanted_ > Tokens {})
+                logLine(out, LogLevel::Info, "loan.asked",
+                        {{"account", ask->account_.value_},
+                         {"lender", message.host_.value_},
+                         {"needed", std::to_string(ask->needed_.count_)},
+                         {"wanted", std::to_string(ask->wanted_.count_)},
+                         {"spent", std::to_string(ask->spent_.count_)}});
+        } else if (const auto *lent = std::get_if<TokensLent>(&message.message_)) {
+            logLine(out, LogLevel::Info, "loan.answered",
+                    {{"account", lent->account_.value_},
+                     {"borrower", message.host_.value_},
+                     {"lent", std::to_string(lent->lent_.count_)},
+                     {"refused", lent->refused_ ? "yes" : "no"},
+                     {"unavailable", lent->unavailable_ ? "yes" : "no"},
+                     {"recalled", lent->recalled_ ? "yes" : "no"}});
+        }
+        out.emplace_back(std::move(message));
+    }
+}
+
 void consider(std::optional<MonoTime> &next, std::optional<MonoTime> time)
 {
     if (time && (!next || *time < *next))
@@ -324,8 +367,13 @@
         out.emplace_back(AskPeers {std::move(peers)});
     if (!state.stopAsked_)
         reviewBalances(state.prepaid_, state.settings_.prepaid_, now);
+    for (const AccountId &account : expireAsks(state.prepaid_, state.settings_.prepaid_, now)) {
+        logLine(out, LogLevel::Warning, "loan.unanswered", {{"account", account.value_}});
+        serveWaiting(state, account, now, out);
+    }
     passStop(state, now, out);
     startCalls(state, now, out);
+    sendLoanMessages(state, out);
     return out;
 }
 
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -85,7 +85,7 @@
     const RelayRoute *route_ = nullptr;
     AccountId account_;
     RelayStage stage_ = RelayStage::AwaitingTokens;
-    Tokens reserved_;
+    std::optional<Reservation> reserved_;
     std::uint32_t attempts_ = 0;
     std::set<UpstreamId> tried_;
     std::optional<Choice> choice_;
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -1,5 +1,6 @@
 // Admission of requests and their first attempt.
 #include "core/hash.h"
+#include "core/relay/loans.h"
 #include "core/relay/relayparts.h"
 
 #include <fmt/format.h>
@@ -136,7 +137,9 @@
     const PrepaidSettings &settings = state.settings_.prepaid_;
     const ShortageFigures figures = shortageFigures(state.prepaid_, settings, active.account_, now);
     const Shortage shortage = judgeShortage(state.prepaid_, settings, active.account_, amount);
-    const bool isShort = shortage == Shortage::Exhausted || shortage == Shortage::HeldElsewhere;
+    // A lender may have what the ledger shows as held elsewhere.
+    const bool isShort = shortage == Shortage::Exhausted
+        || (shortage == Shortage::HeldElsewhere && !isAsking(state.prepaid_, active.account_));
     if (!isShort || figures.age_ > settings.shortageLifetime_)
         return false;
     std::vector<LogField> fields = requestFields(active);
@@ -160,8 +163,9 @@
 {
     const Tokens amount = worstCase(*active.request_.usage_);
     PrepaidState &prepaid = state.prepaid_;
-    if (reserveTokens(prepaid, state.settings_.prepaid_, active.account_, amount, now)) {
-        active.reserved_ = amount;
+    active.reserved_
+        = reserveTokens(prepaid, state.settings_.prepaid_, active.account_, amount, now);
+    if (active.reserved_) {
         dispatch(state, active, now, out);
         return;
     }
@@ -170,7 +174,8 @@
     if (active.stage_ != RelayStage::AwaitingTokens || !active.stageEnd_) {
         active.stage_ = RelayStage::AwaitingTokens;
         // Nothing is gained by holding a request back while the ledger can't be reached.
-        const bool failing = isLedgerFailing(prepaid, state.settings_.prepaid_, active.account_);
+        const bool failing = isLedgerFailing(prepaid, state.settings_.prepaid_, active.account_)
+            && !isAsking(prepaid, active.account_);
         const PreciseMicros wait = PreciseMicros {active.route_->latencyObjective_}
             * (failing ? 0.0 : state.settings_.tokenWaitShare_);
         active.stageEnd_ = now + std::chrono::duration_cast<Micros>(wait);
@@ -216,10 +221,9 @@
             RelayCommands &out)
 {
     Tokens used;
-    if (active.reserved_ > Tokens {}) {
+    if (active.reserved_) {
         used = usedTokens(active);
-        settleTokens(state.prepaid_, state.settings_.prepaid_, active.account_, active.reserved_,
-                     used, now);
+        settleTokens(state.prepaid_, active.account_, *active.reserved_, used, now);
     }
     const auto millis = [&](MonoTime time) {
         return std::to_string(
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -179,6 +179,10 @@
                              answerQuestion(*running.documents_, *asked)});
     else if (const auto *offered = std::get_if<DocumentsOffered>(&received->message_))
         takeOffer(*running.documents_, *offered);
+    else if (const auto *ask = std::get_if<TokensAsked>(&received->message_))
+        post(running.queue_, RelayEvent {LoanAsked {received->from_, *ask}});
+    else if (const auto *lent = std::get_if<TokensLent>(&received->message_))
+        post(running.queue_, RelayEvent {LoanAnswered {received->from_, *lent}});
 }
 
 void askPeers(Running &running, const std::vector<PeerAddress> &peers)
@@ -253,6 +257,7 @@
     RelayState state;
     state.settings_ = relayControlSettings(running.settings_);
     state.prepaid_.holder_ = running.holder_;
+    state.prepaid_.peerAddress_ = running.settings_.peerAddress_;
     for (const std::string &seed : running.settings_.seeds_) {
         if (seed != running.settings_.peerAddress_)
             state.sync_.peers_.push_back(PeerAddress {HostId {seed}, ZoneId {}, seed});
@@ -291,6 +296,10 @@
                     running.log_,
                     running.ready_,
                     [&running](const auto &peers) { askPeers(running, peers); },
+                    [&running](SendPeer message) {
+                        if (running.peers_)
+                            peerPort(*running.peers_).send_(std::move(message));
+                    },
                     makeRelayMetricsPort(running.registry_),
                     [&running] { return droppedLogLines(running.sink_); },
                     [mainThread] {
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -20,6 +20,7 @@
     LogPort log_;
     std::atomic<bool> &ready_;
     std::function<void(const std::vector<PeerAddress> &)> askPeers_;
+    std::function<void(SendPeer)> sendPeer_;
     RelayMetricsPort metrics_;
     std::function<std::uint64_t()> droppedLogLines_;
     /// Called when the daemon may exit.
--- a/tests/unit-prepaid.cpp
+++ b/tests/unit-prepaid.cpp
@@ -1,92 +1,26 @@
 // Prepaid balances. Guards against an overspent total over lost answers, conflicts, restarts and
 // lowered totals, and against a store call for each request on an exhausted account.
-#include "relayfixture.h"
+#include "prepaidfixture.h"
 
 #include <rapidcheck.h>
 
 #include <deque>
-#include <map>
 
 namespace tamarack {
 
-namespace {
-
-const AccountId acme {"acme"};
-
-/// The ledger's key in the store.
-struct Cell
-{
-    Revision revision_;
-    std::optional<StoredValue> value_;
-};
-
-StoreReply carryOut(Cell &cell, const SubmitStoreCall &call)
-{
-    StoreReply reply;
-    reply.call_ = call.id_;
-    const auto *swap = std::get_if<SwapCall>(&call.call_);
-    if (swap && swap->expected_ == cell.revision_) {
-        cell.revision_ = Revision {cell.revision_.value_ + 1};
-        cell.value_ = swap->value_;
-        reply.status_ = StoreStatus::Ok;
-        reply.current_.revision_ = cell.revision_;
-        return reply;
-    }
-    reply.status_ = swap ? StoreStatus::Conflict : StoreStatus::Ok;
-    reply.current_ = VersionedValue {cell.revision_, cell.value_};
-    return reply;
-}
-
-RelayConfig configWith(std::uint64_t version, std::int64_t prepaid)
-{
-    RelayConfig config;
-    config.version_ = ConfigVersion {version};
-    config.accounts_[acme] = RelayAccount {acme, std::nullopt, Tokens {prepaid}};
-    return config;
-}
-
-struct Daemon
-{
-    PrepaidState state_;
-    Tokens spent_;
-};
-
-Daemon makeDaemon(const std::string &holder, const RelayConfig &config, MonoTime now)
-{
-    Daemon daemon;
-    daemon.state_.holder_ = HolderId {holder};
-    daemon.state_.daemons_ = 3;
-    fundAccounts(daemon.state_, PrepaidSettings {}, config, now);
-    return daemon;
-}
-
-/// Carries out all due calls.
-void settle(Daemon &daemon, Cell &cell, MonoTime now)
-{
-    const PrepaidSettings settings;
-    for (int round = 0; round < 10; ++round) {
-        const auto calls = startPrepaidCalls(daemon.state_, settings, now);
-        if (calls.empty())
-            return;
-        for (const SubmitStoreCall &call : calls)
-            finishPrepaidCall(daemon.state_, settings, carryOut(cell, call), now);
-    }
-}
-
-} // namespace
-
 TEST_CASE("a request is covered after one read and one write")
 {
     Cell cell;
     MonoTime now {Seconds {10}};
     const PrepaidSettings settings;
     Daemon daemon = makeDaemon("d1", configWith(1, 100'000), now);
-    CHECK(!reserveTokens(daemon.state_, settings, acme, Tokens {500}, now));
+    CHECK_FALSE(reserveTokens(daemon.state_, settings, acme, Tokens {500}, now).has_value());
     settle(daemon, cell, now);
     CHECK(cell.revision_ == Revision {1});
-    CHECK(reserveTokens(daemon.state_, settings, acme, Tokens {500}, now));
-    settleTokens(daemon.state_, settings, acme, Tokens {500}, Tokens {200}, now);
-    CHECK(reserveTokens(daemon.state_, settings, acme, Tokens {300}, now));
+    const auto reservation = reserveTokens(daemon.state_, settings, acme, Tokens {500}, now);
+    REQUIRE(reservation.has_value());
+    settleTokens(daemon.state_, acme, *reservation, Tokens {200}, now);
+    CHECK(reserveTokens(daemon.state_, settings, acme, Tokens {300}, now).has_value());
 }
 
 TEST_CASE("an exhausted total is told from one that others hold, without further calls")
@@ -98,13 +32,13 @@
     Daemon second = makeDaemon("d2", configWith(1, 1000), now);
     reserveTokens(first.state_, settings, acme, Tokens {900}, now);
     settle(first, cell, now);
-    REQUIRE(reserveTokens(first.state_, settings, acme, Tokens {900}, now));
+    REQUIRE(reserveTokens(first.state_, settings, acme, Tokens {900}, now).has_value());
     reserveTokens(second.state_, settings, acme, Tokens {400}, now);
     settle(second, cell, now);
     CHECK(judgeShortage(second.state_, settings, acme, Tokens {400}) == Shortage::HeldElsewhere);
     CHECK(judgeShortage(second.state_, settings, acme, Tokens {1100}) == Shortage::Exhausted);
     const std::uint64_t calls = second.state_.lastCall_;
-    CHECK(!reserveTokens(second.state_, settings, acme, Tokens {400}, now));
+    CHECK_FALSE(reserveTokens(second.state_, settings, acme, Tokens {400}, now).has_value());
     settle(second, cell, now);
     CHECK(second.state_.lastCall_ == calls);
     // The copy is too old to rely on later.
@@ -153,9 +87,11 @@
                 now += Millis {amount % 400};
                 reviewBalances(daemon.state_, settings, now);
                 if (action < 6) {
-                    if (reserveTokens(daemon.state_, settings, acme, Tokens {amount}, now)) {
+                    const auto reservation
+                        = reserveTokens(daemon.state_, settings, acme, Tokens {amount}, now);
+                    if (reservation) {
                         const Tokens used {amount - amount % 7};
-                        settleTokens(daemon.state_, settings, acme, Tokens {amount}, used, now);
+                        settleTokens(daemon.state_, acme, *reservation, used, now);
                         spent += used;
                     }
                     settle(daemon, cell, now);
