Let borrowers rely on their lender's reading of the ledger; grants of 4.5 s

The lender's refusal now says why, from a copy of at most 1 s, and counts for 0.5 s for requests as large. Scarce accounts are drawn for 0.7 s instead of the full reach that was handed back at once; hand-backs wait for the review.

--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -148,7 +148,7 @@
     out.set_lender(message.lender_.value_);
     out.set_account(message.account_.value_);
     out.set_lent(message.lent_.count_);
-    out.set_refused(message.refused_);
+    out.set_refusal(static_cast<std::uint32_t>(message.refusal_));
     out.set_unavailable(message.unavailable_);
     out.set_recalled(message.recalled_);
 }
@@ -222,18 +222,6 @@
     return message;
 }
 
-PeerMessage fromMessage(const peer::TokensLent &in)
-{
-    TokensLent message;
-    message.lender_ = HolderId {in.lender()};
-    message.account_ = AccountId {in.account()};
-    message.lent_ = Tokens {in.lent()};
-    message.refused_ = in.refused();
-    message.unavailable_ = in.unavailable();
-    message.recalled_ = in.recalled();
-    return message;
-}
-
 /// What refusalCode() returns for a number that is no reason.
 constexpr std::string_view unknownRefusalCode = "internal";
 
@@ -244,6 +232,20 @@
                     + "; run the same version on all daemons");
 }
 
+Result<PeerMessage> tokensLent(const peer::TokensLent &in)
+{
+    if (in.refusal() > static_cast<std::uint32_t>(LoanRefusal::Exhausted))
+        return unknownCode(in.refusal());
+    TokensLent message;
+    message.lender_ = HolderId {in.lender()};
+    message.account_ = AccountId {in.account()};
+    message.lent_ = Tokens {in.lent()};
+    message.refusal_ = static_cast<LoanRefusal>(in.refusal());
+    message.unavailable_ = in.unavailable();
+    message.recalled_ = in.recalled();
+    return PeerMessage {message};
+}
+
 Result<PeerMessage> refused(const peer::Refused &in)
 {
     if (refusalCode(static_cast<RefusalReason>(in.reason())) == unknownRefusalCode)
@@ -301,7 +303,7 @@
     case peer::Envelope::kTokensAsked:
         return fromMessage(in.tokens_asked());
     case peer::Envelope::kTokensLent:
-        return fromMessage(in.tokens_lent());
+        return tokensLent(in.tokens_lent());
     case peer::Envelope::MESSAGE_NOT_SET:
         break;
     }
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -171,6 +171,15 @@
     Tokens returned_;
 };
 
+/// @brief Why a lender does not lend what is needed.
+enum class LoanRefusal {
+    None,
+    /// The total would cover it, but other daemons hold too much.
+    HeldElsewhere,
+    /// Less is left of the total.
+    Exhausted,
+};
+
 /// @brief Tells a borrower how much it was lent.
 struct TokensLent
 {
@@ -178,8 +187,8 @@
     AccountId account_;
     /// Cumulative.
     Tokens lent_;
-    /// The lender can't lend what is needed now; the borrower turns to the ledger itself.
-    bool refused_ = false;
+    /// As a fresh read of the ledger showed.
+    LoanRefusal refusal_ = LoanRefusal::None;
     /// The lender can't reach the ledger, or it stops; another one should be asked.
     bool unavailable_ = false;
     /// Little of the account is left, or the lender stops: what is not needed should be returned.
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -77,25 +77,40 @@
     return state.stopping_ || (record && isScarce(settings, *record));
 }
 
-enum class Verdict {
-    Lent,
-    Refused,
-    /// Another lender should be asked.
-    Unavailable,
-};
-
-void answer(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-            CreditLine &line, Verdict verdict)
+/// An answer without more tokens than were lent before.
+TokensLent answerOf(const PrepaidState &state, const PrepaidSettings &settings,
+                    const AccountId &account, const CreditLine &line)
 {
     TokensLent lent;
     lent.lender_ = state.holder_;
     lent.account_ = account;
     lent.lent_ = line.lent_;
-    lent.refused_ = verdict == Verdict::Refused;
-    lent.unavailable_ = verdict == Verdict::Unavailable;
     lent.recalled_ = isRecalling(state, settings, account);
+    return lent;
+}
+
+void send(PrepaidState &state, CreditLine &line, TokensLent lent)
+{
     line.answerDue_ = false;
-    state.outbox_.push_back(SendPeer {line.borrowerHost_, line.borrowerAddress_, lent});
+    state.outbox_.push_back(SendPeer {line.borrowerHost_, line.borrowerAddress_, std::move(lent)});
+}
+
+void sendUnavailable(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                     CreditLine &line)
+{
+    TokensLent lent = answerOf(state, settings, account, line);
+    lent.unavailable_ = true;
+    send(state, line, std::move(lent));
+}
+
+void sendRefusal(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                 CreditLine &line, Tokens needed)
+{
+    TokensLent lent = answerOf(state, settings, account, line);
+    lent.refusal_ = judgeShortage(state, settings, account, needed) == Shortage::Exhausted
+        ? LoanRefusal::Exhausted
+        : LoanRefusal::HeldElsewhere;
+    send(state, line, std::move(lent));
 }
 
 /// Lends what is asked for, answers why not, or waits for a draw.
@@ -105,7 +120,7 @@
     HeldGrant &grant = balance.grant_;
     const Tokens needed = std::max(line.needed_ - line.lent_, Tokens {});
     if (state.stopping_) {
-        answer(state, settings, account, line, Verdict::Unavailable);
+        sendUnavailable(state, settings, account, line);
         return;
     }
     if (available(grant) >= needed) {
@@ -118,17 +133,20 @@
         }
         grant.reserved_ += amount;
         line.lent_ += amount;
-        answer(state, settings, account, line, Verdict::Lent);
+        send(state, line, answerOf(state, settings, account, line));
         if (!grant.drawing_)
             reviewBalance(state, settings, account, balance, now);
         return;
     }
     if (isLedgerFailing(state, settings, account))
-        answer(state, settings, account, line, Verdict::Unavailable);
+        sendUnavailable(state, settings, account, line);
     else if (isKnownShort(state, settings, account, needed, now))
-        answer(state, settings, account, line, Verdict::Refused);
+        sendRefusal(state, settings, account, line, needed);
     else if (!grant.drawing_)
         submitDraw(state, settings, account, balance, needed, now, now);
+    else if (PrepaidShard &shard = shardOf(state, settings, account); !shard.call_)
+        // A draw ahead was about to wait for others.
+        requestCall(shard, now);
 }
 
 } // namespace
@@ -152,14 +170,14 @@
     ask.needed_ = usedOf(loan->grant_) + amount;
     ask.wanted_ = ask.needed_ + reachOf(settings, balance, now);
     noteReported(*loan);
-    balance.ask_ = PendingAsk {lender.host_, now + settings.loanLimit_};
+    balance.ask_ = PendingAsk {lender.host_, amount, now + settings.loanLimit_};
     state.outbox_.push_back(SendPeer {lender.host_, lender.address_, std::move(ask)});
 }
 
 void reviewLoans(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                  PrepaidBalance &balance, MonoTime now)
 {
-    if (balance.ask_ || now < balance.ownDrawUntil_ || now - balance.usedAt_ > settings.loanIdle_)
+    if (balance.ask_ || now - balance.usedAt_ > settings.loanIdle_)
         return;
     Tokens held = available(balance.grant_);
     for (const auto &[run, loan] : balance.loans_)
@@ -191,7 +209,7 @@
         CreditLine line;
         line.borrowerHost_ = from;
         line.borrowerAddress_ = ask.replyAddress_;
-        answer(state, settings, ask.account_, line, Verdict::Unavailable);
+        sendUnavailable(state, settings, ask.account_, line);
         return;
     }
     PrepaidBalance &balance = found->second;
@@ -201,7 +219,7 @@
     const bool otherRun = !ask.lender_.isEmpty() && ask.lender_ != state.holder_;
     if (otherRun) {
         // The totals are those of an earlier run; the answer names this one.
-        answer(state, settings, ask.account_, line, Verdict::Lent);
+        send(state, line, answerOf(state, settings, ask.account_, line));
         return;
     }
     settleLine(balance.grant_, line, ask.spent_, ask.returned_, now);
@@ -240,11 +258,11 @@
     }
     // An older answer never takes tokens back.
     loan.grant_.armed_ = std::max(loan.grant_.armed_, lent.lent_);
-    const bool answered = balance.ask_ && balance.ask_->host_ == from;
-    if (answered)
+    if (balance.ask_ && balance.ask_->host_ == from) {
+        if (lent.refusal_ != LoanRefusal::None)
+            balance.refusal_ = LenderRefusal {from, lent.refusal_, balance.ask_->amount_, now};
         balance.ask_.reset();
-    if (lent.refused_)
-        balance.ownDrawUntil_ = now + settings.shortageLifetime_;
+    }
     if (lent.unavailable_)
         avoidLender(state.lenders_, from, now + settings.lenders_.failingPause_);
 }
@@ -298,7 +316,7 @@
     for (auto &[account, balance] : state.balances_) {
         for (auto &[borrower, line] : balance.lines_) {
             if (outstandingOf(line) > Tokens {} || line.answerDue_)
-                answer(state, settings, account, line, Verdict::Unavailable);
+                sendUnavailable(state, settings, account, line);
         }
     }
 }
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -109,6 +109,7 @@
         balance.fundedBy_ = config.version_;
         if (!changed)
             continue;
+        balance.refusal_.reset();
         balance.fundingCommitted_ = false;
         if (lowered)
             submitReturn(state, settings, id, balance, available(balance.grant_), now);
@@ -129,8 +130,9 @@
             reviewBalance(state, settings, account, balance, now);
         return reservation;
     }
-    const std::optional<PeerAddress> lender
-        = now < balance.ownDrawUntil_ ? std::nullopt : drawerFor(state, settings, account, now);
+    const std::optional<PeerAddress> lender = drawerFor(state, settings, account, now);
+    if (lender && lenderRefusal(state, settings, account, amount, now))
+        return std::nullopt;
     if (lender)
         askForLoan(state, settings, account, balance, *lender, amount, now);
     else if (!isKnownShort(state, settings, account, amount, now))
@@ -147,6 +149,19 @@
     spendReserved(grant, reservation.amount_, std::min(spent, reservation.amount_), now);
 }
 
+std::optional<LenderRefusal> lenderRefusal(const PrepaidState &state,
+                                           const PrepaidSettings &settings,
+                                           const AccountId &account, Tokens amount, MonoTime now)
+{
+    const auto balance = state.balances_.find(account);
+    if (balance == state.balances_.end() || !balance->second.refusal_)
+        return std::nullopt;
+    const LenderRefusal &refusal = *balance->second.refusal_;
+    const bool applies
+        = amount >= refusal.amount_ && now - refusal.at_ <= settings.refusalLifetime_;
+    return applies ? balance->second.refusal_ : std::nullopt;
+}
+
 Shortage judgeShortage(const PrepaidState &state, const PrepaidSettings &settings,
                        const AccountId &account, Tokens amount)
 {
@@ -219,6 +234,7 @@
         balance.reviewAt_ = now + settings.reviewInterval_;
         if (!balance.grant_.drawing_)
             reviewBalance(state, settings, account, balance, now);
+        handBackScarce(state, settings, account, balance, now);
         returnIdleLoans(state, account, balance, settings.loanIdle_, now);
         if (isReviewed(balance))
             requestCall(shardOf(state, settings, account), now + settings.drawDelay_);
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -7,6 +7,7 @@
 #include "core/grants.h"
 #include "core/ids.h"
 #include "core/ledger.h"
+#include "core/peermessage.h"
 #include "core/relay/config.h"
 #include "core/relay/lenders.h"
 #include "core/shardcommit.h"
@@ -26,13 +27,14 @@
     /// Key prefix of the ledger shards in the store.
     std::string keyPrefix_ = "tamarack/ledger";
     std::uint32_t shards_ = 1;
-    /// A grant covers this long at the current burn rate, which outlasts most outages of the store.
-    Millis reach_ {10'000};
+    /// A grant covers this long at the current burn rate. With the loans it bridges outages of the
+    /// store of about 5 s; more would be lost when all daemons lose power.
+    Millis reach_ {4500};
     /// What all daemons together may hold of the unallocated tokens. Tokens that a killed daemon
     /// held stay lost, so grants shrink with what is left.
     double heldShare_ = 0.5;
     /// A grant is drawn again once less than this share of its reach is left.
-    double refillShare_ = 0.5;
+    double refillShare_ = 0.6;
     /// Grants below this share of their reach join a call that is made for another one.
     double joinShare_ = 0.85;
     /// A draw that no request waits for joins others for this long.
@@ -49,6 +51,9 @@
     /// A refusal relies on a copy up to this age; without that, each request on an exhausted
     /// account would cost calls.
     Millis shortageLifetime_ {1000};
+    /// A lender's refusal counts for this long; its copy of the ledger may have been as old as
+    /// above.
+    Millis refusalLifetime_ {500};
     /// Grants that hold less than this time at the burn rate are drawn for waiting requests only,
     /// because each draw ahead would last for a request or two.
     Millis minReach_ {1000};
@@ -57,12 +62,12 @@
     LenderSettings lenders_;
     /// A borrower asks for this much ahead, as time at its burn rate. Less than reach_, because the
     /// lender answers while the store does not.
-    Millis loanReach_ {3000};
+    Millis loanReach_ {1500};
     /// Part of its available tokens that a lender lends ahead to one borrower.
     double loanShare_ = 0.125;
     /// A lender that has not answered for this long is left out. Above the delay of a call to the
     /// store, and short enough to ask another one within a request's wait for tokens.
-    Millis loanLimit_ {70};
+    Millis loanLimit_ {150};
     /// Loans that no request used for this long are returned.
     Millis loanIdle_ {Seconds {8}};
 };
@@ -83,9 +88,20 @@
 struct PendingAsk
 {
     HostId host_;
+    /// Of the request that needs tokens; 0 if they are asked for ahead.
+    Tokens amount_;
     MonoTime expiresAt_ {};
 };
 
+/// @brief What a lender said of an amount that it does not lend.
+struct LenderRefusal
+{
+    HostId host_;
+    LoanRefusal refusal_ = LoanRefusal::None;
+    Tokens amount_;
+    MonoTime at_ {};
+};
+
 /// @brief What this daemon lent to one run of another. Its reservation in the own grant is
 /// lent_ - spent_ - returned_.
 ///
@@ -130,8 +146,7 @@
     /// repeats the total, which must not be taken for new tokens.
     std::map<HolderId, Loan> loans_;
     std::optional<PendingAsk> ask_;
-    /// A lender refused, so that this daemon draws on the ledger itself.
-    MonoTime ownDrawUntil_ {};
+    std::optional<LenderRefusal> refusal_;
     /// When the last draw was submitted.
     MonoTime drewAt_ {};
     /// By the borrower's run.
@@ -208,7 +223,12 @@
 ShortageFigures shortageFigures(const PrepaidState &state, const PrepaidSettings &settings,
                                 const AccountId &account, MonoTime now);
 
-/// @brief Judges why an amount can't be reserved.
+/// @brief Returns the lender's word on an amount, if it refused that much just now.
+std::optional<LenderRefusal> lenderRefusal(const PrepaidState &state,
+                                           const PrepaidSettings &settings,
+                                           const AccountId &account, Tokens amount, MonoTime now);
+
+/// @brief Judges why an amount can't be reserved, by this daemon's own copy of the ledger.
 Shortage judgeShortage(const PrepaidState &state, const PrepaidSettings &settings,
                        const AccountId &account, Tokens amount);
 
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -28,13 +28,17 @@
     return record ? unallocated(*record) : balance.funded_;
 }
 
-ReachPolicy reachPolicy(const PrepaidState &state, const PrepaidSettings &settings, bool forZone)
+ReachPolicy reachPolicy(const PrepaidState &state, const PrepaidSettings &settings,
+                        const AccountId &account, bool forZone)
 {
     constexpr double perMille = 1000.0;
     const bool oneForZone = forZone && !state.lenders_.near_.empty();
     const std::uint32_t holders = oneForZone ? state.lenders_.zones_ : state.daemons_;
     const double share = settings.heldShare_ * perMille / std::max(holders, 1U);
-    return ReachPolicy {settings.reach_, std::max(static_cast<std::uint32_t>(share), 1U)};
+    const BudgetRecord *record = recordOf(state, settings, account);
+    const bool scarce = record && isScarce(settings, *record);
+    return ReachPolicy {scarce ? settings.scarceReach_ : settings.reach_,
+                        std::max(static_cast<std::uint32_t>(share), 1U)};
 }
 
 /// What a full grant holds: its reach, but not more than its share of what is left.
@@ -42,7 +46,8 @@
                  const AccountId &account, const PrepaidBalance &balance, MonoTime now)
 {
     const std::int64_t unallocated = unallocatedOf(state, settings, account, balance).count_;
-    const Tokens share {unallocated * reachPolicy(state, settings, true).maxSharePerMille_ / 1000};
+    const ReachPolicy policy = reachPolicy(state, settings, account, true);
+    const Tokens share {unallocated * policy.maxSharePerMille_ / 1000};
     return std::min(reachTokens(settings, balance, now), share);
 }
 
@@ -138,7 +143,7 @@
     op.holder_ = state.holder_;
     const bool forZone = !drawerFor(state, settings, account, now);
     op.armedTotal_ = drawTarget(estimate, needed, unallocatedOf(state, settings, account, balance),
-                                reachPolicy(state, settings, forZone));
+                                reachPolicy(state, settings, account, forZone));
     op.atLeast_ = grant.returned_ + grant.spent_ + grant.reserved_ + needed;
     op.create_ = grant.armed_ == Tokens {};
     if (op.armedTotal_ <= grant.armed_)
@@ -190,13 +195,10 @@
                    PrepaidBalance &balance, MonoTime now)
 {
     HeldGrant &grant = balance.grant_;
+    // What is needed next of a scarce account is drawn when a request asks for it.
     const BudgetRecord *record = recordOf(state, settings, account);
-    if (record && isScarce(settings, *record)) {
-        // What is needed next is drawn when a request asks for it.
-        submitReturn(state, settings, account, balance,
-                     returnable(grant, settings.scarceReach_, now), now + settings.drawDelay_);
+    if (record && isScarce(settings, *record))
         return;
-    }
     if (drawerFor(state, settings, account, now)) {
         // Another daemon draws for the zone; this grant is left from before or from a refusal.
         if (now - balance.drewAt_ > settings.loanIdle_)
@@ -209,4 +211,14 @@
         submitDraw(state, settings, account, balance, Tokens {}, now, now + settings.drawDelay_);
 }
 
+void handBackScarce(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                    PrepaidBalance &balance, MonoTime now)
+{
+    const BudgetRecord *record = recordOf(state, settings, account);
+    if (record && isScarce(settings, *record))
+        submitReturn(state, settings, account, balance,
+                     returnable(balance.grant_, settings.scarceReach_, now),
+                     now + settings.drawDelay_);
+}
+
 } // namespace tamarack::prepaiddetail
--- a/src/core/relay/prepaidparts.h
+++ b/src/core/relay/prepaidparts.h
@@ -42,7 +42,11 @@
 void submitDraw(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                 PrepaidBalance &balance, Tokens needed, MonoTime now, MonoTime due);
 
-/// @brief Hands tokens back or draws ahead, as the ledger's last copy suggests.
+/// @brief Hands back what a scarce account's grant holds beyond the next moment's need.
+void handBackScarce(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                    PrepaidBalance &balance, MonoTime now);
+
+/// @brief Draws or borrows ahead, or hands back a grant that this daemon should not hold.
 void reviewBalance(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                    PrepaidBalance &balance, MonoTime now);
 
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -297,6 +297,19 @@
     }
 }
 
+std::string refusalName(LoanRefusal refusal)
+{
+    switch (refusal) {
+    case LoanRefusal::None:
+        return "none";
+    case LoanRefusal::HeldElsewhere:
+        return "held_elsewhere";
+    case LoanRefusal::Exhausted:
+        break;
+    }
+    return "exhausted";
+}
+
 /// Logs the messages about loans that a request waits for or that refuse something, and hands all
 /// of them over.
 void sendLoanMessages(RelayState &state, RelayCommands &out)
@@ -315,7 +328,7 @@
                     {{"account", lent->account_.value_},
                      {"borrower", message.host_.value_},
                      {"lent", std::to_string(lent->lent_.count_)},
-                     {"refused", lent->refused_ ? "yes" : "no"},
+                     {"refusal", refusalName(lent->refusal_)},
                      {"unavailable", lent->unavailable_ ? "yes" : "no"},
                      {"recalled", lent->recalled_ ? "yes" : "no"}});
         }
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -47,7 +47,7 @@
     Millis connectLimit_ {300};
     /// Share of the latency objective for which a request waits for tokens while the ledger
     /// answers.
-    double tokenWaitShare_ = 0.3;
+    double tokenWaitShare_ = 0.5;
     /// Share of the latency objective for which a request waits for an instance.
     double instanceWaitShare_ = 0.125;
     /// A repeatable request without output is sent to another instance after this many latency
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -129,12 +129,44 @@
         connectionsPerInstance(state, *placement.service_), state.settings_.connectLimit_});
 }
 
+void refuseShort(RelayState &state, ActiveRelay &active, bool exhausted, MonoTime now,
+                 RelayCommands &out)
+{
+    if (exhausted)
+        refuse(state, active, statusPaymentRequired, "budget_exhausted", now, out);
+    else
+        refuse(state, active, statusServiceUnavailable, "budget_held_elsewhere", now, out);
+}
+
+/// Refuses a request that a lender just refused tokens for.
+/// @return false if none did
+bool refuseAsLender(RelayState &state, ActiveRelay &active, Tokens amount, MonoTime now,
+                    RelayCommands &out)
+{
+    const std::optional<LenderRefusal> refusal
+        = lenderRefusal(state.prepaid_, state.settings_.prepaid_, active.account_, amount, now);
+    if (!refusal)
+        return false;
+    std::vector<LogField> fields = requestFields(active);
+    fields.push_back({"account", active.account_.value_});
+    fields.push_back({"amount", std::to_string(amount.count_)});
+    fields.push_back({"lender", refusal->host_.value_});
+    fields.push_back({"refused_amount", std::to_string(refusal->amount_.count_)});
+    const auto age = std::chrono::duration_cast<Millis>(now - refusal->at_);
+    fields.push_back({"answer_age_ms", std::to_string(age.count())});
+    logLine(out, LogLevel::Info, "budget.refused_by_lender", std::move(fields));
+    refuseShort(state, active, refusal->refusal_ == LoanRefusal::Exhausted, now, out);
+    return true;
+}
+
 /// Refuses a request that the ledger's copy shows no tokens for.
 /// @return false if a draw can still succeed
 bool refuseIfShort(RelayState &state, ActiveRelay &active, Tokens amount, MonoTime now,
                    RelayCommands &out)
 {
     const PrepaidSettings &settings = state.settings_.prepaid_;
+    if (refuseAsLender(state, active, amount, now, out))
+        return true;
     const ShortageFigures figures = shortageFigures(state.prepaid_, settings, active.account_, now);
     const Shortage shortage = judgeShortage(state.prepaid_, settings, active.account_, amount);
     // A lender may have what the ledger shows as held elsewhere.
@@ -152,10 +184,7 @@
     fields.push_back({"available", std::to_string(figures.available_.count_)});
     fields.push_back({"ledger_age_ms", std::to_string(figures.age_.count())});
     logLine(out, LogLevel::Info, "budget.shortage", std::move(fields));
-    if (shortage == Shortage::Exhausted)
-        refuse(state, active, statusPaymentRequired, "budget_exhausted", now, out);
-    else
-        refuse(state, active, statusServiceUnavailable, "budget_held_elsewhere", now, out);
+    refuseShort(state, active, shortage == Shortage::Exhausted, now, out);
     return true;
 }
 
