--- a/src/core/relay/lenders.cpp
+++ b/src/core/relay/lenders.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string>
 
 namespace tamarack {
 
@@ -37,9 +38,9 @@
     }
 };
 
-/// The best for an account among the first few that are usable.
+/// The best for a shard among the first few that are usable.
 const PeerAddress *bestOf(const std::vector<PeerAddress> &daemons, std::size_t count,
-                          const AccountId &account, const Usable &usable)
+                          const std::string &shardKey, const Usable &usable)
 {
     const PeerAddress *best = nullptr;
     std::uint64_t bestWeight = 0;
@@ -49,7 +50,7 @@
         if (!usable(daemon))
             continue;
         --count;
-        const std::uint64_t weight = rendezvousWeight(account.value_, daemon.host_.value_);
+        const std::uint64_t weight = rendezvousWeight(shardKey, daemon.host_.value_);
         if (!best || weight > bestWeight) {
             best = &daemon;
             bestWeight = weight;
@@ -87,12 +88,13 @@
 }
 
 std::optional<PeerAddress> lenderOf(const Lenders &lenders, const LenderSettings &settings,
-                                    const AccountId &account, bool ledgerFailing, MonoTime now)
+                                    ShardNumber shard, bool ledgerFailing, MonoTime now)
 {
+    const std::string shardKey = std::to_string(shard.value_);
     const Usable usable {lenders, ledgerFailing, now};
-    const PeerAddress *best = bestOf(lenders.near_, settings.perZone_, account, usable);
+    const PeerAddress *best = bestOf(lenders.near_, settings.perZone_, shardKey, usable);
     if (!best)
-        best = bestOf(lenders.far_, settings.perZone_, account, usable);
+        best = bestOf(lenders.far_, settings.perZone_, shardKey, usable);
     if (!best || best->host_ == lenders.self_)
         return std::nullopt;
     return *best;
--- a/src/core/relay/lenders.h
+++ b/src/core/relay/lenders.h
@@ -9,7 +9,6 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace tamarack {
@@ -17,7 +16,7 @@
 struct LenderSettings
 {
     /// Daemons of an availability zone that draw on the ledger for all of it. Several share the
-    /// accounts, and their connections grow with the zone.
+    /// shards; more would open more connections within the zone.
     std::size_t perZone_ = 4;
     /// A lender that did not answer is left out for this long.
     Millis silentPause_ {3000};
@@ -48,10 +47,11 @@
 /// @brief Leaves a lender out until @a until.
 void avoidLender(Lenders &lenders, const HostId &host, MonoTime until);
 
-/// @brief Returns the daemon that lends tokens of an account.
+/// @brief Returns the daemon that draws on a shard of the ledger for the zone of this one. Accounts
+/// of one shard share their lender, so that few daemons write the same key.
 /// @param ledgerFailing the calls of this daemon to the ledger fail, so it can't draw itself
 /// @return nothing if this daemon should draw on the ledger itself
 std::optional<PeerAddress> lenderOf(const Lenders &lenders, const LenderSettings &settings,
-                                    const AccountId &account, bool ledgerFailing, MonoTime now);
+                                    ShardNumber shard, bool ledgerFailing, MonoTime now);
 
 } // namespace tamarack
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -170,6 +170,7 @@
     ask.needed_ = usedOf(loan->grant_) + amount;
     ask.wanted_ = ask.needed_ + reachOf(settings, balance, now);
     noteReported(*loan);
+    balance.askedAt_ = now;
     balance.ask_ = PendingAsk {lender.host_, amount, now + settings.loanLimit_};
     state.outbox_.push_back(SendPeer {lender.host_, lender.address_, std::move(ask)});
 }
@@ -177,7 +178,9 @@
 void reviewLoans(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                  PrepaidBalance &balance, MonoTime now)
 {
-    if (balance.ask_ || now - balance.usedAt_ > settings.loanIdle_)
+    const bool wanted = !balance.ask_ && now - balance.askedAt_ >= settings.loanPause_
+        && now - balance.usedAt_ <= settings.loanIdle_;
+    if (!wanted)
         return;
     Tokens held = available(balance.grant_);
     for (const auto &[run, loan] : balance.loans_)
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -68,6 +68,8 @@
     /// A lender that has not answered for this long is left out. Above the delay of a call to the
     /// store, and short enough to ask another one within a request's wait for tokens.
     Millis loanLimit_ {150};
+    /// Pause between two questions for tokens ahead; a lender may have lent less than was asked.
+    Millis loanPause_ {400};
     /// Loans that no request used for this long are returned.
     Millis loanIdle_ {Seconds {8}};
 };
@@ -146,6 +148,7 @@
     /// repeats the total, which must not be taken for new tokens.
     std::map<HolderId, Loan> loans_;
     std::optional<PendingAsk> ask_;
+    MonoTime askedAt_ {};
     std::optional<LenderRefusal> refusal_;
     /// When the last draw was submitted.
     MonoTime drewAt_ {};
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -106,7 +106,8 @@
 {
     if (state.peerAddress_.empty())
         return std::nullopt;
-    return lenderOf(state.lenders_, settings.lenders_, account,
+    const ShardNumber shard = ledgerShardOf(BudgetId {account.value_}, settings.shards_);
+    return lenderOf(state.lenders_, settings.lenders_, shard,
                     isLedgerFailing(state, settings, account), now);
 }
 
--- a/tests/unit-loans.cpp
+++ b/tests/unit-loans.cpp
@@ -115,8 +115,8 @@
 std::size_t lenderIndex(const Fleet &fleet)
 {
     for (std::size_t i = 0; i < fleet.daemons_.size(); ++i) {
-        if (!lenderOf(fleet.daemons_[i].state_.lenders_, fleet.settings_.lenders_, acme, false,
-                      fleet.now_))
+        if (!lenderOf(fleet.daemons_[i].state_.lenders_, fleet.settings_.lenders_, ShardNumber {},
+                      false, fleet.now_))
             return i;
     }
     return fleet.daemons_.size();
@@ -146,15 +146,15 @@
     constexpr std::size_t count = 60;
     const LenderSettings settings;
     std::set<std::string> lenders;
-    for (int account = 0; account < 50; ++account) {
+    for (std::uint32_t shard = 0; shard < 50; ++shard) {
         std::set<std::string> chosen;
         for (std::size_t i = 0; i < count; i += 2) {
             Lenders view;
             const std::string self = "h" + std::to_string(i);
             setLenders(view, HostId {self}, ZoneId {"z0"}, peersOf(count, i, 2));
             CHECK(view.zones_ == 2);
-            const auto lender = lenderOf(view, settings, AccountId {"c" + std::to_string(account)},
-                                         false, MonoTime {});
+            const auto lender
+                = lenderOf(view, settings, ShardNumber {shard}, false, MonoTime {});
             chosen.insert(lender ? lender->host_.value_ : self);
         }
         CHECK(chosen.size() == 1);
@@ -171,24 +171,24 @@
     setLenders(lenders, HostId {"h0"}, ZoneId {"z0"}, peersOf(4, 0, 2));
     SECTION("a daemon that can't reach the ledger asks another, of its zone first")
     {
-        const auto lender = lenderOf(lenders, settings, acme, true, now);
+        const auto lender = lenderOf(lenders, settings, ShardNumber {}, true, now);
         REQUIRE(lender.has_value());
         CHECK(lender->host_ == HostId {"h2"});
     }
     SECTION("then one of another zone, then it draws itself")
     {
         avoidLender(lenders, HostId {"h2"}, now + Seconds {1});
-        const auto other = lenderOf(lenders, settings, acme, true, now);
+        const auto other = lenderOf(lenders, settings, ShardNumber {}, true, now);
         REQUIRE(other.has_value());
         CHECK(other->zone_ == ZoneId {"z1"});
         avoidLender(lenders, HostId {"h1"}, now + Seconds {1});
         avoidLender(lenders, HostId {"h3"}, now + Seconds {1});
-        CHECK_FALSE(lenderOf(lenders, settings, acme, true, now).has_value());
-        CHECK(lenderOf(lenders, settings, acme, true, now + Seconds {1}).has_value());
+        CHECK_FALSE(lenderOf(lenders, settings, ShardNumber {}, true, now).has_value());
+        CHECK(lenderOf(lenders, settings, ShardNumber {}, true, now + Seconds {1}).has_value());
     }
     SECTION("a daemon without a fleet draws itself")
     {
-        CHECK_FALSE(lenderOf(Lenders {}, settings, acme, false, now).has_value());
+        CHECK_FALSE(lenderOf(Lenders {}, settings, ShardNumber {}, false, now).has_value());
     }
 }
 
@@ -291,8 +291,7 @@
     deliver(fleet, fleet.messages_.back());
     fleet.messages_.clear();
     CHECK_FALSE(reserve(fleet, borrower, 500).has_value());
-    const auto other = lenderOf(fleet.daemons_[borrower].state_.lenders_, fleet.settings_.lenders_,
-                                acme, false, fleet.now_);
+    const auto other = lenderOf(fleet.daemons_[borrower].state_.lenders_, fleet.settings_.lenders_, ShardNumber {}, false, fleet.now_);
     CHECK((!other || other->host_ != cut.lenders_.self_));
 }
 
