--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -7,6 +7,7 @@
 #include "core/ids.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
+#include "core/relay/fleet.h"
 #include "core/relay/instances.h"
 #include "core/relay/prepaid.h"
 #include "core/relay/request.h"
@@ -116,14 +117,6 @@
     ChangeSource source_ = ChangeSource::Store;
 };
 
-/// @brief How many daemons are alive, this one included, and where the others listen.
-struct FleetCounted
-{
-    std::uint32_t daemons_ = 1;
-    std::uint32_t zoneDaemons_ = 1;
-    std::vector<PeerAddress> peers_;
-};
-
 /// @brief Another daemon asks for a loan or reports on one.
 struct LoanAsked
 {
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -64,10 +64,16 @@
     return std::nullopt;
 }
 
-/// Returns true if the ledger has to be read in turn for this balance.
-bool isReviewed(const PrepaidBalance &balance)
+/// Returns true if the ledger has to be read for this balance: it holds tokens that may have to be
+/// handed back, and no other call has brought a copy lately.
+bool isReviewed(const PrepaidState &state, const PrepaidSettings &settings,
+                const AccountId &account, const PrepaidBalance &balance, MonoTime now)
 {
-    return balance.grant_.armed_ > balance.grant_.returned_ + balance.grant_.spent_;
+    const auto copied
+        = state.copiedAt_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
+    const bool recent
+        = copied != state.copiedAt_.end() && now - copied->second < settings.reviewInterval_;
+    return !recent && balance.grant_.armed_ > balance.grant_.returned_ + balance.grant_.spent_;
 }
 
 } // namespace
@@ -182,8 +188,6 @@
 {
     std::vector<SubmitStoreCall> calls;
     for (auto &[number, shard] : state.shards_) {
-        if (!shard.call_ && now - state.copiedAt_[number] > settings.copyLifetime_)
-            shard.loaded_ = false;
         const std::optional<MonoTime> due = nextCallTime(shard);
         if (due && *due <= now && hasDraw(shard))
             joinCall(state, settings, number, now);
@@ -236,7 +240,7 @@
             reviewBalance(state, settings, account, balance, now);
         handBackScarce(state, settings, account, balance, now);
         returnIdleLoans(state, account, balance, settings.loanIdle_, now);
-        if (isReviewed(balance))
+        if (isReviewed(state, settings, account, balance, now))
             requestCall(shardOf(state, settings, account), now + settings.drawDelay_);
     }
 }
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -28,8 +28,8 @@
     std::string keyPrefix_ = "tamarack/ledger";
     std::uint32_t shards_ = 1;
     /// A grant covers this long at the current burn rate. With the loans it bridges outages of the
-    /// store of about 5 s; more would be lost when all daemons lose power.
-    Millis reach_ {4500};
+    /// store of about 4 s; more would be lost when all daemons lose power.
+    Millis reach_ {3500};
     /// What all daemons together may hold of the unallocated tokens. Tokens that a killed daemon
     /// held stay lost, so grants shrink with what is left.
     double heldShare_ = 0.5;
@@ -39,15 +39,14 @@
     double joinShare_ = 0.85;
     /// A draw that no request waits for joins others for this long.
     Millis drawDelay_ {150};
+    /// A draw from a scarce account joins others for this long, because its requests draw often.
+    Millis scarceDelay_ {40};
     /// Interval of the reads that show whether tokens should be handed back.
     Millis reviewInterval_ {3000};
     /// Holders hand back tokens once less than this share of the funding is unallocated.
     double scarceShare_ = 0.15;
     /// What a holder keeps of a scarce budget, as time at its burn rate.
     Millis scarceReach_ {700};
-    /// A copy of a shard older than this is read again before a write, because a read costs less
-    /// than a write that fails on its condition.
-    Millis copyLifetime_ {30};
     /// A refusal relies on a copy up to this age; without that, each request on an exhausted
     /// account would cost calls.
     Millis shortageLifetime_ {1000};
@@ -62,7 +61,7 @@
     LenderSettings lenders_;
     /// A borrower asks for this much ahead, as time at its burn rate. Less than reach_, because the
     /// lender answers while the store does not.
-    Millis loanReach_ {1500};
+    Millis loanReach_ {1000};
     /// Part of its available tokens that a lender lends ahead to one borrower.
     double loanShare_ = 0.125;
     /// A lender that has not answered for this long is left out. Above the delay of a call to the
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -149,6 +149,9 @@
     op.create_ = grant.armed_ == Tokens {};
     if (op.armedTotal_ <= grant.armed_)
         return;
+    const BudgetRecord *record = recordOf(state, settings, account);
+    if (record && isScarce(settings, *record))
+        due = std::max(due, now + settings.scarceDelay_);
     // Funding goes first: a draw from a budget without a record has no effect.
     if (!balance.fundingCommitted_)
         submitFunding(state, settings, account, balance, due);
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -6,6 +6,7 @@
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
 #include "core/relay/events.h"
+#include "core/relay/fleet.h"
 #include "core/relay/instances.h"
 #include "core/relay/lenders.h"
 #include "core/relay/loans.h"
--- a/src/relayd/follower.cpp
+++ b/src/relayd/follower.cpp
@@ -56,6 +56,8 @@
             state.pause_ = settings.pause_;
             state.at_ = state.at_ ? std::max(*state.at_, reply.at_) : reply.at_;
             handlers.onProgress_(*state.at_);
+            if (!reply.entries_.empty() && pauseUnlessStopped(stop, settings.changePause_))
+                return;
             continue;
         }
         if (reply.status_ == FeedStatus::HistoryGone) {
--- a/src/relayd/follower.h
+++ b/src/relayd/follower.h
@@ -17,6 +17,8 @@
     /// Longest wait for a change. A connection that went silent is noticed after it, so it stays
     /// below the time in which a change has to be in force.
     Millis waitLimit_ {1500};
+    /// Pause after a change, so that the next call brings several.
+    Millis changePause_ {};
     /// Pause after a failed call; it doubles up to the other one.
     Millis pause_ {100};
     Millis maxPause_ {500};
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -31,6 +31,12 @@
 constexpr Millis registrationInterval {1500};
 /// Pause between reads of the other daemons' registrations.
 constexpr Millis membersInterval {3000};
+/// Changes that follow each other within the pause cost one call. A configuration has to be in
+/// force within 2 s; a change of an instance is also learned from its answers.
+constexpr Millis configChangePause {150};
+constexpr Millis instanceChangePause {400};
+/// The wait for a configuration ends sooner and shows whether the store answers.
+constexpr Millis instanceWaitLimit {3000};
 /// Descriptors that are not for clients: files, listeners and upstreams.
 constexpr std::size_t clientDescriptorShare = 2;
 
@@ -61,25 +67,6 @@
     return front;
 }
 
-FleetCounted countFleet(const MembersSeen &members, const RelayDaemonSettings &settings)
-{
-    FleetCounted counted {0, 0, {}};
-    for (const RegisteredMember &member : members.members_) {
-        const Registration &registration = member.registration_;
-        if (registration.leaving_)
-            continue;
-        ++counted.daemons_;
-        if (registration.zone_ == settings.zone_)
-            ++counted.zoneDaemons_;
-        if (registration.host_ != settings.host_ && !registration.peerAddress_.empty())
-            counted.peers_.push_back(
-                PeerAddress {registration.host_, registration.zone_, registration.peerAddress_});
-    }
-    counted.daemons_ = std::max(counted.daemons_, 1U);
-    counted.zoneDaemons_ = std::max(counted.zoneDaemons_, 1U);
-    return counted;
-}
-
 /// Turns what the shared store threads post into events of the relay.
 EventPort storeEvents(RelayQueue &queue, const RelayDaemonSettings &settings)
 {
@@ -87,7 +74,7 @@
         if (auto *replied = std::get_if<StoreReplied>(&event))
             post(queue, RelayEvent {std::move(*replied)});
         else if (const auto *members = std::get_if<MembersSeen>(&event))
-            post(queue, RelayEvent {countFleet(*members, settings)});
+            post(queue, RelayEvent {countFleet(*members, settings.host_, settings.zone_)});
     }};
 }
 
@@ -241,15 +228,20 @@
 
 void startFollowers(Running &running)
 {
-    const auto follow = [&running](const std::string &prefix, FollowerHandlers handlers) {
-        FollowerSettings settings;
-        settings.prefix_ = prefix;
+    const auto follow = [&running](FollowerSettings settings, FollowerHandlers handlers) {
         running.followers_.emplace_back([&running, settings, handlers = std::move(handlers)] {
             followPrefix(running.feed_, settings, handlers, running.stop_);
         });
     };
-    follow(running.platform_.documents_.configKey_, configHandlers(*running.documents_));
-    follow(running.platform_.documents_.instancePrefix_, instanceHandlers(*running.documents_));
+    FollowerSettings config;
+    config.prefix_ = running.platform_.documents_.configKey_;
+    config.changePause_ = configChangePause;
+    follow(config, configHandlers(*running.documents_));
+    FollowerSettings instances;
+    instances.prefix_ = running.platform_.documents_.instancePrefix_;
+    instances.waitLimit_ = instanceWaitLimit;
+    instances.changePause_ = instanceChangePause;
+    follow(instances, instanceHandlers(*running.documents_));
 }
 
 RelayState initialState(const Running &running)
--- a/tests/unit-prepaid.cpp
+++ b/tests/unit-prepaid.cpp
@@ -44,6 +44,7 @@
     // The copy is too old to rely on later.
     now += settings.shortageLifetime_ + Millis {1};
     reserveTokens(second.state_, settings, acme, Tokens {400}, now);
+    now += settings.scarceDelay_;
     settle(second, cell, now);
     CHECK(second.state_.lastCall_ > calls);
 }
