--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -270,8 +270,7 @@
         avoidLender(state.lenders_, from, now + settings.lenders_.failingPause_);
 }
 
-void returnRecalled(PrepaidState &state, const PrepaidSettings &settings, const TokensLent &lent,
-                    MonoTime now)
+void returnRecalled(PrepaidState &state, const TokensLent &lent)
 {
     const auto found = state.balances_.find(lent.account_);
     if (!lent.recalled_ || found == state.balances_.end())
@@ -280,7 +279,8 @@
     if (loan == found->second.loans_.end())
         return;
     HeldGrant &grant = loan->second.grant_;
-    grant.returned_ += returnable(grant, settings.scarceReach_, now);
+    // What little is left should be with the lender, where all daemons of the zone can have it.
+    grant.returned_ += available(grant);
     sendReport(state, lent.account_, loan->first, loan->second);
 }
 
--- a/src/core/relay/loans.h
+++ b/src/core/relay/loans.h
@@ -33,9 +33,8 @@
 void takeLoan(PrepaidState &state, const PrepaidSettings &settings, const TokensLent &lent,
               const HostId &from, MonoTime now);
 
-/// @brief Returns what a recalled loan holds beyond the next moment's need.
-void returnRecalled(PrepaidState &state, const PrepaidSettings &settings, const TokensLent &lent,
-                    MonoTime now);
+/// @brief Returns what a recalled loan holds beyond its reservations.
+void returnRecalled(PrepaidState &state, const TokensLent &lent);
 
 /// @brief Answers the borrowers that wait for a call to the ledger, as far as is possible now.
 void serveBorrowers(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -72,7 +72,7 @@
     const auto copied
         = state.copiedAt_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
     const bool recent
-        = copied != state.copiedAt_.end() && now - copied->second < settings.reviewInterval_;
+        = copied != state.copiedAt_.end() && now - copied->second < settings.shortageLifetime_;
     return !recent && balance.grant_.armed_ > balance.grant_.returned_ + balance.grant_.spent_;
 }
 
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -46,7 +46,7 @@
     /// Holders hand back tokens once less than this share of the funding is unallocated.
     double scarceShare_ = 0.15;
     /// What a holder keeps of a scarce budget, as time at its burn rate.
-    Millis scarceReach_ {700};
+    Millis scarceReach_ {500};
     /// A refusal relies on a copy up to this age; without that, each request on an exhausted
     /// account would cost calls.
     Millis shortageLifetime_ {1000};
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -223,7 +223,7 @@
     const TokensLent &lent = event.lent_;
     takeLoan(state.prepaid_, state.settings_.prepaid_, lent, event.from_, now);
     serveWaiting(state, lent.account_, now, out);
-    returnRecalled(state.prepaid_, state.settings_.prepaid_, lent, now);
+    returnRecalled(state.prepaid_, lent);
 }
 
 void onEvent(RelayState &state, const FeedChanged &event, MonoTime now, RelayCommands &out)
