--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -59,15 +59,19 @@
 }
 
 /// Takes over what a borrower reports. Totals never decrease and stay within what was lent.
-void settleLine(HeldGrant &grant, CreditLine &line, Tokens spent, Tokens returned, MonoTime now)
+void settleLine(PrepaidBalance &balance, CreditLine &line, Tokens spent, Tokens returned,
+                MonoTime now)
 {
+    HeldGrant &grant = balance.grant_;
     const Tokens newlySpent = std::clamp(spent - line.spent_, Tokens {}, outstandingOf(line));
     line.spent_ += newlySpent;
-    spendReserved(grant, newlySpent, newlySpent, now);
+    grant.reserved_ -= newlySpent;
+    grant.spent_ += newlySpent;
     const Tokens newlyReturned
         = std::clamp(returned - line.returned_, Tokens {}, outstandingOf(line));
     line.returned_ += newlyReturned;
-    spendReserved(grant, newlyReturned, Tokens {}, now);
+    grant.reserved_ -= newlyReturned;
+    noteLent(balance, Tokens {} - newlyReturned, now);
 }
 
 bool isRecalling(const PrepaidState &state, const PrepaidSettings &settings,
@@ -133,6 +137,7 @@
         }
         grant.reserved_ += amount;
         line.lent_ += amount;
+        noteLent(balance, amount, now);
         send(state, line, answerOf(state, settings, account, line));
         if (!grant.drawing_)
             reviewBalance(state, settings, account, balance, now);
@@ -225,7 +230,7 @@
         send(state, line, answerOf(state, settings, ask.account_, line));
         return;
     }
-    settleLine(balance.grant_, line, ask.spent_, ask.returned_, now);
+    settleLine(balance, line, ask.spent_, ask.returned_, now);
     const bool isReport = ask.wanted_ == Tokens {};
     if (isReport)
         return;
@@ -332,9 +337,8 @@
         sendReport(state, account, run, loan);
     }
     for (auto &[borrower, line] : balance.lines_) {
-        const Tokens rest = outstandingOf(line);
-        line.spent_ += rest;
-        spendReserved(balance.grant_, rest, rest, now);
+        // The borrowers may spend it later.
+        settleLine(balance, line, line.lent_ - line.returned_, line.returned_, now);
     }
 }
 
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -28,13 +28,13 @@
     std::string keyPrefix_ = "tamarack/ledger";
     std::uint32_t shards_ = 1;
     /// A grant covers this long at the current burn rate. With the loans it bridges outages of the
-    /// store of about 2 s; more would be lost when all daemons lose power.
-    Millis reach_ {2000};
+    /// store of about 4 s; more would be lost when all daemons lose power.
+    Millis reach_ {3500};
     /// What all daemons together may hold of the unallocated tokens. Tokens that a killed daemon
     /// held stay lost, so grants shrink with what is left.
     double heldShare_ = 0.5;
     /// A grant is drawn again once less than this share of its reach is left.
-    double refillShare_ = 0.5;
+    double refillShare_ = 0.6;
     /// Grants below this share of their reach join a call that is made for another one.
     double joinShare_ = 0.85;
     /// A draw that no request waits for joins others for this long.
@@ -42,7 +42,7 @@
     /// A draw from a scarce account joins others for this long, because its requests draw often.
     Millis scarceDelay_ {100};
     /// Interval of the reads that show whether tokens should be handed back.
-    Millis reviewInterval_ {2000};
+    Millis reviewInterval_ {3000};
     /// Holders hand back tokens once less than this share of the funding is unallocated.
     double scarceShare_ = 0.15;
     /// What a holder keeps of a scarce budget, as time at its burn rate.
@@ -61,7 +61,7 @@
     LenderSettings lenders_;
     /// A borrower asks for this much ahead, as time at its burn rate. Less than reach_, because the
     /// lender answers while the store does not.
-    Millis loanReach_ {600};
+    Millis loanReach_ {1000};
     /// Part of its available tokens that a lender lends ahead to one borrower.
     double loanShare_ = 0.125;
     /// A lender that has not answered for this long is left out. Above the delay of a call to the
@@ -153,6 +153,10 @@
     MonoTime drewAt_ {};
     /// By the borrower's run.
     std::map<HolderId, CreditLine> lines_;
+    /// Tokens lent per second less those returned, smoothed. Reports of what was spent come too
+    /// late to size the grant by.
+    double lendRate_ = 0.0;
+    MonoTime lentAt_ {};
 };
 
 using PrepaidShard = ShardCommit<LedgerShard, LedgerOp>;
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -87,12 +87,25 @@
         = std::max(now - *balance.usedSince_, MonoTime::duration {Seconds {1}});
     const double seen = 1.0 - std::exp(-age / burnRateWindow);
     const double guess = balance.firstBurn_ * (1.0 - seen);
-    double smoothed = burnRateAt(balance.grant_, now);
+    double smoothed = burnRateAt(balance.grant_, now) + lendRate(balance, now);
     for (const auto &[run, loan] : balance.loans_)
         smoothed += burnRateAt(loan.grant_, now);
     return std::max(smoothed / seen, guess);
 }
 
+double lendRate(const PrepaidBalance &balance, MonoTime now)
+{
+    const std::chrono::duration<double> gap = now - balance.lentAt_;
+    return balance.lendRate_ * std::exp(-gap / burnRateWindow);
+}
+
+void noteLent(PrepaidBalance &balance, Tokens amount, MonoTime now)
+{
+    balance.lendRate_ = std::max(
+        lendRate(balance, now) + static_cast<double>(amount.count_) / burnRateWindow.count(), 0.0);
+    balance.lentAt_ = now;
+}
+
 void noteFirstUse(PrepaidBalance &balance, Tokens amount, MonoTime now)
 {
     if (balance.usedSince_)
--- a/src/core/relay/prepaidparts.h
+++ b/src/core/relay/prepaidparts.h
@@ -24,6 +24,12 @@
 /// @brief Returns tokens a second, own requests and borrowers together.
 double burnRate(const PrepaidBalance &balance, MonoTime now);
 
+/// @brief Returns tokens a second that borrowers take, less what they return.
+double lendRate(const PrepaidBalance &balance, MonoTime now);
+
+/// @brief Notes tokens that were lent, or returned if the amount is negative.
+void noteLent(PrepaidBalance &balance, Tokens amount, MonoTime now);
+
 /// @brief Notes the first use of an account, whose size suggests a burn rate.
 void noteFirstUse(PrepaidBalance &balance, Tokens amount, MonoTime now);
 
