--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -27,12 +27,11 @@
     /// Key prefix of the ledger shards in the store.
     std::string keyPrefix_ = "tamarack/ledger";
     std::uint32_t shards_ = 1;
-    /// A grant covers this long at the current burn rate. With the loans it bridges outages of the
-    /// store of about 4 s; more would be lost when all daemons lose power.
-    Millis reach_ {3500};
-    /// What all daemons together may hold of the unallocated tokens. Tokens that a killed daemon
-    /// held stay lost, so grants shrink with what is left.
-    double heldShare_ = 0.5;
+    /// A grant covers this long at the current burn rate, which outlasts most outages of the store.
+    Millis reach_ {8000};
+    /// What all daemons together may hold of the unallocated tokens. What they hold when all lose
+    /// power is lost, so grants shrink with what is left.
+    double heldShare_ = 0.25;
     /// A grant is drawn again once less than this share of its reach is left.
     double refillShare_ = 0.6;
     /// Grants below this share of their reach join a call that is made for another one.
@@ -61,7 +60,7 @@
     LenderSettings lenders_;
     /// A borrower asks for this much ahead, as time at its burn rate. Less than reach_, because the
     /// lender answers while the store does not.
-    Millis loanReach_ {1000};
+    Millis loanReach_ {1500};
     /// Part of its available tokens that a lender lends ahead to one borrower.
     double loanShare_ = 0.125;
     /// A lender that has not answered for this long is left out. Above the delay of a call to the
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -28,14 +28,32 @@
     return record ? unallocated(*record) : balance.funded_;
 }
 
+/// Part of an account's use that this daemon and its borrowers make up, as far as the ledger shows.
+double useShare(const BudgetRecord &record, const GrantId &own)
+{
+    Tokens all;
+    Tokens mine;
+    for (const auto &[id, grant] : record.grants_) {
+        all += grant.armed_;
+        if (id == own)
+            mine = grant.armed_;
+    }
+    return all > Tokens {} ? static_cast<double>(mine.count_) / static_cast<double>(all.count_)
+                           : 0.0;
+}
+
 ReachPolicy reachPolicy(const PrepaidState &state, const PrepaidSettings &settings,
                         const AccountId &account, bool forZone)
 {
     constexpr double perMille = 1000.0;
     const bool oneForZone = forZone && !state.lenders_.near_.empty();
     const std::uint32_t holders = oneForZone ? state.lenders_.zones_ : state.daemons_;
-    const double share = settings.heldShare_ * perMille / std::max(holders, 1U);
     const BudgetRecord *record = recordOf(state, settings, account);
+    double part = 1.0 / std::max(holders, 1U);
+    // The clients of one account may all use one zone.
+    if (record && forZone)
+        part = std::max(part, useShare(*record, GrantId {state.holder_.value_}));
+    const double share = settings.heldShare_ * perMille * part;
     const bool scarce = record && isScarce(settings, *record);
     return ReachPolicy {scarce ? settings.scarceReach_ : settings.reach_,
                         std::max(static_cast<std::uint32_t>(share), 1U)};
@@ -217,8 +235,10 @@
     if (record && isScarce(settings, *record))
         return;
     if (drawerFor(state, settings, account, now)) {
-        // Another daemon draws for the zone; this grant is left from before or from a refusal.
-        if (now - balance.drewAt_ > settings.loanIdle_)
+        // This grant is left from when this daemon drew for the zone. A daemon that only can't
+        // reach the ledger keeps it, because its borrowers live on it.
+        const bool idle = now - balance.drewAt_ > settings.loanIdle_;
+        if (idle && !isLedgerFailing(state, settings, account))
             submitReturn(state, settings, account, balance,
                          returnable(grant, settings.loanReach_, now), now + settings.drawDelay_);
         reviewLoans(state, settings, account, balance, now);
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -310,6 +310,14 @@
     return "exhausted";
 }
 
+/// Tokens of the own grant that are not reserved.
+Tokens availableTokens(const RelayState &state, const AccountId &account)
+{
+    const auto balance = state.prepaid_.balances_.find(account);
+    return balance == state.prepaid_.balances_.end() ? Tokens {}
+                                                     : available(balance->second.grant_);
+}
+
 /// Logs the messages about loans that a request waits for or that refuse something, and hands all
 /// of them over.
 void sendLoanMessages(RelayState &state, RelayCommands &out)
@@ -329,6 +337,7 @@
                      {"borrower", message.host_.value_},
                      {"lent", std::to_string(lent->lent_.count_)},
                      {"refusal", refusalName(lent->refusal_)},
+                     {"available", std::to_string(availableTokens(state, lent->account_).count_)},
                      {"unavailable", lent->unavailable_ ? "yes" : "no"},
                      {"recalled", lent->recalled_ ? "yes" : "no"}});
         }
--- a/tests/unit-loans.cpp
+++ b/tests/unit-loans.cpp
@@ -184,6 +184,31 @@
     CHECK(lenders.size() == settings.perZone_);
 }
 
+TEST_CASE("a zone that makes up most of an account's use may hold more of it")
+{
+    Cell cell;
+    const MonoTime now {Seconds {10}};
+    const PrepaidSettings settings;
+    const std::int64_t prepaid = 1'000'000;
+    std::vector<PeerAddress> others;
+    for (const char *zone : {"z1", "z2", "z3"})
+        others.push_back(PeerAddress {HostId {zone}, ZoneId {zone}, "10.0.0.9:1"});
+    Daemon daemon = makeDaemon("h0-1", configWith(1, prepaid), now);
+    setLenders(daemon.state_.lenders_, HostId {"h0"}, ZoneId {"z0"}, others);
+    const auto held = [&] {
+        return available(daemon.state_.balances_.at(acme).grant_);
+    };
+    // The first draw knows nothing of the use and stays within an equal part.
+    reserveTokens(daemon.state_, settings, acme, Tokens {30'000}, now);
+    settle(daemon, cell, now);
+    const double equalPart = static_cast<double>(prepaid) * settings.heldShare_ / 4;
+    CHECK(static_cast<double>(held().count_) <= equalPart);
+    reserveTokens(daemon.state_, settings, acme, held() + Tokens {1}, now);
+    settle(daemon, cell, now);
+    CHECK(static_cast<double>(held().count_) > equalPart * 2);
+    CHECK(static_cast<double>(held().count_) <= static_cast<double>(prepaid) * settings.heldShare_);
+}
+
 TEST_CASE("which lender is asked")
 {
     const LenderSettings settings;
@@ -289,6 +314,40 @@
     CHECK(fleet.daemons_[lender].state_.lastCall_ == 0);
 }
 
+TEST_CASE("a lender without the ledger keeps its grant and lends from it")
+{
+    Fleet fleet = makeFleet(4, 1'000'000);
+    const std::size_t lender = lenderIndex(fleet);
+    const std::size_t borrower = lender == 0 ? 1 : 0;
+    reserve(fleet, borrower, 5000);
+    settleAll(fleet);
+    fleet.now_ += fleet.settings_.drawDelay_;
+    settleAll(fleet);
+    REQUIRE_FALSE(balanceOf(fleet, lender).grant_.drawing_);
+    const Tokens held = available(balanceOf(fleet, lender).grant_);
+    const std::int64_t large = held.count_ / 2;
+    PrepaidState &cut = fleet.daemons_[lender].state_;
+    for (int round = 0; round < 4; ++round) {
+        fleet.now_ += fleet.settings_.reviewInterval_;
+        reviewBalances(cut, fleet.settings_, fleet.now_);
+        fleet.now_ += Seconds {1};
+        for (const SubmitStoreCall &call : startPrepaidCalls(cut, fleet.settings_, fleet.now_))
+            finishPrepaidCall(cut, fleet.settings_,
+                              StoreReply {call.id_, StoreStatus::Unavailable, {}}, fleet.now_);
+    }
+    REQUIRE(isLedgerFailing(cut, fleet.settings_, acme));
+    CHECK(available(balanceOf(fleet, lender).grant_) == held);
+    CHECK_FALSE(reserve(fleet, borrower, large).has_value());
+    collect(fleet);
+    while (!fleet.messages_.empty()) {
+        const Message message = fleet.messages_.front();
+        fleet.messages_.pop_front();
+        deliver(fleet, message);
+        collect(fleet);
+    }
+    CHECK(reserve(fleet, borrower, large).has_value());
+}
+
 TEST_CASE("a lender without the ledger sends borrowers elsewhere")
 {
     Fleet fleet = makeFleet(4, 1'000'000);
