--- a/src/core/relay/lenders.cpp
+++ b/src/core/relay/lenders.cpp
@@ -23,18 +23,24 @@
     });
 }
 
+bool isAvoided(const AvoidedLenders &avoided, const HostId &host, MonoTime now)
+{
+    const auto entry = avoided.find(host);
+    return entry != avoided.end() && entry->second > now;
+}
+
 struct Usable
 {
     const Lenders &lenders_;
-    bool ledgerFailing_;
+    const LenderQuery &query_;
     MonoTime now_;
 
     bool operator()(const PeerAddress &daemon) const
     {
         if (daemon.host_ == lenders_.self_)
-            return !ledgerFailing_;
-        const auto avoided = lenders_.avoidUntil_.find(daemon.host_);
-        return avoided == lenders_.avoidUntil_.end() || avoided->second <= now_;
+            return !query_.ledgerFailing_;
+        return !isAvoided(lenders_.silent_, daemon.host_, now_)
+            && !isAvoided(query_.empty_, daemon.host_, now_);
     }
 };
 
@@ -75,23 +81,18 @@
     lenders.zones_ = static_cast<std::uint32_t>(zones.size());
     sortByRank(lenders.near_);
     sortByRank(lenders.far_);
-    std::erase_if(lenders.avoidUntil_, [&peers](const auto &avoided) {
+    std::erase_if(lenders.silent_, [&peers](const auto &avoided) {
         return std::none_of(peers.begin(), peers.end(), [&avoided](const PeerAddress &peer) {
             return peer.host_ == avoided.first;
         });
     });
 }
 
-void avoidLender(Lenders &lenders, const HostId &host, MonoTime until)
-{
-    lenders.avoidUntil_[host] = until;
-}
-
 std::optional<PeerAddress> lenderOf(const Lenders &lenders, const LenderSettings &settings,
-                                    ShardNumber shard, bool ledgerFailing, MonoTime now)
+                                    const LenderQuery &query, MonoTime now)
 {
-    const std::string shardKey = std::to_string(shard.value_);
-    const Usable usable {lenders, ledgerFailing, now};
+    const std::string shardKey = std::to_string(query.shard_.value_);
+    const Usable usable {lenders, query, now};
     const PeerAddress *best = bestOf(lenders.near_, settings.perZone_, shardKey, usable);
     if (!best)
         best = bestOf(lenders.far_, settings.perZone_, shardKey, usable);
--- a/src/core/relay/lenders.h
+++ b/src/core/relay/lenders.h
@@ -20,10 +20,13 @@
     std::size_t perZone_ = 4;
     /// A lender that did not answer is left out for this long.
     Millis silentPause_ {3000};
-    /// A lender that can't reach the ledger is left out for this long.
-    Millis failingPause_ {1000};
+    /// A lender that has no tokens and can't reach the ledger is left out for this long.
+    Millis emptyPause_ {1000};
 };
 
+/// @brief Lenders that are left out, and until when.
+using AvoidedLenders = std::map<HostId, MonoTime>;
+
 /// @brief The daemons that may lend, from the point of view of one of them.
 struct Lenders
 {
@@ -35,7 +38,8 @@
     std::vector<PeerAddress> near_;
     /// The daemons of other zones, best candidates first.
     std::vector<PeerAddress> far_;
-    std::map<HostId, MonoTime> avoidUntil_;
+    /// Those that did not answer.
+    AvoidedLenders silent_;
 };
 
 /// @brief Takes over which daemons are alive.
@@ -44,14 +48,20 @@
 void setLenders(Lenders &lenders, const HostId &self, const ZoneId &zone,
                 const std::vector<PeerAddress> &peers);
 
-/// @brief Leaves a lender out until @a until.
-void avoidLender(Lenders &lenders, const HostId &host, MonoTime until);
+/// @brief What a lender is wanted for.
+struct LenderQuery
+{
+    ShardNumber shard_;
+    /// The calls of this daemon to the ledger fail, so it can't draw itself.
+    bool ledgerFailing_ = false;
+    /// Lenders that have no tokens of the account and can't draw any.
+    AvoidedLenders empty_;
+};
 
 /// @brief Returns the daemon that draws on a shard of the ledger for the zone of this one. Accounts
 /// of one shard share their lender, so that few daemons write the same key.
-/// @param ledgerFailing the calls of this daemon to the ledger fail, so it can't draw itself
 /// @return nothing if this daemon should draw on the ledger itself
 std::optional<PeerAddress> lenderOf(const Lenders &lenders, const LenderSettings &settings,
-                                    ShardNumber shard, bool ledgerFailing, MonoTime now);
+                                    const LenderQuery &query, MonoTime now);
 
 } // namespace tamarack
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -74,6 +74,13 @@
     noteLent(balance, Tokens {} - newlyReturned, now);
 }
 
+/// Tokens a second that a borrower expects to use, by what it wants ahead.
+double burnAsked(const PrepaidSettings &settings, const TokensAsked &ask)
+{
+    const std::chrono::duration<double> reach = settings.loanReach_;
+    return static_cast<double>((ask.wanted_ - ask.needed_).count_) / reach.count();
+}
+
 bool isRecalling(const PrepaidState &state, const PrepaidSettings &settings,
                  const AccountId &account)
 {
@@ -237,7 +244,7 @@
     line.needed_ = ask.needed_;
     line.wanted_ = ask.wanted_;
     line.answerDue_ = true;
-    noteFirstUse(balance, std::max(ask.needed_ - line.lent_, Tokens {}), now);
+    noteFirstUse(balance, burnAsked(settings, ask), now);
     serveLine(state, settings, ask.account_, balance, line, now);
 }
 
@@ -272,7 +279,7 @@
         balance.ask_.reset();
     }
     if (lent.unavailable_)
-        avoidLender(state.lenders_, from, now + settings.lenders_.failingPause_);
+        balance.emptyLenders_[from] = now + settings.lenders_.emptyPause_;
 }
 
 void returnRecalled(PrepaidState &state, const TokensLent &lent)
@@ -305,7 +312,7 @@
     for (auto &[account, balance] : state.balances_) {
         if (!balance.ask_ || balance.ask_->expiresAt_ > now)
             continue;
-        avoidLender(state.lenders_, balance.ask_->host_, now + settings.lenders_.silentPause_);
+        state.lenders_.silent_[balance.ask_->host_] = now + settings.lenders_.silentPause_;
         balance.ask_.reset();
         expired.insert(account);
     }
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -14,6 +14,9 @@
 
 using namespace prepaiddetail;
 
+/// Requests a second that a new grant expects of the size of its first one, until it has seen more.
+constexpr double firstBurnRequestsPerSecond = 2.0;
+
 /// The holder's own copy of its grant follows the store's.
 void takeOverGrant(const PrepaidState &state, const PrepaidSettings &settings,
                    const AccountId &account, PrepaidBalance &balance)
@@ -128,7 +131,7 @@
                                          const AccountId &account, Tokens amount, MonoTime now)
 {
     PrepaidBalance &balance = state.balances_[account];
-    noteFirstUse(balance, amount, now);
+    noteFirstUse(balance, static_cast<double>(amount.count_) * firstBurnRequestsPerSecond, now);
     balance.usedAt_ = now;
     const std::optional<Reservation> reservation = reserveHeld(state, balance, amount, now);
     if (reservation) {
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -148,6 +148,8 @@
     std::optional<PendingAsk> ask_;
     MonoTime askedAt_ {};
     std::optional<LenderRefusal> refusal_;
+    /// Lenders that could lend none of this account lately.
+    AvoidedLenders emptyLenders_;
     /// When the last draw was submitted.
     MonoTime drewAt_ {};
     /// By the borrower's run.
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Requests a second that a new grant expects of the size of its first one, until it has seen more.
-constexpr double firstBurnRequestsPerSecond = 2.0;
-
 Tokens reachTokens(const PrepaidSettings &settings, const PrepaidBalance &balance, MonoTime now)
 {
     const std::chrono::duration<double> reach = settings.reach_;
@@ -124,12 +121,12 @@
     balance.lentAt_ = now;
 }
 
-void noteFirstUse(PrepaidBalance &balance, Tokens amount, MonoTime now)
+void noteFirstUse(PrepaidBalance &balance, double burn, MonoTime now)
 {
     if (balance.usedSince_)
         return;
     balance.usedSince_ = now;
-    balance.firstBurn_ = static_cast<double>(amount.count_) * firstBurnRequestsPerSecond;
+    balance.firstBurn_ = burn;
 }
 
 std::optional<PeerAddress> drawerFor(const PrepaidState &state, const PrepaidSettings &settings,
@@ -137,9 +134,13 @@
 {
     if (state.peerAddress_.empty())
         return std::nullopt;
-    const ShardNumber shard = ledgerShardOf(BudgetId {account.value_}, settings.shards_);
-    return lenderOf(state.lenders_, settings.lenders_, shard,
-                    isLedgerFailing(state, settings, account), now);
+    LenderQuery query;
+    query.shard_ = ledgerShardOf(BudgetId {account.value_}, settings.shards_);
+    query.ledgerFailing_ = isLedgerFailing(state, settings, account);
+    const auto balance = state.balances_.find(account);
+    if (balance != state.balances_.end())
+        query.empty_ = balance->second.emptyLenders_;
+    return lenderOf(state.lenders_, settings.lenders_, query, now);
 }
 
 void submitFunding(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
@@ -216,7 +217,7 @@
              const PrepaidBalance &balance, double share, MonoTime now)
 {
     const HeldGrant &grant = balance.grant_;
-    if (grant.drawing_ || grant.armed_ == Tokens {})
+    if (grant.drawing_ || !balance.usedSince_)
         return false;
     const Tokens full = fullGrant(state, settings, account, balance, now);
     const std::chrono::duration<double> minReach = settings.minReach_;
--- a/src/core/relay/prepaidparts.h
+++ b/src/core/relay/prepaidparts.h
@@ -30,8 +30,9 @@
 /// @brief Notes tokens that were lent, or returned if the amount is negative.
 void noteLent(PrepaidBalance &balance, Tokens amount, MonoTime now);
 
-/// @brief Notes the first use of an account, whose size suggests a burn rate.
-void noteFirstUse(PrepaidBalance &balance, Tokens amount, MonoTime now);
+/// @brief Notes the first use of an account.
+/// @param burn tokens a second that are expected until more has been seen
+void noteFirstUse(PrepaidBalance &balance, double burn, MonoTime now);
 
 /// @brief Returns the account's record in the last copy of the ledger, nullptr if there is none.
 const BudgetRecord *recordOf(const PrepaidState &state, const PrepaidSettings &settings,
