Let daemons of large fleets repeat requests; one place for retry settings

Cause: a daemon's fixed part of the shared retry limit is 196 x 0.7 / 78 in a fleet of 78, half of it the most that its budget holds: 0.88, so that no repeat was ever permitted. The budget holds at least one now.

--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -74,16 +74,7 @@
 
 bool takeRetryPermit(RelayState &state, const ActiveRelay &active, MonoTime now)
 {
-    const SharedRetryLimit &limit = state.settings_.retries_;
-    const double daemons = std::max(state.fleet_.daemons_, 1U);
-    const double extra = limit.extra_ * state.settings_.retryMargin_ / daemons;
-    const std::chrono::duration<double> window = limit.window_;
-    RetrySettings settings;
-    settings.share_ = limit.share_ * state.settings_.retryMargin_;
-    // Half of the fixed part may be used at once, the other half trickles in over the window.
-    settings.initial_ = extra / 2;
-    settings.burst_ = extra / 2;
-    settings.idlePerSecond_ = extra / 2 / window.count();
+    const RetrySettings settings = retrySettings(state);
     RetryBudget &budget = state.retries_[active.service_];
     if (!mayTakeRetry(budget, settings, now))
         return false;
@@ -148,6 +139,22 @@
 
 } // namespace
 
+RetrySettings retrySettings(const RelayState &state)
+{
+    const SharedRetryLimit &limit = state.settings_.retries_;
+    const double daemons = std::max(state.fleet_.daemons_, 1U);
+    const double extra = limit.extra_ * state.settings_.retryMargin_ / daemons;
+    const std::chrono::duration<double> window = limit.window_;
+    RetrySettings settings;
+    settings.share_ = limit.share_ * state.settings_.retryMargin_;
+    // Half of the fixed part may be used at once, the other half trickles in over the window.
+    settings.initial_ = extra / 2;
+    // A budget that can't hold one repeat would never permit any.
+    settings.burst_ = std::max(extra / 2, 1.0);
+    settings.idlePerSecond_ = extra / 2 / window.count();
+    return settings;
+}
+
 void onAttemptEnded(RelayState &state, ActiveRelay &active, const RelayAttemptEnded &ended,
                     MonoTime now, RelayCommands &out)
 {
--- a/src/core/relay/relayparts.h
+++ b/src/core/relay/relayparts.h
@@ -37,6 +37,12 @@
 /// @brief Goes on with requests that wait for an instance.
 void serveUnplaced(RelayState &state, MonoTime now, RelayCommands &out);
 
+/// @brief Returns this daemon's part of the retry limit that all daemons share.
+RetrySettings retrySettings(const RelayState &state);
+
+/// @brief Hands the messages about loans over and logs those that decide something.
+void sendLoanMessages(RelayState &state, RelayCommands &out);
+
 /// @brief Handles the end of an attempt: passes its answer on, repeats the request or fails it.
 void onAttemptEnded(RelayState &state, ActiveRelay &active, const RelayAttemptEnded &ended,
                     MonoTime now, RelayCommands &out);
--- a/tests/unit-relay.cpp
+++ b/tests/unit-relay.cpp
@@ -217,6 +217,33 @@
     CHECK(repeats <= requests * 0.2 + 56.0 / 8);
 }
 
+TEST_CASE("a daemon of a large fleet repeats within the shared limit")
+{
+    // Its part of the fixed repeats is less than one, which must not keep it from its other part.
+    RelayFixture fixture;
+    setUp(fixture);
+    constexpr double share = 0.2;
+    constexpr double extra = 196.0;
+    constexpr std::uint32_t daemons = 78;
+    fixture.state_.settings_.retries_ = SharedRetryLimit {share, extra, Seconds {10}};
+    post(fixture, FleetCounted {daemons, daemons, {}});
+    int repeats = 0;
+    constexpr int windows = 10;
+    constexpr int requests = windows * 50;
+    for (int i = 0; i < requests; ++i) {
+        pass(fixture, Millis {200});
+        fixture.state_.choice_.records_.clear();
+        const SendAttempt first = sendFirst(fixture, "safe");
+        const auto second = find<SendAttempt>(post(fixture, ended(first, AttemptEnd::Cut)));
+        if (second) {
+            ++repeats;
+            post(fixture, ended(*second, AttemptEnd::Delivered, 200));
+        }
+    }
+    CHECK(repeats > requests * share / 2);
+    CHECK(repeats <= requests * share + windows * extra / daemons);
+}
+
 TEST_CASE("a configuration never goes back, whoever tells it")
 {
     RelayFixture fixture;
