Refuse late requests that a planned stop would cut; log writes that never block the end

After the linger it takes only requests whose time ends before the limit; the others get 503 with a time to come back, which is true, because nothing was sent. The test failed first.

A log line was written whole to a pipe that was only known to take PIPE_BUF bytes, so a reader that stopped kept the process from ending. unit-logsink hung before and passes now.

--- a/src/adapters/logging/logsink.cpp
+++ b/src/adapters/logging/logsink.cpp
@@ -4,6 +4,7 @@
 #include "adapters/logging/logline.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -43,7 +44,9 @@
     while (written < text.size()) {
         if (!awaitWritable(sink))
             return false;
-        const ssize_t count = ::write(STDOUT_FILENO, text.data() + written, text.size() - written);
+        // A writable pipe takes this much without blocking; more would wait for the reader.
+        const std::size_t size = std::min(text.size() - written, std::size_t {PIPE_BUF});
+        const ssize_t count = ::write(STDOUT_FILENO, text.data() + written, size);
         if (count >= 0)
             written += static_cast<std::size_t>(count);
         else if (errno != EINTR && errno != EAGAIN)
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -133,7 +133,7 @@
     PrepaidBalance &balance = state.balances_[account];
     noteFirstUse(balance, static_cast<double>(amount.count_) * firstBurnRequestsPerSecond, now);
     balance.usedAt_ = now;
-    const std::optional<Reservation> reservation = reserveHeld(state, balance, amount, now);
+    std::optional<Reservation> reservation = reserveHeld(state, balance, amount, now);
     if (reservation) {
         if (!balance.grant_.drawing_)
             reviewBalance(state, settings, account, balance, now);
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -84,6 +84,11 @@
     if (active.route_->timeout_ > Millis {})
         active.deadline_
             = std::min(active.deadline_, event.request_.arrivedAt_ + active.route_->timeout_);
+    if (state.idleClosed_ && active.deadline_ > state.stopLimit_) {
+        // The stop would cut it; it has not run, so another daemon can serve it.
+        refuse(state, active, statusServiceUnavailable, "stopping", now, out);
+        return;
+    }
     creditService(state, active, now);
     admit(state, active, now, out);
 }
--- a/tests/unit-relay.cpp
+++ b/tests/unit-relay.cpp
@@ -285,7 +285,21 @@
     fixture.now_ += Millis {1200};
     const auto lingered = pass(fixture, Millis {100});
     CHECK(find<CloseIdleClients>(lingered));
-    CHECK(find<RelayStopCompleted>(post(fixture, ended(running, AttemptEnd::Delivered, 200))));
+    SECTION("a late request that may outlast the stop is refused instead of cut")
+    {
+        RelayRequest late = makeRequest(fixture, "once");
+        late.patience_ = Seconds {10};
+        const auto refusal = find<AnswerClient>(post(fixture, RequestRead {late}));
+        REQUIRE(refusal);
+        CHECK(refusal->status_ == 503);
+        CHECK(refusal->retryAfter_.has_value());
+        // A shorter one ends in time.
+        CHECK(find<SendAttempt>(post(fixture, RequestRead {makeRequest(fixture, "safe")})));
+    }
+    SECTION("the last answer ends it")
+    {
+        CHECK(find<RelayStopCompleted>(post(fixture, ended(running, AttemptEnd::Delivered, 200))));
+    }
 }
 
 } // namespace tamarack
