--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -228,7 +228,7 @@
 
 void startFollowers(Running &running)
 {
-    const auto follow = [&running](FollowerSettings settings, FollowerHandlers handlers) {
+    const auto follow = [&running](const FollowerSettings &settings, FollowerHandlers handlers) {
         running.followers_.emplace_back([&running, settings, handlers = std::move(handlers)] {
             followPrefix(running.feed_, settings, handlers, running.stop_);
         });
