Pause longer after failed ledger calls in large fleets

The longest pause grows with the daemons, 20 ms each up to 2 s; with 8 it stays 400 ms, so the smaller sites behave as before.

--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -190,7 +190,10 @@
                                                MonoTime now)
 {
     std::vector<SubmitStoreCall> calls;
+    const Millis maxBackoff = std::clamp(settings.backoffPerDaemon_ * state.daemons_,
+                                         settings.maxBackoff_, maxCommitBackoff);
     for (auto &[number, shard] : state.shards_) {
+        shard.maxBackoff_ = maxBackoff;
         const std::optional<MonoTime> due = nextCallTime(shard);
         if (due && *due <= now && hasDraw(shard))
             joinCall(state, settings, number, now);
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -55,8 +55,10 @@
     /// Grants that hold less than this time at the burn rate are drawn for waiting requests only,
     /// because each draw ahead would last for a request or two.
     Millis minReach_ {500};
-    /// Longest pause after failed calls.
+    /// Longest pause after failed calls, and the same for each daemon of a large fleet: calls have
+    /// a price, also those that a store in trouble refuses.
     Millis maxBackoff_ {400};
+    Millis backoffPerDaemon_ {20};
     LenderSettings lenders_;
     /// A borrower asks for this much ahead, as time at its burn rate. Less than reach_, because the
     /// lender answers while the store does not.
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -73,8 +73,6 @@
 {
     const ShardNumber number = ledgerShardOf(BudgetId {account.value_}, settings.shards_);
     auto [it, created] = state.shards_.try_emplace(number);
-    if (created)
-        it->second.maxBackoff_ = settings.maxBackoff_;
     if (created)
         it->second.key_ = StoreKey {fmt::format("{}/{}", settings.keyPrefix_, number.value_)};
     return it->second;
--- a/tests/unit-prepaid.cpp
+++ b/tests/unit-prepaid.cpp
@@ -49,6 +49,26 @@
     CHECK(second.state_.lastCall_ > calls);
 }
 
+TEST_CASE("a large fleet calls a silent store no more often than a small one")
+{
+    const auto callsInTenSeconds = [](std::uint32_t daemons) {
+        const PrepaidSettings settings;
+        MonoTime now {Seconds {10}};
+        Daemon daemon = makeDaemon("d1", configWith(1, 100'000), now);
+        daemon.state_.daemons_ = daemons;
+        reserveTokens(daemon.state_, settings, acme, Tokens {500}, now);
+        for (int step = 0; step < 500; ++step) {
+            for (const SubmitStoreCall &call : startPrepaidCalls(daemon.state_, settings, now))
+                finishPrepaidCall(daemon.state_, settings,
+                                  StoreReply {call.id_, StoreStatus::Unavailable, {}}, now);
+            now += Millis {20};
+        }
+        return daemon.state_.lastCall_;
+    };
+    CHECK(callsInTenSeconds(8) >= 20);
+    CHECK(callsInTenSeconds(80) <= 12);
+}
+
 TEST_CASE("a lowered total is reached as holders hand back")
 {
     Cell cell;
