--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -4,7 +4,9 @@
 
 # Below 32768, where the system starts to give ports to outgoing connections: a program could not
 # listen on a port that a connection of another test had.
-BASE_PORT=${BASE_PORT:-$((20000 + ($$ % 250) * 50))}
+# PORT_SLOT, 0 to 7, keeps tests that run at the same time apart: process ids alone gave two of them
+# the same ports.
+BASE_PORT=${BASE_PORT:-$((20000 + (($$ % 31) * 8 + ${PORT_SLOT:-7}) * 50))}
 STORE=127.0.0.1:$((BASE_PORT + 1))
 ENGINE=127.0.0.1:$((BASE_PORT + 2))
 SERVICE=127.0.0.1:$((BASE_PORT + 3))
