--- a/src/adapters/etcd/etcdclient.cpp
+++ b/src/adapters/etcd/etcdclient.cpp
@@ -126,14 +126,16 @@
                                              : LeaseId {};
 }
 
-bool renewLease(JsonHttpClient &client, LeaseId lease)
+LeaseRenewal renewLease(JsonHttpClient &client, LeaseId lease)
 {
     Object body;
     body.set("ID", std::to_string(lease.value_));
     const PostResult reply = postJson(client, "/v3/lease/keepalive", body, Idempotency::Idempotent);
     if (reply.outcome_ != StoreStatus::Ok)
-        return false;
-    return numberField(reply.body_->getObject("result"), "TTL") > 0;
+        return LeaseRenewal::Unconfirmed;
+    // The gateway reports a lease that has ended by a reply without a time to live.
+    return numberField(reply.body_->getObject("result"), "TTL") > 0 ? LeaseRenewal::Renewed
+                                                                    : LeaseRenewal::Ended;
 }
 
 bool revokeLease(JsonHttpClient &client, LeaseId lease)
@@ -249,7 +251,7 @@
         return callOrDefault(LeaseId {}, [&] { return grantLease(*client, time); });
     };
     port.renewLease_ = [client](LeaseId lease) {
-        return callOrDefault(false, [&] { return renewLease(*client, lease); });
+        return callOrDefault(LeaseRenewal::Unconfirmed, [&] { return renewLease(*client, lease); });
     };
     port.revokeLease_ = [client](LeaseId lease) {
         return callOrDefault(false, [&] { return revokeLease(*client, lease); });
--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -4,11 +4,16 @@
 #include "adapters/json/address.h"
 #include "adapters/json/jsonreader.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
+
 namespace tamarack {
 
 namespace {
 
 constexpr std::size_t maxSettingsBytes = 1U << 20U;
+constexpr double maxProcessorCores = 1024.0;
 constexpr IntegerRange timeRange {1, 3'600'000};
 
 /// An instance missing from the store stops getting requests this long before its drain timeout
@@ -60,7 +65,13 @@
     settings.maxFileDescriptors_ = static_cast<std::size_t>(
         readInteger(limits, "descriptors", FieldPresence::Optional, IntegerRange {256, 1'000'000},
                     static_cast<std::int64_t>(settings.maxFileDescriptors_)));
-    rejectUnknownFields(limits, {"drainMs", "stopS", "descriptors"});
+    settings.processorCores_
+        = readNumber(limits, "cores", FieldPresence::Optional, 0.0, settings.processorCores_);
+    if (settings.processorCores_ > maxProcessorCores)
+        limits.errors_->push_back(ValidationError {"limits.cores",
+                                                   fmt::format("is above {}", maxProcessorCores),
+                                                   "set it to the number of processor cores"});
+    rejectUnknownFields(limits, {"drainMs", "stopS", "descriptors", "cores"});
 }
 
 } // namespace
@@ -98,6 +109,9 @@
     RelaySettings control;
     control.host_ = settings.host_;
     control.zone_ = settings.zone_;
+    constexpr double thousandths = 1000.0;
+    control.capacity_ = static_cast<std::uint32_t>(
+        std::clamp(settings.processorCores_, 0.0, maxProcessorCores) * thousandths);
     control.retries_ = settings.retries_;
     control.missingRetention_ = std::max(settings.drainTimeout_ - drainMargin, Millis {0});
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -29,6 +29,9 @@
     std::string storePrefix_ = "tamarack";
     std::uint32_t ledgerShards_ = 1;
     std::size_t maxFileDescriptors_ = 1024;
+    /// Processor cores that this host has for the daemon; 0 if unknown. Larger hosts are preferred
+    /// for work on behalf of other daemons.
+    double processorCores_ = 0.0;
     /// An instance that was reported as leaving may get requests for this long.
     Millis drainTimeout_ {2000};
     /// Maximum time from the stop signal to the exit of the process.
--- a/src/adapters/jsonhttp/jsonclient.cpp
+++ b/src/adapters/jsonhttp/jsonclient.cpp
@@ -15,6 +15,9 @@
 #include <ostream>
 #include <sstream>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 namespace tamarack {
 
 namespace {
@@ -26,6 +29,22 @@
 constexpr Millis maxIdleTime {5000};
 constexpr std::size_t maxIdleSessions = 8;
 
+/// Keep-alive probes find a connection that lost its path within about 3 s, also while the service
+/// delays its response. Unacknowledged data fails it after the same time.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+constexpr int unacknowledgedMillis = 3000;
+
+void enableKeepAlive(Poco::Net::StreamSocket &socket)
+{
+    socket.setKeepAlive(true);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMillis);
+}
+
 Poco::Timespan timespan(Millis time)
 {
     return Poco::Timespan(std::chrono::duration_cast<Micros>(time).count());
@@ -54,6 +73,7 @@
             Poco::Net::StreamSocket socket;
             socket.connect(Poco::Net::SocketAddress(endpoint), timespan(timeout));
             socket.setNoDelay(true);
+            enableKeepAlive(socket);
             return socket;
         } catch (const Poco::Exception &) {
             continue;
--- a/src/adapters/metrics/metrics.h
+++ b/src/adapters/metrics/metrics.h
@@ -3,3 +3,4 @@
 
 #include "adapters/metrics/registry.h"
 #include "adapters/metrics/relaymetrics.h"
+#include "adapters/metrics/storeusage.h"
--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -112,21 +112,31 @@
 {
     peer::DocumentsAsked &out = *envelope.mutable_documents_asked();
     out.set_reply_address(message.replyAddress_);
-    out.set_after(message.after_.value_);
+    for (const FeedPosition &position : message.positions_) {
+        peer::FeedPosition &entry = *out.add_positions();
+        entry.set_feed(position.feed_);
+        entry.set_revision(position.revision_.value_);
+    }
 }
 
 void encodeInto(peer::Envelope &envelope, const DocumentsReply &message)
 {
     peer::DocumentsOffered &out = *envelope.mutable_documents_offered();
-    out.set_after(message.after_.value_);
-    out.set_at(message.at_.value_);
-    for (const PeerDocument &document : message.documents_) {
-        peer::Document &entry = *out.add_documents();
-        entry.set_key(document.key_.value_);
-        entry.set_revision(document.revision_.value_);
-        entry.set_removed(!document.value_);
-        entry.set_value(document.value_.value_or(""));
+    for (const FeedChanges &changes : message.changes_) {
+        peer::FeedChanges &feed = *out.add_changes();
+        feed.set_feed(changes.feed_);
+        feed.set_after(changes.after_.value_);
+        feed.set_at(changes.at_.value_);
+        for (const PeerDocument &document : changes.documents_) {
+            peer::Document &entry = *feed.add_documents();
+            entry.set_key(document.key_.value_);
+            entry.set_revision(document.revision_.value_);
+            entry.set_removed(!document.value_);
+            entry.set_value(document.value_.value_or(""));
+        }
     }
+    if (message.contactAge_)
+        out.set_contact_age_ms(static_cast<std::uint64_t>(message.contactAge_->count()));
 }
 
 void encodeInto(peer::Envelope &envelope, const LoanRequest &message)
@@ -195,16 +205,38 @@
                         {in.parts().begin(), in.parts().end()}};
 }
 
-PeerMessage fromProto(const peer::DocumentsOffered &in)
+PeerMessage fromProto(const peer::DocumentsAsked &in)
+{
+    DocumentsRequest message {in.reply_address(), {}};
+    for (const peer::FeedPosition &position : in.positions())
+        message.positions_.push_back(
+            FeedPosition {position.feed(), Revision {position.revision()}});
+    return message;
+}
+
+FeedChanges feedChangesFromProto(const peer::FeedChanges &in)
 {
-    DocumentsReply message {Revision {in.after()}, Revision {in.at()}, {}};
+    FeedChanges changes {in.feed(), Revision {in.after()}, Revision {in.at()}, {}};
     for (const peer::Document &document : in.documents()) {
         PeerDocument decoded {StoreKey {document.key()}, Revision {document.revision()},
                               std::nullopt};
         if (!document.removed())
             decoded.value_ = document.value();
-        message.documents_.push_back(std::move(decoded));
+        changes.documents_.push_back(std::move(decoded));
     }
+    return changes;
+}
+
+/// Longer contact ages are not useful and could overflow the duration.
+constexpr std::uint64_t maxContactAgeMs = 3'600'000;
+
+PeerMessage fromProto(const peer::DocumentsOffered &in)
+{
+    DocumentsReply message;
+    for (const peer::FeedChanges &changes : in.changes())
+        message.changes_.push_back(feedChangesFromProto(changes));
+    if (in.has_contact_age_ms() && in.contact_age_ms() <= maxContactAgeMs)
+        message.contactAge_ = Millis {in.contact_age_ms()};
     return message;
 }
 
@@ -296,8 +328,7 @@
     case peer::Envelope::kLeaving:
         return PeerMessage {Leaving {HolderId {in.leaving().holder()}}};
     case peer::Envelope::kDocumentsAsked:
-        return PeerMessage {DocumentsRequest {in.documents_asked().reply_address(),
-                                              Revision {in.documents_asked().after()}}};
+        return fromProto(in.documents_asked());
     case peer::Envelope::kDocumentsOffered:
         return fromProto(in.documents_offered());
     case peer::Envelope::kTokensAsked:
--- a/src/adapters/shardcodec/storedvalue.cpp
+++ b/src/adapters/shardcodec/storedvalue.cpp
@@ -78,6 +78,7 @@
     message.set_zone(registration.zone_.value_);
     message.set_peer_address(registration.peerAddress_);
     message.set_leaving(registration.leaving_);
+    message.set_capacity(registration.capacity_);
     return message.SerializeAsString();
 }
 
@@ -144,7 +145,8 @@
 Registration fromProto(const stored::Registration &message)
 {
     return Registration {HostId {message.host()}, HolderId {message.holder()},
-                         ZoneId {message.zone()}, message.peer_address(), message.leaving()};
+                         ZoneId {message.zone()}, message.peer_address(),
+                         message.leaving(),       message.capacity()};
 }
 
 PlacementLease fromProto(const stored::PlacementLease &message)
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -132,26 +132,40 @@
     std::optional<std::string> value_;
 };
 
-/// @brief Requests newer versions of documents from a peer, because the store does not respond to
-/// this daemon.
+/// @brief The revision up to which a daemon knows all changes of a feed.
+struct FeedPosition
+{
+    std::string feed_;
+    Revision revision_;
+};
+
+/// @brief Requests newer versions of documents from a peer.
 struct DocumentsRequest
 {
     /// "IP:port" that the response is sent to.
     std::string replyAddress_;
-    /// The sender knows all documents up to this revision.
-    Revision after_;
+    std::vector<FeedPosition> positions_;
 };
 
-/// @brief Response to DocumentsRequest.
-struct DocumentsReply
+/// @brief The documents of a feed that changed after a revision.
+struct FeedChanges
 {
-    /// Revision given in the request. The response to 0 contains all documents.
+    std::string feed_;
+    /// 0 if documents_ are all documents of the feed.
     Revision after_;
-    /// The sender knows all documents up to this revision.
+    /// The sender knows all changes up to this revision.
     Revision at_;
     std::vector<PeerDocument> documents_;
 };
 
+/// @brief Response to DocumentsRequest.
+struct DocumentsReply
+{
+    std::vector<FeedChanges> changes_;
+    /// Time since the sender's last contact to the store; std::nullopt if it has none.
+    std::optional<Millis> contactAge_;
+};
+
 /// @brief Requests a loan of an account's tokens and reports the use of earlier loans. Totals are
 /// cumulative for one run of the lender and one run of the borrower.
 struct LoanRequest
--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -1,10 +1,128 @@
-// Selects the peers that are queried for documents while the store is unavailable.
+// Decides from where a daemon learns the documents of the store.
 #include "core/relay/documentsync.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 
 namespace tamarack {
 
+namespace {
+
+/// Rendezvous hashing key that ranks the daemons as observers.
+constexpr const char *rankPurpose = "observer";
+
+bool isAlone(const DocumentSync &sync)
+{
+    return sync.sameZone_.size() <= 1 && sync.otherZones_.empty();
+}
+
+/// Returns the first @a count daemons of each zone that replied to the last requests; this daemon
+/// counts as one.
+std::vector<PeerAddress> responsivePeers(const DocumentSync &sync,
+                                         const std::vector<PeerAddress> &ranked, std::size_t count)
+{
+    std::vector<PeerAddress> found;
+    std::map<ZoneId, std::size_t> foundInZone;
+    for (const PeerAddress &peer : ranked) {
+        if (sync.silent_.contains(peer.host_) || foundInZone[peer.zone_] == count)
+            continue;
+        ++foundInZone[peer.zone_];
+        found.push_back(peer);
+    }
+    return found;
+}
+
+bool isObserver(const DocumentSync &sync, const DocumentSyncSettings &settings)
+{
+    const std::vector<PeerAddress> observers
+        = responsivePeers(sync, sync.sameZone_, settings.observersPerZone_);
+    return std::any_of(observers.begin(), observers.end(),
+                       [&sync](const PeerAddress &peer) { return peer.host_ == sync.self_; });
+}
+
+bool isFresh(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    return sync.freshAt_ && now - *sync.freshAt_ <= settings.freshLifetime_;
+}
+
+bool wasRequested(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    return sync.requestedAt_ && now - *sync.requestedAt_ <= settings.observeOnRequest_;
+}
+
+/// Returns true if this daemon relies on the documents of peers.
+bool needsPeers(const DocumentSync &sync, const DocumentSyncSettings &settings)
+{
+    return !isAlone(sync) && (!sync.unavailableFeeds_.empty() || !isObserver(sync, settings));
+}
+
+/// Returns how long this daemon waits for a peer with contact before it follows the store.
+Millis followDelay(const DocumentSync &sync, const DocumentSyncSettings &settings)
+{
+    const auto range = static_cast<std::uint64_t>(settings.maxFollowDelay_.count()) + 1;
+    return Millis {hash64(sync.self_.value_) % range};
+}
+
+void excludeSilentPeers(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    std::erase_if(sync.unanswered_, [&](const auto &request) {
+        if (now - request.second < settings.replyTimeout_)
+            return false;
+        sync.silent_[request.first] = now + settings.probeInterval_;
+        return true;
+    });
+}
+
+/// Returns the silent peers of this zone whose next probe is due.
+std::vector<PeerAddress> dueProbes(DocumentSync &sync, const DocumentSyncSettings &settings,
+                                   MonoTime now)
+{
+    std::vector<PeerAddress> due;
+    for (const PeerAddress &peer : sync.sameZone_) {
+        const auto silent = sync.silent_.find(peer.host_);
+        if (silent == sync.silent_.end() || silent->second > now)
+            continue;
+        silent->second = now + settings.probeInterval_;
+        due.push_back(peer);
+    }
+    return due;
+}
+
+/// Returns the peers among which the next request chooses.
+std::vector<PeerAddress> candidatePeers(const DocumentSync &sync,
+                                        const DocumentSyncSettings &settings, bool fresh)
+{
+    const bool otherZones = sync.requestCount_ % settings.otherZoneEvery_ == 0;
+    std::vector<PeerAddress> candidates;
+    if (!otherZones || sync.otherZones_.empty()) {
+        // Without contact, one more than the observers is queried, which then follows the store.
+        const std::size_t count = settings.observersPerZone_ + (fresh ? 0 : 1);
+        candidates = responsivePeers(sync, sync.sameZone_, count);
+        std::erase_if(candidates,
+                      [&sync](const PeerAddress &peer) { return peer.host_ == sync.self_; });
+    }
+    if (candidates.empty())
+        candidates = responsivePeers(sync, sync.otherZones_, settings.observersPerZone_);
+    return candidates;
+}
+
+} // namespace
+
+void updateSyncPeers(DocumentSync &sync, const PeerAddress &self,
+                     const std::vector<PeerAddress> &peers)
+{
+    sync.self_ = self.host_;
+    sync.sameZone_ = {self};
+    sync.otherZones_.clear();
+    for (const PeerAddress &peer : peers)
+        (peer.zone_ == self.zone_ ? sync.sameZone_ : sync.otherZones_).push_back(peer);
+    sortByRank(sync.sameZone_, rankPurpose);
+    sortByRank(sync.otherZones_, rankPurpose);
+    removeUnknown(sync.silent_, peers);
+    removeUnknown(sync.unanswered_, peers);
+}
+
 void setFeedAvailability(DocumentSync &sync, const std::string &feed, bool available, MonoTime now)
 {
     if (available) {
@@ -16,32 +134,72 @@
     sync.unavailableFeeds_.insert(feed);
 }
 
+void recordDocumentsRequest(DocumentSync &sync, MonoTime now)
+{
+    sync.requestedAt_ = now;
+}
+
+void recordDocumentsReply(DocumentSync &sync, const DocumentSyncSettings &settings,
+                          const HostId &from, std::optional<Millis> contactAge, MonoTime now)
+{
+    sync.unanswered_.erase(from);
+    sync.silent_.erase(from);
+    sync.repliedAt_ = now;
+    if (contactAge && *contactAge <= settings.maxContactAge_)
+        sync.freshAt_ = now;
+}
+
+bool followsStore(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    if (isAlone(sync) || isObserver(sync, settings) || wasRequested(sync, settings, now))
+        return true;
+    if (isFresh(sync, settings, now))
+        return false;
+    const bool peersReply = sync.repliedAt_ && now - *sync.repliedAt_ <= settings.freshLifetime_;
+    if (!peersReply || !sync.freshAt_)
+        return true;
+    return now >= *sync.freshAt_ + settings.freshLifetime_ + followDelay(sync, settings);
+}
+
+bool hasStoreContact(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    return isFresh(sync, settings, now)
+        || (sync.unavailableFeeds_.empty() && followsStore(sync, settings, now));
+}
+
 std::vector<PeerAddress> nextSyncPeers(DocumentSync &sync, const DocumentSyncSettings &settings,
-                                       const ZoneId &ownZone, MonoTime now)
+                                       MonoTime now)
 {
-    std::vector<PeerAddress> selected;
-    if (sync.unavailableFeeds_.empty() || sync.peers_.empty() || now < sync.nextRequestAt_)
+    excludeSilentPeers(sync, settings, now);
+    std::vector<PeerAddress> selected = dueProbes(sync, settings, now);
+    if (now < sync.nextRequestAt_ || !needsPeers(sync, settings))
         return selected;
     sync.nextRequestAt_ = now + settings.requestInterval_;
     ++sync.requestCount_;
-    const bool otherZones = sync.requestCount_ % settings.otherZoneEvery_ == 0;
-    std::vector<PeerAddress> candidates;
-    std::copy_if(sync.peers_.begin(), sync.peers_.end(), std::back_inserter(candidates),
-                 [&](const PeerAddress &peer) { return (peer.zone_ == ownZone) != otherZones; });
-    if (candidates.empty())
-        candidates = sync.peers_;
-    const std::size_t count = std::min(settings.fanout_, candidates.size());
-    for (std::size_t i = 0; i < count; ++i)
-        selected.push_back(
-            candidates[(sync.requestCount_ * settings.fanout_ + i) % candidates.size()]);
+    const bool fresh = sync.unavailableFeeds_.empty() && isFresh(sync, settings, now);
+    const std::vector<PeerAddress> candidates = candidatePeers(sync, settings, fresh);
+    const std::size_t count = std::min(fresh ? 1 : settings.fanout_, candidates.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const PeerAddress &peer = candidates[(sync.requestCount_ * count + i) % candidates.size()];
+        // The host id of a seed is unknown, so its reply can't be matched.
+        if (!peer.zone_.isEmpty())
+            sync.unanswered_.emplace(peer.host_, now);
+        selected.push_back(peer);
+    }
     return selected;
 }
 
-std::optional<MonoTime> nextSyncTime(const DocumentSync &sync)
+std::optional<MonoTime> nextSyncTime(const DocumentSync &sync, const DocumentSyncSettings &settings)
 {
-    if (sync.unavailableFeeds_.empty() || sync.peers_.empty())
-        return std::nullopt;
-    return sync.nextRequestAt_;
+    std::optional<MonoTime> next;
+    if (needsPeers(sync, settings))
+        next = sync.nextRequestAt_;
+    for (const PeerAddress &peer : sync.sameZone_) {
+        const auto silent = sync.silent_.find(peer.host_);
+        if (silent != sync.silent_.end() && (!next || silent->second < *next))
+            next = silent->second;
+    }
+    return next;
 }
 
 } // namespace tamarack
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -1,10 +1,18 @@
-// Selects the peers that are queried for documents while the store is unavailable.
+// Decides from where a daemon learns the documents of the store. In each availability zone a few
+// observers follow the store; the other daemons poll them. The number of store calls then grows
+// with the number of zones and not with the number of daemons.
+//
+// No agreement is needed: a daemon that is asked for documents follows the store for a while, and a
+// daemon that no observer answers follows it itself. Revisions order all versions of a document, so
+// it does not matter which source delivers one.
 #pragma once
 
 #include "core/ids.h"
+#include "core/relay/peerranking.h"
 #include "core/time.h"
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -12,46 +20,94 @@
 
 namespace tamarack {
 
+/// Timeout of the watches of the store's documents. Each watch is a charged call; keep-alive probes
+/// detect a dead connection earlier.
+inline constexpr Millis documentWatchTimeout {4000};
+
 struct DocumentSyncSettings
 {
-    /// Minimum time between two requests to peers. A new configuration must take effect within
-    /// seconds.
+    /// Observers per availability zone. With two, the failure of one delays a change by one request
+    /// interval only.
+    std::size_t observersPerZone_ = 2;
+    /// Time between two requests to peers. A new configuration must take effect within seconds.
     Millis requestInterval_ {300};
-    /// Number of peers queried at once. More than one, because the store may be unavailable to some
-    /// of the peers too.
+    /// Number of peers queried at once while no observer of the zone has contact to the store.
     std::size_t fanout_ = 2;
-    /// Every n-th request goes to peers in other availability zones. Traffic between zones is
-    /// charged, but the store may be unavailable to the whole zone.
-    std::size_t otherZoneEvery_ = 3;
-};
-
-/// @brief Address of another daemon's peer listener.
-struct PeerAddress
-{
-    HostId host_;
-    ZoneId zone_;
-    /// "IP:port".
-    std::string address_;
+    /// Every n-th request goes to other availability zones. Traffic between zones is charged, but
+    /// the observers of a zone may lose the store at the same time and not notice for seconds.
+    std::size_t otherZoneEvery_ = 4;
+    /// A peer that has not replied for this long is excluded until it replies to a probe. Without
+    /// probes, all daemons of a zone would return to a dead observer at the same time.
+    Millis replyTimeout_ {700};
+    Millis probeInterval_ {3000};
+    /// A peer whose last contact to the store is older than this counts as having none.
+    Millis maxContactAge_ {documentWatchTimeout + Seconds {1}};
+    /// A daemon without a reply from a peer that has contact to the store follows the store itself
+    /// after this time.
+    Millis freshLifetime_ {1000};
+    /// A daemon that was asked for documents follows the store for this long.
+    Millis observeOnRequest_ {3000};
+    /// While peers reply but have no contact to the store, the daemons that are not observers start
+    /// to follow it at different times up to this one, by hash, so that they don't call it at once.
+    Millis maxFollowDelay_ {2000};
 };
 
+/// Invariant: sameZone_ and otherZones_ are sorted by rank; sameZone_ contains this daemon if
+/// any other daemon is known.
 struct DocumentSync
 {
+    HostId self_;
+    std::vector<PeerAddress> sameZone_;
+    std::vector<PeerAddress> otherZones_;
     /// Names of the feeds that the store does not deliver at present.
     std::set<std::string> unavailableFeeds_;
-    std::vector<PeerAddress> peers_;
+    /// Peers that did not reply in time, and when each is probed next.
+    std::map<HostId, MonoTime> silent_;
+    /// When the first request without a reply was sent, by peer.
+    std::map<HostId, MonoTime> unanswered_;
+    /// Last reply from a peer with contact to the store.
+    std::optional<MonoTime> freshAt_;
+    /// Last reply from any peer.
+    std::optional<MonoTime> repliedAt_;
+    /// Last request from another daemon.
+    std::optional<MonoTime> requestedAt_;
     MonoTime nextRequestAt_ {};
     std::size_t requestCount_ = 0;
 };
 
+/// @brief Updates the known daemons after a membership change.
+/// @param self this daemon
+/// @param peers all other live daemons
+/// @note O(peers x log peers)
+void updateSyncPeers(DocumentSync &sync, const PeerAddress &self,
+                     const std::vector<PeerAddress> &peers);
+
 /// @brief Records whether the store delivers a feed.
 void setFeedAvailability(DocumentSync &sync, const std::string &feed, bool available, MonoTime now);
 
-/// @brief Returns the peers to query now; none if all feeds are available or the request interval
-/// has not elapsed.
+/// @brief Records that another daemon asked for documents.
+void recordDocumentsRequest(DocumentSync &sync, MonoTime now);
+
+/// @brief Records the reply of a peer.
+/// @param contactAge time since the peer's last contact to the store; std::nullopt if it has
+/// none
+void recordDocumentsReply(DocumentSync &sync, const DocumentSyncSettings &settings,
+                          const HostId &from, std::optional<Millis> contactAge, MonoTime now);
+
+/// @brief Returns true if this daemon follows the store itself.
+bool followsStore(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now);
+
+/// @brief Returns false if neither this daemon nor a peer that it queries has contact to the
+/// store.
+bool hasStoreContact(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now);
+
+/// @brief Returns the peers to query now; none if this daemon needs none or the request
+/// interval has not elapsed.
 std::vector<PeerAddress> nextSyncPeers(DocumentSync &sync, const DocumentSyncSettings &settings,
-                                       const ZoneId &ownZone, MonoTime now);
+                                       MonoTime now);
 
-/// @brief Returns when nextSyncPeers() returns peers next.
-std::optional<MonoTime> nextSyncTime(const DocumentSync &sync);
+/// @brief Returns when nextSyncPeers() may return peers next.
+std::optional<MonoTime> nextSyncTime(const DocumentSync &sync,
+                                     const DocumentSyncSettings &settings);
 
 } // namespace tamarack
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -133,6 +133,18 @@
     LoanReply lent_;
 };
 
+/// @brief Another daemon requested documents from this one.
+struct DocumentsRequestReceived
+{ };
+
+/// @brief A peer replied to a request for documents. The documents are separate events.
+struct DocumentsReplyReceived
+{
+    HostId from_;
+    /// Time since the peer's last contact to the store; std::nullopt if it has none.
+    std::optional<Millis> contactAge_;
+};
+
 /// @brief A feed of documents became available or unavailable.
 struct FeedAvailabilityChanged
 {
@@ -151,6 +163,7 @@
 using RelayEvent = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, ClientDisconnected,
                                 ConfigReceived, InstancesListed, InstanceChanged, InstanceRemoved,
                                 FleetView, LoanRequestReceived, LoanReplyReceived,
+                                DocumentsRequestReceived, DocumentsReplyReceived,
                                 FeedAvailabilityChanged, StoreReplied, RelayStopRequested>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
@@ -205,6 +218,18 @@
     std::vector<PeerAddress> peers_;
 };
 
+/// @brief Starts or stops following the documents of the store.
+struct SetFollowsStore
+{
+    bool follows_ = true;
+};
+
+/// @brief The store became available or unavailable to this daemon and the peers that it queries.
+struct SetStoreContact
+{
+    bool contact_ = true;
+};
+
 struct SetReady
 {
     bool ready_ = false;
@@ -222,9 +247,9 @@
 struct RelayStopCompleted
 { };
 
-using RelayCommand
-    = std::variant<SendAttempt, RespondToClient, ForwardFailure, AbortResponse, ApplyLimits,
-                   RequestPeerDocuments, SetReady, DisableKeepAlive, CloseIdleConnections, SendPeer,
-                   SubmitStoreCall, WriteLog, RelayStopCompleted>;
+using RelayCommand = std::variant<SendAttempt, RespondToClient, ForwardFailure, AbortResponse,
+                                  ApplyLimits, RequestPeerDocuments, SetFollowsStore,
+                                  SetStoreContact, SetReady, DisableKeepAlive, CloseIdleConnections,
+                                  SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
 
 } // namespace tamarack
--- a/src/core/relay/fleet.cpp
+++ b/src/core/relay/fleet.cpp
@@ -23,8 +23,8 @@
         if (registration.zone_ == zone)
             ++counted.zoneDaemons_;
         if (host != self && !registration.peerAddress_.empty())
-            counted.peers_.push_back(
-                PeerAddress {host, registration.zone_, registration.peerAddress_});
+            counted.peers_.push_back(PeerAddress {
+                host, registration.zone_, registration.peerAddress_, registration.capacity_});
     }
     counted.daemons_ = std::max(counted.daemons_, 1U);
     counted.zoneDaemons_ = std::max(counted.zoneDaemons_, 1U);
--- a/src/core/relay/fleet.h
+++ b/src/core/relay/fleet.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/event.h"
-#include "core/relay/documentsync.h"
+#include "core/relay/peerranking.h"
 
 #include <cstdint>
 #include <vector>
--- a/src/core/relay/lenders.cpp
+++ b/src/core/relay/lenders.cpp
@@ -12,50 +12,32 @@
 namespace {
 
 /// Rendezvous hashing key that ranks the daemons as lenders.
-constexpr std::string_view rankKey = "lender";
+constexpr const char *rankPurpose = "lender";
 
-void sortByRank(std::vector<PeerAddress> &daemons)
+bool hasTokens(const Lenders &lenders, const LenderQuery &query, const HostId &host, MonoTime now)
 {
-    std::sort(daemons.begin(), daemons.end(), [](const PeerAddress &a, const PeerAddress &b) {
-        const std::uint64_t weightA = rendezvousWeight(rankKey, a.host_.value_);
-        const std::uint64_t weightB = rendezvousWeight(rankKey, b.host_.value_);
-        return weightA != weightB ? weightA > weightB : a.host_ < b.host_;
-    });
+    if (host == lenders.self_)
+        return !query.ledgerFailing_;
+    return !isExcluded(query.withoutTokens_, host, now);
 }
 
-bool isExcluded(const ExcludedLenders &excluded, const HostId &host, MonoTime now)
-{
-    const auto entry = excluded.find(host);
-    return entry != excluded.end() && entry->second > now;
-}
-
-struct IsEligible
-{
-    const Lenders &lenders_;
-    const LenderQuery &query_;
-    MonoTime now_;
-
-    bool operator()(const PeerAddress &daemon) const
-    {
-        if (daemon.host_ == lenders_.self_)
-            return !query_.ledgerFailing_;
-        return !isExcluded(lenders_.unresponsive_, daemon.host_, now_)
-            && !isExcluded(query_.withoutTokens_, daemon.host_, now_);
-    }
-};
-
-/// Returns the daemon with the highest weight for a shard among the first @a count eligible ones.
+/// Returns the daemon with the highest weight for a shard among the lenders that have tokens. The
+/// lenders are the first @a count responsive daemons; one without tokens is not replaced by the
+/// next daemon, because that one has none either.
 const PeerAddress *highestRanked(const std::vector<PeerAddress> &daemons, std::size_t count,
-                                 const std::string &shardKey, const IsEligible &isEligible)
+                                 const std::string &shardKey, const Lenders &lenders,
+                                 const LenderQuery &query, MonoTime now)
 {
     const PeerAddress *best = nullptr;
     std::uint64_t bestWeight = 0;
     for (const PeerAddress &daemon : daemons) {
         if (count == 0)
             break;
-        if (!isEligible(daemon))
+        if (isExcluded(lenders.unresponsive_, daemon.host_, now))
             continue;
         --count;
+        if (!hasTokens(lenders, query, daemon.host_, now))
+            continue;
         const std::uint64_t weight = rendezvousWeight(shardKey, daemon.host_.value_);
         if (!best || weight > bestWeight) {
             best = &daemon;
@@ -67,39 +49,37 @@
 
 } // namespace
 
-void updateLenders(Lenders &lenders, const HostId &self, const ZoneId &zone,
-                   const std::vector<PeerAddress> &peers)
+void updateLenders(Lenders &lenders, const PeerAddress &self, const std::vector<PeerAddress> &peers)
 {
-    lenders.self_ = self;
-    lenders.sameZone_ = {PeerAddress {self, zone, {}}};
+    lenders.self_ = self.host_;
+    lenders.sameZone_ = {self};
     lenders.otherZones_.clear();
-    std::set<ZoneId> zones {zone};
+    std::set<ZoneId> zones {self.zone_};
     for (const PeerAddress &peer : peers) {
         zones.insert(peer.zone_);
-        (peer.zone_ == zone ? lenders.sameZone_ : lenders.otherZones_).push_back(peer);
+        (peer.zone_ == self.zone_ ? lenders.sameZone_ : lenders.otherZones_).push_back(peer);
     }
     lenders.zones_ = static_cast<std::uint32_t>(zones.size());
-    sortByRank(lenders.sameZone_);
-    sortByRank(lenders.otherZones_);
-    std::erase_if(lenders.unresponsive_, [&peers](const auto &excluded) {
-        return std::none_of(peers.begin(), peers.end(), [&excluded](const PeerAddress &peer) {
-            return peer.host_ == excluded.first;
-        });
-    });
+    sortByRank(lenders.sameZone_, rankPurpose);
+    sortByRank(lenders.otherZones_, rankPurpose);
+    removeUnknown(lenders.unresponsive_, peers);
 }
 
-std::optional<PeerAddress> chooseLender(const Lenders &lenders, const LenderSettings &settings,
-                                        const LenderQuery &query, MonoTime now)
+LenderChoice chooseLender(const Lenders &lenders, const LenderSettings &settings,
+                          const LenderQuery &query, MonoTime now)
 {
+    if (lenders.sameZone_.empty())
+        return LenderChoice {};
     const std::string shardKey = std::to_string(query.shard_.value_);
-    const IsEligible isEligible {lenders, query, now};
     const PeerAddress *best
-        = highestRanked(lenders.sameZone_, settings.perZone_, shardKey, isEligible);
+        = highestRanked(lenders.sameZone_, settings.perZone_, shardKey, lenders, query, now);
+    if (!best)
+        best = highestRanked(lenders.otherZones_, settings.perZone_, shardKey, lenders, query, now);
     if (!best)
-        best = highestRanked(lenders.otherZones_, settings.perZone_, shardKey, isEligible);
-    if (!best || best->host_ == lenders.self_)
-        return std::nullopt;
-    return *best;
+        return LenderChoice {TokenSource::None, {}};
+    if (best->host_ == lenders.self_)
+        return LenderChoice {};
+    return LenderChoice {TokenSource::Lender, *best};
 }
 
 } // namespace tamarack
--- a/src/core/relay/lenders.h
+++ b/src/core/relay/lenders.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "core/ids.h"
-#include "core/relay/documentsync.h"
+#include "core/relay/peerranking.h"
 #include "core/time.h"
 
 #include <cstddef>
@@ -25,9 +25,6 @@
     Millis noTokensExclusion_ {1000};
 };
 
-/// @brief Excluded lenders and when each exclusion ends.
-using ExcludedLenders = std::map<HostId, MonoTime>;
-
 /// @brief Candidate lenders, as seen by one daemon.
 struct Lenders
 {
@@ -40,13 +37,14 @@
     /// Daemons of other zones, by descending rank.
     std::vector<PeerAddress> otherZones_;
     /// Lenders that did not reply in time.
-    ExcludedLenders unresponsive_;
+    ExcludedPeers unresponsive_;
 };
 
 /// @brief Updates the candidates after a membership change.
+/// @param self this daemon
 /// @param peers all other live daemons
 /// @note O(peers x log peers)
-void updateLenders(Lenders &lenders, const HostId &self, const ZoneId &zone,
+void updateLenders(Lenders &lenders, const PeerAddress &self,
                    const std::vector<PeerAddress> &peers);
 
 /// @brief Criteria for choosing a lender.
@@ -56,13 +54,31 @@
     /// The ledger calls of this daemon fail, so it can't draw for itself.
     bool ledgerFailing_ = false;
     /// Lenders that have no tokens of the account and can't draw any.
-    ExcludedLenders withoutTokens_;
+    ExcludedPeers withoutTokens_;
+};
+
+/// @brief From where a daemon gets tokens of an account.
+enum class TokenSource {
+    /// This daemon is the lender and draws from the ledger.
+    Ledger,
+    /// Another daemon lends them.
+    Lender,
+    /// All lenders have recently had none and can't reach the ledger. This daemon doesn't call the
+    /// ledger itself: if it did, all daemons of a fleet would call a store that doesn't reply.
+    None,
+};
+
+struct LenderChoice
+{
+    TokenSource source_ = TokenSource::Ledger;
+    /// Set if source_ is Lender.
+    PeerAddress lender_;
 };
 
 /// @brief Returns the daemon that draws from a ledger shard on behalf of this daemon. Accounts of
-/// the same shard have the same lender, so that few daemons write to the same key.
-/// @return std::nullopt if this daemon should draw from the ledger itself
-std::optional<PeerAddress> chooseLender(const Lenders &lenders, const LenderSettings &settings,
-                                        const LenderQuery &query, MonoTime now);
+/// the same shard have the same lender, so that few daemons write to the same key. If the lenders
+/// of the zone have no tokens, those of other zones are chosen.
+LenderChoice chooseLender(const Lenders &lenders, const LenderSettings &settings,
+                          const LenderQuery &query, MonoTime now);
 
 } // namespace tamarack
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -208,8 +208,9 @@
     if (static_cast<double>(held.count_)
         >= static_cast<double>(horizon.count_) * settings.refillShare_)
         return;
-    if (const auto lender = lenderForAccount(state, settings, account, now))
-        requestLoan(state, settings, account, balance, *lender, Tokens {}, now);
+    const LenderChoice choice = lenderForAccount(state, settings, account, now);
+    if (choice.source_ == TokenSource::Lender)
+        requestLoan(state, settings, account, balance, choice.lender_, Tokens {}, now);
 }
 
 void returnIdleLoansAndReport(PrepaidState &state, const AccountId &account,
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -52,6 +52,31 @@
                        [](const LedgerOp &op) { return std::holds_alternative<DrawOp>(op); });
 }
 
+/// Drops the draws of a shard after a failed call. Those that are still needed are submitted again;
+/// by then another daemon may be the lender. A draw that took effect all the same is found by the
+/// next read.
+void dropDraws(PrepaidState &state, const PrepaidSettings &settings, ShardNumber number)
+{
+    std::erase_if(state.shards_.at(number).pending_,
+                  [](const LedgerOp &op) { return std::holds_alternative<DrawOp>(op); });
+    for (auto &[account, balance] : state.balances_) {
+        if (ledgerShardOf(BudgetId {account.value_}, settings.shards_) == number)
+            balance.grant_.drawPending_ = false;
+    }
+}
+
+Millis maxStoreBackoff(const PrepaidState &state, const PrepaidSettings &settings)
+{
+    return std::clamp(settings.backoffPerDaemon_ * state.daemons_, settings.maxBackoff_,
+                      maxCommitBackoff);
+}
+
+/// While calls fail, only one is made at a time.
+bool mayCallStore(const PrepaidState &state, MonoTime now)
+{
+    return state.failures_ == 0 || (state.calls_.empty() && now >= state.backoffUntil_);
+}
+
 /// Reserves tokens from a loan or from this daemon's own grant.
 std::optional<Reservation> reserveHeld(const PrepaidState &state, PrepaidBalance &balance,
                                        Tokens amount, MonoTime now)
@@ -123,7 +148,9 @@
         balance.fundingCommitted_ = false;
         if (lowered)
             submitReturn(state, settings, id, balance, reservableTokens(balance.grant_), now);
-        else if (balance.grant_.authorized_ > Tokens {})
+        else if (balance.grant_.authorized_ > Tokens {}
+                 && lenderForAccount(state, settings, id, now).source_ == TokenSource::Ledger)
+            // One write of each zone. The other daemons borrow, so they don't need the new total.
             submitFunding(state, settings, id, balance, now + settings.drawDelay_);
     }
 }
@@ -140,13 +167,14 @@
             reconcileBalance(state, settings, account, balance, now);
         return reservation;
     }
-    const std::optional<PeerAddress> lender = lenderForAccount(state, settings, account, now);
-    if (lender && recentLenderRefusal(state, settings, account, amount, now))
-        return std::nullopt;
-    if (lender)
-        requestLoan(state, settings, account, balance, *lender, amount, now);
-    else if (!isShortageKnown(state, settings, account, amount, now))
+    const LenderChoice choice = lenderForAccount(state, settings, account, now);
+    if (choice.source_ == TokenSource::Lender) {
+        if (!recentLenderRefusal(state, settings, account, amount, now))
+            requestLoan(state, settings, account, balance, choice.lender_, amount, now);
+    } else if (choice.source_ == TokenSource::Ledger
+               && !isShortageKnown(state, settings, account, amount, now)) {
         submitDraw(state, settings, account, balance, amount, now, now);
+    }
     return std::nullopt;
 }
 
@@ -192,10 +220,11 @@
                                                MonoTime now)
 {
     std::vector<SubmitStoreCall> calls;
-    const Millis maxBackoff = std::clamp(settings.backoffPerDaemon_ * state.daemons_,
-                                         settings.maxBackoff_, maxCommitBackoff);
     for (auto &[number, shard] : state.shards_) {
-        shard.maxBackoff_ = maxBackoff;
+        if (!mayCallStore(state, now))
+            break;
+        // The backoff of all shards applies instead.
+        shard.maxBackoff_ = Millis {};
         const std::optional<MonoTime> due = nextCallTime(shard);
         if (due && *due <= now && hasDraw(shard))
             submitJoiningDraws(state, settings, number, now);
@@ -221,8 +250,15 @@
     state.calls_.erase(call);
     PrepaidShard &shard = state.shards_.at(number);
     const std::vector<LedgerOp> committed = finishCall(shard, reply, now);
-    if (!shard.loaded_)
+    if (!shard.loaded_) {
+        dropDraws(state, settings, number);
+        const Millis backoff = settings.minBackoff_ * (1U << std::min(state.failures_, 10U));
+        state.backoffUntil_ = now + std::min(backoff, maxStoreBackoff(state, settings));
+        ++state.failures_;
         return changed;
+    }
+    state.failures_ = 0;
+    state.backoffUntil_ = now;
     state.ledgerReadAt_[number] = now;
     for (const LedgerOp &op : committed) {
         const auto balance = state.balances_.find(AccountId {budgetOf(op).value_});
@@ -267,7 +303,14 @@
 {
     const auto shard
         = state.shards_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
-    return shard != state.shards_.end() && shard->second.failures_ > 0;
+    return state.failures_ > 0 || (shard != state.shards_.end() && shard->second.failures_ > 0);
+}
+
+void setStoreContact(PrepaidState &state, bool contact, MonoTime now)
+{
+    state.storeContact_ = contact;
+    if (contact)
+        state.backoffUntil_ = now;
 }
 
 bool isPrepaidIdle(const PrepaidState &state)
@@ -283,8 +326,12 @@
         if (time && (!next || *time < *next))
             next = time;
     };
-    for (const auto &[number, shard] : state.shards_)
-        takeEarlier(nextCallTime(shard));
+    const bool waitsForReply = state.failures_ > 0 && !state.calls_.empty();
+    for (const auto &[number, shard] : state.shards_) {
+        const std::optional<MonoTime> call = nextCallTime(shard);
+        if (call && !waitsForReply)
+            takeEarlier(state.failures_ > 0 ? std::max(*call, state.backoffUntil_) : *call);
+    }
     for (const auto &[account, balance] : state.balances_) {
         if (balance.firstUsedAt_ && !state.stopping_)
             takeEarlier(balance.nextReconcileAt_);
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -59,9 +59,12 @@
     /// Grants whose target size covers less than this time at the consumption rate are refilled on
     /// demand only, because each draw in advance would last for one or two requests.
     Millis minHorizon_ {500};
-    /// Maximum backoff after failed store calls, and the backoff per daemon that exceeds it in a
-    /// large fleet. Store calls are charged, including those that an overloaded store refuses.
-    Millis maxBackoff_ {400};
+    /// Backoff after failed store calls, which doubles up to maxBackoff_ or, in a large fleet, to
+    /// backoffPerDaemon_ for each daemon. It applies to all shards: while calls fail, one is made
+    /// at a time. Store calls are charged, including those that the store refuses or doesn't
+    /// answer.
+    Millis minBackoff_ {50};
+    Millis maxBackoff_ {200};
     Millis backoffPerDaemon_ {20};
     LenderSettings lenders_;
     /// A borrower requests this much in advance, as time at its consumption rate. Less than
@@ -156,7 +159,7 @@
     MonoTime loanRequestedAt_ {};
     std::optional<LenderRefusal> refusal_;
     /// Lenders that recently had no tokens of this account to lend.
-    ExcludedLenders lendersWithoutTokens_;
+    ExcludedPeers lendersWithoutTokens_;
     /// When the last draw was submitted.
     MonoTime lastDrawAt_ {};
     /// Keyed by the borrower's process.
@@ -178,6 +181,12 @@
     std::map<ShardNumber, MonoTime> ledgerReadAt_;
     std::map<CallId, ShardNumber> calls_;
     std::uint64_t lastCall_ = 0;
+    /// Failed store calls since the last one that was answered.
+    std::uint32_t failures_ = 0;
+    /// No call starts before this time.
+    MonoTime backoffUntil_ {};
+    /// Neither this daemon nor its peers have found the store unavailable.
+    bool storeContact_ = true;
     /// Daemons that share the budgets, including this one.
     std::uint32_t daemons_ = 1;
     Lenders lenders_;
@@ -263,10 +272,14 @@
 /// are charged.
 void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
 
-/// @brief Returns true if the last store call for the account's ledger shard failed.
+/// @brief Returns true if the store is unavailable, or if the last call for the account's ledger
+/// shard failed.
 bool isLedgerFailing(const PrepaidState &state, const PrepaidSettings &settings,
                      const AccountId &account);
 
+/// @brief Records whether the store is available. Draws start at once when it returns.
+void setStoreContact(PrepaidState &state, bool contact, MonoTime now);
+
 /// @brief Returns true if all submitted operations are committed.
 bool isPrepaidIdle(const PrepaidState &state);
 
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -132,12 +132,11 @@
     balance.initialConsumptionRate_ = expectedRate;
 }
 
-std::optional<PeerAddress> lenderForAccount(const PrepaidState &state,
-                                            const PrepaidSettings &settings,
-                                            const AccountId &account, MonoTime now)
+LenderChoice lenderForAccount(const PrepaidState &state, const PrepaidSettings &settings,
+                              const AccountId &account, MonoTime now)
 {
     if (state.peerAddress_.empty())
-        return std::nullopt;
+        return LenderChoice {};
     LenderQuery query;
     query.shard_ = ledgerShardOf(BudgetId {account.value_}, settings.shards_);
     query.ledgerFailing_ = isLedgerFailing(state, settings, account);
@@ -150,10 +149,15 @@
 void submitFunding(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                    const PrepaidBalance &balance, MonoTime due)
 {
-    submitOp(shardFor(state, settings, account),
-             LedgerOp {FundOp {BudgetId {account.value_}, balance.funded_,
-                               BundleVersion {balance.fundingVersion_.value_}}},
-             due);
+    PrepaidShard &shard = shardFor(state, settings, account);
+    const FundOp funding {BudgetId {account.value_}, balance.funded_,
+                          BundleVersion {balance.fundingVersion_.value_}};
+    // Draws are submitted again after failed calls; the funding must not accumulate.
+    std::erase_if(shard.pending_, [&funding](const LedgerOp &op) {
+        const auto *pending = std::get_if<FundOp>(&op);
+        return pending && pending->budget_ == funding.budget_;
+    });
+    submitOp(shard, LedgerOp {funding}, due);
 }
 
 bool isShortageKnown(const PrepaidState &state, const PrepaidSettings &settings,
@@ -177,7 +181,8 @@
     op.budget_ = BudgetId {account.value_};
     op.grant_ = grant.id_;
     op.holder_ = state.holder_;
-    const bool forZone = !lenderForAccount(state, settings, account, now);
+    const bool forZone
+        = lenderForAccount(state, settings, account, now).source_ == TokenSource::Ledger;
     op.authorizedTotal_
         = drawTarget(estimate, needed, unallocatedOf(state, settings, account, balance),
                      grantPolicy(state, settings, account, forZone));
@@ -239,7 +244,7 @@
     const BudgetRecord *record = findBudgetRecord(state, settings, account);
     if (record && isScarce(settings, *record))
         return;
-    if (lenderForAccount(state, settings, account, now)) {
+    if (lenderForAccount(state, settings, account, now).source_ != TokenSource::Ledger) {
         // The grant dates from a time when this daemon was a lender for the zone. During a ledger
         // failure it is kept, because borrowers depend on it.
         const bool idle = now - balance.lastDrawAt_ > settings.loanIdleTimeout_;
--- a/src/core/relay/prepaidinternal.h
+++ b/src/core/relay/prepaidinternal.h
@@ -60,10 +60,8 @@
 void reconcileBalance(PrepaidState &state, const PrepaidSettings &settings,
                       const AccountId &account, PrepaidBalance &balance, MonoTime now);
 
-/// @brief Returns the lender for an account, or std::nullopt if this daemon draws directly
-/// from the ledger.
-std::optional<PeerAddress> lenderForAccount(const PrepaidState &state,
-                                            const PrepaidSettings &settings,
-                                            const AccountId &account, MonoTime now);
+/// @brief Returns from where this daemon gets tokens of an account.
+LenderChoice lenderForAccount(const PrepaidState &state, const PrepaidSettings &settings,
+                              const AccountId &account, MonoTime now);
 
 } // namespace tamarack::prepaiddetail
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -200,17 +200,29 @@
 
 void onEvent(RelayState &state, const FleetView &event, MonoTime, RelayCommands &out)
 {
+    const bool changed = event.daemons_ != state.fleet_.daemons_
+        || event.zoneDaemons_ != state.fleet_.zoneDaemons_;
+    const PeerAddress self {
+        state.settings_.host_, state.settings_.zone_, {}, state.settings_.capacity_};
     if (!event.peers_.empty())
-        state.sync_.peers_ = event.peers_;
-    updateLenders(state.prepaid_.lenders_, state.settings_.host_, state.settings_.zone_,
-                  event.peers_);
-    if (event.daemons_ == state.fleet_.daemons_ && event.zoneDaemons_ == state.fleet_.zoneDaemons_)
-        return;
+        updateSyncPeers(state.sync_, self, event.peers_);
+    updateLenders(state.prepaid_.lenders_, self, event.peers_);
     state.fleet_ = event;
     state.prepaid_.daemons_ = event.daemons_;
-    logLine(out, LogLevel::Info, "fleet.counted",
-            {{"daemons", std::to_string(event.daemons_)},
-             {"zone_daemons", std::to_string(event.zoneDaemons_)}});
+    if (changed)
+        logLine(out, LogLevel::Info, "fleet.counted",
+                {{"daemons", std::to_string(event.daemons_)},
+                 {"zone_daemons", std::to_string(event.zoneDaemons_)}});
+}
+
+void onEvent(RelayState &state, const DocumentsRequestReceived &, MonoTime now, RelayCommands &)
+{
+    recordDocumentsRequest(state.sync_, now);
+}
+
+void onEvent(RelayState &state, const DocumentsReplyReceived &event, MonoTime now, RelayCommands &)
+{
+    recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_, now);
 }
 
 void onEvent(RelayState &state, const LoanRequestReceived &event, MonoTime now, RelayCommands &)
@@ -229,6 +241,9 @@
 void onEvent(RelayState &state, const FeedAvailabilityChanged &event, MonoTime now,
              RelayCommands &out)
 {
+    // A watch that ends after following was stopped says nothing about the source in use.
+    if (!state.followsStore_)
+        return;
     setFeedAvailability(state.sync_, event.name_, event.available_, now);
     logLine(out, event.available_ ? LogLevel::Info : LogLevel::Warning,
             event.available_ ? "dependency.regained" : "dependency.lost",
@@ -300,6 +315,31 @@
     }
 }
 
+/// Tells the threads that call the store whether to do so.
+void updateStoreUse(RelayState &state, MonoTime now, RelayCommands &out)
+{
+    const bool follows = followsStore(state.sync_, state.settings_.sync_, now);
+    if (follows != state.followsStore_) {
+        state.followsStore_ = follows;
+        if (!follows)
+            state.sync_.unavailableFeeds_.clear();
+        logLine(out, LogLevel::Info, "documents.source",
+                {{"follows_store", follows ? "yes" : "no"},
+                 {"zone_daemons", std::to_string(state.sync_.sameZone_.size())},
+                 {"silent_peers", std::to_string(state.sync_.silent_.size())}});
+        out.emplace_back(SetFollowsStore {follows});
+    }
+    const bool contact = hasStoreContact(state.sync_, state.settings_.sync_, now);
+    if (contact != state.storeContact_) {
+        state.storeContact_ = contact;
+        setStoreContact(state.prepaid_, contact, now);
+        logLine(out, contact ? LogLevel::Info : LogLevel::Warning,
+                contact ? "store.contact_regained" : "store.contact_lost",
+                {{"follows_store", follows ? "yes" : "no"}});
+        out.emplace_back(SetStoreContact {contact});
+    }
+}
+
 void takeEarlier(std::optional<MonoTime> &next, std::optional<MonoTime> time)
 {
     if (time && (!next || *time < *next))
@@ -338,10 +378,10 @@
     }
     if (state.directory_.tombstones_.size() > maxTombstones)
         state.directory_.tombstones_.clear();
-    std::vector<PeerAddress> peers
-        = nextSyncPeers(state.sync_, state.settings_.sync_, state.settings_.zone_, now);
+    std::vector<PeerAddress> peers = nextSyncPeers(state.sync_, state.settings_.sync_, now);
     if (!peers.empty())
         out.emplace_back(RequestPeerDocuments {std::move(peers)});
+    updateStoreUse(state, now, out);
     if (!state.stopRequestedAt_)
         reconcileBalances(state.prepaid_, state.settings_.prepaid_, now);
     for (const AccountId &account :
@@ -362,7 +402,7 @@
         takeEarlier(next, state.timers_.begin()->first);
     takeEarlier(next, nextExpiry(state.directory_, state.settings_.missingRetention_));
     takeEarlier(next, nextPrepaidTime(state.prepaid_));
-    takeEarlier(next, nextSyncTime(state.sync_));
+    takeEarlier(next, nextSyncTime(state.sync_, state.settings_.sync_));
     if (state.stopRequestedAt_ && !state.stopCompleted_) {
         if (!state.idleConnectionsClosed_)
             takeEarlier(next, *state.stopRequestedAt_ + state.settings_.stopAcceptPeriod_);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -36,6 +36,8 @@
 {
     HostId host_;
     ZoneId zone_;
+    /// Processing capacity of this host in thousandths of a processor core; 0 if unknown.
+    std::uint32_t capacity_ = 0;
     ChoiceSettings choice_;
     PrepaidSettings prepaid_;
     DocumentSyncSettings sync_;
@@ -123,6 +125,9 @@
     std::set<std::pair<MonoTime, ExchangeId>> timers_;
     FleetView fleet_;
     DocumentSync sync_;
+    /// What the threads that call the store were last told.
+    bool followsStore_ = true;
+    bool storeContact_ = true;
     bool ready_ = false;
     std::optional<MonoTime> stopRequestedAt_;
     MonoTime stopDeadline_ {};
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -37,6 +37,8 @@
     ZoneId zone_;
     std::string peerAddress_;
     bool leaving_ = false;
+    /// Processing capacity of the host in thousandths of a processor core; 0 if unknown.
+    std::uint32_t capacity_ = 0;
 };
 
 /// @brief Names the holder that may send placement orders to upstreams. The creation revision of
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -29,6 +29,15 @@
     std::vector<StoredEntry> entries_;
 };
 
+/// @brief Outcome of the renewal of a lease.
+enum class LeaseRenewal {
+    Renewed,
+    /// The lease and its keys no longer exist.
+    Ended,
+    /// The store didn't confirm the renewal; the lease may still exist.
+    Unconfirmed,
+};
+
 /// @brief Calls to the store. All functions block, at most for the adapter's timeout, and are safe
 /// to call from any thread.
 struct StorePort
@@ -38,9 +47,7 @@
     /// Creates a lease.
     /// @return LeaseId 0 if the store didn't confirm it
     std::function<LeaseId(Seconds timeToLive)> grantLease_;
-    /// Renews a lease.
-    /// @return false if the store didn't confirm it
-    std::function<bool(LeaseId)> renewLease_;
+    std::function<LeaseRenewal(LeaseId)> renewLease_;
     /// Deletes a lease and its keys.
     /// @return false if the store didn't confirm it
     std::function<bool(LeaseId)> revokeLease_;
--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -33,14 +33,16 @@
 }
 
 /// Stores a document in the cache.
-/// @return false if the cache has a newer revision
+/// @return false if the cache has this or a newer revision
 bool storeIfNewer(DocumentReader &reader, const PeerDocument &document)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
-    PeerDocument &known = reader.cache_.documents_[document.key_];
-    if (known.revision_ > document.revision_)
+    const auto [known, inserted] = reader.cache_.documents_.try_emplace(document.key_, document);
+    if (inserted)
+        return true;
+    if (known->second.revision_ >= document.revision_)
         return false;
-    known = document;
+    known->second = document;
     return true;
 }
 
@@ -130,6 +132,15 @@
     post(reader.queue_, RelayEvent {std::move(listing)});
 }
 
+constexpr const char *configFeed = "store.config";
+constexpr const char *instanceFeed = "store.instances";
+
+/// Advances the position of a feed, which never goes back.
+void advancePosition(FeedState &feed, Revision revision)
+{
+    feed.position_ = std::max(feed.position_, revision);
+}
+
 FollowerHandlers commonHandlers(DocumentReader &reader, const std::string &feed)
 {
     FollowerHandlers handlers;
@@ -138,35 +149,105 @@
     };
     handlers.onProgress_ = [&reader, feed](Revision revision) {
         const std::lock_guard lock(reader.cache_.mutex_);
-        Revision &known = reader.cache_.syncedRevisions_[feed];
-        known = std::max(known, revision);
+        FeedState &state = reader.cache_.feeds_.at(feed);
+        advancePosition(state, revision);
+        state.contactAt_ = std::chrono::steady_clock::now();
+    };
+    handlers.knownRevision_ = [&reader, feed] {
+        const std::lock_guard lock(reader.cache_.mutex_);
+        return reader.cache_.feeds_.at(feed).position_;
     };
     handlers.onAvailability_ = [&reader, feed](bool available, const std::string &detail) {
+        if (!available) {
+            const std::lock_guard lock(reader.cache_.mutex_);
+            reader.cache_.feeds_.at(feed).contactAt_.reset();
+        }
         post(reader.queue_, RelayEvent {FeedAvailabilityChanged {feed, available, detail}});
     };
     return handlers;
 }
 
-constexpr const char *configFeed = "store.config";
-constexpr const char *instanceFeed = "store.instances";
+void recordListing(DocumentReader &reader, const std::string &feed, Revision revision)
+{
+    const std::lock_guard lock(reader.cache_.mutex_);
+    FeedState &state = reader.cache_.feeds_.at(feed);
+    state.listedAt_ = std::max(state.listedAt_, revision);
+    advancePosition(state, revision);
+}
+
+/// Returns the changes of a feed after a position. The caller holds the mutex of the cache.
+FeedChanges changesAfter(const DocumentCache &cache, const std::string &name, const FeedState &feed,
+                         Revision position)
+{
+    FeedChanges changes {
+        name, position < feed.listedAt_ ? Revision {} : position, feed.position_, {}};
+    const bool complete = changes.after_ == Revision {};
+    for (const auto &[key, document] : cache.documents_) {
+        const bool wanted = key.value_.starts_with(feed.prefix_)
+            && (complete ? document.value_.has_value() : document.revision_ > changes.after_);
+        if (wanted)
+            changes.documents_.push_back(document);
+    }
+    return changes;
+}
+
+void applyFeedChanges(DocumentReader &reader, const FeedChanges &changes)
+{
+    {
+        const std::lock_guard lock(reader.cache_.mutex_);
+        const auto feed = reader.cache_.feeds_.find(changes.feed_);
+        // A peer that knows less, or changes that don't continue what is known.
+        if (feed == reader.cache_.feeds_.end() || changes.at_ <= feed->second.position_
+            || changes.after_ > feed->second.position_)
+            return;
+    }
+    const bool complete = changes.after_ == Revision {};
+    if (complete && changes.feed_ == instanceFeed) {
+        readInstanceListing(reader, changes.documents_, changes.at_, ChangeSource::Peer);
+    } else {
+        for (const PeerDocument &document : changes.documents_)
+            readDocument(reader, document, ChangeSource::Peer);
+    }
+    if (complete) {
+        recordListing(reader, changes.feed_, changes.at_);
+        return;
+    }
+    const std::lock_guard lock(reader.cache_.mutex_);
+    advancePosition(reader.cache_.feeds_.at(changes.feed_), changes.at_);
+}
 
-/// Returns the revision up to which all changes of both feeds are known. The caller holds the mutex
+/// Returns the time since the older of the last contacts of all feeds. The caller holds the mutex
 /// of the cache.
-Revision syncedRevision(DocumentCache &cache)
+std::optional<Millis> contactAge(const DocumentCache &cache, MonoTime now)
 {
-    const Revision own
-        = std::min(cache.syncedRevisions_[configFeed], cache.syncedRevisions_[instanceFeed]);
-    return std::max(own, cache.peerSyncedRevision_);
+    Millis age {};
+    for (const auto &[name, feed] : cache.feeds_) {
+        if (!feed.contactAt_)
+            return std::nullopt;
+        age = std::max(age, std::chrono::duration_cast<Millis>(now - *feed.contactAt_));
+    }
+    return age;
 }
 
 } // namespace
 
+DocumentReader::DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue,
+                               LogPort log)
+    : formats_(formats)
+    , queue_(queue)
+    , log_(std::move(log))
+{
+    cache_.feeds_[configFeed].prefix_ = formats.configKey_;
+    cache_.feeds_[instanceFeed].prefix_ = formats.instancePrefix_;
+}
+
 FollowerHandlers configHandlers(DocumentReader &reader)
 {
     FollowerHandlers handlers = commonHandlers(reader, configFeed);
-    handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, Revision) {
+    handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, Revision revision) {
         for (const FeedEntry &entry : entries)
             readDocument(reader, toDocument(entry), ChangeSource::Store);
+        recordListing(reader, configFeed, revision);
     };
     return handlers;
 }
@@ -178,6 +259,7 @@
         std::vector<PeerDocument> documents;
         std::transform(entries.begin(), entries.end(), std::back_inserter(documents), toDocument);
         readInstanceListing(reader, documents, revision, ChangeSource::Store);
+        recordListing(reader, instanceFeed, revision);
     };
     return handlers;
 }
@@ -185,35 +267,38 @@
 DocumentsRequest makeDocumentsRequest(DocumentReader &reader, const std::string &replyAddress)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
-    return DocumentsRequest {replyAddress, syncedRevision(reader.cache_)};
+    DocumentsRequest request {replyAddress, {}};
+    for (const auto &[name, feed] : reader.cache_.feeds_)
+        request.positions_.push_back(FeedPosition {name, feed.position_});
+    return request;
 }
 
-DocumentsReply makeDocumentsReply(DocumentReader &reader, const DocumentsRequest &request)
+DocumentsReply makeDocumentsReply(DocumentReader &reader, const DocumentsRequest &request,
+                                  MonoTime now)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
-    DocumentsReply reply {request.after_, syncedRevision(reader.cache_), {}};
-    for (const auto &[key, document] : reader.cache_.documents_) {
-        if (document.revision_ > request.after_)
-            reply.documents_.push_back(document);
+    DocumentsReply reply;
+    reply.contactAge_ = contactAge(reader.cache_, now);
+    for (const FeedPosition &position : request.positions_) {
+        const auto feed = reader.cache_.feeds_.find(position.feed_);
+        if (feed != reader.cache_.feeds_.end() && feed->second.position_ > position.revision_)
+            reply.changes_.push_back(
+                changesAfter(reader.cache_, feed->first, feed->second, position.revision_));
     }
     return reply;
 }
 
 void applyDocumentsReply(DocumentReader &reader, const DocumentsReply &reply)
 {
-    // The peer isn't synchronized up to the requested revision.
-    if (reply.at_ < reply.after_ || reply.at_ == Revision {})
-        return;
-    const bool complete = reply.after_ == Revision {};
-    for (const PeerDocument &document : reply.documents_) {
-        const bool isInstance = document.key_.value_.starts_with(reader.formats_.instancePrefix_);
-        if (!complete || !isInstance)
-            readDocument(reader, document, ChangeSource::Peer);
-    }
-    if (complete)
-        readInstanceListing(reader, reply.documents_, reply.at_, ChangeSource::Peer);
+    for (const FeedChanges &changes : reply.changes_)
+        applyFeedChanges(reader, changes);
+}
+
+void clearStoreContact(DocumentReader &reader)
+{
     const std::lock_guard lock(reader.cache_.mutex_);
-    reader.cache_.peerSyncedRevision_ = std::max(reader.cache_.peerSyncedRevision_, reply.at_);
+    for (auto &[name, feed] : reader.cache_.feeds_)
+        feed.contactAt_.reset();
 }
 
 } // namespace tamarack
--- a/src/relayd/documents.h
+++ b/src/relayd/documents.h
@@ -1,5 +1,5 @@
-// Reads the documents of a relay daemon from the store or, while the store is unavailable, from
-// peers, and sends them to peers on request.
+// Reads the documents of a relay daemon from the store or from peers, and sends them to peers on
+// request.
 #pragma once
 
 #include "adapters/relayhttp/relayhttp.h"
@@ -13,10 +13,27 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace tamarack {
 
+/// @brief What is known of the documents of one feed.
+///
+/// Invariants: listedAt_ <= position(feed); contactAt_ is set only while the store delivers the
+/// feed to this daemon.
+struct FeedState
+{
+    std::string prefix_;
+    /// Revision up to which all changes are known, from the store or from peers.
+    Revision position_;
+    /// Revision of the last full listing. Removals before it may be unknown, so a peer at an older
+    /// position gets all documents.
+    Revision listedAt_;
+    /// Last reply of the store.
+    std::optional<MonoTime> contactAt_;
+};
+
 /// @brief The newest known revision of each document. The mutex guards all members after it.
 ///
 /// Invariant: no document is replaced by one with a lower revision.
@@ -24,10 +41,7 @@
 {
     std::mutex mutex_;
     std::map<StoreKey, PeerDocument> documents_;
-    /// By feed, the revision up to which all changes were read from the store.
-    std::map<std::string, Revision> syncedRevisions_;
-    /// The revision up to which all changes of all feeds were received from peers.
-    Revision peerSyncedRevision_;
+    std::map<std::string, FeedState> feeds_;
 };
 
 /// @brief Data for converting documents to events of the control thread.
@@ -37,6 +51,8 @@
     BlockingQueue<RelayEvent> &queue_;
     LogPort log_;
     DocumentCache cache_;
+
+    DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue, LogPort log);
 };
 
 /// @brief Returns the handlers for the follower of the configuration.
@@ -45,15 +61,18 @@
 /// @brief Returns the handlers for the follower of the instances.
 FollowerHandlers instanceHandlers(DocumentReader &reader);
 
-/// @brief Returns a request for the documents that changed after the synchronized revision.
+/// @brief Returns a request for the documents that changed after the known positions.
 /// @param replyAddress address to which the peer sends its reply
 DocumentsRequest makeDocumentsRequest(DocumentReader &reader, const std::string &replyAddress);
 
-/// @brief Returns the cached documents that changed after the revision in @a request.
-DocumentsReply makeDocumentsReply(DocumentReader &reader, const DocumentsRequest &request);
+/// @brief Returns the cached documents that changed after the positions in @a request.
+DocumentsReply makeDocumentsReply(DocumentReader &reader, const DocumentsRequest &request,
+                                  MonoTime now);
 
-/// @brief Stores the documents in a peer's reply and posts their changes. Ignores a reply from a
-/// peer that isn't synchronized up to the requested revision.
+/// @brief Stores the documents in a peer's reply and posts their changes.
 void applyDocumentsReply(DocumentReader &reader, const DocumentsReply &reply);
 
+/// @brief Records that this daemon no longer follows the store itself.
+void clearStoreContact(DocumentReader &reader);
+
 } // namespace tamarack
--- a/src/relayd/follower.cpp
+++ b/src/relayd/follower.cpp
@@ -13,6 +13,7 @@
     /// Revision after which the next watch starts; nothing if the keys must be listed first.
     std::optional<Revision> revision_;
     bool available_ = true;
+    /// Delay after the next failure.
     Millis retryDelay_ {};
 };
 
@@ -40,25 +41,97 @@
     handlers.onAvailability_(available, detail);
 }
 
+/// Blocks while the gate is closed.
+/// @return false if the follower must stop
+bool awaitOpenGate(FollowGate &gate, const FollowerSettings &settings,
+                   const FollowerHandlers &handlers, FollowerState &state)
+{
+    {
+        std::unique_lock lock(gate.mutex_);
+        if (gate.open_ || gate.stopping_)
+            return !gate.stopping_;
+        gate.prober_.reset();
+        gate.changed_.wait(lock, [&gate] { return gate.open_ || gate.stopping_; });
+        if (gate.stopping_)
+            return false;
+    }
+    // Changes of the meantime came from peers.
+    const Revision known = handlers.knownRevision_();
+    if (known > Revision {})
+        state.revision_ = state.revision_ ? std::max(*state.revision_, known) : known;
+    state.available_ = true;
+    state.retryDelay_ = settings.retryDelay_;
+    return true;
+}
+
+/// Sleeps. Ends early if the follower must stop or the gate is closed.
+void pause(FollowGate &gate, Millis time)
+{
+    std::unique_lock lock(gate.mutex_);
+    gate.changed_.wait_for(lock, time, [&gate] { return gate.stopping_ || !gate.open_; });
+}
+
+/// Waits after a failed call: for @a delay, or until another follower reaches the store.
+void awaitRetry(FollowGate &gate, const std::string &prefix, Millis delay)
+{
+    std::unique_lock lock(gate.mutex_);
+    if (!gate.prober_)
+        gate.prober_ = prefix;
+    if (*gate.prober_ == prefix)
+        gate.changed_.wait_for(lock, delay, [&gate] { return gate.stopping_ || !gate.open_; });
+    else
+        gate.changed_.wait(lock,
+                           [&gate] { return gate.stopping_ || !gate.open_ || !gate.prober_; });
+}
+
+void endProbing(FollowGate &gate, const std::string &prefix)
+{
+    {
+        const std::lock_guard lock(gate.mutex_);
+        if (gate.prober_ != prefix)
+            return;
+        gate.prober_.reset();
+    }
+    gate.changed_.notify_all();
+}
+
 } // namespace
 
+void setOpen(FollowGate &gate, bool open)
+{
+    {
+        const std::lock_guard lock(gate.mutex_);
+        gate.open_ = open;
+    }
+    gate.changed_.notify_all();
+}
+
+void stopFollowing(FollowGate &gate)
+{
+    {
+        const std::lock_guard lock(gate.mutex_);
+        gate.stopping_ = true;
+    }
+    gate.changed_.notify_all();
+}
+
 void followPrefix(const FeedPort &feed, const FollowerSettings &settings,
-                  const FollowerHandlers &handlers, StopFlag &stop)
+                  const FollowerHandlers &handlers, FollowGate &gate)
 {
     FollowerState state;
     state.retryDelay_ = settings.retryDelay_;
-    while (!isStopRequested(stop)) {
+    while (awaitOpenGate(gate, settings, handlers, state)) {
         const FeedReply reply = listOrWatch(feed, settings, handlers, state);
-        if (isStopRequested(stop))
-            return;
+        if (reply.status_ != FeedStatus::Unavailable)
+            endProbing(gate, settings.prefix_);
         if (reply.status_ == FeedStatus::Ok) {
             reportAvailability(handlers, state, true, {});
             state.retryDelay_ = settings.retryDelay_;
             state.revision_
                 = state.revision_ ? std::max(*state.revision_, reply.revision_) : reply.revision_;
             handlers.onProgress_(*state.revision_);
-            if (!reply.entries_.empty() && waitForStop(stop, settings.changeBatchDelay_))
-                return;
+            if (!reply.entries_.empty())
+                pause(gate, settings.changeBatchDelay_);
             continue;
         }
         if (reply.status_ == FeedStatus::HistoryCompacted) {
@@ -66,8 +139,7 @@
             continue;
         }
         reportAvailability(handlers, state, false, reply.detail_);
-        if (waitForStop(stop, state.retryDelay_))
-            return;
+        awaitRetry(gate, settings.prefix_, state.retryDelay_);
         state.retryDelay_ = std::min(state.retryDelay_ * 2, settings.maxRetryDelay_);
     }
 }
--- a/src/relayd/follower.h
+++ b/src/relayd/follower.h
@@ -3,25 +3,40 @@
 
 #include "core/time.h"
 #include "ports/feed.h"
-#include "runtime/stopflag.h"
 
+#include <condition_variable>
 #include <functional>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace tamarack {
 
+/// @brief Starts and stops the followers of a daemon. The mutex guards all members after it.
+struct FollowGate
+{
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool open_ = true;
+    bool stopping_ = false;
+    /// The prefix whose follower calls the store while it is unavailable. The others wait for its
+    /// success, because each call is charged.
+    std::optional<std::string> prober_;
+};
+
+/// @brief Opens or closes the gate. A watch in progress goes on until it ends.
+void setOpen(FollowGate &gate, bool open);
+
 struct FollowerSettings
 {
     std::string prefix_;
-    /// Timeout of a watch. A connection that stopped delivering changes is detected only after this
-    /// time, so it must be shorter than the time in which a change must be applied.
-    Millis watchTimeout_ {1500};
+    Millis watchTimeout_ {4000};
     /// Delay after a change, so that the next call returns several changes.
     Millis changeBatchDelay_ {};
     /// Delay after a failed call, doubled after each further failure up to maxRetryDelay_.
-    Millis retryDelay_ {100};
-    Millis maxRetryDelay_ {500};
+    Millis retryDelay_ {250};
+    Millis maxRetryDelay_ {2000};
 };
 
 /// @brief Callbacks of a follower, called on its thread.
@@ -31,13 +46,19 @@
     std::function<void(const FeedEntry &)> onChange_;
     /// Called when all changes up to a revision were handed to the other callbacks.
     std::function<void(Revision revision)> onProgress_;
+    /// Returns the revision up to which all changes are known from other sources. Called when
+    /// following starts again.
+    std::function<Revision()> knownRevision_;
     /// Called when the store becomes unavailable or available again.
     std::function<void(bool available, const std::string &detail)> onAvailability_;
 };
 
-/// @brief Follows a prefix until @a stop is set and the port's watches are cancelled. Blocks. Lists
-/// the keys again if the store has discarded the history after the last known revision.
+/// @brief Stops the followers that use the gate, once their watches end.
+void stopFollowing(FollowGate &gate);
+
+/// @brief Follows a prefix while @a gate allows it. Blocks until stopFollowing(). Lists the keys
+/// again if the store has discarded the history after the last known revision.
 void followPrefix(const FeedPort &feed, const FollowerSettings &settings,
-                  const FollowerHandlers &handlers, StopFlag &stop);
+                  const FollowerHandlers &handlers, FollowGate &gate);
 
 } // namespace tamarack
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -27,17 +27,17 @@
 /// Threads for ledger calls. With more than one, a slow call doesn't delay the next.
 constexpr std::uint32_t storeThreads = 2;
 /// Lifetime of the registration's lease, and the interval between renewals.
-constexpr Seconds registrationLease {5};
-constexpr Millis registrationRenewInterval {1500};
+/// The lease outlasts most store outages, because all daemons of a fleet would have to register
+/// again.
+constexpr Seconds registrationLease {15};
+constexpr Millis registrationRenewInterval {4000};
 /// Interval between reads of the other daemons' registrations.
-constexpr Millis memberPollInterval {3000};
+constexpr Millis memberPollInterval {6000};
 /// Delays after a change, so that one store call reads several changes. A configuration must be
 /// applied within 2 s. Changes of instances may take longer, because the responses of an instance
 /// also report its state.
 constexpr Millis configBatchDelay {150};
 constexpr Millis instanceBatchDelay {400};
-/// Longer than the watch timeout of the configuration, which detects an unavailable store first.
-constexpr Millis instanceWatchTimeout {3000};
 /// Clients get half of the descriptors; the rest is for files, listeners and upstreams.
 constexpr std::size_t clientDescriptorDivisor = 2;
 
@@ -134,10 +134,11 @@
     HolderId holder_;
     RelayQueue queue_;
     std::atomic<bool> ready_ = false;
-    StopFlag stop_;
+    FollowGate gate_;
     LogSink sink_;
     LogPort log_;
     std::shared_ptr<prometheus::Registry> registry_;
+    StoreUsage usage_;
     std::optional<Frontend> frontend_;
     std::optional<PeerSocket> peers_;
     StorePort store_;
@@ -153,9 +154,10 @@
         , holder_(settings.host_.value_ + '-' + randomHex(holderIdBytes))
         , log_(logPort(sink_))
         , registry_(std::make_shared<prometheus::Registry>())
-        , store_(platform.makeStore_(settings.storeAddress_))
-        , feed_(platform.makeFeed_(settings.storeAddress_))
-        , documents_(new DocumentReader {platform.documents_, queue_, log_, {}})
+        , usage_(makeStoreUsage(*registry_))
+        , store_(countStoreCalls(platform.makeStore_(settings.storeAddress_), usage_))
+        , feed_(countFeedCalls(platform.makeFeed_(settings.storeAddress_), usage_))
+        , documents_(std::make_unique<DocumentReader>(platform.documents_, queue_, log_))
     { }
 };
 
@@ -165,13 +167,17 @@
     const auto *received = std::get_if<PeerMessageReceived>(&event);
     if (!received)
         return;
-    if (const auto *documentsRequest = std::get_if<DocumentsRequest>(&received->message_))
+    if (const auto *documentsRequest = std::get_if<DocumentsRequest>(&received->message_)) {
         peerPort(*relay.peers_)
             .send_(SendPeer {received->from_, documentsRequest->replyAddress_,
-                             makeDocumentsReply(*relay.documents_, *documentsRequest)});
-    else if (const auto *documentsReply = std::get_if<DocumentsReply>(&received->message_))
+                             makeDocumentsReply(*relay.documents_, *documentsRequest,
+                                                std::chrono::steady_clock::now())});
+        post(relay.queue_, RelayEvent {DocumentsRequestReceived {}});
+    } else if (const auto *documentsReply = std::get_if<DocumentsReply>(&received->message_)) {
         applyDocumentsReply(*relay.documents_, *documentsReply);
-    else if (const auto *loanRequest = std::get_if<LoanRequest>(&received->message_))
+        post(relay.queue_,
+             RelayEvent {DocumentsReplyReceived {received->from_, documentsReply->contactAge_}});
+    } else if (const auto *loanRequest = std::get_if<LoanRequest>(&received->message_))
         post(relay.queue_, RelayEvent {LoanRequestReceived {received->from_, *loanRequest}});
     else if (const auto *loanReply = std::get_if<LoanReply>(&received->message_))
         post(relay.queue_, RelayEvent {LoanReplyReceived {received->from_, *loanReply}});
@@ -222,8 +228,12 @@
     registration.settings_.leaseTtl_ = registrationLease;
     registration.settings_.renewInterval_ = registrationRenewInterval;
     registration.settings_.pollInterval_ = memberPollInterval;
-    registration.self_ = Registration {relay.settings_.host_, relay.holder_, relay.settings_.zone_,
-                                       relay.settings_.peerAddress_, false};
+    registration.self_ = Registration {relay.settings_.host_,
+                                       relay.holder_,
+                                       relay.settings_.zone_,
+                                       relay.settings_.peerAddress_,
+                                       false,
+                                       relayControlSettings(relay.settings_).capacity_};
     registration.store_ = relay.store_;
     registration.events_ = storeEvents(relay.queue_, relay.settings_);
     registration.log_ = relay.log_;
@@ -234,16 +244,17 @@
 {
     const auto follow = [&relay](const FollowerSettings &settings, FollowerHandlers handlers) {
         relay.followers_.emplace_back([&relay, settings, handlers = std::move(handlers)] {
-            followPrefix(relay.feed_, settings, handlers, relay.stop_);
+            followPrefix(relay.feed_, settings, handlers, relay.gate_);
         });
     };
     FollowerSettings config;
     config.prefix_ = relay.platform_.documents_.configKey_;
+    config.watchTimeout_ = documentWatchTimeout;
     config.changeBatchDelay_ = configBatchDelay;
     follow(config, configHandlers(*relay.documents_));
     FollowerSettings instances;
     instances.prefix_ = relay.platform_.documents_.instancePrefix_;
-    instances.watchTimeout_ = instanceWatchTimeout;
+    instances.watchTimeout_ = documentWatchTimeout;
     instances.changeBatchDelay_ = instanceBatchDelay;
     follow(instances, instanceHandlers(*relay.documents_));
 }
@@ -254,10 +265,14 @@
     state.settings_ = relayControlSettings(relay.settings_);
     state.prepaid_.holder_ = relay.holder_;
     state.prepaid_.peerAddress_ = relay.settings_.peerAddress_;
+    std::vector<PeerAddress> seeds;
     for (const std::string &seed : relay.settings_.seeds_) {
         if (seed != relay.settings_.peerAddress_)
-            state.sync_.peers_.push_back(PeerAddress {HostId {seed}, ZoneId {}, seed});
+            seeds.push_back(PeerAddress {HostId {seed}, ZoneId {}, seed, 0});
     }
+    const RelaySettings &settings = state.settings_;
+    updateSyncPeers(state.sync_,
+                    PeerAddress {settings.host_, settings.zone_, {}, settings.capacity_}, seeds);
     return state;
 }
 
@@ -286,21 +301,31 @@
     startRegistrationThreads(relay);
     startFollowers(relay);
 
-    RelayLoop loop {relay.queue_,
-                    relay.workers_,
-                    frontendPort(*relay.frontend_),
-                    relay.log_,
-                    relay.ready_,
-                    [&relay](const auto &peers) { requestPeerDocuments(relay, peers); },
-                    [&relay](SendPeer message) {
-                        if (relay.peers_)
-                            peerPort(*relay.peers_).send_(std::move(message));
-                    },
-                    makeRelayMetricsPort(relay.registry_),
-                    [&relay] { return droppedLogLines(relay.sink_); },
-                    [mainThread] {
-                        signalStopped(mainThread);
-                    }};
+    RelayLoop loop {
+        relay.queue_,
+        relay.workers_,
+        frontendPort(*relay.frontend_),
+        relay.log_,
+        relay.ready_,
+        [&relay](const auto &peers) { requestPeerDocuments(relay, peers); },
+        [&relay](bool follows) {
+            if (!follows)
+                clearStoreContact(*relay.documents_);
+            setOpen(relay.gate_, follows);
+        },
+        [&relay](bool contact) { setStoreContact(relay.registration_, contact); },
+        [&relay](SendPeer message) {
+            if (relay.peers_)
+                peerPort(*relay.peers_).send_(std::move(message));
+        },
+        makeRelayMetricsPort(relay.registry_),
+        [&relay] { return droppedLogLines(relay.sink_); },
+        [&relay] {
+            relay.log_.write_(LogEvent {LogLevel::Info, "store.usage", usageFields(relay.usage_)});
+        },
+        [mainThread] {
+            signalStopped(mainThread);
+        }};
     std::thread controlThread([&loop, &relay] { runRelayLoop(loop, initialState(relay)); });
 
     awaitStopSignal([&settingsPath, &relay] { recheckSettings(settingsPath, relay.log_); });
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -5,6 +5,8 @@
 
 namespace {
 
+constexpr Millis usageLogInterval {10'000};
+
 struct Executor
 {
     RelayLoop &loop_;
@@ -21,6 +23,8 @@
     {
         loop_.requestPeerDocuments_(command.peers_);
     }
+    void operator()(SetFollowsStore &command) const { loop_.setFollowsStore_(command.follows_); }
+    void operator()(SetStoreContact &command) const { loop_.setStoreContact_(command.contact_); }
     void operator()(RelayStopCompleted &) const { running_ = false; }
     /// Forwards all other commands to the front end. The overloads above take non-const references
     /// because this template would be a better match than a const reference.
@@ -49,6 +53,7 @@
 void runRelayLoop(RelayLoop &loop, RelayState state)
 {
     bool running = true;
+    MonoTime usageLoggedAt = std::chrono::steady_clock::now();
     while (running) {
         const std::optional<RelayEvent> event = take(loop.queue_, nextDueTime(state));
         const MonoTime now = std::chrono::steady_clock::now();
@@ -63,6 +68,10 @@
         const auto time
             = std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now() - now);
         loop.metrics_.onEventHandled_(time, gaugesOf(loop, state));
+        if (now - usageLoggedAt >= usageLogInterval) {
+            usageLoggedAt = now;
+            loop.logStoreUsage_();
+        }
     }
     loop.onStopped_();
 }
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -20,9 +20,13 @@
     LogPort log_;
     std::atomic<bool> &ready_;
     std::function<void(const std::vector<PeerAddress> &)> requestPeerDocuments_;
+    std::function<void(bool)> setFollowsStore_;
+    std::function<void(bool)> setStoreContact_;
     std::function<void(SendPeer)> sendPeer_;
     RelayMetricsPort metrics_;
     std::function<std::uint64_t()> droppedLogLines_;
+    /// Logs the number of store calls; called at intervals.
+    std::function<void()> logStoreUsage_;
     /// Called once, when the daemon may exit.
     std::function<void()> onStopped_;
 };
--- a/src/runtime/registration.cpp
+++ b/src/runtime/registration.cpp
@@ -53,6 +53,22 @@
     return !threads.stopping_;
 }
 
+/// Waits for the next call: for @a limit while the store is available, otherwise until it returns.
+/// Ends early if @a flag differs from @a lastValue.
+/// @return false if the threads must stop
+bool waitForNextCall(RegistrationThreads &threads, Millis limit, const bool &flag, bool lastValue)
+{
+    const auto ended = [&] {
+        return threads.stopping_ || flag != lastValue;
+    };
+    std::unique_lock lock(threads.mutex_);
+    threads.changed_.wait_for(lock, limit, ended);
+    if (!ended() && !threads.storeContact_)
+        threads.changed_.wait_for(lock, threads.settings_.unavailableInterval_,
+                                  [&] { return ended() || threads.storeContact_; });
+    return !threads.stopping_;
+}
+
 bool isLeaving(RegistrationThreads &threads)
 {
     const std::lock_guard lock(threads.mutex_);
@@ -71,7 +87,7 @@
             logRegistration(threads, confirmed ? LogLevel::Info : LogLevel::Warning,
                             confirmed ? "registration.confirmed" : "registration.unconfirmed");
         registered = confirmed;
-    } while (waitForFlagChange(
+    } while (waitForNextCall(
         threads, registered ? threads.settings_.renewInterval_ : threads.settings_.retryInterval_,
         threads.leaving_, leaving));
     if (written.lease_ != LeaseId {})
@@ -146,7 +162,7 @@
     do {
         readMembers(threads, true);
         interval = std::min(interval * 2, *threads.settings_.pollInterval_);
-    } while (waitForFlagChange(threads, interval, threads.stopping_, false));
+    } while (waitForNextCall(threads, interval, threads.stopping_, false));
 }
 
 void watchHostList(RegistrationThreads &threads)
@@ -164,9 +180,12 @@
 bool refreshRegistration(const RegistrationThreads &threads, WrittenRegistration &written,
                          bool leaving)
 {
-    if (written.lease_ != LeaseId {} && !threads.store_.renewLease_(written.lease_)) {
-        // The lease may have expired, or the store is unavailable. Both cases need a new lease.
-        written.lease_ = LeaseId {};
+    if (written.lease_ != LeaseId {}) {
+        const LeaseRenewal renewal = threads.store_.renewLease_(written.lease_);
+        if (renewal == LeaseRenewal::Unconfirmed)
+            return false;
+        if (renewal == LeaseRenewal::Ended)
+            written.lease_ = LeaseId {};
     }
     if (written.lease_ == LeaseId {}) {
         written.lease_ = threads.store_.grantLease_(threads.settings_.leaseTtl_);
@@ -199,6 +218,15 @@
     threads.changed_.notify_all();
 }
 
+void setStoreContact(RegistrationThreads &threads, bool contact)
+{
+    {
+        const std::lock_guard lock(threads.mutex_);
+        threads.storeContact_ = contact;
+    }
+    threads.changed_.notify_all();
+}
+
 void requestRefresh(RegistrationThreads &threads)
 {
     const std::lock_guard lock(threads.mutex_);
--- a/src/runtime/registration.h
+++ b/src/runtime/registration.h
@@ -31,6 +31,8 @@
     /// together.
     std::optional<Millis> pollInterval_;
     Millis hostListInterval_ {5000};
+    /// Interval of the calls while the store is believed to be unavailable.
+    Millis unavailableInterval_ {10'000};
 };
 
 /// @brief The threads and their shared data. The mutex guards all members after it.
@@ -49,6 +51,7 @@
     bool leaving_ = false;
     bool stopping_ = false;
     bool refreshRequested_ = false;
+    bool storeContact_ = true;
     std::vector<std::thread> threads_;
 };
 
@@ -62,8 +65,8 @@
 
 /// @brief Renews the lease and writes the registration if it has changed.
 ///
-/// An expired lease is replaced by a new one. After a lost reply, a conflict of the next write
-/// returns the stored revision and the write is repeated.
+/// A lease that has ended is replaced by a new one. After a lost reply, a conflict of the next
+/// write returns the stored revision and the write is repeated.
 /// @return false if the store didn't confirm it
 bool refreshRegistration(const RegistrationThreads &threads, WrittenRegistration &written,
                          bool leaving);
@@ -74,6 +77,10 @@
 /// @brief Marks the registration as leaving. Called at the start of a graceful shutdown.
 void announceLeaving(RegistrationThreads &threads);
 
+/// @brief Reports whether the store is available. While it isn't, the threads call it rarely; they
+/// call it at once when it returns.
+void setStoreContact(RegistrationThreads &threads, bool contact);
+
 /// @brief Makes the reading thread read all registrations again after its current watch.
 void requestRefresh(RegistrationThreads &threads);
 
--- /dev/null
+++ b/tests/unit-documentexchange.cpp
@@ -0,0 +1,204 @@
+// Documents that daemons get from peers. Guards against instances that stay known after their
+// removal, against documents that go back to an older revision, and against sending the same
+// document again and again.
+#include "relayd/documents.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace tamarack {
+
+namespace {
+
+RelayDocuments makeFormats()
+{
+    RelayDocuments formats;
+    formats.configKey_ = "config";
+    formats.instancePrefix_ = "instances/";
+    formats.decodeConfig_ = [](const std::string &text) -> Result<RelayConfig> {
+        RelayConfig config;
+        config.version_ = ConfigVersion {std::stoull(text)};
+        return config;
+    };
+    formats.decodeInstance_ = [](const std::string &id, const std::string &) -> Result<Instance> {
+        Instance instance;
+        instance.id_ = UpstreamId {id};
+        return instance;
+    };
+    return formats;
+}
+
+/// A daemon's documents and the events that they cause.
+struct ExchangeDaemon
+{
+    RelayDocuments formats_ = makeFormats();
+    BlockingQueue<RelayEvent> queue_;
+    DocumentReader reader_ {formats_, queue_, LogPort {[](const LogEvent &) {
+                            }}};
+    FollowerHandlers config_ = configHandlers(reader_);
+    FollowerHandlers instances_ = instanceHandlers(reader_);
+    InstanceDirectory directory_;
+};
+
+FeedEntry entry(const std::string &key, std::uint64_t revision, const std::string &value = "1")
+{
+    return FeedEntry {StoreKey {key}, Revision {revision}, value};
+}
+
+/// Applies the posted events to the directory of instances.
+/// @return the number of events
+std::size_t applyEvents(ExchangeDaemon &daemon)
+{
+    std::size_t events = 0;
+    const MonoTime now = std::chrono::steady_clock::now();
+    while (const std::optional<RelayEvent> event = take(daemon.queue_, now)) {
+        ++events;
+        if (const auto *listed = std::get_if<InstancesListed>(&*event))
+            applyListing(daemon.directory_, listed->instances_, listed->revision_, now);
+        else if (const auto *changed = std::get_if<InstanceChanged>(&*event))
+            upsertInstance(daemon.directory_, changed->listed_);
+        else if (const auto *removed = std::get_if<InstanceRemoved>(&*event))
+            markMissing(daemon.directory_, removed->id_, removed->revision_, now);
+    }
+    return events;
+}
+
+void list(ExchangeDaemon &daemon, const std::vector<FeedEntry> &entries, std::uint64_t revision)
+{
+    daemon.instances_.onListing_(entries, Revision {revision});
+    daemon.instances_.onProgress_(Revision {revision});
+    daemon.config_.onListing_({entry("config", 1)}, Revision {revision});
+    daemon.config_.onProgress_(Revision {revision});
+    applyEvents(daemon);
+}
+
+/// Lets @a receiver ask @a sender once.
+DocumentsReply ask(ExchangeDaemon &receiver, ExchangeDaemon &sender)
+{
+    const DocumentsRequest request = makeDocumentsRequest(receiver.reader_, "127.0.0.1:1");
+    DocumentsReply reply
+        = makeDocumentsReply(sender.reader_, request, std::chrono::steady_clock::now());
+    applyDocumentsReply(receiver.reader_, reply);
+    return reply;
+}
+
+bool isKnown(const ExchangeDaemon &daemon, const std::string &id)
+{
+    const auto known = daemon.directory_.known_.find(UpstreamId {id});
+    return known != daemon.directory_.known_.end() && !known->second.missingSince_;
+}
+
+} // namespace
+
+TEST_CASE("a daemon gets all documents from a peer, then only changes")
+{
+    ExchangeDaemon observer;
+    ExchangeDaemon daemon;
+    list(observer, {entry("instances/a", 3), entry("instances/b", 4)}, 10);
+    ask(daemon, observer);
+    CHECK(applyEvents(daemon) > 0);
+    CHECK(isKnown(daemon, "a"));
+    CHECK(isKnown(daemon, "b"));
+    CHECK(ask(daemon, observer).changes_.empty());
+
+    observer.instances_.onChange_(entry("instances/c", 11));
+    observer.instances_.onChange_(
+        FeedEntry {StoreKey {"instances/a"}, Revision {12}, std::nullopt});
+    observer.instances_.onProgress_(Revision {12});
+    const DocumentsReply reply = ask(daemon, observer);
+    REQUIRE(reply.changes_.size() == 1);
+    CHECK(reply.changes_.front().documents_.size() == 2);
+    applyEvents(daemon);
+    CHECK(isKnown(daemon, "c"));
+    CHECK(!isKnown(daemon, "a"));
+}
+
+TEST_CASE("a document is sent once, although the other feed has not advanced")
+{
+    // With one position for both feeds, the configuration was sent with each reply until the watch
+    // of the instances ended.
+    ExchangeDaemon observer;
+    ExchangeDaemon daemon;
+    list(observer, {entry("instances/a", 3)}, 10);
+    ask(daemon, observer);
+    observer.config_.onChange_(entry("config", 15, "2"));
+    observer.config_.onProgress_(Revision {15});
+    CHECK(ask(daemon, observer).changes_.size() == 1);
+    CHECK(ask(daemon, observer).changes_.empty());
+}
+
+TEST_CASE("a removal that the peer never saw reaches a daemon that knows the instance")
+{
+    // The peer listed the keys after the removal, so it has no record of it.
+    ExchangeDaemon first;
+    ExchangeDaemon second;
+    ExchangeDaemon daemon;
+    list(first, {entry("instances/a", 3), entry("instances/gone", 4)}, 10);
+    ask(daemon, first);
+    applyEvents(daemon);
+    REQUIRE(isKnown(daemon, "gone"));
+    list(second, {entry("instances/a", 3)}, 20);
+    ask(daemon, second);
+    applyEvents(daemon);
+    CHECK(isKnown(daemon, "a"));
+    CHECK(!isKnown(daemon, "gone"));
+}
+
+TEST_CASE("a peer that knows less changes nothing")
+{
+    ExchangeDaemon ahead;
+    ExchangeDaemon behind;
+    list(ahead, {entry("instances/a", 3), entry("instances/new", 18)}, 20);
+    list(behind, {entry("instances/a", 3), entry("instances/old", 5)}, 10);
+    const DocumentsRequest request {"127.0.0.1:1", {FeedPosition {"store.instances", Revision {}}}};
+    applyDocumentsReply(
+        ahead.reader_,
+        makeDocumentsReply(behind.reader_, request, std::chrono::steady_clock::now()));
+    CHECK(applyEvents(ahead) == 0);
+    CHECK(isKnown(ahead, "new"));
+    CHECK(!isKnown(ahead, "old"));
+}
+
+TEST_CASE("changes that don't continue the known position are ignored")
+{
+    // A late reply to an earlier request of a previous process at the same address.
+    ExchangeDaemon daemon;
+    list(daemon, {entry("instances/a", 3)}, 10);
+    DocumentsReply reply;
+    reply.changes_.push_back(FeedChanges {"store.instances", Revision {15}, Revision {20}, {}});
+    reply.changes_.push_back(FeedChanges {"unknown", Revision {}, Revision {20}, {}});
+    applyDocumentsReply(daemon.reader_, reply);
+    const DocumentsRequest next = makeDocumentsRequest(daemon.reader_, "127.0.0.1:1");
+    for (const FeedPosition &position : next.positions_)
+        CHECK(position.revision_ == Revision {10});
+}
+
+TEST_CASE("the contact age is that of the feed with the older contact")
+{
+    ExchangeDaemon observer;
+    const DocumentsRequest request {"127.0.0.1:1", {}};
+    const MonoTime now = std::chrono::steady_clock::now();
+    CHECK(!makeDocumentsReply(observer.reader_, request, now).contactAge_);
+    observer.config_.onProgress_(Revision {4});
+    CHECK(!makeDocumentsReply(observer.reader_, request, now).contactAge_);
+    observer.instances_.onProgress_(Revision {4});
+    const auto age = makeDocumentsReply(observer.reader_, request, now + Seconds {5}).contactAge_;
+    REQUIRE(age);
+    CHECK(*age >= Millis {4000});
+    SECTION("a feed that the store doesn't deliver has no contact")
+    {
+        observer.instances_.onAvailability_(false, "no connection");
+        CHECK(!makeDocumentsReply(observer.reader_, request, now).contactAge_);
+    }
+    SECTION("a daemon that doesn't follow the store has no contact")
+    {
+        clearStoreContact(observer.reader_);
+        CHECK(!makeDocumentsReply(observer.reader_, request, now).contactAge_);
+    }
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/unit-documentsync.cpp
@@ -0,0 +1,257 @@
+// Sources of a daemon's documents. Guards against store calls that grow with the number of daemons,
+// and against a daemon that learns of no changes because its observers died, froze or lost contact
+// to the store.
+#include "core/relay/relay.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <deque>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+namespace {
+
+const DocumentSyncSettings settings;
+
+/// What one daemon of the simulated fleet can reach.
+struct SimulatedDaemon
+{
+    DocumentSync sync_;
+    PeerAddress address_;
+    bool alive_ = true;
+    bool reachesStore_ = true;
+    bool reachesPeers_ = true;
+    /// When a change of the store, made while the daemon was in contact, would have been learned.
+    MonoTime learnedAt_ {};
+};
+
+struct SyncFleet
+{
+    std::vector<SimulatedDaemon> daemons_;
+    MonoTime now_ {Seconds {100}};
+    /// Calls to the store, one for each watch that a daemon waits for.
+    std::size_t storeCalls_ = 0;
+};
+
+constexpr Millis step {50};
+constexpr Millis watchTime {1500};
+
+SyncFleet makeFleet(std::size_t count, std::size_t zones)
+{
+    SyncFleet fleet;
+    for (std::size_t i = 0; i < count; ++i) {
+        SimulatedDaemon daemon;
+        daemon.address_ = PeerAddress {HostId {"h" + std::to_string(i)},
+                                       ZoneId {"z" + std::to_string(i % zones)},
+                                       "h" + std::to_string(i) + ":1", 0};
+        fleet.daemons_.push_back(daemon);
+    }
+    for (SimulatedDaemon &daemon : fleet.daemons_) {
+        std::vector<PeerAddress> others;
+        for (const SimulatedDaemon &other : fleet.daemons_) {
+            if (other.address_.host_ != daemon.address_.host_)
+                others.push_back(other.address_);
+        }
+        updateSyncPeers(daemon.sync_, daemon.address_, others);
+    }
+    return fleet;
+}
+
+bool isFollowing(const SyncFleet &fleet, const SimulatedDaemon &daemon)
+{
+    return daemon.alive_ && followsStore(daemon.sync_, settings, fleet.now_);
+}
+
+bool hasContact(const SyncFleet &fleet, const SimulatedDaemon &daemon)
+{
+    return isFollowing(fleet, daemon) && daemon.reachesStore_;
+}
+
+void exchange(SyncFleet &fleet, SimulatedDaemon &daemon)
+{
+    for (const PeerAddress &target : nextSyncPeers(daemon.sync_, settings, fleet.now_)) {
+        const auto peer = std::find_if(
+            fleet.daemons_.begin(), fleet.daemons_.end(),
+            [&](const SimulatedDaemon &other) { return other.address_.host_ == target.host_; });
+        if (!peer->alive_ || !peer->reachesPeers_ || !daemon.reachesPeers_)
+            continue;
+        recordDocumentsRequest(peer->sync_, fleet.now_);
+        const bool contact = hasContact(fleet, *peer);
+        recordDocumentsReply(daemon.sync_, settings, target.host_,
+                             contact ? std::optional<Millis>(Millis {10}) : std::nullopt,
+                             fleet.now_);
+        if (contact)
+            daemon.learnedAt_ = fleet.now_;
+    }
+}
+
+void run(SyncFleet &fleet, Millis time)
+{
+    const MonoTime end = fleet.now_ + time;
+    while (fleet.now_ < end) {
+        fleet.now_ += step;
+        for (SimulatedDaemon &daemon : fleet.daemons_) {
+            if (!daemon.alive_)
+                continue;
+            const bool follows = isFollowing(fleet, daemon);
+            if (follows)
+                setFeedAvailability(daemon.sync_, "feed", daemon.reachesStore_, fleet.now_);
+            else
+                daemon.sync_.unavailableFeeds_.clear();
+            if (hasContact(fleet, daemon))
+                daemon.learnedAt_ = fleet.now_;
+            if (follows && (fleet.now_.time_since_epoch() % watchTime) < step)
+                ++fleet.storeCalls_;
+            exchange(fleet, daemon);
+        }
+    }
+}
+
+std::size_t countFollowers(const SyncFleet &fleet)
+{
+    return static_cast<std::size_t>(
+        std::count_if(fleet.daemons_.begin(), fleet.daemons_.end(),
+                      [&](const SimulatedDaemon &daemon) { return isFollowing(fleet, daemon); }));
+}
+
+/// Returns the longest time that a live daemon with access to its peers has been without changes.
+Millis oldestKnowledge(const SyncFleet &fleet)
+{
+    Millis oldest {};
+    for (const SimulatedDaemon &daemon : fleet.daemons_) {
+        if (daemon.alive_)
+            oldest = std::max(oldest,
+                              std::chrono::duration_cast<Millis>(fleet.now_ - daemon.learnedAt_));
+    }
+    return oldest;
+}
+
+SimulatedDaemon &observerOf(SyncFleet &fleet, const std::string &zone, std::size_t rank)
+{
+    const auto daemon = std::find_if(
+        fleet.daemons_.begin(), fleet.daemons_.end(),
+        [&](const SimulatedDaemon &candidate) { return candidate.address_.zone_.value_ == zone; });
+    const HostId host = daemon->sync_.sameZone_.at(rank).host_;
+    return *std::find_if(
+        fleet.daemons_.begin(), fleet.daemons_.end(),
+        [&](const SimulatedDaemon &candidate) { return candidate.address_.host_ == host; });
+}
+
+} // namespace
+
+TEST_CASE("a few daemons of each zone follow the store, whatever the size of the fleet")
+{
+    for (const std::size_t count : {30U, 195U}) {
+        SyncFleet fleet = makeFleet(count, 5);
+        run(fleet, Seconds {5});
+        CHECK(countFollowers(fleet) == 5 * settings.observersPerZone_);
+        CHECK(oldestKnowledge(fleet) <= 2 * settings.requestInterval_);
+    }
+}
+
+TEST_CASE("a daemon without peers follows the store")
+{
+    DocumentSync sync;
+    CHECK(followsStore(sync, settings, MonoTime {Seconds {1}}));
+    CHECK(nextSyncPeers(sync, settings, MonoTime {Seconds {1}}).empty());
+}
+
+TEST_CASE("the daemons of a zone learn changes while observers fail")
+{
+    SyncFleet fleet = makeFleet(40, 2);
+    run(fleet, Seconds {5});
+    SECTION("one observer freezes")
+    {
+        observerOf(fleet, "z0", 0).alive_ = false;
+        run(fleet, Millis {200});
+        for (int i = 0; i < 40; ++i) {
+            run(fleet, Millis {100});
+            CHECK(oldestKnowledge(fleet) <= 2 * settings.requestInterval_ + 2 * step);
+        }
+    }
+    SECTION("all observers of a zone die at once")
+    {
+        for (std::size_t rank = 0; rank < settings.observersPerZone_; ++rank)
+            observerOf(fleet, "z0", rank).alive_ = false;
+        Millis longest {};
+        run(fleet, Seconds {2});
+        for (int i = 0; i < 60; ++i) {
+            run(fleet, Millis {100});
+            longest = std::max(longest, oldestKnowledge(fleet));
+            // The next daemons in rank follow; the dead ones are tried again now and then.
+            CHECK(countFollowers(fleet) <= 4 * settings.observersPerZone_);
+        }
+        // The shortest time in which a new configuration must take effect is 2 s.
+        CHECK(longest <= Millis {1700});
+    }
+    SECTION("all observers of a zone lose the store but not their peers")
+    {
+        for (std::size_t rank = 0; rank < settings.observersPerZone_; ++rank)
+            observerOf(fleet, "z0", rank).reachesStore_ = false;
+        run(fleet, Seconds {3});
+        CHECK(oldestKnowledge(fleet) <= Millis {1700});
+    }
+    SECTION("a daemon loses its peers but not the store")
+    {
+        SimulatedDaemon &lonely = observerOf(fleet, "z0", 7);
+        lonely.reachesPeers_ = false;
+        run(fleet, settings.freshLifetime_ + 2 * step);
+        CHECK(isFollowing(fleet, lonely));
+    }
+}
+
+TEST_CASE("a fleet that is cut off from the store notices, and returns to few observers")
+{
+    SyncFleet fleet = makeFleet(195, 5);
+    run(fleet, Seconds {5});
+    for (SimulatedDaemon &daemon : fleet.daemons_)
+        daemon.reachesStore_ = false;
+    run(fleet, settings.freshLifetime_ + settings.maxFollowDelay_ / 2);
+    // The daemons don't all call the store at the same time.
+    CHECK(countFollowers(fleet) <= fleet.daemons_.size() * 2 / 3);
+    run(fleet, Seconds {5});
+    for (const SimulatedDaemon &daemon : fleet.daemons_)
+        CHECK_FALSE(hasStoreContact(daemon.sync_, settings, fleet.now_));
+    for (SimulatedDaemon &daemon : fleet.daemons_)
+        daemon.reachesStore_ = true;
+    run(fleet, Seconds {6});
+    for (const SimulatedDaemon &daemon : fleet.daemons_)
+        CHECK(hasStoreContact(daemon.sync_, settings, fleet.now_));
+    CHECK(countFollowers(fleet) == 5 * settings.observersPerZone_);
+}
+
+TEST_CASE(
+    "random deaths and cuts: a daemon that reaches the store or a connected peer learns changes")
+{
+    const bool held = rc::check("connected daemons learn changes", [] {
+        SyncFleet fleet = makeFleet(24, 3);
+        run(fleet, Seconds {4});
+        const auto changes = *rc::gen::container<std::vector<std::pair<std::size_t, int>>>(
+            12, rc::gen::pair(rc::gen::inRange<std::size_t>(0, 24), rc::gen::inRange(0, 6)));
+        for (const auto &[index, change] : changes) {
+            SimulatedDaemon &daemon = fleet.daemons_[index];
+            if (change == 0)
+                daemon.alive_ = !daemon.alive_;
+            else if (change == 1)
+                daemon.reachesStore_ = !daemon.reachesStore_;
+            else if (change == 2)
+                daemon.reachesPeers_ = !daemon.reachesPeers_;
+            else
+                run(fleet, Millis {400} * change);
+        }
+        // Silent peers are found, the follow delay ends.
+        run(fleet, Seconds {5});
+        for (const SimulatedDaemon &daemon : fleet.daemons_) {
+            if (daemon.alive_ && daemon.reachesStore_)
+                RC_ASSERT(fleet.now_ - daemon.learnedAt_ <= Seconds {1});
+        }
+    });
+    CHECK(held);
+}
+
+} // namespace tamarack
