--- a/src/relayd/follower.cpp
+++ b/src/relayd/follower.cpp
@@ -8,11 +8,16 @@
 
 namespace {
 
+constexpr Millis confirmTimeout {1};
+
 struct FollowerState
 {
     /// Revision after which the next watch starts; nothing if the keys must be listed first.
     std::optional<Revision> revision_;
     bool available_ = true;
+    /// The store has not replied since the last failure or pause. The next watch returns at once,
+    /// because a watch that waits shows only at its end that the store is available.
+    bool unconfirmed_ = false;
     /// Delay after the next failure.
     Millis retryDelay_ {};
 };
@@ -26,7 +31,8 @@
             handlers.onListing_(reply.entries_, reply.revision_);
         return reply;
     }
-    FeedReply reply = feed.watch_(settings.prefix_, *state.revision_, settings.watchTimeout_);
+    const Millis timeout = state.unconfirmed_ ? confirmTimeout : settings.watchTimeout_;
+    FeedReply reply = feed.watch_(settings.prefix_, *state.revision_, timeout);
     for (const FeedEntry &entry : reply.entries_)
         handlers.onChange_(entry);
     return reply;
@@ -51,7 +57,10 @@
         if (gate.open_ || gate.stopping_)
             return !gate.stopping_;
         gate.prober_.reset();
+        ++gate.waiting_;
+        gate.changed_.notify_all();
         gate.changed_.wait(lock, [&gate] { return gate.open_ || gate.stopping_; });
+        --gate.waiting_;
         if (gate.stopping_)
             return false;
     }
@@ -60,6 +69,7 @@
     if (known > Revision {})
         state.revision_ = state.revision_ ? std::max(*state.revision_, known) : known;
     state.available_ = true;
+    state.unconfirmed_ = true;
     state.retryDelay_ = settings.retryDelay_;
     return true;
 }
@@ -127,6 +137,7 @@
         if (reply.status_ == FeedStatus::Ok) {
             reportAvailability(handlers, state, true, {});
             state.retryDelay_ = settings.retryDelay_;
+            state.unconfirmed_ = false;
             state.revision_
                 = state.revision_ ? std::max(*state.revision_, reply.revision_) : reply.revision_;
             handlers.onProgress_(*state.revision_);
@@ -138,6 +149,7 @@
             state.revision_.reset();
             continue;
         }
+        state.unconfirmed_ = true;
         reportAvailability(handlers, state, false, reply.detail_);
         awaitRetry(gate, settings.prefix_, state.retryDelay_);
         state.retryDelay_ = std::min(state.retryDelay_ * 2, settings.maxRetryDelay_);
--- a/src/relayd/follower.h
+++ b/src/relayd/follower.h
@@ -5,6 +5,7 @@
 #include "ports/feed.h"
 
 #include <condition_variable>
+#include <cstddef>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -20,6 +21,8 @@
     std::condition_variable changed_;
     bool open_ = true;
     bool stopping_ = false;
+    /// Followers that wait for the gate to open.
+    std::size_t waiting_ = 0;
     /// The prefix whose follower calls the store while it is unavailable. The others wait for its
     /// success, because each call is charged.
     std::optional<std::string> prober_;
