--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::size_t maxSettingsBytes = 1U << 20U;
+/// A watch may take this part of the settle time. The rest is for polling an observer and for a
+/// batch of changes.
+constexpr int watchPercent = 60;
 constexpr double maxProcessorCores = 1024.0;
 constexpr IntegerRange timeRange {1, 3'600'000};
 
@@ -39,7 +42,9 @@
     settings.ledgerShards_
         = static_cast<std::uint32_t>(readInteger(store, "ledgerShards", FieldPresence::Optional,
                                                  IntegerRange {1, 1024}, settings.ledgerShards_));
-    rejectUnknownFields(store, {"address", "prefix", "ledgerShards"});
+    settings.settleTime_
+        = readMillis(store, "settleMs", FieldPresence::Optional, timeRange, settings.settleTime_);
+    rejectUnknownFields(store, {"address", "prefix", "ledgerShards", "settleMs"});
 }
 
 void readRetries(const JsonReader &root, RelayDaemonSettings &settings)
@@ -112,6 +117,7 @@
     constexpr double thousandths = 1000.0;
     control.capacity_ = static_cast<std::uint32_t>(
         std::clamp(settings.processorCores_, 0.0, maxProcessorCores) * thousandths);
+    control.sync_.watchTimeout_ = std::max(settings.settleTime_ * watchPercent / 100, Millis {1});
     control.retries_ = settings.retries_;
     control.missingRetention_ = std::max(settings.drainTimeout_ - drainMargin, Millis {0});
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -28,6 +28,8 @@
     std::string storeAddress_;
     std::string storePrefix_ = "tamarack";
     std::uint32_t ledgerShards_ = 1;
+    /// Time after a disturbance of the store within which all its changes must be known again.
+    Millis settleTime_ {3000};
     std::size_t maxFileDescriptors_ = 1024;
     /// Processor cores that this host has for the daemon; 0 if unknown. Larger hosts are preferred
     /// for work on behalf of other daemons.
--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -145,7 +145,7 @@
     sync.unanswered_.erase(from);
     sync.silent_.erase(from);
     sync.repliedAt_ = now;
-    if (contactAge && *contactAge <= settings.maxContactAge_)
+    if (contactAge && *contactAge <= settings.watchTimeout_ + settings.maxContactDelay_)
         sync.freshAt_ = now;
 }
 
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -20,12 +20,11 @@
 
 namespace tamarack {
 
-/// Timeout of the watches of the store's documents. Each watch is a charged call; keep-alive probes
-/// detect a dead connection earlier.
-inline constexpr Millis documentWatchTimeout {4000};
-
 struct DocumentSyncSettings
 {
+    /// Timeout of the watches of the store's documents. Each watch is a charged call. While the
+    /// store drops its history, a watch may miss changes until it ends.
+    Millis watchTimeout_ {1800};
     /// Observers per availability zone. With two, the failure of one delays a change by one request
     /// interval only.
     std::size_t observersPerZone_ = 2;
@@ -40,8 +39,9 @@
     /// probes, all daemons of a zone would return to a dead observer at the same time.
     Millis replyTimeout_ {700};
     Millis probeInterval_ {3000};
-    /// A peer whose last contact to the store is older than this counts as having none.
-    Millis maxContactAge_ {documentWatchTimeout + Seconds {1}};
+    /// A peer whose last contact to the store is older than watchTimeout_ and this counts as having
+    /// none.
+    Millis maxContactDelay_ {1000};
     /// A daemon without a reply from a peer that has contact to the store follows the store itself
     /// after this time.
     Millis freshLifetime_ {1000};
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -247,14 +247,15 @@
             followPrefix(relay.feed_, settings, handlers, relay.gate_);
         });
     };
+    const Millis watchTimeout = relayControlSettings(relay.settings_).sync_.watchTimeout_;
     FollowerSettings config;
     config.prefix_ = relay.platform_.documents_.configKey_;
-    config.watchTimeout_ = documentWatchTimeout;
+    config.watchTimeout_ = watchTimeout;
     config.changeBatchDelay_ = configBatchDelay;
     follow(config, configHandlers(*relay.documents_));
     FollowerSettings instances;
     instances.prefix_ = relay.platform_.documents_.instancePrefix_;
-    instances.watchTimeout_ = documentWatchTimeout;
+    instances.watchTimeout_ = watchTimeout;
     instances.changeBatchDelay_ = instanceBatchDelay;
     follow(instances, instanceHandlers(*relay.documents_));
 }
--- /dev/null
+++ b/tests/unit-relaysettings.cpp
@@ -0,0 +1,67 @@
+// Settings of a relay daemon. Guards against settings that are half applied or rejected without the
+// name of the field, and against watches that outlast the time in which changes must be known.
+#include "adapters/json/json.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace tamarack {
+
+namespace {
+
+std::string document(const std::string &store, const std::string &limits = "{}")
+{
+    return R"({"host": "h", "zone": "z", "listen": {"clients": "127.0.0.1:1", "local": "127.0.0.1:2"},)"
+           R"("store": {"address": "127.0.0.1:3")"
+        + store + R"(}, "limits": )" + limits + "}";
+}
+
+ValidationErrors errorsOf(const std::string &text)
+{
+    ValidationErrors errors;
+    parseRelaySettings(text, errors);
+    return errors;
+}
+
+} // namespace
+
+TEST_CASE("all changes are known within the settle time")
+{
+    // A watch that started while the store dropped its history missed a configuration until it
+    // ended, 4 s later.
+    for (const int settle : {3000, 4000, 5000}) {
+        ValidationErrors errors;
+        const RelaySettings control = relayControlSettings(
+            parseRelaySettings(document(R"(, "settleMs": )" + std::to_string(settle)), errors));
+        CHECK(errors.empty());
+        const DocumentSyncSettings &sync = control.sync_;
+        constexpr Millis batch {400};
+        CHECK(sync.watchTimeout_ + 2 * sync.requestInterval_ + batch < Millis {settle});
+    }
+}
+
+TEST_CASE("the capacity of a host follows its processor cores")
+{
+    ValidationErrors errors;
+    const RelaySettings control
+        = relayControlSettings(parseRelaySettings(document("", R"({"cores": 0.25})"), errors));
+    CHECK(errors.empty());
+    CHECK(control.capacity_ == 250);
+}
+
+TEST_CASE("invalid settings are reported with their field")
+{
+    CHECK(errorsOf(document("")).empty());
+    const ValidationErrors settle = errorsOf(document(R"(, "settleMs": 0)"));
+    REQUIRE(settle.size() == 1);
+    CHECK(settle.front().path_ == "store.settleMs");
+    const ValidationErrors cores = errorsOf(document("", R"({"cores": -1})"));
+    REQUIRE(cores.size() == 1);
+    CHECK(cores.front().path_ == "limits.cores");
+    const ValidationErrors unknown = errorsOf(document(R"(, "shards": 4)"));
+    REQUIRE(unknown.size() == 1);
+    CHECK(unknown.front().path_ == "store.shards");
+}
+
+} // namespace tamarack
