A lender that waits for the ledger is not taken for dead

Change: a lender whose draw is overdue replies at once that it has no tokens; only one that has been silent for 0.7 s is excluded.

--- a/src/core/relay/lenders.h
+++ b/src/core/relay/lenders.h
@@ -21,6 +21,9 @@
     std::size_t perZone_ = 4;
     /// How long a lender that did not reply is excluded.
     Millis unresponsiveExclusion_ {3000};
+    /// A lender that has not replied to requests for this long is excluded, and the next daemon in
+    /// rank becomes a lender.
+    Millis maxSilence_ {700};
     /// How long a lender that has no tokens and can't reach the ledger is excluded.
     Millis noTokensExclusion_ {1000};
 };
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -155,7 +155,11 @@
             reconcileBalance(state, settings, account, balance, now);
         return;
     }
-    if (isLedgerFailing(state, settings, account))
+    // A draw that takes longer than borrowers wait may be the first of an outage. The reply shows
+    // that this daemon is alive.
+    const bool drawOverdue
+        = grant.drawPending_ && now - balance.lastDrawAt_ >= settings.loanTimeout_;
+    if (drawOverdue || isLedgerFailing(state, settings, account))
         sendUnavailable(state, settings, account, issuedLoan);
     else if (isShortageKnown(state, settings, account, needed, now))
         sendRefusal(state, settings, account, issuedLoan, needed);
@@ -264,6 +268,7 @@
         return;
     PrepaidBalance &balance = found->second;
     state.lenderProcesses_[from] = reply.lender_;
+    state.silentLenders_.erase(from);
     ReceivedLoan &loan = balance.receivedLoans_[reply.lender_];
     if (loan.grant_.id_.isEmpty()) {
         loan.grant_.id_ = GrantId {reply.lender_.value_};
@@ -322,8 +327,14 @@
     for (auto &[account, balance] : state.balances_) {
         if (!balance.pendingRequest_ || balance.pendingRequest_->expiresAt_ > now)
             continue;
-        state.lenders_.unresponsive_[balance.pendingRequest_->host_]
-            = now + settings.lenders_.unresponsiveExclusion_;
+        const HostId &host = balance.pendingRequest_->host_;
+        const auto silent = state.silentLenders_.emplace(host, now).first;
+        // A lender that waits for the ledger replies to later requests at once. If it counted as
+        // dead, the next daemon would become a lender and draw as well.
+        if (now - silent->second < settings.lenders_.maxSilence_)
+            balance.lendersWithoutTokens_[host] = now + settings.lenders_.noTokensExclusion_;
+        else
+            state.lenders_.unresponsive_[host] = now + settings.lenders_.unresponsiveExclusion_;
         balance.pendingRequest_.reset();
         expired.insert(account);
     }
--- a/src/relayd/follower.h
+++ b/src/relayd/follower.h
@@ -38,7 +38,7 @@
     /// Delay after a change, so that the next call returns several changes.
     Millis changeBatchDelay_ {};
     /// Delay after a failed call, doubled after each further failure up to maxRetryDelay_.
-    Millis retryDelay_ {250};
+    Millis retryDelay_ {500};
     Millis maxRetryDelay_ {2000};
 };
 
--- a/tests/unit-loans.cpp
+++ b/tests/unit-loans.cpp
@@ -483,6 +483,38 @@
     CHECK(state.lastCall_ == 0);
 }
 
+TEST_CASE("a lender that waits for the ledger is not replaced by the next daemon")
+{
+    // When all lenders were cut off from the store, their borrowers took them for dead, one daemon
+    // after the other became a lender, and each drew tokens that it had to return afterwards.
+    Fleet fleet = makeFleet(20, 10'000'000);
+    const std::size_t lender = lenderIndex(fleet);
+    const std::size_t borrower = (lender + 1) % fleet.daemons_.size();
+    reserve(fleet, borrower, 100);
+    runCallsAndMessages(fleet);
+    REQUIRE(reserve(fleet, borrower, 100));
+
+    PrepaidState &state = fleet.daemons_[borrower].state_;
+    const Lenders known = state.lenders_;
+    std::set<HostId> asked;
+    for (int attempt = 0; attempt < 30; ++attempt) {
+        fleet.now_ += Millis {20};
+        reserve(fleet, borrower, 1'000'000);
+        collect(fleet);
+        // The ledger calls of the lenders are not answered, but the daemons run.
+        while (!fleet.messages_.empty()) {
+            const Message message = fleet.messages_.front();
+            fleet.messages_.pop_front();
+            asked.insert(message.sent_.host_);
+            deliver(fleet, message);
+            collect(fleet);
+        }
+        fleet.now_ += fleet.settings_.loanTimeout_;
+        expireLoanRequests(state, fleet.settings_, fleet.now_);
+    }
+    CHECK(asked.size() <= fleet.settings_.lenders_.perZone_ + 1);
+}
+
 TEST_CASE("no sequence of lost, duplicated and late messages overspends a total")
 {
     const bool held = rc::check("loans stay within the ledger's total", [] {
