A new fleet's daemons look for each other first; each observer has its turn

Cause: after a start all daemons followed the store until they had seen each other's registrations. A property test found that requests to other zones shifted the turns: of two observers one was asked once in 1.2 s, longer than a reply counts as fresh. Change: a daemon without known peers waits up to 1.5 s; turns are counted apart for the own and the other zones.

--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -12,6 +12,12 @@
 /// Rendezvous hashing key that ranks the daemons as observers.
 constexpr const char *rankPurpose = "observer";
 
+/// Returns true while a new daemon waits for the registrations of the others.
+bool isStarting(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    return !sync.peersSeen_ && now < sync.startedAt_ + settings.startupWait_;
+}
+
 bool isAlone(const DocumentSync &sync)
 {
     return sync.sameZone_.size() <= 1 && sync.otherZones_.empty();
@@ -89,13 +95,18 @@
     return due;
 }
 
+/// Returns true if it is the turn of the other availability zones.
+bool asksOtherZones(const DocumentSync &sync, const DocumentSyncSettings &settings)
+{
+    return sync.requestCount_ % settings.otherZoneEvery_ == 0 && !sync.otherZones_.empty();
+}
+
 /// Returns the peers among which the next request chooses.
 std::vector<PeerAddress> candidatePeers(const DocumentSync &sync,
                                         const DocumentSyncSettings &settings, bool fresh)
 {
-    const bool otherZones = sync.requestCount_ % settings.otherZoneEvery_ == 0;
     std::vector<PeerAddress> candidates;
-    if (!otherZones || sync.otherZones_.empty()) {
+    if (!asksOtherZones(sync, settings)) {
         // Without contact, one more than the observers is queried, which then follows the store.
         const std::size_t count = settings.observersPerZone_ + (fresh ? 0 : 1);
         candidates = responsivePeers(sync, sync.sameZone_, count);
@@ -151,6 +162,8 @@
 
 bool followsStore(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
 {
+    if (isStarting(sync, settings, now))
+        return false;
     if (isAlone(sync) || isObserver(sync, settings) || wasRequested(sync, settings, now))
         return true;
     if (isFresh(sync, settings, now))
@@ -163,6 +176,8 @@
 
 bool hasStoreContact(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
 {
+    if (isStarting(sync, settings, now))
+        return true;
     return isFresh(sync, settings, now)
         || (sync.unavailableFeeds_.empty() && followsStore(sync, settings, now));
 }
@@ -170,6 +185,7 @@
 std::vector<PeerAddress> nextSyncPeers(DocumentSync &sync, const DocumentSyncSettings &settings,
                                        MonoTime now)
 {
+    sync.startupOver_ = !isStarting(sync, settings, now);
     excludeSilentPeers(sync, settings, now);
     std::vector<PeerAddress> selected = dueProbes(sync, settings, now);
     if (now < sync.nextRequestAt_ || !needsPeers(sync, settings))
@@ -178,9 +194,14 @@
     ++sync.requestCount_;
     const bool fresh = sync.unavailableFeeds_.empty() && isFresh(sync, settings, now);
     const std::vector<PeerAddress> candidates = candidatePeers(sync, settings, fresh);
+    // Requests to this zone and to the others take turns separately, so that each observer has its
+    // turn.
+    const std::size_t toOtherZones = sync.requestCount_ / settings.otherZoneEvery_;
+    const std::size_t turn
+        = asksOtherZones(sync, settings) ? toOtherZones : sync.requestCount_ - toOtherZones;
     const std::size_t count = std::min(fresh ? 1 : settings.fanout_, candidates.size());
     for (std::size_t i = 0; i < count; ++i) {
-        const PeerAddress &peer = candidates[(sync.requestCount_ * count + i) % candidates.size()];
+        const PeerAddress &peer = candidates[(turn * count + i) % candidates.size()];
         // The host id of a seed is unknown, so its reply can't be matched.
         if (!peer.zone_.isEmpty())
             sync.unanswered_.emplace(peer.host_, now);
@@ -192,7 +213,9 @@
 std::optional<MonoTime> nextSyncTime(const DocumentSync &sync, const DocumentSyncSettings &settings)
 {
     std::optional<MonoTime> next;
-    if (needsPeers(sync, settings))
+    if (!sync.startupOver_)
+        next = sync.startedAt_ + settings.startupWait_;
+    if (needsPeers(sync, settings) && (!next || sync.nextRequestAt_ < *next))
         next = sync.nextRequestAt_;
     for (const PeerAddress &peer : sync.sameZone_) {
         const auto silent = sync.silent_.find(peer.host_);
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -44,7 +44,10 @@
     Millis maxContactDelay_ {1000};
     /// A daemon without a reply from a peer that has contact to the store follows the store itself
     /// after this time.
-    Millis freshLifetime_ {1000};
+    Millis freshLifetime_ {1300};
+    /// A daemon that knows no other daemon yet waits this long before it follows the store: the
+    /// daemons of a new fleet start together and see each other's registrations only later.
+    Millis startupWait_ {1500};
     /// A daemon that was asked for documents follows the store for this long.
     Millis observeOnRequest_ {3000};
     /// While peers reply but have no contact to the store, the daemons that are not observers start
@@ -57,6 +60,11 @@
 struct DocumentSync
 {
     HostId self_;
+    MonoTime startedAt_ {};
+    /// The registrations of other daemons have been seen.
+    bool peersSeen_ = false;
+    /// startupWait_ has passed, or peersSeen_ is set.
+    bool startupOver_ = false;
     std::vector<PeerAddress> sameZone_;
     std::vector<PeerAddress> otherZones_;
     /// Names of the feeds that the store does not deliver at present.
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -204,8 +204,10 @@
         || event.zoneDaemons_ != state.fleet_.zoneDaemons_;
     const PeerAddress self {
         state.settings_.host_, state.settings_.zone_, {}, state.settings_.capacity_};
-    if (!event.peers_.empty())
+    if (!event.peers_.empty()) {
+        state.sync_.peersSeen_ = true;
         updateSyncPeers(state.sync_, self, event.peers_);
+    }
     updateLenders(state.prepaid_.lenders_, self, event.peers_);
     state.fleet_ = event;
     state.prepaid_.daemons_ = event.daemons_;
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -274,6 +274,8 @@
     const RelaySettings &settings = state.settings_;
     updateSyncPeers(state.sync_,
                     PeerAddress {settings.host_, settings.zone_, {}, settings.capacity_}, seeds);
+    state.sync_.startedAt_ = std::chrono::steady_clock::now();
+    state.followsStore_ = false;
     return state;
 }
 
@@ -300,6 +302,7 @@
     relay.workers_.events_ = storeEvents(relay.queue_, settings);
     startStoreWorkers(relay.workers_, storeThreads);
     startRegistrationThreads(relay);
+    setOpen(relay.gate_, false);
     startFollowers(relay);
 
     RelayLoop loop {
