Let peer messages carry the largest document

A configuration of the store's largest value and its envelope exceed the default limit of 1 MB for peer messages, so the message would be dropped and all daemons would follow the store. By reading; no run showed it yet.

--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -38,6 +38,8 @@
 /// also report its state.
 constexpr Millis configBatchDelay {150};
 constexpr Millis instanceBatchDelay {400};
+/// A message to a peer may carry the largest value of the store and all other documents.
+constexpr std::size_t maxPeerMessageBytes = std::size_t {4} << 20U;
 /// Clients get half of the descriptors; the rest is for files, listeners and upstreams.
 constexpr std::size_t clientDescriptorDivisor = 2;
 
@@ -212,6 +214,7 @@
     PeerSettings settings;
     settings.host_ = relay.settings_.host_;
     settings.address_ = relay.settings_.peerAddress_;
+    settings.maxMessageBytes_ = maxPeerMessageBytes;
     relay.peers_ = startOrLog<PeerSocket>(relay.log_, [&] {
         return startPeerSocket(settings, EventPort {[&relay](const Event &event) {
                                    onPeerEvent(relay, event);
