Ask peers with contact to the store first; probe silent daemons of other zones too

Change: peers without contact come last, the next daemon in rank is asked; probes go to all zones; one request at a time for each peer; the first documents come from the own zone. The tests failed first.

--- a/src/adapters/metrics/storeusage.cpp
+++ b/src/adapters/metrics/storeusage.cpp
@@ -3,8 +3,6 @@
 
 #include <fmt/format.h>
 
-#include <utility>
-
 namespace tamarack {
 
 namespace {
@@ -49,7 +47,7 @@
     return usage;
 }
 
-StorePort countStoreCalls(StorePort store, const StoreUsage &usage)
+StorePort countStoreCalls(const StorePort &store, const StoreUsage &usage)
 {
     StorePort counted = store;
     counted.call_ = [call = store.call_, usage](const StoreCall &request) {
@@ -76,7 +74,7 @@
     return counted;
 }
 
-FeedPort countFeedCalls(FeedPort feed, const StoreUsage &usage)
+FeedPort countFeedCalls(const FeedPort &feed, const StoreUsage &usage)
 {
     FeedPort counted = feed;
     counted.list_ = [list = feed.list_, usage](const std::string &prefix) {
--- a/src/adapters/metrics/storeusage.h
+++ b/src/adapters/metrics/storeusage.h
@@ -40,10 +40,10 @@
 StoreUsage makeStoreUsage(prometheus::Registry &registry);
 
 /// @brief Returns a port that counts the calls of @a store.
-StorePort countStoreCalls(StorePort store, const StoreUsage &usage);
+StorePort countStoreCalls(const StorePort &store, const StoreUsage &usage);
 
 /// @brief Returns a port that counts the calls of @a feed.
-FeedPort countFeedCalls(FeedPort feed, const StoreUsage &usage);
+FeedPort countFeedCalls(const FeedPort &feed, const StoreUsage &usage);
 
 /// @brief Returns the counts as fields of a log line, "succeeded/failed" by purpose.
 std::vector<LogField> usageFields(const StoreUsage &usage);
--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -80,17 +80,20 @@
     });
 }
 
-/// Returns the silent peers of this zone whose next probe is due.
+/// Returns the silent peers whose next probe is due.
 std::vector<PeerAddress> dueProbes(DocumentSync &sync, const DocumentSyncSettings &settings,
                                    MonoTime now)
 {
     std::vector<PeerAddress> due;
-    for (const PeerAddress &peer : sync.sameZone_) {
-        const auto silent = sync.silent_.find(peer.host_);
-        if (silent == sync.silent_.end() || silent->second > now)
-            continue;
-        silent->second = now + settings.probeInterval_;
-        due.push_back(peer);
+    const std::vector<PeerAddress> *const zones[] = {&sync.sameZone_, &sync.otherZones_};
+    for (const std::vector<PeerAddress> *peers : zones) {
+        for (const PeerAddress &peer : *peers) {
+            const auto silent = sync.silent_.find(peer.host_);
+            if (silent == sync.silent_.end() || silent->second > now)
+                continue;
+            silent->second = now + settings.probeInterval_;
+            due.push_back(peer);
+        }
     }
     return due;
 }
@@ -98,21 +101,51 @@
 /// Returns true if it is the turn of the other availability zones.
 bool asksOtherZones(const DocumentSync &sync, const DocumentSyncSettings &settings)
 {
-    return sync.requestCount_ % settings.otherZoneEvery_ == 0 && !sync.otherZones_.empty();
+    // The first reply carries all documents, which should not come from another zone.
+    const bool mayAsk = sync.freshAt_ || sync.requestCount_ > 2 * settings.otherZoneEvery_;
+    return mayAsk && sync.requestCount_ % settings.otherZoneEvery_ == 0
+        && !sync.otherZones_.empty();
+}
+
+/// Returns the peers of this zone among which the next request chooses: its observers and the peer
+/// that last replied with contact to the store, if possible only those with contact.
+std::vector<PeerAddress> candidatesOfZone(const DocumentSync &sync,
+                                          const DocumentSyncSettings &settings)
+{
+    const auto isSelf = [&sync](const PeerAddress &peer) {
+        return peer.host_ == sync.self_;
+    };
+    const auto lacksContact = [&sync](const PeerAddress &peer) {
+        return sync.withoutContact_.contains(peer.host_);
+    };
+    std::vector<PeerAddress> candidates
+        = responsivePeers(sync, sync.sameZone_, settings.observersPerZone_);
+    std::erase_if(candidates, isSelf);
+    const auto isFreshest = [&sync](const PeerAddress &peer) {
+        return peer.host_ == sync.freshFrom_;
+    };
+    const bool isMissing = std::none_of(candidates.begin(), candidates.end(), isFreshest)
+        && !sync.silent_.contains(sync.freshFrom_);
+    if (isMissing)
+        std::copy_if(sync.sameZone_.begin(), sync.sameZone_.end(), std::back_inserter(candidates),
+                     isFreshest);
+    if (std::all_of(candidates.begin(), candidates.end(), lacksContact)) {
+        // One more than the observers is queried, which then follows the store.
+        candidates = responsivePeers(sync, sync.sameZone_, settings.observersPerZone_ + 1);
+        std::erase_if(candidates, isSelf);
+    }
+    if (!std::all_of(candidates.begin(), candidates.end(), lacksContact))
+        std::erase_if(candidates, lacksContact);
+    return candidates;
 }
 
 /// Returns the peers among which the next request chooses.
 std::vector<PeerAddress> candidatePeers(const DocumentSync &sync,
-                                        const DocumentSyncSettings &settings, bool fresh)
+                                        const DocumentSyncSettings &settings)
 {
     std::vector<PeerAddress> candidates;
-    if (!asksOtherZones(sync, settings)) {
-        // Without contact, one more than the observers is queried, which then follows the store.
-        const std::size_t count = settings.observersPerZone_ + (fresh ? 0 : 1);
-        candidates = responsivePeers(sync, sync.sameZone_, count);
-        std::erase_if(candidates,
-                      [&sync](const PeerAddress &peer) { return peer.host_ == sync.self_; });
-    }
+    if (!asksOtherZones(sync, settings))
+        candidates = candidatesOfZone(sync, settings);
     if (candidates.empty())
         candidates = responsivePeers(sync, sync.otherZones_, settings.observersPerZone_);
     return candidates;
@@ -132,6 +165,7 @@
     sortByRank(sync.otherZones_, rankPurpose);
     removeUnknown(sync.silent_, peers);
     removeUnknown(sync.unanswered_, peers);
+    removeUnknown(sync.withoutContact_, peers);
 }
 
 void setFeedAvailability(DocumentSync &sync, const std::string &feed, bool available, MonoTime now)
@@ -156,8 +190,13 @@
     sync.unanswered_.erase(from);
     sync.silent_.erase(from);
     sync.repliedAt_ = now;
-    if (contactAge && *contactAge <= settings.watchTimeout_ + settings.maxContactDelay_)
+    if (contactAge && *contactAge <= settings.watchTimeout_ + settings.maxContactDelay_) {
         sync.freshAt_ = now;
+        sync.freshFrom_ = from;
+        sync.withoutContact_.erase(from);
+    } else {
+        sync.withoutContact_[from] = now + settings.probeInterval_;
+    }
 }
 
 bool followsStore(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
@@ -187,13 +226,14 @@
 {
     sync.startupOver_ = !isStarting(sync, settings, now);
     excludeSilentPeers(sync, settings, now);
+    std::erase_if(sync.withoutContact_, [now](const auto &entry) { return entry.second <= now; });
     std::vector<PeerAddress> selected = dueProbes(sync, settings, now);
     if (now < sync.nextRequestAt_ || !needsPeers(sync, settings))
         return selected;
     sync.nextRequestAt_ = now + settings.requestInterval_;
     ++sync.requestCount_;
     const bool fresh = sync.unavailableFeeds_.empty() && isFresh(sync, settings, now);
-    const std::vector<PeerAddress> candidates = candidatePeers(sync, settings, fresh);
+    const std::vector<PeerAddress> candidates = candidatePeers(sync, settings);
     // Requests to this zone and to the others take turns separately, so that each observer has its
     // turn.
     const std::size_t toOtherZones = sync.requestCount_ / settings.otherZoneEvery_;
@@ -203,9 +243,10 @@
     for (std::size_t i = 0; i < count; ++i) {
         const PeerAddress &peer = candidates[(turn * count + i) % candidates.size()];
         // The host id of a seed is unknown, so its reply can't be matched.
-        if (!peer.zone_.isEmpty())
-            sync.unanswered_.emplace(peer.host_, now);
-        selected.push_back(peer);
+        const bool sent = peer.zone_.isEmpty() || sync.unanswered_.emplace(peer.host_, now).second;
+        // A second request to a peer whose reply is on its way would double a large reply.
+        if (sent)
+            selected.push_back(peer);
     }
     return selected;
 }
@@ -217,10 +258,9 @@
         next = sync.startedAt_ + settings.startupWait_;
     if (needsPeers(sync, settings) && (!next || sync.nextRequestAt_ < *next))
         next = sync.nextRequestAt_;
-    for (const PeerAddress &peer : sync.sameZone_) {
-        const auto silent = sync.silent_.find(peer.host_);
-        if (silent != sync.silent_.end() && (!next || silent->second < *next))
-            next = silent->second;
+    for (const auto &[host, probeAt] : sync.silent_) {
+        if (!next || probeAt < *next)
+            next = probeAt;
     }
     return next;
 }
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -75,6 +75,10 @@
     std::map<HostId, MonoTime> unanswered_;
     /// Last reply from a peer with contact to the store.
     std::optional<MonoTime> freshAt_;
+    /// The peer that sent it.
+    HostId freshFrom_;
+    /// Peers that replied without contact to the store, and until when they are asked last.
+    std::map<HostId, MonoTime> withoutContact_;
     /// Last reply from any peer.
     std::optional<MonoTime> repliedAt_;
     /// Last request from another daemon.
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -306,11 +306,9 @@
     return state.failures_ > 0 || (shard != state.shards_.end() && shard->second.failures_ > 0);
 }
 
-void setStoreContact(PrepaidState &state, bool contact, MonoTime now)
+void endBackoff(PrepaidState &state, MonoTime now)
 {
-    state.storeContact_ = contact;
-    if (contact)
-        state.backoffUntil_ = now;
+    state.backoffUntil_ = now;
 }
 
 bool isPrepaidIdle(const PrepaidState &state)
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -185,8 +185,6 @@
     std::uint32_t failures_ = 0;
     /// No call starts before this time.
     MonoTime backoffUntil_ {};
-    /// Neither this daemon nor its peers have found the store unavailable.
-    bool storeContact_ = true;
     /// Daemons that share the budgets, including this one.
     std::uint32_t daemons_ = 1;
     Lenders lenders_;
@@ -274,13 +272,13 @@
 /// are charged.
 void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
 
-/// @brief Returns true if the store is unavailable, or if the last call for the account's ledger
-/// shard failed.
+/// @brief Returns true if the last store call failed, or the last one for the account's ledger
+/// shard.
 bool isLedgerFailing(const PrepaidState &state, const PrepaidSettings &settings,
                      const AccountId &account);
 
-/// @brief Records whether the store is available. Draws start at once when it returns.
-void setStoreContact(PrepaidState &state, bool contact, MonoTime now);
+/// @brief Ends the backoff after failed store calls, because the store is available again.
+void endBackoff(PrepaidState &state, MonoTime now);
 
 /// @brief Returns true if all submitted operations are committed.
 bool isPrepaidIdle(const PrepaidState &state);
--- a/tests/unit-documentsync.cpp
+++ b/tests/unit-documentsync.cpp
@@ -231,6 +231,40 @@
     }
 }
 
+TEST_CASE("a daemon of another zone that was silent for a while is asked again")
+{
+    // Without probes it would be left out for good, and lower and lower ranks would follow the
+    // store in its place.
+    SyncFleet fleet = makeFleet(24, 3);
+    run(fleet, Seconds {4});
+    SimulatedDaemon &silent = observerOf(fleet, "z1", 0);
+    silent.alive_ = false;
+    run(fleet, Seconds {6});
+    silent.alive_ = true;
+    run(fleet, Seconds {6});
+    for (const SimulatedDaemon &daemon : fleet.daemons_)
+        CHECK(daemon.sync_.silent_.empty());
+}
+
+TEST_CASE("a zone whose observers lost the store relies on the next daemon in rank")
+{
+    // While an observer of another zone replied with contact every 1.2 s, the daemons of the zone
+    // went on to ask their own observers only (found by the property test below).
+    SyncFleet fleet = makeFleet(24, 3);
+    run(fleet, Seconds {4});
+    for (std::size_t rank = 0; rank < settings.observersPerZone_; ++rank)
+        observerOf(fleet, "z0", rank).reachesStore_ = false;
+    observerOf(fleet, "z1", 0).reachesStore_ = false;
+    run(fleet, Seconds {4});
+    for (int i = 0; i < 100; ++i) {
+        run(fleet, step);
+        for (const SimulatedDaemon &daemon : fleet.daemons_) {
+            if (daemon.reachesStore_)
+                CHECK(fleet.now_ - daemon.learnedAt_ <= Seconds {1});
+        }
+    }
+}
+
 TEST_CASE("each observer has its turn")
 {
     // Requests to other zones shifted the turns, so that one of two observers was asked once in
