--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -190,6 +190,9 @@
     sync.unanswered_.erase(from);
     sync.silent_.erase(from);
     sync.repliedAt_ = now;
+    if (contactAge)
+        sync.peerContactAt_
+            = std::max(sync.peerContactAt_.value_or(MonoTime {}), now - *contactAge);
     if (contactAge && *contactAge <= settings.watchTimeout_ + settings.maxContactDelay_) {
         sync.freshAt_ = now;
         sync.freshFrom_ = from;
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -77,6 +77,8 @@
     std::optional<MonoTime> freshAt_;
     /// The peer that sent it.
     HostId freshFrom_;
+    /// Last contact of any such peer to the store, by its own account.
+    std::optional<MonoTime> peerContactAt_;
     /// Peers that replied without contact to the store, and until when they are asked last.
     std::map<HostId, MonoTime> withoutContact_;
     /// Last reply from any peer.
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -194,6 +194,7 @@
     balance.loanRequestedAt_ = now;
     balance.pendingRequest_
         = PendingLoanRequest {lender.host_, amount, now + settings.loanTimeout_};
+    state.unansweredSince_.emplace(lender.host_, now);
     state.outbox_.push_back(SendPeer {lender.host_, lender.address_, std::move(request)});
 }
 
@@ -269,6 +270,7 @@
     PrepaidBalance &balance = found->second;
     state.lenderProcesses_[from] = reply.lender_;
     state.silentLenders_.erase(from);
+    state.unansweredSince_.erase(from);
     ReceivedLoan &loan = balance.receivedLoans_[reply.lender_];
     if (loan.grant_.id_.isEmpty()) {
         loan.grant_.id_ = GrantId {reply.lender_.value_};
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -194,6 +194,8 @@
     std::map<HostId, HolderId> lenderProcesses_;
     /// Lenders without a reply since the first request that timed out.
     std::map<HostId, MonoTime> silentLenders_;
+    /// When the oldest request without a reply was sent, by lender.
+    std::map<HostId, MonoTime> unansweredSince_;
     /// Messages to other daemons that have not been sent yet.
     std::vector<SendPeer> outbox_;
     /// This daemon is stopping and no longer lends.
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -235,6 +235,7 @@
 void onEvent(RelayState &state, const LoanReplyReceived &event, MonoTime now, RelayCommands &out)
 {
     const LoanReply &lent = event.lent_;
+    logLoanReply(state, event, now, out);
     handleLoanReply(state.prepaid_, state.settings_.prepaid_, lent, event.from_, now);
     resumeWaitingForTokens(state, lent.account_, now, out);
     returnRecalledLoan(state.prepaid_, lent);
@@ -317,6 +318,15 @@
     }
 }
 
+/// Returns for the log how old the documents from peers are; "none" if no peer had contact to the
+/// store.
+std::string peerContactAge(const DocumentSync &sync, MonoTime now)
+{
+    if (!sync.peerContactAt_)
+        return "none";
+    return std::to_string(std::chrono::duration_cast<Millis>(now - *sync.peerContactAt_).count());
+}
+
 /// Tells the threads that call the store whether to do so.
 void updateStoreUse(RelayState &state, MonoTime now, RelayCommands &out)
 {
@@ -328,7 +338,8 @@
         logLine(out, LogLevel::Info, "documents.source",
                 {{"follows_store", follows ? "yes" : "no"},
                  {"zone_daemons", std::to_string(state.sync_.sameZone_.size())},
-                 {"silent_peers", std::to_string(state.sync_.silent_.size())}});
+                 {"silent_peers", std::to_string(state.sync_.silent_.size())},
+                 {"peer_contact_age_ms", peerContactAge(state.sync_, now)}});
         out.emplace_back(SetFollowsStore {follows});
     }
     const bool contact = hasStoreContact(state.sync_, state.settings_.sync_, now);
@@ -338,7 +349,8 @@
             endBackoff(state.prepaid_, now);
         logLine(out, contact ? LogLevel::Info : LogLevel::Warning,
                 contact ? "store.contact_regained" : "store.contact_lost",
-                {{"follows_store", follows ? "yes" : "no"}});
+                {{"follows_store", follows ? "yes" : "no"},
+                 {"peer_contact_age_ms", peerContactAge(state.sync_, now)}});
         out.emplace_back(SetStoreContact {contact});
     }
 }
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -41,6 +41,10 @@
 /// @brief Returns this daemon's part of the shared retry limit.
 RetrySettings retrySettings(const RelayState &state);
 
+/// @brief Logs the reply of a lender before it is handled, with the time that it took.
+void logLoanReply(const RelayState &state, const LoanReplyReceived &reply, MonoTime now,
+                  RelayCommands &out);
+
 /// @brief Sends pending loan messages and logs loan requests and replies.
 void sendLoanMessages(RelayState &state, RelayCommands &out);
 
--- a/src/core/relay/relayloans.cpp
+++ b/src/core/relay/relayloans.cpp
@@ -30,6 +30,25 @@
 
 } // namespace
 
+void logLoanReply(const RelayState &state, const LoanReplyReceived &reply, MonoTime now,
+                  RelayCommands &out)
+{
+    const auto since = state.prepaid_.unansweredSince_.find(reply.from_);
+    // Another reply of the lender, for example after a recall.
+    if (since == state.prepaid_.unansweredSince_.end())
+        return;
+    const auto elapsed = std::chrono::duration_cast<Millis>(now - since->second);
+    const auto balance = state.prepaid_.balances_.find(reply.lent_.account_);
+    const bool awaited = balance != state.prepaid_.balances_.end()
+        && balance->second.pendingRequest_ && balance->second.pendingRequest_->host_ == reply.from_;
+    logLine(out, LogLevel::Info, "loan.received",
+            {{"account", reply.lent_.account_.value_},
+             {"lender", reply.from_.value_},
+             {"lent", std::to_string(reply.lent_.lent_.count_)},
+             {"elapsed_ms", std::to_string(elapsed.count())},
+             {"late", awaited ? "no" : "yes"}});
+}
+
 void sendLoanMessages(RelayState &state, RelayCommands &out)
 {
     for (SendPeer &message : std::exchange(state.prepaid_.outbox_, {})) {
