Judge what peers know by its age, not by the time of their reply

Cause: three delays in a row, each within bounds. An observer's watch could hang for 60% of the settle time and 1 s more before the observer counted as cut off; a daemon counted 1.3 s from the arrival of a reply instead of from the contact that it reports; and it then waited up to 2 s for its turn to follow the store.

Change: all delays are derived from the time in which a change must take effect (store.applyMs, new, and limits.drainMs). A daemon follows the store once its information is older than allowed. The watch of the configuration takes a quarter of that time; a contact of either feed counts unless the other one is overdue.

Ruled out: a host that asks the wrong peers (no observer had contact), and a read of the store that failed (none was made).

Test: with the age counted from the reply, 120 of 2,880 checks of 'a daemon whose observers are cut off silently knows each change in time' fail. The test of the contact age is replaced: the age of the older feed is no longer the rule; the new one checks the newest contact, an overdue feed, and as before feeds without contact.

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -13,9 +13,6 @@
 namespace {
 
 constexpr std::size_t maxSettingsBytes = 1U << 20U;
-/// A watch may take this part of the settle time. The rest is for polling an observer and for a
-/// batch of changes.
-constexpr int watchPercent = 60;
 constexpr double maxProcessorCores = 1024.0;
 constexpr IntegerRange timeRange {1, 3'600'000};
 
@@ -44,7 +41,9 @@
                                                  IntegerRange {1, 1024}, settings.ledgerShards_));
     settings.settleTime_
         = readMillis(store, "settleMs", FieldPresence::Optional, timeRange, settings.settleTime_);
-    rejectUnknownFields(store, {"address", "prefix", "ledgerShards", "settleMs"});
+    settings.applyTime_
+        = readMillis(store, "applyMs", FieldPresence::Optional, timeRange, settings.applyTime_);
+    rejectUnknownFields(store, {"address", "prefix", "ledgerShards", "settleMs", "applyMs"});
 }
 
 void readRetries(const JsonReader &root, RelayDaemonSettings &settings)
@@ -117,7 +116,9 @@
     constexpr double thousandths = 1000.0;
     control.capacity_ = static_cast<std::uint32_t>(
         std::clamp(settings.processorCores_, 0.0, maxProcessorCores) * thousandths);
-    control.sync_.watchTimeout_ = std::max(settings.settleTime_ * watchPercent / 100, Millis {1});
+    // Requests also stop going to a leaving instance within the drain timeout.
+    control.sync_ = documentSyncSettings(std::min(settings.applyTime_, settings.drainTimeout_),
+                                         settings.settleTime_);
     control.retries_ = settings.retries_;
     control.missingRetention_ = std::max(settings.drainTimeout_ - drainMargin, Millis {0});
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -30,6 +30,8 @@
     std::uint32_t ledgerShards_ = 1;
     /// Time after a disturbance of the store within which all its changes must be known again.
     Millis settleTime_ {3000};
+    /// Time within which a change takes effect, from its confirmation by the store.
+    Millis applyTime_ {2000};
     std::size_t maxFileDescriptors_ = 1024;
     /// Processor cores that this host has for the daemon; 0 if unknown. Larger hosts are preferred
     /// for work on behalf of other daemons.
--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -11,6 +11,15 @@
 
 /// Rendezvous hashing key that ranks the daemons as observers.
 constexpr const char *rankPurpose = "observer";
+/// A watch may take this part of the settle time. The rest is for polling an observer and for a
+/// batch of changes.
+constexpr int watchPercent = 60;
+/// Observers confirm their contact to the store several times within the time to apply a change.
+constexpr int contactPercent = 25;
+/// Allowance for a call, a peer message and the processor time of a small host.
+constexpr Millis deliveryMargin {150};
+/// Time to read a change from the store and apply it, on a small host under load.
+constexpr Millis applyMargin {600};
 
 /// Returns true while a new daemon waits for the registrations of the others.
 bool isStarting(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
@@ -153,6 +162,21 @@
 
 } // namespace
 
+DocumentSyncSettings documentSyncSettings(Millis applyTime, Millis settleTime)
+{
+    DocumentSyncSettings settings;
+    settings.watchTimeout_ = std::max(settleTime * watchPercent / 100, Millis {1});
+    settings.contactInterval_
+        = std::clamp(applyTime * contactPercent / 100, Millis {1}, settings.watchTimeout_);
+    // In the worst case, every other reply comes from another zone or is lost.
+    const Millis usualAge
+        = settings.contactInterval_ + 2 * settings.requestInterval_ + deliveryMargin;
+    const Millis maxAge = std::max(applyTime - applyMargin, Millis {});
+    settings.freshLifetime_ = std::min(usualAge, maxAge);
+    settings.maxFollowDelay_ = std::min(settings.maxFollowDelay_, maxAge - settings.freshLifetime_);
+    return settings;
+}
+
 void updateSyncPeers(DocumentSync &sync, const PeerAddress &self,
                      const std::vector<PeerAddress> &peers)
 {
@@ -191,10 +215,8 @@
     sync.silent_.erase(from);
     sync.repliedAt_ = now;
     if (contactAge)
-        sync.peerContactAt_
-            = std::max(sync.peerContactAt_.value_or(MonoTime {}), now - *contactAge);
-    if (contactAge && *contactAge <= settings.watchTimeout_ + settings.maxContactDelay_) {
-        sync.freshAt_ = now;
+        sync.freshAt_ = std::max(sync.freshAt_.value_or(MonoTime {}), now - *contactAge);
+    if (contactAge && *contactAge <= settings.freshLifetime_) {
         sync.freshFrom_ = from;
         sync.withoutContact_.erase(from);
     } else {
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -25,6 +25,9 @@
     /// Timeout of the watches of the store's documents. Each watch is a charged call. While the
     /// store drops its history, a watch may miss changes until it ends.
     Millis watchTimeout_ {1800};
+    /// Timeout of the watch of the configuration. It changes rarely, so this is how often an
+    /// observer confirms that it reaches the store.
+    Millis contactInterval_ {500};
     /// Observers per availability zone. With two, the failure of one delays a change by one request
     /// interval only.
     std::size_t observersPerZone_ = 2;
@@ -39,11 +42,11 @@
     /// probes, all daemons of a zone would return to a dead observer at the same time.
     Millis replyTimeout_ {700};
     Millis probeInterval_ {3000};
-    /// A peer whose last contact to the store is older than watchTimeout_ and this counts as having
-    /// none.
+    /// A feed whose last contact to the store is older than watchTimeout_ and this counts as
+    /// unavailable.
     Millis maxContactDelay_ {1000};
-    /// A daemon without a reply from a peer that has contact to the store follows the store itself
-    /// after this time.
+    /// Maximum age of what a daemon relies on peers for, counted from the peer's last contact to
+    /// the store. With older information, the daemon follows the store itself.
     Millis freshLifetime_ {1300};
     /// A daemon that knows no other daemon yet waits this long before it follows the store: the
     /// daemons of a new fleet start together and see each other's registrations only later.
@@ -55,6 +58,12 @@
     Millis maxFollowDelay_ {2000};
 };
 
+/// @brief Returns settings with which a daemon that reaches the store knows each change in time,
+/// whatever its observers reach.
+/// @param applyTime time within which a change must take effect, from its confirmation by the store
+/// @param settleTime time after a disturbance of the store within which all changes must be known
+DocumentSyncSettings documentSyncSettings(Millis applyTime, Millis settleTime);
+
 /// Invariant: sameZone_ and otherZones_ are sorted by rank; sameZone_ contains this daemon if
 /// any other daemon is known.
 struct DocumentSync
@@ -73,12 +82,10 @@
     std::map<HostId, MonoTime> silent_;
     /// When the first request without a reply was sent, by peer.
     std::map<HostId, MonoTime> unanswered_;
-    /// Last reply from a peer with contact to the store.
+    /// Last contact to the store of any peer that replied: the age of what is known from peers.
     std::optional<MonoTime> freshAt_;
-    /// The peer that sent it.
+    /// The peer that last replied with recent contact.
     HostId freshFrom_;
-    /// Last contact of any such peer to the store, by its own account.
-    std::optional<MonoTime> peerContactAt_;
     /// Peers that replied without contact to the store, and until when they are asked last.
     std::map<HostId, MonoTime> withoutContact_;
     /// Last reply from any peer.
@@ -102,7 +109,7 @@
 /// @brief Records that another daemon asked for documents.
 void recordDocumentsRequest(DocumentSync &sync, MonoTime now);
 
-/// @brief Records the reply of a peer.
+/// @brief Records the reply of a peer, whose documents have been applied.
 /// @param contactAge time since the peer's last contact to the store; std::nullopt if it has
 /// none
 void recordDocumentsReply(DocumentSync &sync, const DocumentSyncSettings &settings,
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -322,9 +322,9 @@
 /// store.
 std::string peerContactAge(const DocumentSync &sync, MonoTime now)
 {
-    if (!sync.peerContactAt_)
+    if (!sync.freshAt_)
         return "none";
-    return std::to_string(std::chrono::duration_cast<Millis>(now - *sync.peerContactAt_).count());
+    return std::to_string(std::chrono::duration_cast<Millis>(now - *sync.freshAt_).count());
 }
 
 /// Tells the threads that call the store whether to do so.
--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -216,26 +216,31 @@
     advancePosition(reader.cache_.feeds_.at(changes.feed_), changes.at_);
 }
 
-/// Returns the time since the older of the last contacts of all feeds. The caller holds the mutex
-/// of the cache.
-std::optional<Millis> contactAge(const DocumentCache &cache, MonoTime now)
+/// Returns the time since the last contact of any feed to the store, or nothing if a feed is
+/// unavailable. A watch without a reply says nothing until it ends, but it would have replied to a
+/// change as long as the store answers the other feeds. The caller holds the mutex of the cache.
+std::optional<Millis> contactAge(const DocumentCache &cache, Millis maxAge, MonoTime now)
 {
-    Millis age {};
+    std::optional<Millis> newest;
     for (const auto &[name, feed] : cache.feeds_) {
         if (!feed.contactAt_)
             return std::nullopt;
-        age = std::max(age, std::chrono::duration_cast<Millis>(now - *feed.contactAt_));
+        const auto age = std::chrono::duration_cast<Millis>(now - *feed.contactAt_);
+        if (age > maxAge)
+            return std::nullopt;
+        newest = std::min(newest.value_or(age), age);
     }
-    return age;
+    return newest;
 }
 
 } // namespace
 
 DocumentReader::DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue,
-                               LogPort log)
+                               LogPort log, Millis maxContactAge)
     : formats_(formats)
     , queue_(queue)
     , log_(std::move(log))
+    , maxContactAge_(maxContactAge)
 {
     cache_.feeds_[configFeed].prefix_ = formats.configKey_;
     cache_.feeds_[instanceFeed].prefix_ = formats.instancePrefix_;
@@ -278,7 +283,7 @@
 {
     const std::lock_guard lock(reader.cache_.mutex_);
     DocumentsReply reply;
-    reply.contactAge_ = contactAge(reader.cache_, now);
+    reply.contactAge_ = contactAge(reader.cache_, reader.maxContactAge_, now);
     for (const FeedPosition &position : request.positions_) {
         const auto feed = reader.cache_.feeds_.find(position.feed_);
         if (feed != reader.cache_.feeds_.end() && feed->second.position_ > position.revision_)
--- a/src/relayd/documents.h
+++ b/src/relayd/documents.h
@@ -50,9 +50,12 @@
     const RelayDocuments &formats_;
     BlockingQueue<RelayEvent> &queue_;
     LogPort log_;
+    /// A feed without contact to the store for longer than this is taken for unavailable.
+    Millis maxContactAge_;
     DocumentCache cache_;
 
-    DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue, LogPort log);
+    DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue, LogPort log,
+                   Millis maxContactAge);
 };
 
 /// @brief Returns the handlers for the follower of the configuration.
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -128,6 +128,12 @@
         [] { return std::optional<Value>(); });
 }
 
+Millis maxContactAge(const RelayDaemonSettings &settings)
+{
+    const DocumentSyncSettings sync = relayControlSettings(settings).sync_;
+    return sync.watchTimeout_ + sync.maxContactDelay_;
+}
+
 /// The components of a running daemon. They hold references to each other, so it must not be moved.
 struct RelayDaemon
 {
@@ -159,7 +165,8 @@
         , usage_(makeStoreUsage(*registry_))
         , store_(countStoreCalls(platform.makeStore_(settings.storeAddress_), usage_))
         , feed_(countFeedCalls(platform.makeFeed_(settings.storeAddress_), usage_))
-        , documents_(std::make_unique<DocumentReader>(platform.documents_, queue_, log_))
+        , documents_(std::make_unique<DocumentReader>(platform.documents_, queue_, log_,
+                                                      maxContactAge(settings)))
     { }
 };
 
@@ -250,15 +257,15 @@
             followPrefix(relay.feed_, settings, handlers, relay.gate_);
         });
     };
-    const Millis watchTimeout = relayControlSettings(relay.settings_).sync_.watchTimeout_;
+    const DocumentSyncSettings sync = relayControlSettings(relay.settings_).sync_;
     FollowerSettings config;
     config.prefix_ = relay.platform_.documents_.configKey_;
-    config.watchTimeout_ = watchTimeout;
+    config.watchTimeout_ = sync.contactInterval_;
     config.changeBatchDelay_ = configBatchDelay;
     follow(config, configHandlers(*relay.documents_));
     FollowerSettings instances;
     instances.prefix_ = relay.platform_.documents_.instancePrefix_;
-    instances.watchTimeout_ = watchTimeout;
+    instances.watchTimeout_ = sync.watchTimeout_;
     instances.changeBatchDelay_ = instanceBatchDelay;
     follow(instances, instanceHandlers(*relay.documents_));
 }
--- a/tests/unit-documentexchange.cpp
+++ b/tests/unit-documentexchange.cpp
@@ -32,13 +32,16 @@
     return formats;
 }
 
+constexpr Millis maxContactAge {3000};
+
 /// A daemon's documents and the events that they cause.
 struct ExchangeDaemon
 {
     RelayDocuments formats_ = makeFormats();
     BlockingQueue<RelayEvent> queue_;
     DocumentReader reader_ {formats_, queue_, LogPort {[](const LogEvent &) {
-                            }}};
+                            }},
+                            maxContactAge};
     FollowerHandlers config_ = configHandlers(reader_);
     FollowerHandlers instances_ = instanceHandlers(reader_);
     InstanceDirectory directory_;
@@ -177,18 +180,30 @@
         CHECK(position.revision_ == Revision {10});
 }
 
-TEST_CASE("the contact age is that of the feed with the older contact")
+TEST_CASE("the contact age is that of the newest contact while all feeds are available")
 {
     ExchangeDaemon observer;
     const DocumentsRequest request {"127.0.0.1:1", {}};
     const MonoTime now = std::chrono::steady_clock::now();
-    CHECK(!makeDocumentsReply(observer.reader_, request, now).contactAge_);
+    const auto ageAt = [&](MonoTime time) {
+        return makeDocumentsReply(observer.reader_, request, time).contactAge_;
+    };
+    const auto setContact = [&](const std::string &feed, MonoTime time) {
+        observer.reader_.cache_.feeds_.at(feed).contactAt_ = time;
+    };
+    CHECK(!ageAt(now));
     observer.config_.onProgress_(Revision {4});
-    CHECK(!makeDocumentsReply(observer.reader_, request, now).contactAge_);
+    CHECK(!ageAt(now));
     observer.instances_.onProgress_(Revision {4});
-    const auto age = makeDocumentsReply(observer.reader_, request, now + Seconds {5}).contactAge_;
-    REQUIRE(age);
-    CHECK(*age >= Millis {4000});
+    CHECK(ageAt(now));
+    setContact("store.instances", now);
+    setContact("store.config", now + Seconds {2});
+    CHECK(ageAt(now + Millis {2500}) == Millis {500});
+    SECTION("a feed whose watch is overdue has no contact")
+    {
+        CHECK(ageAt(now + maxContactAge));
+        CHECK(!ageAt(now + maxContactAge + Millis {1}));
+    }
     SECTION("a feed that the store doesn't deliver has no contact")
     {
         observer.instances_.onAvailability_(false, "no connection");
--- a/tests/unit-documentsync.cpp
+++ b/tests/unit-documentsync.cpp
@@ -26,12 +26,17 @@
     bool alive_ = true;
     bool reachesStore_ = true;
     bool reachesPeers_ = true;
+    /// The path to the store is cut silently: watches hang and are not overdue yet.
+    bool watchHangs_ = false;
+    /// Last reply of the store.
+    MonoTime contactAt_ {};
     /// When a change of the store, made while the daemon was in contact, would have been learned.
     MonoTime learnedAt_ {};
 };
 
 struct SyncFleet
 {
+    DocumentSyncSettings settings_;
     std::vector<SimulatedDaemon> daemons_;
     MonoTime now_ {Seconds {100}};
     /// Calls to the store, one for each watch that a daemon waits for.
@@ -49,6 +54,7 @@
         daemon.address_ = PeerAddress {HostId {"h" + std::to_string(i)},
                                        ZoneId {"z" + std::to_string(i % zones)},
                                        "h" + std::to_string(i) + ":1", 0};
+        daemon.contactAt_ = fleet.now_;
         fleet.daemons_.push_back(daemon);
     }
     for (SimulatedDaemon &daemon : fleet.daemons_) {
@@ -64,7 +70,7 @@
 
 bool isFollowing(const SyncFleet &fleet, const SimulatedDaemon &daemon)
 {
-    return daemon.alive_ && followsStore(daemon.sync_, settings, fleet.now_);
+    return daemon.alive_ && followsStore(daemon.sync_, fleet.settings_, fleet.now_);
 }
 
 bool hasContact(const SyncFleet &fleet, const SimulatedDaemon &daemon)
@@ -74,7 +80,7 @@
 
 void exchange(SyncFleet &fleet, SimulatedDaemon &daemon)
 {
-    for (const PeerAddress &target : nextSyncPeers(daemon.sync_, settings, fleet.now_)) {
+    for (const PeerAddress &target : nextSyncPeers(daemon.sync_, fleet.settings_, fleet.now_)) {
         const auto peer = std::find_if(
             fleet.daemons_.begin(), fleet.daemons_.end(),
             [&](const SimulatedDaemon &other) { return other.address_.host_ == target.host_; });
@@ -82,11 +88,11 @@
             continue;
         recordDocumentsRequest(peer->sync_, fleet.now_);
         const bool contact = hasContact(fleet, *peer);
-        recordDocumentsReply(daemon.sync_, settings, target.host_,
-                             contact ? std::optional<Millis>(Millis {10}) : std::nullopt,
-                             fleet.now_);
+        const auto age = std::chrono::duration_cast<Millis>(fleet.now_ - peer->contactAt_);
+        recordDocumentsReply(daemon.sync_, fleet.settings_, target.host_,
+                             contact ? std::optional<Millis>(age) : std::nullopt, fleet.now_);
         if (contact)
-            daemon.learnedAt_ = fleet.now_;
+            daemon.learnedAt_ = std::max(daemon.learnedAt_, peer->contactAt_);
     }
 }
 
@@ -103,8 +109,10 @@
                 setFeedAvailability(daemon.sync_, "feed", daemon.reachesStore_, fleet.now_);
             else
                 daemon.sync_.unavailableFeeds_.clear();
-            if (hasContact(fleet, daemon))
+            if (hasContact(fleet, daemon) && !daemon.watchHangs_) {
+                daemon.contactAt_ = fleet.now_;
                 daemon.learnedAt_ = fleet.now_;
+            }
             if (follows && (fleet.now_.time_since_epoch() % watchTime) < step)
                 ++fleet.storeCalls_;
             exchange(fleet, daemon);
@@ -307,6 +315,34 @@
     CHECK(countFollowers(fleet) == 5 * settings.observersPerZone_);
 }
 
+TEST_CASE("a daemon whose observers are cut off silently knows each change in time")
+{
+    // Observers counted as in contact until their watches were overdue, and a daemon that asked
+    // them waited for two more delays, so a configuration came up to 3 s too late.
+    for (const Millis applyTime : {Millis {2000}, Millis {3000}, Millis {4000}}) {
+        constexpr std::size_t reaching = 20;
+        SyncFleet fleet = makeFleet(73, 4);
+        fleet.settings_ = documentSyncSettings(applyTime, applyTime + Seconds {1});
+        run(fleet, Seconds {5});
+        for (SimulatedDaemon &daemon : fleet.daemons_)
+            daemon.watchHangs_ = true;
+        std::size_t found = 0;
+        for (std::size_t i = 0; i < fleet.daemons_.size() && found < reaching; ++i) {
+            if (isFollowing(fleet, fleet.daemons_[i]))
+                continue;
+            fleet.daemons_[i].watchHangs_ = false;
+            ++found;
+        }
+        for (Millis time {}; time < fleet.settings_.watchTimeout_; time += step) {
+            run(fleet, step);
+            for (const SimulatedDaemon &daemon : fleet.daemons_) {
+                if (!daemon.watchHangs_)
+                    CHECK(fleet.now_ - daemon.learnedAt_ <= applyTime - Millis {500});
+            }
+        }
+    }
+}
+
 TEST_CASE(
     "random deaths and cuts: a daemon that reaches the store or a connected peer learns changes")
 {
--- a/tests/unit-relaysettings.cpp
+++ b/tests/unit-relaysettings.cpp
@@ -41,6 +41,22 @@
     }
 }
 
+TEST_CASE("a daemon reads the store itself before the time to apply a change is over")
+{
+    for (const int apply : {2000, 3000, 4000}) {
+        ValidationErrors errors;
+        const std::string bounds = R"(, "settleMs": 5000, "applyMs": )" + std::to_string(apply);
+        const RelaySettings control = relayControlSettings(
+            parseRelaySettings(document(bounds, R"({"drainMs": 4000})"), errors));
+        CHECK(errors.empty());
+        const DocumentSyncSettings &sync = control.sync_;
+        constexpr Millis readTime {500};
+        CHECK(sync.freshLifetime_ + sync.maxFollowDelay_ + readTime <= Millis {apply});
+        // Otherwise daemons would follow the store although their observers reach it.
+        CHECK(sync.contactInterval_ + 2 * sync.requestInterval_ < sync.freshLifetime_);
+    }
+}
+
 TEST_CASE("the capacity of a host follows its processor cores")
 {
     ValidationErrors errors;
