Count how long an instance has been missing from its removal, not from the news of it

The instance then runs requests that it may not finish.

Cause: a missing instance stays usable as a last resort for the drain timeout less 0.5 s.

Change: the time is counted from the earliest possible removal, the previous contact of the peers to the store. After an outage of 3 s or more it is counted from the arrival, because entries then expire although their instances are alive.

Ruled out: a peer that reports later than its bound (0.84 s here).

Test: 'a removal that arrives late from a peer does not prolong the use of an instance' fails without the change.

--- a/src/core/relay/instances.cpp
+++ b/src/core/relay/instances.cpp
@@ -23,20 +23,20 @@
 }
 
 bool markMissing(InstanceDirectory &directory, const UpstreamId &id, Revision revision,
-                 MonoTime now)
+                 MonoTime since)
 {
     Revision &tombstoneRevision = directory.tombstones_[id];
     tombstoneRevision = std::max(tombstoneRevision, revision);
     const auto it = directory.known_.find(id);
     if (it == directory.known_.end() || it->second.revision_ > revision || it->second.missingSince_)
         return false;
-    it->second.missingSince_ = now;
+    it->second.missingSince_ = since;
     return true;
 }
 
 std::vector<UpstreamId> applyListing(InstanceDirectory &directory,
                                      const std::vector<ListedInstance> &listing, Revision revision,
-                                     MonoTime now)
+                                     MonoTime since)
 {
     std::set<UpstreamId> listed;
     for (const ListedInstance &entry : listing) {
@@ -45,7 +45,7 @@
     }
     std::vector<UpstreamId> missing;
     for (auto &[id, known] : directory.known_) {
-        if (!listed.contains(id) && markMissing(directory, id, revision, now))
+        if (!listed.contains(id) && markMissing(directory, id, revision, since))
             missing.push_back(id);
     }
     return missing;
--- a/src/core/relay/instances.h
+++ b/src/core/relay/instances.h
@@ -64,16 +64,18 @@
 bool upsertInstance(InstanceDirectory &directory, const ListedInstance &listed);
 
 /// @brief Marks an instance as missing from @a revision on.
+/// @param since earliest time at which the entry may have been removed
 /// @return true if the directory changed
 bool markMissing(InstanceDirectory &directory, const UpstreamId &id, Revision revision,
-                 MonoTime now);
+                 MonoTime since);
 
 /// @brief Applies a full listing and marks all instances that it does not contain as missing.
 /// @param revision revision of the store at the start of the listing
+/// @param since earliest time at which an unlisted entry may have been removed
 /// @return ids of the instances that became missing
 std::vector<UpstreamId> applyListing(InstanceDirectory &directory,
                                      const std::vector<ListedInstance> &listing, Revision revision,
-                                     MonoTime now);
+                                     MonoTime since);
 
 /// @brief Removes instances that have been missing for at least @a retention.
 /// @return ids of the removed instances
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -166,10 +166,24 @@
              {"source", sourceName(source)}});
 }
 
+/// Returns since when an instance may have been missing whose removal is learned now.
+MonoTime earliestRemoval(const RelayState &state, ChangeSource source, MonoTime now)
+{
+    const RelaySettings &settings = state.settings_;
+    if (source == ChangeSource::Store)
+        return now - settings.instanceBatchDelay_;
+    // The peer that reported the removal had no news of it at the previous contact.
+    const std::optional<MonoTime> knownAt = state.sync_.freshAt_;
+    // Entries expire during an outage although their instances are alive and will renew them.
+    const bool afterOutage = !knownAt || now - *knownAt > settings.minOutage_;
+    return afterOutage ? now : *knownAt;
+}
+
 void onEvent(RelayState &state, const InstancesListed &event, MonoTime now, RelayCommands &out)
 {
     const std::vector<UpstreamId> missing
-        = applyListing(state.directory_, event.instances_, event.revision_, now);
+        = applyListing(state.directory_, event.instances_, event.revision_,
+                       earliestRemoval(state, event.source_, now));
     state.instancesListed_ = true;
     logLine(out, LogLevel::Info, "instances.listed",
             {{"count", std::to_string(event.instances_.size())},
@@ -190,10 +204,13 @@
 
 void onEvent(RelayState &state, const InstanceRemoved &event, MonoTime now, RelayCommands &out)
 {
-    if (!markMissing(state.directory_, event.id_, event.revision_, now))
+    const MonoTime since = earliestRemoval(state, event.source_, now);
+    if (!markMissing(state.directory_, event.id_, event.revision_, since))
         return;
+    const auto age = std::chrono::duration_cast<Millis>(now - since);
     logLine(out, LogLevel::Info, "instance.missing",
             {{"upstream", event.id_.value_},
+             {"age_ms", std::to_string(age.count())},
              {"revision", std::to_string(event.revision_.value_)},
              {"source", sourceName(event.source_)}});
 }
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -45,8 +45,15 @@
     /// Fraction of the shared retry limit that the daemons use. The rest is a margin for outdated
     /// daemon counts.
     double retryMargin_ = 0.7;
-    /// How long an instance whose entry is missing is used as a last resort.
+    /// How long an instance whose entry is missing is used as a last resort, from the earliest time
+    /// at which the entry may have been removed.
     Millis missingRetention_ {1500};
+    /// Batching delay of instance changes from the store. Longer than that of configurations,
+    /// because the responses of an instance also report its state.
+    Millis instanceBatchDelay_ {400};
+    /// Entries may have expired during a store outage of this duration. They expire after three
+    /// missed renewals, about 3.6 s.
+    Millis minOutage_ {3000};
     Millis connectTimeout_ {300};
     /// Fraction of the latency objective for which a request waits for tokens while the ledger is
     /// available.
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -33,11 +33,9 @@
 constexpr Millis registrationRenewInterval {4000};
 /// Interval between reads of the other daemons' registrations.
 constexpr Millis memberPollInterval {6000};
-/// Delays after a change, so that one store call reads several changes. A configuration must be
-/// applied within 2 s. Changes of instances may take longer, because the responses of an instance
-/// also report its state.
+/// Delay after a change of the configuration, so that one store call reads several changes. A
+/// configuration must be applied within 2 s.
 constexpr Millis configBatchDelay {150};
-constexpr Millis instanceBatchDelay {400};
 /// A message to a peer may carry the largest value of the store and all other documents.
 constexpr std::size_t maxPeerMessageBytes = std::size_t {4} << 20U;
 /// Clients get half of the descriptors; the rest is for files, listeners and upstreams.
@@ -257,7 +255,8 @@
             followPrefix(relay.feed_, settings, handlers, relay.gate_);
         });
     };
-    const DocumentSyncSettings sync = relayControlSettings(relay.settings_).sync_;
+    const RelaySettings control = relayControlSettings(relay.settings_);
+    const DocumentSyncSettings &sync = control.sync_;
     FollowerSettings config;
     config.prefix_ = relay.platform_.documents_.configKey_;
     config.watchTimeout_ = sync.contactInterval_;
@@ -266,7 +265,7 @@
     FollowerSettings instances;
     instances.prefix_ = relay.platform_.documents_.instancePrefix_;
     instances.watchTimeout_ = sync.watchTimeout_;
-    instances.changeBatchDelay_ = instanceBatchDelay;
+    instances.changeBatchDelay_ = control.instanceBatchDelay_;
     follow(instances, instanceHandlers(*relay.documents_));
 }
 
--- a/tests/unit-instances.cpp
+++ b/tests/unit-instances.cpp
@@ -69,4 +69,32 @@
     CHECK(findCommand<RespondToClient>(advanceTime(fixture, Millis {50}))->status_ == 503);
 }
 
+TEST_CASE("a removal that arrives late from a peer does not prolong the use of an instance")
+{
+    // The retention was counted from the arrival of the removal: requests reached instances that
+    // had left longer ago than the drain timeout.
+    constexpr Millis delay {900};
+    RelayFixture fixture;
+    setUp(fixture);
+    post(fixture, DocumentsReplyReceived {HostId {"peer"}, Millis {0}});
+    fixture.now_ += delay;
+    for (const char *instance : {"a1", "a2"})
+        post(fixture, InstanceRemoved {UpstreamId {instance}, Revision {9}, ChangeSource::Peer});
+    CHECK(findCommand<SendAttempt>(post(fixture, RequestRead {makeRequest(fixture, "once")})));
+    advanceTime(fixture, fixture.state_.settings_.missingRetention_ - delay);
+    CHECK(!findCommand<SendAttempt>(post(fixture, RequestRead {makeRequest(fixture, "once")})));
+}
+
+TEST_CASE("entries that expired during a store outage keep their instances for the whole retention")
+{
+    RelayFixture fixture;
+    setUp(fixture);
+    post(fixture, DocumentsReplyReceived {HostId {"peer"}, Millis {0}});
+    fixture.now_ += Seconds {8};
+    for (const char *instance : {"a1", "a2"})
+        post(fixture, InstanceRemoved {UpstreamId {instance}, Revision {9}, ChangeSource::Peer});
+    advanceTime(fixture, fixture.state_.settings_.missingRetention_ - Millis {1});
+    CHECK(findCommand<SendAttempt>(post(fixture, RequestRead {makeRequest(fixture, "once")})));
+}
+
 } // namespace tamarack
