Leave the rotation while the host is overloaded

They saw 503, cut streams and deadlines.

Cause: connections are spread by a hash of the client, and two thirds of the zone's requests hash to a host with a link of 10 Mbit/s. It stayed in the rotation, because readiness knew the configuration and the instances only. Its messages waited at the link: half of the lenders' replies came after their 150 ms, so requests were refused for want of tokens that had been lent, and connections to instances timed out. Class of fault: readiness without regard to load.

Change: a daemon whose peers' replies are late three times in a row, or whose events wait for the processor, takes no new connections and closes open ones after their responses until it has caught up.

Ruled out: lenders without tokens (they answered), the processor of the host (events wait 2 to 4 ms).

--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -163,6 +163,8 @@
     auto *available
         = gauge("tamarack_relay_tokens_available", "Granted tokens that can still be reserved");
     auto *dropped = gauge("tamarack_relay_log_lines_dropped", "Log lines dropped since the start");
+    auto *delay = gauge("tamarack_relay_event_delay_seconds",
+                        "Smoothed time that events wait for the control thread");
     RelayMetricsPort port;
     port.event_ = [families](const RelayEvent &event) {
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, event);
@@ -171,7 +173,7 @@
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, command);
     };
     port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
-                            dropped](Micros time, const RelayGauges &gauges) {
+                            dropped, delay](Micros time, const RelayGauges &gauges) {
         handling.Observe(std::chrono::duration<double>(time).count());
         active->Set(static_cast<double>(gauges.active_));
         instances->Set(static_cast<double>(gauges.instances_));
@@ -179,6 +181,7 @@
         daemons->Set(gauges.daemons_);
         available->Set(static_cast<double>(gauges.tokensAvailable_.count_));
         dropped->Set(static_cast<double>(gauges.droppedLogLines_));
+        delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
     };
     return port;
 }
--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -74,9 +74,9 @@
     state.limits_ = command.limits_;
 }
 
-void execute(FrontendState &state, const DisableKeepAlive &)
+void execute(FrontendState &state, const SetKeepAlive &command)
 {
-    state.keepAliveDisabled_ = true;
+    state.keepAliveDisabled_ = !command.enabled_;
 }
 
 void execute(FrontendState &state, const CloseIdleConnections &)
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -235,9 +235,11 @@
     bool ready_ = false;
 };
 
-/// @brief Disables keep-alive: each later response closes its connection.
-struct DisableKeepAlive
-{ };
+/// @brief Enables or disables keep-alive. Without it, each later response closes its connection.
+struct SetKeepAlive
+{
+    bool enabled_ = true;
+};
 
 /// @brief Closes the client connections that have no request in progress.
 struct CloseIdleConnections
@@ -247,9 +249,9 @@
 struct RelayStopCompleted
 { };
 
-using RelayCommand = std::variant<SendAttempt, RespondToClient, ForwardFailure, AbortResponse,
-                                  ApplyLimits, RequestPeerDocuments, SetFollowsStore,
-                                  SetStoreContact, SetReady, DisableKeepAlive, CloseIdleConnections,
-                                  SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
+using RelayCommand
+    = std::variant<SendAttempt, RespondToClient, ForwardFailure, AbortResponse, ApplyLimits,
+                   RequestPeerDocuments, SetFollowsStore, SetStoreContact, SetReady, SetKeepAlive,
+                   CloseIdleConnections, SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
 
 } // namespace tamarack
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -9,6 +9,7 @@
 #include "core/relay/instances.h"
 #include "core/relay/lenders.h"
 #include "core/relay/loans.h"
+#include "core/relay/overload.h"
 #include "core/relay/prepaid.h"
 #include "core/relay/relaycontrol.h"
 #include "core/relay/request.h"
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -29,13 +29,24 @@
 
 void updateReadiness(RelayState &state, RelayCommands &out)
 {
-    const bool ready = state.config_ && state.instancesListed_ && !state.stopRequestedAt_;
+    const bool overloaded = isOverloaded(state.overload_);
+    const bool keepsConnections = !state.stopRequestedAt_ && !overloaded;
+    if (keepsConnections != state.keepsConnections_) {
+        state.keepsConnections_ = keepsConnections;
+        out.emplace_back(SetKeepAlive {keepsConnections});
+    }
+    const bool ready
+        = state.config_ && state.instancesListed_ && !state.stopRequestedAt_ && !overloaded;
     if (ready == state.ready_)
         return;
     state.ready_ = ready;
     out.emplace_back(SetReady {ready});
     logLine(out, LogLevel::Info, "daemon.readiness",
             {{"ready", ready ? "yes" : "no"},
+             {"overloaded", overloaded ? "yes" : "no"},
+             {"event_delay_ms", fmt::format("{:.0f}", state.overload_.delay_.count() / 1000.0)},
+             {"slow_replies", std::to_string(state.overload_.slowReplies_)},
+             {"active", std::to_string(state.active_.size())},
              {"config", std::to_string(state.config_ ? state.config_->version_.value_ : 0)},
              {"instances", std::to_string(state.directory_.known_.size())}});
 }
@@ -241,6 +252,9 @@
 
 void onEvent(RelayState &state, const DocumentsReplyReceived &event, MonoTime now, RelayCommands &)
 {
+    const auto sent = state.sync_.unanswered_.find(event.from_);
+    if (sent != state.sync_.unanswered_.end())
+        recordPeerReply(state.overload_, state.settings_.overload_, now - sent->second, now);
     recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_, now);
 }
 
@@ -293,7 +307,6 @@
     state.stopDeadline_ = event.deadline_ - state.settings_.stopMargin_;
     logLine(out, LogLevel::Info, "daemon.stopping",
             {{"active", std::to_string(state.active_.size())}});
-    out.emplace_back(DisableKeepAlive {});
     stopLending(state.prepaid_, state.settings_.prepaid_);
     updateReadiness(state, out);
 }
@@ -389,9 +402,15 @@
     return out;
 }
 
+void recordEventDelay(RelayState &state, PreciseMicros delay, MonoTime now)
+{
+    recordEventDelay(state.overload_, state.settings_.overload_, delay, now);
+}
+
 RelayCommands runDueWork(RelayState &state, MonoTime now)
 {
     RelayCommands out;
+    updateReadiness(state, out);
     while (!state.timers_.empty() && state.timers_.begin()->first <= now) {
         RelayedRequest &active = state.active_.at(state.timers_.begin()->second);
         if (active.stage_ == RelayStage::AwaitingInstance && now < active.deadline_) {
@@ -432,6 +451,7 @@
     std::optional<MonoTime> next;
     if (!state.timers_.empty())
         takeEarlier(next, state.timers_.begin()->first);
+    takeEarlier(next, state.overload_.overloadedUntil_);
     takeEarlier(next, nextExpiry(state.directory_, state.settings_.missingRetention_));
     takeEarlier(next, nextPrepaidTime(state.prepaid_));
     takeEarlier(next, nextSyncTime(state.sync_, state.settings_.sync_));
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -7,6 +7,7 @@
 #include "core/relay/events.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instances.h"
+#include "core/relay/overload.h"
 #include "core/relay/prepaid.h"
 #include "core/relay/request.h"
 #include "core/retrybudget.h"
@@ -42,6 +43,7 @@
     PrepaidSettings prepaid_;
     DocumentSyncSettings sync_;
     SharedRetryLimit retries_;
+    OverloadSettings overload_;
     /// Fraction of the shared retry limit that the daemons use. The rest is a margin for outdated
     /// daemon counts.
     double retryMargin_ = 0.7;
@@ -135,7 +137,9 @@
     /// What the threads that call the store were last told.
     bool followsStore_ = true;
     bool storeContact_ = true;
+    Overload overload_;
     bool ready_ = false;
+    bool keepsConnections_ = true;
     std::optional<MonoTime> stopRequestedAt_;
     MonoTime stopDeadline_ {};
     bool idleConnectionsClosed_ = false;
@@ -149,6 +153,10 @@
 /// @note O(instances x prompt parts) for a request, O(instances) for a listing
 RelayCommands handleRelayEvent(RelayState &state, const RelayEvent &event, MonoTime now);
 
+/// @brief Records how long an event waited for this thread; zero if none was waiting. Takes effect
+/// with the next handleRelayEvent() or runDueWork().
+void recordEventDelay(RelayState &state, PreciseMicros delay, MonoTime now);
+
 /// @brief Handles expired timers and other work that is due at @a now.
 RelayCommands runDueWork(RelayState &state, MonoTime now);
 
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -29,6 +29,8 @@
     std::uint32_t daemons_ = 0;
     Tokens tokensAvailable_;
     std::uint64_t droppedLogLines_ = 0;
+    /// Smoothed time that events wait for the control thread.
+    PreciseMicros eventDelay_ {};
 };
 
 /// @brief Records the events and commands of the control thread. All functions must be set.
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -45,6 +45,7 @@
     for (const auto &[account, balance] : state.prepaid_.balances_)
         gauges.tokensAvailable_ += reservableTokens(balance.grant_);
     gauges.droppedLogLines_ = loop.droppedLogLines_();
+    gauges.eventDelay_ = state.overload_.delay_;
     return gauges;
 }
 
@@ -55,12 +56,13 @@
     bool running = true;
     MonoTime usageLoggedAt = std::chrono::steady_clock::now();
     while (running) {
-        const std::optional<RelayEvent> event = take(loop.queue_, nextDueTime(state));
+        const auto posted = takePosted(loop.queue_, nextDueTime(state));
         const MonoTime now = std::chrono::steady_clock::now();
+        recordEventDelay(state, posted ? now - posted->postedAt_ : PreciseMicros {}, now);
         RelayCommands commands
-            = event ? handleRelayEvent(state, *event, now) : runDueWork(state, now);
-        if (event)
-            loop.metrics_.event_(*event);
+            = posted ? handleRelayEvent(state, posted->item_, now) : runDueWork(state, now);
+        if (posted)
+            loop.metrics_.event_(posted->item_);
         for (RelayCommand &command : commands) {
             loop.metrics_.command_(command);
             std::visit(Executor {loop, running}, command);
--- a/src/runtime/blockingqueue.h
+++ b/src/runtime/blockingqueue.h
@@ -11,13 +11,21 @@
 
 namespace tamarack {
 
+/// @brief An item with the time at which it was posted.
+template <typename Item>
+struct PostedItem
+{
+    Item item_;
+    MonoTime postedAt_ {};
+};
+
 /// @brief An unbounded queue. All functions are safe to call from any thread.
 template <typename Item>
 struct BlockingQueue
 {
     std::mutex mutex_;
     std::condition_variable posted_;
-    std::deque<Item> items_;
+    std::deque<PostedItem<Item>> items_;
 };
 
 /// @brief Appends an item and wakes one waiting thread.
@@ -26,7 +34,7 @@
 {
     {
         const std::lock_guard lock(queue.mutex_);
-        queue.items_.push_back(std::move(item));
+        queue.items_.push_back({std::move(item), std::chrono::steady_clock::now()});
     }
     queue.posted_.notify_one();
 }
@@ -35,7 +43,8 @@
 /// @param deadline nothing to wait without a limit
 /// @return nothing if the deadline passed
 template <typename Item>
-std::optional<Item> take(BlockingQueue<Item> &queue, std::optional<MonoTime> deadline)
+std::optional<PostedItem<Item>> takePosted(BlockingQueue<Item> &queue,
+                                           std::optional<MonoTime> deadline)
 {
     std::unique_lock lock(queue.mutex_);
     const auto hasItem = [&queue] {
@@ -45,9 +54,19 @@
         queue.posted_.wait(lock, hasItem);
     else if (!queue.posted_.wait_until(lock, *deadline, hasItem))
         return std::nullopt;
-    Item item = std::move(queue.items_.front());
+    PostedItem<Item> item = std::move(queue.items_.front());
     queue.items_.pop_front();
     return item;
 }
 
+/// @brief Like takePosted(), without the time.
+template <typename Item>
+std::optional<Item> take(BlockingQueue<Item> &queue, std::optional<MonoTime> deadline)
+{
+    std::optional<PostedItem<Item>> posted = takePosted(queue, deadline);
+    if (!posted)
+        return std::nullopt;
+    return std::move(posted->item_);
+}
+
 } // namespace tamarack
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -487,7 +487,7 @@
     setUp(fixture);
     Exchange exchange = startExchange(fixture);
     StreamSocket idle = connectClient(fixture);
-    command(fixture, DisableKeepAlive {});
+    command(fixture, SetKeepAlive {false});
     command(fixture, CloseIdleConnections {});
     CHECK(readToEnd(idle).empty());
     sendText(exchange.upstream_, responseTo("r1", "Content-Length: 2\r\n\r\nok"));
--- a/tests/unit-relay.cpp
+++ b/tests/unit-relay.cpp
@@ -286,7 +286,8 @@
     const SendAttempt running = sendFirst(fixture, "once");
     const auto stopping = post(fixture, RelayStopRequested {fixture.now_ + Seconds {8}});
     CHECK(!findCommand<SetReady>(stopping)->ready_);
-    CHECK(findCommand<DisableKeepAlive>(stopping));
+    REQUIRE(findCommand<SetKeepAlive>(stopping));
+    CHECK(!findCommand<SetKeepAlive>(stopping)->enabled_);
     CHECK(!findCommand<RelayStopCompleted>(advanceTime(fixture, Millis {1500})));
     CHECK(!findCommand<CloseIdleConnections>(advanceTime(fixture, Millis {300})));
     fixture.now_ += Millis {1200};
