--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -72,6 +72,17 @@
         || end == AttemptEnd::WrongInstance;
 }
 
+/// Returns the ids of the prompt parts that other requests may share.
+std::string sharedParts(const RelayRequest &request)
+{
+    std::string ids;
+    if (!request.usage_)
+        return ids;
+    for (std::size_t i = 0; i + 1 < request.usage_->parts_.size(); ++i)
+        ids += (i > 0 ? "," : "") + request.usage_->parts_[i].id_;
+    return ids;
+}
+
 bool consumeRetryIfAllowed(RelayState &state, const RelayedRequest &active, MonoTime now)
 {
     const RetrySettings settings = retrySettings(state);
@@ -180,6 +191,8 @@
     fields.push_back({"end", std::string(attemptEndCode(ended.end_))});
     fields.push_back({"status", std::to_string(ended.status_)});
     fields.push_back({"detail", ended.detail_});
+    if (ended.end_ == AttemptEnd::ConnectionLost && !active.outputStarted_)
+        fields.push_back({"waiting_with_parts", sharedParts(active.request_)});
     fields.push_back({"repeat", reason ? "no:" + *reason : "yes"});
     logLine(out, LogLevel::Warning, "request.attempt_failed", std::move(fields));
     if (reason)
