Quarantine prompt parts that crash instances

Callers of all kinds saw cut streams and 502, because six of nine instances could be away at once.

Cause: nothing outlived a request but the statistics of instances, and no daemon sees more than a few of the crashes. Class of fault: a poison message; a failure is charged to the machine where it shows and not to the request that causes it.

Ruled out: retries (requests of this kind run once), affinity (each crash hit another instance).

--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -163,6 +163,26 @@
     out.set_recalled(message.recalled_);
 }
 
+void encodeInto(peer::Envelope &envelope, const QuarantineReport &message)
+{
+    peer::CrashesReported &out = *envelope.mutable_crashes_reported();
+    out.set_reply_address(message.replyAddress_);
+    out.set_purpose(static_cast<std::uint32_t>(message.purpose_));
+    out.set_digest(message.digest_);
+    for (const ReportedCrash &crash : message.crashes_) {
+        peer::Crash &encoded = *out.add_crashes();
+        encoded.set_instance(crash.id_.instance_.value_);
+        encoded.set_started_ms(
+            std::chrono::duration_cast<Millis>(crash.id_.startedAt_.time_since_epoch()).count());
+        encoded.set_address(crash.address_);
+        encoded.set_age_ms(static_cast<std::uint64_t>(crash.age_.count()));
+        for (const PromptPartId part : crash.suspects_)
+            encoded.add_suspects(part.value_);
+        for (const PromptPartId part : crash.cleared_)
+            encoded.add_cleared(part.value_);
+    }
+}
+
 PeerMessage fromProto(const peer::Heartbeat &in)
 {
     Heartbeat message;
@@ -227,15 +247,17 @@
     return changes;
 }
 
-/// Longer contact ages are not useful and could overflow the duration.
-constexpr std::uint64_t maxContactAgeMs = 3'600'000;
+/// Longer ages are not useful and could overflow the duration.
+constexpr std::uint64_t maxAgeMs = 3'600'000;
+/// The year 2096; later times could overflow the clock's type.
+constexpr std::int64_t maxWallMs = 4'000'000'000'000;
 
 PeerMessage fromProto(const peer::DocumentsOffered &in)
 {
     DocumentsReply message;
     for (const peer::FeedChanges &changes : in.changes())
         message.changes_.push_back(feedChangesFromProto(changes));
-    if (in.has_contact_age_ms() && in.contact_age_ms() <= maxContactAgeMs)
+    if (in.has_contact_age_ms() && in.contact_age_ms() <= maxAgeMs)
         message.contactAge_ = Millis {in.contact_age_ms()};
     return message;
 }
@@ -278,6 +300,30 @@
     return PeerMessage {message};
 }
 
+Result<PeerMessage> decodeQuarantineReport(const peer::CrashesReported &in)
+{
+    if (in.purpose() > static_cast<std::uint32_t>(ReportPurpose::Exchange))
+        return unknownCodeError(in.purpose());
+    QuarantineReport message;
+    message.replyAddress_ = in.reply_address();
+    message.purpose_ = static_cast<ReportPurpose>(in.purpose());
+    message.digest_ = in.digest();
+    for (const peer::Crash &crash : in.crashes()) {
+        ReportedCrash decoded;
+        decoded.id_.instance_ = UpstreamId {crash.instance()};
+        decoded.id_.startedAt_
+            += Millis {std::clamp<std::int64_t>(crash.started_ms(), 0, maxWallMs)};
+        decoded.address_ = crash.address();
+        decoded.age_ = Millis {std::min(crash.age_ms(), maxAgeMs)};
+        for (const std::uint64_t part : crash.suspects())
+            decoded.suspects_.push_back(PromptPartId {part});
+        for (const std::uint64_t part : crash.cleared())
+            decoded.cleared_.push_back(PromptPartId {part});
+        message.crashes_.push_back(std::move(decoded));
+    }
+    return PeerMessage {std::move(message)};
+}
+
 Result<PeerMessage> decodeRefused(const peer::Refused &in)
 {
     if (refusalCode(static_cast<RefusalReason>(in.reason())) == unknownRefusalCode)
@@ -335,6 +381,8 @@
         return fromProto(in.tokens_asked());
     case peer::Envelope::kTokensLent:
         return decodeLoanReply(in.tokens_lent());
+    case peer::Envelope::kCrashesReported:
+        return decodeQuarantineReport(in.crashes_reported());
     case peer::Envelope::MESSAGE_NOT_SET:
         break;
     }
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/quarantinereport.h"
 #include "core/refusal.h"
 #include "core/time.h"
 #include "core/tokens.h"
@@ -210,8 +211,9 @@
     bool recalled_ = false;
 };
 
-using PeerMessage = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle,
-                                 SettleAck, BundleOffer, BundleFetch, BundleParts, ReleaseRequest,
-                                 Leaving, DocumentsRequest, DocumentsReply, LoanRequest, LoanReply>;
+using PeerMessage
+    = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle, SettleAck,
+                   BundleOffer, BundleFetch, BundleParts, ReleaseRequest, Leaving, DocumentsRequest,
+                   DocumentsReply, LoanRequest, LoanReply, QuarantineReport>;
 
 } // namespace tamarack
--- /dev/null
+++ b/src/core/quarantinereport.h
@@ -0,0 +1,59 @@
+// The message in which daemons exchange what they know of crashed instances and of the prompt parts
+// that were waiting on them.
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Hash of the id of a prompt part.
+using PromptPartId = NumericId<struct PromptPartTag>;
+
+/// @brief One process of an instance, which ends once.
+struct CrashId
+{
+    UpstreamId instance_;
+    WallTime startedAt_ {};
+
+    auto operator<=>(const CrashId &) const = default;
+};
+
+struct ReportedCrash
+{
+    CrashId id_;
+    std::string address_;
+    /// A duration, because the clocks of hosts differ.
+    Millis age_ {};
+    /// Parts that may be the cause.
+    std::vector<PromptPartId> suspects_;
+    /// Parts that were waiting on the instance but have been seen in responses.
+    std::vector<PromptPartId> cleared_;
+};
+
+/// @brief What the receiver should do after merging a report.
+enum class ReportPurpose {
+    /// Nothing.
+    Inform,
+    /// Reply with all crashes, as an Exchange, if its digest differs.
+    Compare,
+    /// Reply with all crashes, to Inform, if its digest still differs.
+    Exchange,
+};
+
+struct QuarantineReport
+{
+    /// "IP:port" that the response is sent to.
+    std::string replyAddress_;
+    ReportPurpose purpose_ = ReportPurpose::Inform;
+    /// Hash of all crashes that the sender knows.
+    std::uint64_t digest_ = 0;
+    std::vector<ReportedCrash> crashes_;
+};
+
+} // namespace tamarack
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -5,6 +5,7 @@
 #include "core/command.h"
 #include "core/event.h"
 #include "core/ids.h"
+#include "core/quarantinereport.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
 #include "core/relay/fleet.h"
@@ -133,6 +134,13 @@
     LoanReply lent_;
 };
 
+/// @brief Another daemon reported crashes of instances.
+struct QuarantineReportReceived
+{
+    HostId from_;
+    QuarantineReport report_;
+};
+
 /// @brief Another daemon requested documents from this one.
 struct DocumentsRequestReceived
 { };
@@ -160,11 +168,12 @@
     MonoTime deadline_ {};
 };
 
-using RelayEvent = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, ClientDisconnected,
-                                ConfigReceived, InstancesListed, InstanceChanged, InstanceRemoved,
-                                FleetView, LoanRequestReceived, LoanReplyReceived,
-                                DocumentsRequestReceived, DocumentsReplyReceived,
-                                FeedAvailabilityChanged, StoreReplied, RelayStopRequested>;
+using RelayEvent
+    = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, ClientDisconnected,
+                   ConfigReceived, InstancesListed, InstanceChanged, InstanceRemoved, FleetView,
+                   LoanRequestReceived, LoanReplyReceived, QuarantineReportReceived,
+                   DocumentsRequestReceived, DocumentsReplyReceived, FeedAvailabilityChanged,
+                   StoreReplied, RelayStopRequested>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
--- /dev/null
+++ b/src/core/relay/quarantine.h
@@ -0,0 +1,173 @@
+// Quarantine of prompt parts that crash upstream instances.
+//
+// When an instance ends, each daemon reports the shared prompt parts of its requests that had no
+// output there yet: any of them may be the cause. Daemons exchange these reports. A part that was
+// waiting on several crashed instances and is not seen in a response is quarantined.
+//
+// Reports only accumulate and are merged in any order, so daemons that know the same reports reach
+// the same verdicts without agreement. Without contact to its peers, a daemon judges by the crashes
+// that it sees itself.
+#pragma once
+
+#include "core/quarantinereport.h"
+#include "core/relay/peerranking.h"
+#include "core/relay/request.h"
+#include "core/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarack {
+
+struct QuarantineSettings
+{
+    /// Crashes within this time count once: a host, a network or a release may have ended the
+    /// instances together.
+    Millis crashSpacing_ {500};
+    /// A part is quarantined after this many crashes, of instances at different addresses.
+    std::size_t minCrashes_ = 2;
+    /// The same if all of them happen within crashSpacing_: a rare part is not waiting on so many
+    /// instances, and a frequent one is seen in responses.
+    std::size_t minSimultaneousCrashes_ = 5;
+    /// Each crash counts as one, divided by the number of its suspects. A part needs this sum, so
+    /// that crashes with many requests waiting condemn none of their parts.
+    double minEvidence_ = 0.5;
+    /// A verdict takes effect after this time, in which a peer may report that it has seen the part
+    /// in a response.
+    Millis objectionTime_ {300};
+    /// A response clears its parts of earlier crashes and of those that follow within this time.
+    /// Not for longer, because a change of the instances can make a part crash them.
+    Millis clearanceTime_ {10'000};
+    /// A request that has had output for this long did not crash its instance.
+    Millis minOutputTime_ {500};
+    /// A part is quarantined for as long as it has been crashing instances, within these limits.
+    /// After that, one daemon of the fleet tries one request with it in each trial interval.
+    Millis minDuration_ {60'000};
+    Millis maxDuration_ {300'000};
+    Millis trialInterval_ {10'000};
+    /// How long a crash is remembered. Longer than maxDuration_, so that a trial can fail.
+    Millis crashLifetime_ {600'000};
+    /// Limits on memory: the number of parts in a request is up to its client.
+    std::size_t maxCrashes_ = 128;
+    std::size_t maxSuspects_ = 64;
+    std::size_t maxPartsPerRequest_ = 16;
+    std::size_t maxSeenParts_ = 4096;
+    /// New reports are collected for this long before they are sent to peers.
+    Millis reportDelay_ {50};
+    /// Interval at which a daemon compares its reports with those of a peer, to find what it missed
+    /// before it started or while it was cut off.
+    Millis compareInterval_ {1000};
+};
+
+/// @brief The end of an instance, as far as it is known.
+struct Crash
+{
+    std::string address_;
+    MonoTime at_ {};
+    /// Parts that were waiting on the instance, and whether each has been cleared.
+    std::map<PromptPartId, bool> suspects_;
+};
+
+/// @brief The quarantine of a part.
+struct PartVerdict
+{
+    /// When this daemon reached the verdict.
+    MonoTime since_ {};
+    MonoTime until_ {};
+};
+
+/// @brief What one daemon knows of crashes.
+///
+/// Invariants: crashes_, their suspects and seen_ are within the limits of the settings; the parts
+/// in verdicts_ and the ends of their quarantines follow from crashes_ alone.
+struct Quarantine
+{
+    HostId self_;
+    /// "IP:port" of this daemon's peer listener.
+    std::string address_;
+    /// All daemons including this one, sorted by zone and host, so that most neighbours are in the
+    /// same zone.
+    std::vector<PeerAddress> ring_;
+    std::map<CrashId, Crash> crashes_;
+    /// When this daemon last saw a part in a response.
+    std::unordered_map<PromptPartId, MonoTime> seen_;
+    /// The parts that crash instances.
+    std::map<PromptPartId, PartVerdict> verdicts_;
+    /// Last trial of a part by this daemon.
+    std::map<PromptPartId, MonoTime> trials_;
+    /// Suspects that are new or cleared and have not been sent to peers.
+    std::map<CrashId, std::set<PromptPartId>> unsent_;
+    std::optional<MonoTime> sendAt_;
+    MonoTime nextCompareAt_ {};
+    std::size_t comparisons_ = 0;
+};
+
+/// @brief Updates the daemons that reports are exchanged with.
+/// @param self this daemon
+/// @param peers all other live daemons
+/// @note O(peers x log peers)
+void updateQuarantinePeers(Quarantine &quarantine, const PeerAddress &self,
+                           const std::vector<PeerAddress> &peers, MonoTime now);
+
+/// @brief Records a complete response, or output for QuarantineSettings::minOutputTime_.
+void recordResponse(Quarantine &quarantine, const QuarantineSettings &settings,
+                    const RelayRequest &request, MonoTime now);
+
+/// @brief Records that an instance closed its connection before a request had output.
+/// @return the parts of the request that may be the cause
+std::vector<PromptPartId> recordCrash(Quarantine &quarantine, const QuarantineSettings &settings,
+                                      const CrashId &id, const std::string &address,
+                                      const RelayRequest &request, MonoTime now);
+
+/// @brief Returns the number of crashes on which a part was waiting, cleared or not.
+std::size_t crashCount(const Quarantine &quarantine, PromptPartId part);
+
+/// @brief Returns true if one of the parts is a suspect in several crashes.
+bool isRepeatedSuspect(const Quarantine &quarantine, const std::vector<PromptPartId> &parts);
+
+enum class QuarantineDecision {
+    Send,
+    /// The request tests whether a part still crashes instances.
+    Trial,
+    Refuse,
+};
+
+struct QuarantineCheck
+{
+    QuarantineDecision decision_ = QuarantineDecision::Send;
+    /// Set unless decision_ is Send: the part, and how long requests with it are refused.
+    std::string part_;
+    Millis remaining_ {};
+};
+
+/// @brief Decides whether a request may be sent to an instance. A trial is recorded.
+QuarantineCheck checkQuarantine(Quarantine &quarantine, const QuarantineSettings &settings,
+                                const RelayRequest &request, MonoTime now);
+
+/// @brief Merges a report of a peer.
+/// @return the reply, if there is one
+std::optional<QuarantineReport> mergeReport(Quarantine &quarantine,
+                                            const QuarantineSettings &settings,
+                                            const QuarantineReport &report, MonoTime now);
+
+struct OutgoingReport
+{
+    PeerAddress peer_;
+    QuarantineReport report_;
+};
+
+/// @brief Returns the reports that are due. Also forgets old crashes.
+/// @note O(log daemons) reports
+std::vector<OutgoingReport> dueReports(Quarantine &quarantine, const QuarantineSettings &settings,
+                                       MonoTime now);
+
+/// @brief Returns when dueReports() has work to do next.
+std::optional<MonoTime> nextReportTime(const Quarantine &quarantine);
+
+} // namespace tamarack
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -95,7 +95,8 @@
 
 /// Returns the reason why the request is not retried, or std::nullopt if it is.
 std::optional<std::string> retryDenialReason(RelayState &state, const RelayedRequest &active,
-                                             const RelayAttemptEnded &ended, MonoTime now)
+                                             const RelayAttemptEnded &ended, bool mayCrash,
+                                             MonoTime now)
 {
     const bool notRun = provesNotExecuted(ended.end_);
     const bool outputDelivered = active.events_ > 0 || ended.partiallyDelivered_;
@@ -103,6 +104,8 @@
         return "runs_once";
     if (outputDelivered && !active.route_->resumable_)
         return "answer_began";
+    if (mayCrash)
+        return "may_crash_upstreams";
     // An attempt that did not run doesn't count against the route's maximum, but it allows only one
     // additional attempt.
     const std::uint32_t allowed = active.route_->maxAttempts_ + (notRun ? 1 : 0);
@@ -176,6 +179,7 @@
     if (!provesNotExecuted(ended.end_))
         active.mayHaveRun_ = true;
     recordInstanceOutcome(state, active, outcomeOf(ended.end_), now);
+    const bool mayCrash = recordAttemptForQuarantine(state, active, ended, now);
     if (ended.end_ == AttemptEnd::Delivered) {
         finish(state, active, fmt::format("delivered {}", ended.status_), now, out);
         return;
@@ -184,7 +188,8 @@
         finish(state, active, "client_left", now, out);
         return;
     }
-    const std::optional<std::string> reason = retryDenialReason(state, active, ended, now);
+    const std::optional<std::string> reason
+        = retryDenialReason(state, active, ended, mayCrash, now);
     std::vector<LogField> fields = requestFields(active);
     fields.push_back({"attempt", std::to_string(ended.attempt_)});
     fields.push_back({"upstream", active.choice_->instance_.value_});
@@ -240,7 +245,7 @@
     timedOut.attempt_ = active.attempts_;
     timedOut.end_ = AttemptEnd::ConnectionLost;
     timedOut.detail_ = "silent";
-    if (!active.outputStarted_ && !retryDenialReason(state, active, timedOut, now)) {
+    if (!active.outputStarted_ && !retryDenialReason(state, active, timedOut, false, now)) {
         active.mayHaveRun_ = true;
         recordInstanceOutcome(state, active, InstanceOutcome::Failed, now);
         retryOnOtherInstance(state, active, now, out);
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -226,7 +226,7 @@
              {"source", sourceName(event.source_)}});
 }
 
-void onEvent(RelayState &state, const FleetView &event, MonoTime, RelayCommands &out)
+void onEvent(RelayState &state, const FleetView &event, MonoTime now, RelayCommands &out)
 {
     const bool changed = event.daemons_ != state.fleet_.daemons_
         || event.zoneDaemons_ != state.fleet_.zoneDaemons_;
@@ -239,6 +239,7 @@
     updateLenders(state.prepaid_.lenders_, self, event.peers_);
     state.fleet_ = event;
     state.prepaid_.daemons_ = event.daemons_;
+    updateQuarantinePeers(state.quarantine_, self, event.peers_, now);
     if (changed)
         logLine(out, LogLevel::Info, "fleet.counted",
                 {{"daemons", std::to_string(event.daemons_)},
@@ -258,6 +259,15 @@
     recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_, now);
 }
 
+void onEvent(RelayState &state, const QuarantineReportReceived &event, MonoTime now,
+             RelayCommands &out)
+{
+    std::optional<QuarantineReport> reply
+        = mergeReport(state.quarantine_, state.settings_.quarantine_, event.report_, now);
+    if (reply)
+        out.emplace_back(SendPeer {event.from_, event.report_.replyAddress_, std::move(*reply)});
+}
+
 void onEvent(RelayState &state, const LoanRequestReceived &event, MonoTime now, RelayCommands &)
 {
     handleLoanRequest(state.prepaid_, state.settings_.prepaid_, event.request_, event.from_, now);
@@ -412,11 +422,13 @@
     RelayCommands out;
     updateReadiness(state, out);
     while (!state.timers_.empty() && state.timers_.begin()->first <= now) {
-        RelayedRequest &active = state.active_.at(state.timers_.begin()->second);
+        const ExchangeId id = state.timers_.begin()->second;
+        RelayedRequest &active = state.active_.at(id);
         if (active.stage_ == RelayStage::AwaitingInstance && now < active.deadline_) {
             // An ejection may have ended meanwhile.
             dispatch(state, active, now, out);
-            if (active.stage_ == RelayStage::Sent)
+            const auto left = state.active_.find(id);
+            if (left == state.active_.end() || left->second.stage_ == RelayStage::Sent)
                 continue;
         }
         onTimer(state, active, now, out);
@@ -440,6 +452,7 @@
         logLine(out, LogLevel::Warning, "loan.unanswered", {{"account", account.value_}});
         resumeWaitingForTokens(state, account, now, out);
     }
+    runQuarantine(state, now, out);
     advanceStop(state, now, out);
     startCalls(state, now, out);
     sendLoanMessages(state, out);
@@ -455,6 +468,7 @@
     takeEarlier(next, nextExpiry(state.directory_, state.settings_.missingRetention_));
     takeEarlier(next, nextPrepaidTime(state.prepaid_));
     takeEarlier(next, nextSyncTime(state.sync_, state.settings_.sync_));
+    takeEarlier(next, nextQuarantineTime(state));
     if (state.stopRequestedAt_ && !state.stopCompleted_) {
         if (!state.idleConnectionsClosed_)
             takeEarlier(next, *state.stopRequestedAt_ + state.settings_.stopAcceptPeriod_);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -9,6 +9,7 @@
 #include "core/relay/instances.h"
 #include "core/relay/overload.h"
 #include "core/relay/prepaid.h"
+#include "core/relay/quarantine.h"
 #include "core/relay/request.h"
 #include "core/retrybudget.h"
 #include "core/time.h"
@@ -44,6 +45,7 @@
     DocumentSyncSettings sync_;
     SharedRetryLimit retries_;
     OverloadSettings overload_;
+    QuarantineSettings quarantine_;
     /// Fraction of the shared retry limit that the daemons use. The rest is a margin for outdated
     /// daemon counts.
     double retryMargin_ = 0.7;
@@ -106,6 +108,8 @@
     MonoTime sentAt_ {};
     bool outputStarted_ = false;
     std::optional<MonoTime> firstOutputAt_;
+    /// The request tests whether a quarantined prompt part still crashes instances.
+    bool isTrial_ = false;
     /// An upstream may have started the request.
     bool mayHaveRun_ = false;
     std::uint64_t events_ = 0;
@@ -130,6 +134,9 @@
     ChoiceState choice_;
     PrepaidState prepaid_;
     std::map<ServiceId, RetryBudget> retries_;
+    Quarantine quarantine_;
+    /// The parts whose quarantine was logged as begun.
+    std::set<PromptPartId> quarantinedParts_;
     std::map<ExchangeId, RelayedRequest> active_;
     std::set<std::pair<MonoTime, ExchangeId>> timers_;
     FleetView fleet_;
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -48,6 +48,22 @@
 /// @brief Sends pending loan messages and logs loan requests and replies.
 void sendLoanMessages(RelayState &state, RelayCommands &out);
 
+/// @brief Refuses a request with a prompt part that crashes instances.
+/// @return false if the request may be sent
+bool refuseIfQuarantined(RelayState &state, RelayedRequest &active, MonoTime now,
+                         RelayCommands &out);
+
+/// @brief Records what the end of an attempt shows about the prompt parts of its request.
+/// @return true if the request may crash another instance
+bool recordAttemptForQuarantine(RelayState &state, const RelayedRequest &active,
+                                const RelayAttemptEnded &ended, MonoTime now);
+
+/// @brief Applies new verdicts to waiting requests and sends reports to peers.
+void runQuarantine(RelayState &state, MonoTime now, RelayCommands &out);
+
+/// @brief Returns when runQuarantine() has work to do next.
+std::optional<MonoTime> nextQuarantineTime(const RelayState &state);
+
 /// @brief Handles the end of an attempt: completes, retries or fails the request.
 void onAttemptEnded(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
                     MonoTime now, RelayCommands &out);
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -281,6 +281,8 @@
 
 void dispatch(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
+    if (refuseIfQuarantined(state, active, now, out))
+        return;
     if (const std::optional<Placement> placement = chooseAcrossServices(state, active, now)) {
         send(state, active, *placement, now, out);
         return;
@@ -296,6 +298,9 @@
 
 void admit(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
+    // Before it waits for tokens.
+    if (refuseIfQuarantined(state, active, now, out))
+        return;
     if (isPrepaid(active))
         reserveOrWait(state, active, now, out);
     else
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -184,6 +184,8 @@
         applyDocumentsReply(*relay.documents_, *documentsReply);
         post(relay.queue_,
              RelayEvent {DocumentsReplyReceived {received->from_, documentsReply->contactAge_}});
+    } else if (const auto *report = std::get_if<QuarantineReport>(&received->message_)) {
+        post(relay.queue_, RelayEvent {QuarantineReportReceived {received->from_, *report}});
     } else if (const auto *loanRequest = std::get_if<LoanRequest>(&received->message_))
         post(relay.queue_, RelayEvent {LoanRequestReceived {received->from_, *loanRequest}});
     else if (const auto *loanReply = std::get_if<LoanReply>(&received->message_))
@@ -275,6 +277,7 @@
     state.settings_ = relayControlSettings(relay.settings_);
     state.prepaid_.holder_ = relay.holder_;
     state.prepaid_.peerAddress_ = relay.settings_.peerAddress_;
+    state.quarantine_.address_ = relay.settings_.peerAddress_;
     std::vector<PeerAddress> seeds;
     for (const std::string &seed : relay.settings_.seeds_) {
         if (seed != relay.settings_.peerAddress_)
--- /dev/null
+++ b/tests/unit-relayquarantine.cpp
@@ -0,0 +1,195 @@
+// Requests with quarantined prompt parts. Guards against such a request being sent to an instance,
+// or left waiting on one, and against untrue answers to its client.
+#include "relayfixture.h"
+
+#include "core/hash.h"
+
+namespace tamarack {
+
+namespace {
+
+RelayRequest requestWith(RelayFixture &fixture, const std::string &route,
+                         const std::vector<std::string> &parts)
+{
+    RelayRequest request = makeRequest(fixture, route);
+    request.usage_ = PromptUsage {Tokens {100}, Tokens {10}, {}};
+    for (const std::string &part : parts)
+        request.usage_->parts_.push_back(PromptPart {part, Tokens {50}});
+    return request;
+}
+
+RelayRequest deadlyRequest(RelayFixture &fixture, const std::string &route = "stream")
+{
+    return requestWith(fixture, route, {"system", "deadly", "own"});
+}
+
+/// Sets up a relay with many instances, whose account is not limited.
+void setUpEngines(RelayFixture &fixture)
+{
+    setUp(fixture);
+    auto config = makeConfig(2);
+    config->accounts_[AccountId {"acme"}].prepaid_.reset();
+    config->routes_[3].maxAttempts_ = 5;
+    post(fixture, ConfigReceived {config, ChangeSource::Store});
+    for (std::uint64_t i = 3; i < 9; ++i)
+        post(fixture,
+             InstanceChanged {makeInstance("e" + std::to_string(i), "llm", 10 + i),
+                              ChangeSource::Store});
+    const auto sent = findCommand<SendAttempt>(
+        post(fixture, RequestRead {requestWith(fixture, "stream", {"system", "own"})}));
+    post(fixture, ended(*sent, AttemptEnd::Delivered, 200));
+}
+
+/// Another daemon reports the end of two instances under a part.
+void reportCrashes(RelayFixture &fixture, const std::string &part)
+{
+    QuarantineReport report;
+    for (const char *instance : {"x1", "x2"}) {
+        const bool first = report.crashes_.empty();
+        report.crashes_.push_back(ReportedCrash {CrashId {UpstreamId {instance}, WallTime {}},
+                                                 std::string(instance) + ":80",
+                                                 Millis {first ? 1500 : 100},
+                                                 {PromptPartId {hash64(part)}},
+                                                 {}});
+    }
+    post(fixture, QuarantineReportReceived {HostId {"peer"}, report});
+    advanceTime(fixture, fixture.state_.settings_.quarantine_.objectionTime_);
+}
+
+} // namespace
+
+TEST_CASE("a request with a quarantined part is refused at once and not sent")
+{
+    RelayFixture fixture;
+    setUpEngines(fixture);
+    reportCrashes(fixture, "deadly");
+    const RelayCommands out = post(fixture, RequestRead {deadlyRequest(fixture)});
+    CHECK(!findCommand<SendAttempt>(out));
+    const auto response = findCommand<RespondToClient>(out);
+    REQUIRE(response);
+    CHECK(response->status_ == 503);
+    CHECK(response->reason_ == "prompt_part_quarantined");
+    // The client is told when a retry may succeed, even if that is after its deadline.
+    REQUIRE(response->retryAfter_);
+    CHECK(*response->retryAfter_ > Seconds {50});
+    // Requests of the same account with the same first part go on.
+    CHECK(findCommand<SendAttempt>(
+        post(fixture, RequestRead {requestWith(fixture, "stream", {"system", "other", "own"})})));
+    CHECK(findCommand<SendAttempt>(
+        post(fixture, RequestRead {requestWith(fixture, "stream", {"system", "deadly"})})));
+}
+
+TEST_CASE("requests that wait on instances with a quarantined part are ended")
+{
+    RelayFixture fixture;
+    setUpEngines(fixture);
+    const auto waiting
+        = findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)}));
+    const auto writing
+        = findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)}));
+    REQUIRE(writing);
+    post(fixture, OutputStarted {writing->id_, 1, fixture.now_});
+    QuarantineReport report;
+    for (int i = 0; i < 2; ++i)
+        report.crashes_.push_back(
+            ReportedCrash {CrashId {UpstreamId {"x" + std::to_string(i)}, WallTime {}},
+                           std::to_string(i) + ":80",
+                           Millis {i * 1000},
+                           {PromptPartId {hash64("deadly")}},
+                           {}});
+    post(fixture, QuarantineReportReceived {HostId {"peer"}, report});
+    const auto response = findCommand<RespondToClient>(
+        advanceTime(fixture, fixture.state_.settings_.quarantine_.objectionTime_));
+    REQUIRE(response);
+    CHECK(response->id_ == waiting->id_);
+    // The instance may have begun to run the request.
+    CHECK(response->status_ == 502);
+    CHECK(!response->retryAfter_);
+    CHECK(fixture.state_.active_.size() == 1);
+}
+
+TEST_CASE("a request that may have crashed several instances is not sent to another one")
+{
+    RelayFixture fixture;
+    setUpEngines(fixture);
+    RelayCommands out = post(fixture, RequestRead {deadlyRequest(fixture, "resume")});
+    int crashes = 0;
+    while (const auto sent = findCommand<SendAttempt>(out)) {
+        ++crashes;
+        fixture.now_ += Millis {50};
+        out = post(fixture, ended(*sent, AttemptEnd::ConnectionLost));
+    }
+    CHECK(crashes == 2);
+    CHECK(findCommand<RespondToClient>(out)->status_ == 502);
+}
+
+TEST_CASE("a sound request whose instance ends is retried as before")
+{
+    RelayFixture fixture;
+    setUpEngines(fixture);
+    RelayCommands out
+        = post(fixture, RequestRead {requestWith(fixture, "resume", {"system", "own"})});
+    for (int i = 0; i < 3; ++i) {
+        const auto sent = findCommand<SendAttempt>(out);
+        REQUIRE(sent);
+        out = post(fixture, ended(*sent, AttemptEnd::ConnectionLost));
+    }
+    CHECK(findCommand<SendAttempt>(out));
+    CHECK(fixture.state_.quarantine_.crashes_.empty());
+}
+
+TEST_CASE("output clears the parts of a request only after it has lasted")
+{
+    RelayFixture fixture;
+    setUpEngines(fixture);
+    for (int i = 0; i < 4; ++i) {
+        const auto sent
+            = findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)}));
+        REQUIRE(sent);
+        post(fixture, OutputStarted {sent->id_, 1, fixture.now_});
+        fixture.now_ += Millis {i < 2 ? 100 : 1000};
+        post(fixture, ended(*sent, AttemptEnd::ConnectionLost));
+        fixture.now_ += Seconds {1};
+        if (i == 1) {
+            CHECK(!findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)})));
+            fixture.state_.quarantine_ = Quarantine {};
+        }
+    }
+    CHECK(findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)})));
+}
+
+TEST_CASE("an attempt that did not reach its instance is no crash")
+{
+    RelayFixture fixture;
+    setUpEngines(fixture);
+    for (const AttemptEnd end : {AttemptEnd::NotSent, AttemptEnd::NotExecuted, AttemptEnd::Failed,
+                                 AttemptEnd::Malformed, AttemptEnd::WrongInstance}) {
+        const auto sent
+            = findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)}));
+        if (sent)
+            post(fixture, ended(*sent, end));
+    }
+    CHECK(fixture.state_.quarantine_.crashes_.empty());
+}
+
+TEST_CASE("crashes are reported to the peers, and a restarted daemon asks for them")
+{
+    RelayFixture fixture;
+    setUpEngines(fixture);
+    fixture.state_.settings_.host_ = HostId {"me"};
+    const RelayCommands joined = post(
+        fixture, FleetView {2, 2, {PeerAddress {HostId {"peer"}, ZoneId {"near"}, "p:1", 0}}});
+    const auto question = findCommand<SendPeer>(joined);
+    REQUIRE(question);
+    CHECK(std::get<QuarantineReport>(question->message_).purpose_ == ReportPurpose::Compare);
+    const auto sent = findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)}));
+    post(fixture, ended(*sent, AttemptEnd::ConnectionLost));
+    const auto news = findCommand<SendPeer>(
+        advanceTime(fixture, fixture.state_.settings_.quarantine_.reportDelay_));
+    REQUIRE(news);
+    const auto &report = std::get<QuarantineReport>(news->message_);
+    REQUIRE(report.crashes_.size() == 1);
+    CHECK(report.crashes_[0].suspects_ == std::vector<PromptPartId> {{hash64("deadly")}});
+}
+
+} // namespace tamarack
