Treat a stream without framing that ends inside an event as broken off

A client got such a stream with a last chunk, as if it were complete, and a resumable one was not resumed.

Cause: the end of a connection completes a response without framing, whatever its body is.

Change: the front end reports the connection as lost if an event has begun. A stream with a length or chunks is not affected.

Test: 'a stream without framing that ends inside an event was broken off' fails in three of its four cases without the change.

--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -103,6 +103,9 @@
 /// @return false if the response or an event exceeds its maximum size
 bool onResponseBody(FrontendState &state, ClientExchange &exchange, const std::string &body);
 
+/// @brief Returns true if the bytes received so far end inside an event of a stream.
+bool endsInsideEvent(const ClientExchange &exchange);
+
 /// @brief Handles the end of a complete response.
 void onResponseEnd(FrontendState &state, ClientExchange &exchange);
 
--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -224,6 +224,11 @@
     return true;
 }
 
+bool endsInsideEvent(const ClientExchange &exchange)
+{
+    return isEventStream(exchange) && !exchange.events_.partial_.empty();
+}
+
 void onResponseEnd(FrontendState &state, ClientExchange &exchange)
 {
     if (exchange.responseClass_ != ResponseClass::Deliver) {
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -279,7 +279,9 @@
     const bool responding
         = upstream.exchange_ != ExchangeId {} && upstream.headParsed_ && !upstream.otherRequest_;
     upstream.closeAfterResponse_ = true;
-    if (responding && endResponse(upstream.reader_) == ParseStatus::Done)
+    const auto exchange = state.exchanges_.find(upstream.exchange_);
+    const bool brokenOff = exchange != state.exchanges_.end() && endsInsideEvent(exchange->second);
+    if (responding && !brokenOff && endResponse(upstream.reader_) == ParseStatus::Done)
         onResponseComplete(state, upstream);
     else
         onConnectionLost(state, upstream, "connection closed by the upstream");
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -407,6 +407,40 @@
     CHECK(readToEnd(exchange.client_).find("0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("a stream without framing that ends inside an event was broken off")
+{
+    struct Case
+    {
+        const char *name_;
+        const char *events_;
+        AttemptEnd end_;
+    };
+    const Case cases[] {
+        {"between events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", AttemptEnd::Delivered},
+        {"inside a line", "id: 1\ndata: a\n\nid: 2\nda", AttemptEnd::ConnectionLost},
+        {"before the blank line", "id: 1\ndata: a\n\nid: 2\ndata: b\n", AttemptEnd::ConnectionLost},
+        {"inside the first event", "id: 1\nda", AttemptEnd::ConnectionLost},
+    };
+    for (const Case &c : cases) {
+        INFO(c.name_);
+        Fixture fixture;
+        setUp(fixture);
+        Exchange exchange = startExchange(fixture, RetryPolicy::AtMostOnce, true);
+        sendText(exchange.upstream_, responseTo("r1", std::string("\r\n") + c.events_));
+        exchange.upstream_.close();
+        const RelayAttemptEnded end = waitForEvent<RelayAttemptEnded>(fixture);
+        CHECK(end.end_ == c.end_);
+        if (end.end_ != AttemptEnd::Delivered)
+            command(fixture, AbortResponse {exchange.attempt_.id_});
+        exchange.client_.shutdownSend();
+        const std::string response = readToEnd(exchange.client_);
+        const bool looksComplete
+            = response.starts_with("HTTP/1.1 200 ") && response.ends_with("0\r\n\r\n");
+        CHECK(looksComplete == (c.end_ == AttemptEnd::Delivered));
+        CHECK(response.find("da\r\n") == std::string::npos);
+    }
+}
+
 TEST_CASE("a stream resumes at another upstream after its last complete event")
 {
     Fixture fixture;
