Blame the own link only for late replies of different peers

A daemon with one slow peer could take itself for overloaded and leave the rotation: the replies of one peer that is itself slow were enough. Found by reading the change, not seen in a run.

Test: 'one slow peer is no overload of this host', a section of unit-overload; not run on the code before.

--- a/src/core/relay/overload.cpp
+++ b/src/core/relay/overload.cpp
@@ -18,12 +18,20 @@
 
 } // namespace
 
-void recordPeerReply(Overload &overload, const OverloadSettings &settings, PreciseMicros time,
-                     MonoTime now)
+void recordPeerReply(Overload &overload, const OverloadSettings &settings, const HostId &from,
+                     PreciseMicros time, MonoTime now)
 {
-    overload.slowReplies_ = time > settings.maxReplyTime_ ? overload.slowReplies_ + 1 : 0;
+    if (time <= settings.maxReplyTime_) {
+        overload.slowReplies_ = 0;
+        overload.slowPeers_.clear();
+        return;
+    }
+    ++overload.slowReplies_;
     overload.slowReplyAt_ = now;
-    if (!overload.overloadedUntil_ && overload.slowReplies_ >= settings.slowReplies_)
+    overload.slowPeers_.insert(from);
+    const bool linkBusy
+        = overload.slowReplies_ >= settings.slowReplies_ && overload.slowPeers_.size() > 1;
+    if (!overload.overloadedUntil_ && linkBusy)
         beginOverload(overload, settings, now);
 }
 
--- a/src/core/relay/overload.h
+++ b/src/core/relay/overload.h
@@ -5,10 +5,12 @@
 // and hosts differ in size. An overloaded daemon leaves the rotation until it has caught up.
 #pragma once
 
+#include "core/ids.h"
 #include "core/time.h"
 
 #include <cstdint>
 #include <optional>
+#include <set>
 
 namespace tamarack {
 
@@ -24,8 +26,8 @@
     /// Limits on one event: a single long pause, such as a suspended host, is no overload.
     Millis maxSample_ {200};
     Millis maxSampleTime_ {50};
-    /// Peers reply to requests for documents at once. If this many replies in a row, from different
-    /// peers, take longer than maxReplyTime_, the messages wait at the link of this host.
+    /// Peers reply to requests for documents at once. If this many replies in a row, not all from
+    /// the same peer, take longer than maxReplyTime_, the messages wait at the link of this host.
     Millis maxReplyTime_ {60};
     std::uint32_t slowReplies_ = 3;
     /// Minimum duration of an overload. It doubles up to maxDuration_ when the next overload begins
@@ -43,6 +45,7 @@
     /// Replies of peers that took too long since the last one that did not, and the newest of them.
     std::uint32_t slowReplies_ = 0;
     MonoTime slowReplyAt_ {};
+    std::set<HostId> slowPeers_;
     /// Earliest end of the current overload.
     std::optional<MonoTime> overloadedUntil_;
     /// When the last overload ended, and how long it lasted at least.
@@ -55,8 +58,8 @@
                       MonoTime now);
 
 /// @brief Records the time from a request for documents to the reply of a peer.
-void recordPeerReply(Overload &overload, const OverloadSettings &settings, PreciseMicros time,
-                     MonoTime now);
+void recordPeerReply(Overload &overload, const OverloadSettings &settings, const HostId &from,
+                     PreciseMicros time, MonoTime now);
 
 /// @brief Returns true if the daemon has more load than its host can handle.
 bool isOverloaded(const Overload &overload);
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -255,7 +255,8 @@
 {
     const auto sent = state.sync_.unanswered_.find(event.from_);
     if (sent != state.sync_.unanswered_.end())
-        recordPeerReply(state.overload_, state.settings_.overload_, now - sent->second, now);
+        recordPeerReply(state.overload_, state.settings_.overload_, event.from_, now - sent->second,
+                        now);
     recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_, now);
 }
 
--- a/tests/unit-overload.cpp
+++ b/tests/unit-overload.cpp
@@ -77,9 +77,11 @@
     const OverloadSettings settings;
     Overload overload;
     MonoTime now {Seconds {1000}};
-    const auto reply = [&](Millis time) {
+    int replies = 0;
+    const auto reply = [&](Millis time, int peers = 2) {
         now += Millis {300};
-        recordPeerReply(overload, settings, time, now);
+        const HostId from {"peer" + std::to_string(++replies % peers)};
+        recordPeerReply(overload, settings, from, time, now);
         recordEventDelay(overload, settings, Millis {}, now);
     };
     SECTION("one slow reply is no overload")
@@ -88,6 +90,12 @@
             reply(i % 3 == 0 ? Millis {400} : Millis {5});
         CHECK(!isOverloaded(overload));
     }
+    SECTION("one slow peer is no overload of this host")
+    {
+        for (int i = 0; i < 20; ++i)
+            reply(Millis {400}, 1);
+        CHECK(!isOverloaded(overload));
+    }
     SECTION("it recovers when replies are fast again")
     {
         for (int i = 0; i < 4; ++i)
@@ -116,9 +124,10 @@
     RelayFixture fixture;
     setUp(fixture);
     for (int i = 0; i < 3; ++i) {
-        fixture.state_.sync_.unanswered_[HostId {"peer"}] = fixture.now_;
+        const HostId peer {"peer" + std::to_string(i % 2)};
+        fixture.state_.sync_.unanswered_[peer] = fixture.now_;
         fixture.now_ += Millis {200};
-        post(fixture, DocumentsReplyReceived {HostId {"peer"}, Millis {0}});
+        post(fixture, DocumentsReplyReceived {peer, Millis {0}});
     }
     CHECK(!fixture.state_.ready_);
 }
