Count silent peers as a sign of an overloaded link

Change: a peer without a reply in time counts as a late reply. Three in a row from different peers, without a reply in between, take the daemon out of the rotation as before.

Test: 'peers that are all silent take a relay out of the rotation, a dead one does not' fails without the change.

--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -443,6 +443,10 @@
     if (state.directory_.tombstones_.size() > maxTombstones)
         state.directory_.tombstones_.clear();
     std::vector<PeerAddress> peers = nextSyncPeers(state.sync_, state.settings_.sync_, now);
+    // On a full link, the replies of all peers come too late.
+    for (const HostId &peer : state.sync_.newlySilent_)
+        recordPeerReply(state.overload_, state.settings_.overload_, peer,
+                        state.settings_.sync_.replyTimeout_, now);
     if (!peers.empty())
         out.emplace_back(RequestPeerDocuments {std::move(peers)});
     updateStoreUse(state, now, out);
--- a/tests/unit-overload.cpp
+++ b/tests/unit-overload.cpp
@@ -132,6 +132,32 @@
     CHECK(!fixture.state_.ready_);
 }
 
+TEST_CASE("peers that are all silent take a relay out of the rotation, a dead one does not")
+{
+    // Replies that come after their timeout are not replies.
+    RelayFixture fixture;
+    setUp(fixture);
+    const bool allSilent = GENERATE(true, false);
+    FleetView fleet {5, 5, {}};
+    for (int i = 0; i < 4; ++i)
+        fleet.peers_.push_back(PeerAddress {HostId {"peer" + std::to_string(i)}, ZoneId {"near"},
+                                            "p:" + std::to_string(i), 1000});
+    fixture.state_.settings_.host_ = HostId {"me"};
+    post(fixture, fleet);
+    for (int i = 0; i < 100; ++i) {
+        for (const RelayCommand &command : advanceTime(fixture, Millis {50})) {
+            const auto *request = std::get_if<RequestPeerDocuments>(&command);
+            if (!request || allSilent)
+                continue;
+            for (const PeerAddress &peer : request->peers_) {
+                if (peer.host_ != HostId {"peer0"})
+                    post(fixture, DocumentsReplyReceived {peer.host_, Millis {0}});
+            }
+        }
+    }
+    CHECK(fixture.state_.ready_ == !allSilent);
+}
+
 TEST_CASE("a stopping daemon stays out of the rotation after an overload")
 {
     RelayFixture fixture;
