--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -515,6 +515,23 @@
     CHECK(response.find("<reset>") == std::string::npos);
 }
 
+TEST_CASE("responses close their connection only while keep-alive is disabled")
+{
+    Fixture fixture;
+    setUp(fixture);
+    for (const bool enabled : {false, true}) {
+        command(fixture, SetKeepAlive {enabled});
+        Exchange exchange = startExchange(fixture);
+        sendText(exchange.upstream_, responseTo("r1", "Content-Length: 2\r\n\r\nok"));
+        const std::string response = readUntil(
+            exchange.client_, [](const std::string &text) { return text.ends_with("ok"); });
+        CHECK((response.find("Connection: close") == std::string::npos) == enabled);
+        if (!enabled)
+            CHECK(readToEnd(exchange.client_).empty());
+        exchange.upstream_.close();
+    }
+}
+
 TEST_CASE("a stopping front end closes idle clients and completes pending responses")
 {
     Fixture fixture;
--- a/tests/unit-relayquarantine.cpp
+++ b/tests/unit-relayquarantine.cpp
@@ -172,6 +172,29 @@
     CHECK(fixture.state_.quarantine_.crashes_.empty());
 }
 
+TEST_CASE("after the quarantine a relay sends one request as a trial")
+{
+    RelayFixture fixture;
+    setUpEngines(fixture);
+    reportCrashes(fixture, "deadly");
+    advanceTime(fixture, fixture.state_.settings_.quarantine_.minDuration_);
+    const auto trial
+        = findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)}));
+    REQUIRE(trial);
+    CHECK(!findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)})));
+    SECTION("a response lets the part back")
+    {
+        post(fixture, ended(*trial, AttemptEnd::Delivered, 200));
+        CHECK(findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)})));
+    }
+    SECTION("a crash prolongs the quarantine")
+    {
+        post(fixture, ended(*trial, AttemptEnd::ConnectionLost));
+        advanceTime(fixture, fixture.state_.settings_.quarantine_.minDuration_ / 2);
+        CHECK(!findCommand<SendAttempt>(post(fixture, RequestRead {deadlyRequest(fixture)})));
+    }
+}
+
 TEST_CASE("crashes are reported to the peers, and a restarted daemon asks for them")
 {
     RelayFixture fixture;
