--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -48,6 +48,18 @@
 /// @brief Sends pending loan messages and logs loan requests and replies.
 void sendLoanMessages(RelayState &state, RelayCommands &out);
 
+/// @brief Returns since when an instance may have been missing whose removal is learned now.
+MonoTime earliestRemoval(const RelayState &state, ChangeSource source, MonoTime now);
+
+/// @brief Handles the reply of a peer to a request for documents.
+void recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now);
+
+/// @brief Requests documents from the peers whose turn it is.
+void requestDocuments(RelayState &state, MonoTime now, RelayCommands &out);
+
+/// @brief Tells the threads that call the store whether to do so.
+void updateStoreUse(RelayState &state, MonoTime now, RelayCommands &out);
+
 /// @brief Refuses a request with a prompt part that crashes instances.
 /// @return false if the request may be sent
 bool refuseIfQuarantined(RelayState &state, RelayedRequest &active, MonoTime now,
