Don't count a reset connection as the crash of its instance

Cause: a connection that an instance closes before output counted as its crash. The instances reset the connections of single requests and went on answering others; nothing took this into account. Class of fault: a partial failure taken for a total one.

Change: a response of the same process refutes its presumed crash, if it comes 0.5 s later or more and the request was sent at most 1 s after the crash. Daemons exchange this with their reports. The suspects of the crash no longer count; a later end does.

Ruled out: the repeat of one request as two pieces of evidence (one of the parts was condemned by two requests 13 s apart).

Test: 'resets by instances that go on answering condemn no prompt part' fails on the code before; 'an instance that responds after a presumed crash has survived it' covers the exchange.

--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -180,6 +180,8 @@
             encoded.add_suspects(part.value_);
         for (const PromptPartId part : crash.cleared_)
             encoded.add_cleared(part.value_);
+        if (crash.survivedAge_)
+            encoded.set_survived_age_ms(static_cast<std::uint64_t>(crash.survivedAge_->count()));
     }
 }
 
@@ -319,6 +321,8 @@
             decoded.suspects_.push_back(PromptPartId {part});
         for (const std::uint64_t part : crash.cleared())
             decoded.cleared_.push_back(PromptPartId {part});
+        if (crash.has_survived_age_ms())
+            decoded.survivedAge_ = Millis {std::min(crash.survived_age_ms(), maxAgeMs)};
         message.crashes_.push_back(std::move(decoded));
     }
     return PeerMessage {std::move(message)};
--- a/src/core/quarantinereport.h
+++ b/src/core/quarantinereport.h
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,9 @@
     std::vector<PromptPartId> suspects_;
     /// Parts that were waiting on the instance but have been seen in responses.
     std::vector<PromptPartId> cleared_;
+    /// Set if the process is known to have been running this long ago, after it had been presumed
+    /// to have ended.
+    std::optional<Millis> survivedAge_;
 };
 
 /// @brief What the receiver should do after merging a report.
--- a/src/core/relay/quarantine.cpp
+++ b/src/core/relay/quarantine.cpp
@@ -201,8 +201,11 @@
 {
     const auto known = quarantine.crashes_.find(id);
     if (known != quarantine.crashes_.end()) {
-        known->second.at_ = std::min(known->second.at_, at);
-        return &known->second;
+        Crash &earlier = known->second;
+        if (earlier.survivedAt_ && at <= *earlier.survivedAt_ + settings.clockTolerance_)
+            return nullptr;
+        earlier.at_ = earlier.suspects_.empty() ? at : std::min(earlier.at_, at);
+        return &earlier;
     }
     Crash &crash = quarantine.crashes_[id];
     crash.address_ = address;
@@ -213,6 +216,24 @@
     return kept == quarantine.crashes_.end() ? nullptr : &kept->second;
 }
 
+bool markSurvived(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
+                  MonoTime at, MonoTime now)
+{
+    const auto known = quarantine.crashes_.find(id);
+    if (known == quarantine.crashes_.end())
+        return false;
+    Crash &crash = known->second;
+    const bool refutes = !crash.suspects_.empty() && crash.at_ <= at;
+    const bool isNews
+        = refutes || !crash.survivedAt_ || at > *crash.survivedAt_ + settings.clockTolerance_;
+    crash.survivedAt_ = std::max(crash.survivedAt_.value_or(at), at);
+    if (refutes)
+        crash.suspects_.clear();
+    if (isNews)
+        scheduleSurvival(quarantine, settings, id, now);
+    return refutes;
+}
+
 bool addSuspect(const Quarantine &quarantine, const QuarantineSettings &settings, Crash &crash,
                 PromptPartId part, bool cleared)
 {
@@ -244,6 +265,14 @@
     }
 }
 
+void scheduleSurvival(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
+                      MonoTime now)
+{
+    quarantine.unsent_.try_emplace(id);
+    if (!quarantine.sendAt_)
+        quarantine.sendAt_ = now + settings.reportDelay_;
+}
+
 void scheduleNews(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
                   PromptPartId part, MonoTime now)
 {
@@ -315,6 +344,21 @@
     return suspects;
 }
 
+bool recordSurvival(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
+                    MonoTime sentAt, MonoTime now)
+{
+    const auto crash = quarantine.crashes_.find(id);
+    if (crash == quarantine.crashes_.end())
+        return false;
+    const MonoTime crashedAt = crash->second.at_;
+    const bool isProof = now >= crashedAt + settings.survivalTime_
+        && sentAt <= crashedAt + settings.minRestartTime_;
+    if (!isProof || !markSurvived(quarantine, settings, id, now, now))
+        return false;
+    updateVerdicts(quarantine, settings, now);
+    return true;
+}
+
 bool isRepeatedSuspect(const Quarantine &quarantine, const std::vector<PromptPartId> &parts)
 {
     return std::any_of(parts.begin(), parts.end(), [&quarantine](PromptPartId part) {
--- a/src/core/relay/quarantine.h
+++ b/src/core/relay/quarantine.h
@@ -44,6 +44,14 @@
     /// A response clears its parts of earlier crashes and of those that follow within this time.
     /// Not for longer, because a change of the instances can make a part crash them.
     Millis clearanceTime_ {10'000};
+    /// An instance that responds this long after a presumed crash has not crashed; only connections
+    /// to it were reset. Shorter, the response may have been on its way before the crash.
+    Millis survivalTime_ {500};
+    /// An instance that crashed does not answer requests again within this time.
+    Millis minRestartTime_ {1000};
+    /// The time of an event differs by less than this between daemons. The age of a reported event
+    /// does not include the time that the report takes.
+    Millis clockTolerance_ {250};
     /// A request that has had output for this long did not crash its instance.
     Millis minOutputTime_ {500};
     /// A part is quarantined for as long as it has been crashing instances, within these limits.
@@ -65,13 +73,16 @@
     Millis compareInterval_ {1000};
 };
 
-/// @brief The end of an instance, as far as it is known.
+/// @brief The presumed end of an instance, as far as it is known.
 struct Crash
 {
     std::string address_;
     MonoTime at_ {};
-    /// Parts that were waiting on the instance, and whether each has been cleared.
+    /// Parts that were waiting on the instance, and whether each has been cleared. Empty if the
+    /// instance has survived.
     std::map<PromptPartId, bool> suspects_;
+    /// The instance was running at this time. Connections that it had closed before don't count.
+    std::optional<MonoTime> survivedAt_;
 };
 
 /// @brief The quarantine of a part.
@@ -101,7 +112,8 @@
     std::map<PromptPartId, PartVerdict> verdicts_;
     /// Last trial of a part by this daemon.
     std::map<PromptPartId, MonoTime> trials_;
-    /// Suspects that are new or cleared and have not been sent to peers.
+    /// Suspects that are new or cleared and have not been sent to peers. No suspects if the news is
+    /// that the instance has survived.
     std::map<CrashId, std::set<PromptPartId>> unsent_;
     std::optional<MonoTime> sendAt_;
     MonoTime nextCompareAt_ {};
@@ -125,6 +137,13 @@
                                       const CrashId &id, const std::string &address,
                                       const RelayRequest &request, MonoTime now);
 
+/// @brief Records output or a response of an instance. If it was presumed to have crashed, this may
+/// show that it has not.
+/// @param sentAt when the request was sent to the instance
+/// @return true if it was presumed to have crashed and has not
+bool recordSurvival(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
+                    MonoTime sentAt, MonoTime now);
+
 /// @brief Returns the number of crashes on which a part was waiting, cleared or not.
 std::size_t crashCount(const Quarantine &quarantine, PromptPartId part);
 
--- a/src/core/relay/quarantineexchange.cpp
+++ b/src/core/relay/quarantineexchange.cpp
@@ -62,6 +62,8 @@
     report.age_ = std::chrono::duration_cast<Millis>(now - crash.at_);
     for (const auto &[part, cleared] : crash.suspects_)
         (cleared ? report.cleared_ : report.suspects_).push_back(part);
+    if (crash.survivedAt_)
+        report.survivedAge_ = std::chrono::duration_cast<Millis>(now - *crash.survivedAt_);
     return report;
 }
 
@@ -89,7 +91,7 @@
         const auto known = quarantine.crashes_.find(id);
         if (known == quarantine.crashes_.end())
             continue;
-        Crash news {known->second.address_, known->second.at_, {}};
+        Crash news {known->second.address_, known->second.at_, {}, known->second.survivedAt_};
         for (const PromptPartId part : parts) {
             const auto suspect = known->second.suspects_.find(part);
             if (suspect != known->second.suspects_.end())
@@ -106,11 +108,24 @@
 {
     if (reported.age_ >= settings.crashLifetime_)
         return false;
-    Crash *crash = findOrAddCrash(quarantine, settings, reported.id_, reported.address_,
-                                  now - std::max(reported.age_, Millis {}));
-    if (!crash)
-        return false;
+    const MonoTime at = now - std::max(reported.age_, Millis {});
     bool changed = false;
+    if (reported.survivedAge_) {
+        const MonoTime survivedAt = now - std::max(*reported.survivedAge_, Millis {});
+        if (!quarantine.crashes_.contains(reported.id_))
+            findOrAddCrash(quarantine, settings, reported.id_, reported.address_,
+                           std::min(at, survivedAt));
+        changed = markSurvived(quarantine, settings, reported.id_, survivedAt, now);
+        if (at <= survivedAt)
+            return changed;
+    }
+    Crash *crash = findOrAddCrash(quarantine, settings, reported.id_, reported.address_, at);
+    if (!crash) {
+        // The sender does not know yet that the instance has survived.
+        if (!reported.survivedAge_ && quarantine.crashes_.contains(reported.id_))
+            scheduleSurvival(quarantine, settings, reported.id_, now);
+        return changed;
+    }
     const auto merge = [&](PromptPartId part, bool cleared) {
         if (addSuspect(quarantine, settings, *crash, part, cleared)) {
             scheduleNews(quarantine, settings, reported.id_, part, now);
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -104,7 +104,7 @@
     admit(state, active, now, out);
 }
 
-void onEvent(RelayState &state, const OutputStarted &event, MonoTime now, RelayCommands &)
+void onEvent(RelayState &state, const OutputStarted &event, MonoTime now, RelayCommands &out)
 {
     const auto it = state.active_.find(event.id_);
     if (it == state.active_.end() || it->second.attempts_ != event.attempt_)
@@ -118,6 +118,7 @@
     rescheduleTimer(state, active);
     recordFirstOutput(state.choice_, state.settings_.choice_, *active.choice_,
                       event.at_ - active.sentAt_, now);
+    recordOutputForQuarantine(state, active, now, out);
 }
 
 void onEvent(RelayState &state, const RelayAttemptEnded &event, MonoTime now, RelayCommands &out)
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -106,6 +106,8 @@
     std::optional<Choice> choice_;
     ServiceId service_;
     MonoTime sentAt_ {};
+    /// When the process that the request was sent to had started.
+    WallTime instanceStartedAt_ {};
     bool outputStarted_ = false;
     std::optional<MonoTime> firstOutputAt_;
     /// The request tests whether a quarantined prompt part still crashes instances.
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -68,7 +68,11 @@
 /// @brief Records what the end of an attempt shows about the prompt parts of its request.
 /// @return true if the request may crash another instance
 bool recordAttemptForQuarantine(RelayState &state, const RelayedRequest &active,
-                                const RelayAttemptEnded &ended, MonoTime now);
+                                const RelayAttemptEnded &ended, MonoTime now, RelayCommands &out);
+
+/// @brief Records what output of an instance shows about its presumed crash.
+void recordOutputForQuarantine(RelayState &state, const RelayedRequest &active, MonoTime now,
+                               RelayCommands &out);
 
 /// @brief Applies new verdicts to waiting requests and sends reports to peers.
 void runQuarantine(RelayState &state, MonoTime now, RelayCommands &out);
--- a/src/core/relay/relayquarantine.cpp
+++ b/src/core/relay/relayquarantine.cpp
@@ -12,12 +12,16 @@
 constexpr int statusBadGateway = 502;
 constexpr int statusServiceUnavailable = 503;
 
-CrashId crashId(const RelayState &state, const UpstreamId &instance)
+CrashId crashId(const RelayedRequest &active)
 {
-    const auto stats = state.choice_.instanceStats_.find(instance);
-    return CrashId {instance,
-                    stats == state.choice_.instanceStats_.end() ? WallTime {}
-                                                                : stats->second.startedAt_};
+    return CrashId {active.choice_->instance_, active.instanceStartedAt_};
+}
+
+/// Returns true if the instance itself ended the attempt, so that it was running.
+bool isResponse(AttemptEnd end)
+{
+    return end == AttemptEnd::Delivered || end == AttemptEnd::Failed
+        || end == AttemptEnd::NotExecuted;
 }
 
 /// Returns true if the request had output for too short a time to show that its instance survives
@@ -92,18 +96,30 @@
     return true;
 }
 
+void recordOutputForQuarantine(RelayState &state, const RelayedRequest &active, MonoTime now,
+                               RelayCommands &out)
+{
+    if (recordSurvival(state.quarantine_, state.settings_.quarantine_, crashId(active),
+                       active.sentAt_, now))
+        logLine(out, LogLevel::Info, "quarantine.crash_refuted",
+                {{"upstream", active.choice_->instance_.value_},
+                 {"request", active.request_.request_.value_}});
+}
+
 bool recordAttemptForQuarantine(RelayState &state, const RelayedRequest &active,
-                                const RelayAttemptEnded &ended, MonoTime now)
+                                const RelayAttemptEnded &ended, MonoTime now, RelayCommands &out)
 {
     const QuarantineSettings &settings = state.settings_.quarantine_;
+    if (isResponse(ended.end_))
+        recordOutputForQuarantine(state, active, now, out);
     const bool lastingOutput = !hadNoLastingOutput(state, active, now);
     if (ended.end_ == AttemptEnd::Delivered || lastingOutput)
         recordResponse(state.quarantine_, settings, active.request_, now);
     if (ended.end_ != AttemptEnd::ConnectionLost || lastingOutput)
         return false;
     const std::vector<PromptPartId> suspects
-        = recordCrash(state.quarantine_, settings, crashId(state, active.choice_->instance_),
-                      active.choice_->address_, active.request_, now);
+        = recordCrash(state.quarantine_, settings, crashId(active), active.choice_->address_,
+                      active.request_, now);
     return isRepeatedSuspect(state.quarantine_, suspects);
 }
 
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -114,6 +114,7 @@
         active.stageDeadline_ = now + std::chrono::duration_cast<Micros>(silenceLimit);
     }
     const Instance &instance = state.directory_.known_.at(choice.instance_).instance_;
+    active.instanceStartedAt_ = instance.startedAt_;
     recordSent(state.choice_, state.settings_.choice_, choice, active.request_, instance.startedAt_,
                now);
     rescheduleTimer(state, active);
--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -132,7 +132,8 @@
                                           "10.0.0.9:80",
                                           Millis {250},
                                           {PromptPartId {5}, PromptPartId {~std::uint64_t {0}}},
-                                          {PromptPartId {6}}}}},
+                                          {PromptPartId {6}},
+                                          Millis {90}}}},
     };
 }
 
--- a/tests/quarantinefixture.h
+++ b/tests/quarantinefixture.h
@@ -116,6 +116,14 @@
                 address.empty() ? instance + ":80" : address, requestWithParts(parts), fleet.now_);
 }
 
+inline bool survive(QuarantineFleet &fleet, std::size_t daemon, const std::string &instance,
+                    Millis sentBefore)
+{
+    return recordSurvival(fleet.daemons_[daemon], fleet.settings_,
+                          CrashId {UpstreamId {instance}, WallTime {Millis {1}}},
+                          fleet.now_ - sentBefore, fleet.now_);
+}
+
 inline void respond(QuarantineFleet &fleet, std::size_t daemon, const RequestParts &parts)
 {
     recordResponse(fleet.daemons_[daemon], fleet.settings_, requestWithParts(parts), fleet.now_);
--- a/tests/unit-quarantine.cpp
+++ b/tests/unit-quarantine.cpp
@@ -120,6 +120,48 @@
         CHECK(countRefusing(fleet, {"system", "subject" + std::to_string(subject), "own"}) == 0);
 }
 
+TEST_CASE("an instance that responds after a presumed crash has survived it")
+{
+    QuarantineFleet fleet = makeQuarantineFleet(73);
+    const RequestParts rare {"system", "rare", "own"};
+    for (int i = 0; i < 5; ++i) {
+        crash(fleet, static_cast<std::size_t>(i * 3), "i" + std::to_string(i), rare);
+        passTime(fleet, Millis {600});
+    }
+    REQUIRE(countRefusing(fleet, rare) == 73);
+    SECTION("another daemon learns it from a response to a request that was sent before")
+    {
+        for (int i = 0; i < 5; ++i)
+            CHECK(survive(fleet, 50, "i" + std::to_string(i), Seconds {4}));
+        passTime(fleet, Seconds {2});
+        CHECK(countRefusing(fleet, rare) == 0);
+        // The end of the instances is counted again when it comes.
+        for (int i = 0; i < 5; ++i) {
+            crash(fleet, static_cast<std::size_t>(i * 3), "i" + std::to_string(i), rare);
+            passTime(fleet, Millis {600});
+        }
+        CHECK(countRefusing(fleet, rare) == 73);
+    }
+    SECTION("a daemon that still reports the crash is corrected")
+    {
+        fleet.cutOff_.insert(0);
+        for (int i = 0; i < 5; ++i)
+            survive(fleet, 50, "i" + std::to_string(i), Seconds {4});
+        passTime(fleet, Seconds {2});
+        fleet.cutOff_.clear();
+        passTime(fleet, Seconds {8});
+        CHECK(countRefusing(fleet, rare) == 0);
+    }
+    SECTION("a response that was on its way, or of the restarted instance, shows nothing")
+    {
+        crash(fleet, 0, "i5", rare);
+        CHECK(!survive(fleet, 0, "i5", Seconds {1}));
+        CHECK(!survive(fleet, 0, "i0", Millis {100}));
+        CHECK(!survive(fleet, 0, "unknown", Seconds {1}));
+        CHECK(countRefusing(fleet, rare) == 73);
+    }
+}
+
 TEST_CASE("an instance that ends again and again condemns no prompt part")
 {
     // Affinity sends the same parts to it each time.
@@ -292,6 +334,8 @@
                 respond(fleet, daemon, {parts[1], "own"});
             else if (action == 5)
                 restart(fleet, daemon);
+            else if (action == 6)
+                survive(fleet, daemon, "i" + std::to_string(number % 30), Seconds {2});
             else
                 passTime(fleet, Seconds {number % 2});
         }
--- a/tests/unit-relayquarantine.cpp
+++ b/tests/unit-relayquarantine.cpp
@@ -4,6 +4,8 @@
 
 #include "core/hash.h"
 
+#include <algorithm>
+
 namespace tamarack {
 
 namespace {
@@ -50,7 +52,8 @@
                                                  std::string(instance) + ":80",
                                                  Millis {first ? 1500 : 100},
                                                  {PromptPartId {hash64(part)}},
-                                                 {}});
+                                                 {},
+                                                 std::nullopt});
     }
     post(fixture, QuarantineReportReceived {HostId {"peer"}, report});
     advanceTime(fixture, fixture.state_.settings_.quarantine_.objectionTime_);
@@ -96,7 +99,8 @@
                            std::to_string(i) + ":80",
                            Millis {i * 1000},
                            {PromptPartId {hash64("deadly")}},
-                           {}});
+                           {},
+                           std::nullopt});
     post(fixture, QuarantineReportReceived {HostId {"peer"}, report});
     const auto response = findCommand<RespondToClient>(
         advanceTime(fixture, fixture.state_.settings_.quarantine_.objectionTime_));
@@ -172,6 +176,33 @@
     CHECK(fixture.state_.quarantine_.crashes_.empty());
 }
 
+TEST_CASE("resets by instances that go on answering condemn no prompt part")
+{
+    RelayFixture fixture;
+    setUpEngines(fixture);
+    const auto sendRare = [&fixture] {
+        return findCommand<SendAttempt>(
+            post(fixture, RequestRead {requestWith(fixture, "stream", {"system", "rare", "own"})}));
+    };
+    for (int i = 0; i < 4; ++i) {
+        const auto rare = sendRare();
+        REQUIRE(rare);
+        std::vector<SendAttempt> others;
+        for (int other = 0; other < 40; ++other)
+            others.push_back(*findCommand<SendAttempt>(
+                post(fixture, RequestRead {requestWith(fixture, "stream", {"system", "own"})})));
+        REQUIRE(std::any_of(others.begin(), others.end(), [&rare](const SendAttempt &other) {
+            return other.instance_ == rare->instance_;
+        }));
+        post(fixture, ended(*rare, AttemptEnd::ConnectionLost));
+        advanceTime(fixture, Millis {700});
+        for (const SendAttempt &other : others)
+            post(fixture, ended(other, AttemptEnd::Delivered, 200));
+    }
+    advanceTime(fixture, Seconds {1});
+    CHECK(sendRare());
+}
+
 TEST_CASE("after the quarantine a relay sends one request as a trial")
 {
     RelayFixture fixture;
