Ask for three crashes of a prompt part when other instances crash too

Cause: two crashes condemned a part whatever else happened meanwhile. Class of fault: a coincidence taken for a cause, because the base rate is left out.

Change: if as many other instances crashed in the time of a part's crashes, three are needed instead of two. An explained crash does not count as another one, so that several parts at the same time are still found.

Test: 'two crashes among many for other reasons condemn no prompt part' fails with a limit of two.

--- a/src/core/relay/quarantine.cpp
+++ b/src/core/relay/quarantine.cpp
@@ -93,8 +93,27 @@
     return evidence;
 }
 
+/// Returns the number of crashes in the time of those of a part that it does not explain.
+std::size_t countOtherCrashes(const Quarantine &quarantine, PromptPartId part,
+                              const CrashList &crashes, const std::set<const Crash *> &explained,
+                              const QuarantineSettings &settings)
+{
+    const MonoTime begin = crashes.front()->at_ - settings.crashSpacing_;
+    const MonoTime end = crashes.back()->at_ + settings.crashSpacing_;
+    const auto isOther = [&](const auto &entry) {
+        const Crash &crash = entry.second;
+        const auto suspect = crash.suspects_.find(part);
+        const bool isSuspect = suspect != crash.suspects_.end() && !suspect->second;
+        return !isSuspect && !crash.suspects_.empty() && !explained.contains(&crash)
+            && crash.at_ >= begin && crash.at_ <= end;
+    };
+    return static_cast<std::size_t>(
+        std::count_if(quarantine.crashes_.begin(), quarantine.crashes_.end(), isOther));
+}
+
 /// Returns the parts with the strongest sufficient evidence: several if nothing tells them apart.
-std::vector<PromptPartId> strongestSuspects(const std::map<PromptPartId, CrashList> &suspects,
+std::vector<PromptPartId> strongestSuspects(const Quarantine &quarantine,
+                                            const std::map<PromptPartId, CrashList> &suspects,
                                             const std::set<const Crash *> &explained,
                                             const QuarantineSettings &settings)
 {
@@ -102,8 +121,11 @@
     double best = settings.minEvidence_;
     for (const auto &[part, crashes] : suspects) {
         const Evidence evidence = addUp(crashes, explained, settings);
-        const bool enough = evidence.crashes_ >= settings.minCrashes_
-            || evidence.addresses_.size() >= settings.minSimultaneousCrashes_;
+        bool enough = evidence.crashes_ >= settings.minCrashes_;
+        if (enough && evidence.crashes_ < settings.minCrashesAmongOthers_)
+            enough = countOtherCrashes(quarantine, part, crashes, explained, settings)
+                < evidence.crashes_;
+        enough = enough || evidence.addresses_.size() >= settings.minSimultaneousCrashes_;
         if (!enough || evidence.sum_ < best)
             continue;
         if (evidence.sum_ > best)
@@ -178,7 +200,8 @@
     // A part that explains a crash acquits the others that were waiting there, for example those
     // that always come with it.
     while (true) {
-        const std::vector<PromptPartId> parts = strongestSuspects(suspects, explained, settings);
+        const std::vector<PromptPartId> parts
+            = strongestSuspects(quarantine, suspects, explained, settings);
         if (parts.empty())
             return;
         for (const PromptPartId part : parts) {
--- a/src/core/relay/quarantine.h
+++ b/src/core/relay/quarantine.h
@@ -32,6 +32,9 @@
     Millis crashSpacing_ {500};
     /// A part is quarantined after this many crashes, of instances at different addresses.
     std::size_t minCrashes_ = 2;
+    /// The same if as many other instances crashed in the meantime: that the part was waiting on
+    /// two of them is likely a coincidence.
+    std::size_t minCrashesAmongOthers_ = 3;
     /// The same if all of them happen within crashSpacing_: a rare part is not waiting on so many
     /// instances, and a frequent one is seen in responses.
     std::size_t minSimultaneousCrashes_ = 5;
--- a/tests/unit-quarantine.cpp
+++ b/tests/unit-quarantine.cpp
@@ -162,6 +162,32 @@
     }
 }
 
+TEST_CASE("two crashes among many for other reasons condemn no prompt part")
+{
+    QuarantineFleet fleet = makeQuarantineFleet(73);
+    const RequestParts rare {"system", "rare", "own"};
+    serveSoundRequests(fleet, 100);
+    const auto endForOtherReasons = [&fleet](int first) {
+        serveSoundRequests(fleet, 100);
+        for (int i = first; i < first + 3; ++i) {
+            const std::string number = std::to_string(i);
+            crash(fleet, static_cast<std::size_t>(i * 5), "other" + number,
+                  {"system", "subject" + number, "own"});
+            passTime(fleet, Millis {900});
+        }
+    };
+    crash(fleet, 3, "i0", rare);
+    endForOtherReasons(0);
+    crash(fleet, 44, "i1", rare);
+    passTime(fleet, bound);
+    CHECK(countRefusing(fleet, rare) == 0);
+    // A third crash is no coincidence.
+    endForOtherReasons(3);
+    crash(fleet, 12, "i2", rare);
+    passTime(fleet, bound);
+    CHECK(countRefusing(fleet, rare) == 73);
+}
+
 TEST_CASE("an instance that ends again and again condemns no prompt part")
 {
     // Affinity sends the same parts to it each time.
