Measure the load of the network link instead of inferring it from late replies

Cause: three late or missing replies of peers in a row counted as a full link of the own host. A configuration of 2,000 routes takes longer than 60 ms to transfer, and the replies behind it wait, for all daemons at once: each departure follows a new version within 0.16 s. Class of fault: a symptom that has a shared cause is taken for the state of one machine, and all machines react together.

Replies of peers no longer count.

Ruled out: the processor (event_delay_ms below 13 when they left).

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -75,7 +75,9 @@
         limits.errors_->push_back(ValidationError {"limits.cores",
                                                    fmt::format("is above {}", maxProcessorCores),
                                                    "set it to the number of processor cores"});
-    rejectUnknownFields(limits, {"drainMs", "stopS", "descriptors", "cores"});
+    settings.linkMbps_
+        = readNumber(limits, "linkMbps", FieldPresence::Optional, 0.0, settings.linkMbps_);
+    rejectUnknownFields(limits, {"drainMs", "stopS", "descriptors", "cores", "linkMbps"});
 }
 
 } // namespace
@@ -119,6 +121,8 @@
     // Requests also stop going to a leaving instance within the drain timeout.
     control.sync_ = documentSyncSettings(std::min(settings.applyTime_, settings.drainTimeout_),
                                          settings.settleTime_);
+    constexpr double bytesPerMegabit = 125'000.0;
+    control.overload_.linkBytesPerSecond_ = settings.linkMbps_ * bytesPerMegabit;
     control.retries_ = settings.retries_;
     control.missingRetention_ = std::max(settings.drainTimeout_ - drainMargin, Millis {0});
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -36,6 +36,9 @@
     /// Processor cores that this host has for the daemon; 0 if unknown. Larger hosts are preferred
     /// for work on behalf of other daemons.
     double processorCores_ = 0.0;
+    /// Capacity of the network link in each direction, in megabits per second; 0 if unknown. A
+    /// daemon whose requests and responses fill the link leaves the rotation.
+    double linkMbps_ = 0.0;
     /// An instance that was reported as leaving may get requests for this long.
     Millis drainTimeout_ {2000};
     /// Maximum time from the stop signal to the exit of the process.
--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -165,6 +165,8 @@
     auto *dropped = gauge("tamarack_relay_log_lines_dropped", "Log lines dropped since the start");
     auto *delay = gauge("tamarack_relay_event_delay_seconds",
                         "Smoothed time that events wait for the control thread");
+    auto *link = gauge("tamarack_relay_link_use_ratio",
+                       "Smoothed share of the network link that requests and responses take");
     RelayMetricsPort port;
     port.event_ = [families](const RelayEvent &event) {
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, event);
@@ -173,7 +175,7 @@
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, command);
     };
     port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
-                            dropped, delay](Micros time, const RelayGauges &gauges) {
+                            dropped, delay, link](Micros time, const RelayGauges &gauges) {
         handling.Observe(std::chrono::duration<double>(time).count());
         active->Set(static_cast<double>(gauges.active_));
         instances->Set(static_cast<double>(gauges.instances_));
@@ -182,6 +184,7 @@
         available->Set(static_cast<double>(gauges.tokensAvailable_.count_));
         dropped->Set(static_cast<double>(gauges.droppedLogLines_));
         delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
+        link->Set(gauges.linkUse_);
     };
     return port;
 }
--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -243,7 +243,7 @@
 
 void flushClient(FrontendState &state, ClientConnection &client)
 {
-    switch (flush(client.channel_)) {
+    switch (flush(state, client.channel_)) {
     case SendStatus::Failed:
         scheduleClose(state, client);
         return;
@@ -266,7 +266,7 @@
 /// @return false if the connection was closed
 bool receiveFromClient(FrontendState &state, ClientConnection &client)
 {
-    switch (receive(client.channel_, client.reader_.pending_)) {
+    switch (receive(state, client.channel_, client.reader_.pending_)) {
     case ReceiveStatus::Received:
         break;
     case ReceiveStatus::Blocked:
--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -239,6 +239,11 @@
     return Frontend {std::move(state)};
 }
 
+TrafficTotals trafficTotals(const Frontend &frontend)
+{
+    return TrafficTotals {frontend.state_->receivedBytes_, frontend.state_->sentBytes_};
+}
+
 RelayFrontendPort frontendPort(const Frontend &frontend)
 {
     return RelayFrontendPort {[state = frontend.state_](RelayCommand command) {
--- a/src/adapters/relayhttp/frontend.h
+++ b/src/adapters/relayhttp/frontend.h
@@ -78,6 +78,10 @@
 /// @brief Returns a port that queues commands for the traffic thread.
 RelayFrontendPort frontendPort(const Frontend &frontend);
 
+/// @brief Returns the bytes of requests and responses since the start. Safe to call from any
+/// thread.
+TrafficTotals trafficTotals(const Frontend &frontend);
+
 /// @brief Stops and joins the traffic thread. Connections are closed when the last reference to the
 /// front end's state is released.
 void stopFrontend(Frontend &frontend);
--- a/src/adapters/relayhttp/frontendstate.h
+++ b/src/adapters/relayhttp/frontendstate.h
@@ -145,6 +145,10 @@
     Descriptor clientListener_;
     Descriptor localListener_;
     std::thread thread_;
+    /// Bytes on client and upstream connections since the start; written by the traffic thread
+    /// only.
+    std::atomic<std::uint64_t> receivedBytes_ = 0;
+    std::atomic<std::uint64_t> sentBytes_ = 0;
 
     ClientLimits limits_;
     std::uint64_t lastId_ = 0;
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -32,8 +32,8 @@
     Failed,
 };
 
-/// @brief Sends queued bytes until the queue is empty or the socket would block.
-SendStatus flush(SocketChannel &channel);
+/// @brief Sends queued bytes until the queue is empty or the socket would block, and counts them.
+SendStatus flush(FrontendState &state, SocketChannel &channel);
 
 enum class ReceiveStatus {
     Received,
@@ -42,8 +42,8 @@
     Failed,
 };
 
-/// @brief Receives once without blocking and appends the data to @a bytes.
-ReceiveStatus receive(const SocketChannel &channel, std::string &bytes);
+/// @brief Receives once without blocking, appends the data to @a bytes and counts it.
+ReceiveStatus receive(FrontendState &state, const SocketChannel &channel, std::string &bytes);
 
 /// @brief Opens a non-blocking listening socket.
 /// @param address "IP:port"
--- a/src/adapters/relayhttp/sockets.cpp
+++ b/src/adapters/relayhttp/sockets.cpp
@@ -79,7 +79,7 @@
         state.deadlines_.emplace(*deadline, channel.id_);
 }
 
-SendStatus flush(SocketChannel &channel)
+SendStatus flush(FrontendState &state, SocketChannel &channel)
 {
     OutputBuffer &out = channel.out_;
     while (out.sent_ < out.bytes_.size()) {
@@ -91,13 +91,14 @@
             return errno == EAGAIN || errno == EWOULDBLOCK ? SendStatus::Blocked
                                                            : SendStatus::Failed;
         out.sent_ += static_cast<std::size_t>(sent);
+        state.sentBytes_ += static_cast<std::uint64_t>(sent);
     }
     out.bytes_.clear();
     out.sent_ = 0;
     return SendStatus::Sent;
 }
 
-ReceiveStatus receive(const SocketChannel &channel, std::string &bytes)
+ReceiveStatus receive(FrontendState &state, const SocketChannel &channel, std::string &bytes)
 {
     std::array<char, receiveBufferBytes> buffer;
     while (true) {
@@ -105,6 +106,7 @@
             = ::recv(channel.socket_.fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
         if (received > 0) {
             bytes.append(buffer.data(), static_cast<std::size_t>(received));
+            state.receivedBytes_ += static_cast<std::uint64_t>(received);
             return ReceiveStatus::Received;
         }
         if (received == 0)
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -159,7 +159,7 @@
 
 void flushUpstream(FrontendState &state, UpstreamConnection &upstream)
 {
-    const SendStatus sent = flush(upstream.channel_);
+    const SendStatus sent = flush(state, upstream.channel_);
     upstream.sendStarted_
         = upstream.sendStarted_ || upstream.channel_.out_.sent_ > 0 || sent == SendStatus::Sent;
     if (sent == SendStatus::Failed) {
@@ -347,7 +347,7 @@
         closeUpstream(state, id);
         return;
     }
-    switch (receive(upstream.channel_, upstream.input_)) {
+    switch (receive(state, upstream.channel_, upstream.input_)) {
     case ReceiveStatus::Received:
         parseResponse(state, upstream);
         break;
--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -81,11 +81,9 @@
 
 void excludeSilentPeers(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
 {
-    sync.newlySilent_.clear();
     std::erase_if(sync.unanswered_, [&](const auto &request) {
         if (now - request.second < settings.replyTimeout_)
             return false;
-        sync.newlySilent_.push_back(request.first);
         sync.silent_[request.first] = now + settings.probeInterval_;
         return true;
     });
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -80,8 +80,6 @@
     std::set<std::string> unavailableFeeds_;
     /// Peers that did not reply in time, and when each is probed next.
     std::map<HostId, MonoTime> silent_;
-    /// Those that were found silent by the last nextSyncPeers().
-    std::vector<HostId> newlySilent_;
     /// When the first request without a reply was sent, by peer.
     std::map<HostId, MonoTime> unanswered_;
     /// Last contact to the store of any peer that replied: the age of what is known from peers.
--- a/src/core/relay/overload.cpp
+++ b/src/core/relay/overload.cpp
@@ -18,23 +18,6 @@
 
 } // namespace
 
-void recordPeerReply(Overload &overload, const OverloadSettings &settings, const HostId &from,
-                     PreciseMicros time, MonoTime now)
-{
-    if (time <= settings.maxReplyTime_) {
-        overload.slowReplies_ = 0;
-        overload.slowPeers_.clear();
-        return;
-    }
-    ++overload.slowReplies_;
-    overload.slowReplyAt_ = now;
-    overload.slowPeers_.insert(from);
-    const bool linkBusy
-        = overload.slowReplies_ >= settings.slowReplies_ && overload.slowPeers_.size() > 1;
-    if (!overload.overloadedUntil_ && linkBusy)
-        beginOverload(overload, settings, now);
-}
-
 void recordEventDelay(Overload &overload, const OverloadSettings &settings, PreciseMicros delay,
                       MonoTime now)
 {
@@ -51,10 +34,8 @@
     }
     if (now < *overload.overloadedUntil_)
         return;
-    // A daemon that no longer asks peers gets no faster reply.
-    const bool linkBusy
-        = overload.slowReplies_ > 0 && now - overload.slowReplyAt_ <= settings.minDuration_;
-    if (overload.delay_ >= settings.recoveredDelay_ || linkBusy) {
+    if (overload.delay_ >= settings.recoveredDelay_
+        || overload.linkUse_ >= settings.recoveredLinkUse_) {
         overload.overloadedUntil_ = now + settings.smoothingTime_;
         return;
     }
@@ -62,6 +43,32 @@
     overload.endedAt_ = now;
 }
 
+void recordTraffic(Overload &overload, const OverloadSettings &settings,
+                   const TrafficTotals &totals, MonoTime now)
+{
+    if (settings.linkBytesPerSecond_ <= 0.0)
+        return;
+    if (!overload.trafficAt_) {
+        overload.trafficAt_ = now;
+        overload.traffic_ = totals;
+        return;
+    }
+    const std::chrono::duration<double> elapsed = now - *overload.trafficAt_;
+    if (elapsed < settings.minTrafficInterval_)
+        return;
+    const std::uint64_t bytes = std::max(totals.received_ - overload.traffic_.received_,
+                                         totals.sent_ - overload.traffic_.sent_);
+    const double use
+        = static_cast<double>(bytes) / (settings.linkBytesPerSecond_ * elapsed.count());
+    const double weight
+        = 1.0 - std::exp(-elapsed / std::chrono::duration<double> {settings.linkSmoothingTime_});
+    overload.linkUse_ += (use - overload.linkUse_) * weight;
+    overload.trafficAt_ = now;
+    overload.traffic_ = totals;
+    if (!overload.overloadedUntil_ && overload.linkUse_ > settings.maxLinkUse_)
+        beginOverload(overload, settings, now);
+}
+
 bool isOverloaded(const Overload &overload)
 {
     return overload.overloadedUntil_.has_value();
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -45,7 +45,7 @@
             {{"ready", ready ? "yes" : "no"},
              {"overloaded", overloaded ? "yes" : "no"},
              {"event_delay_ms", fmt::format("{:.0f}", state.overload_.delay_.count() / 1000.0)},
-             {"slow_replies", std::to_string(state.overload_.slowReplies_)},
+             {"link_use", fmt::format("{:.2f}", state.overload_.linkUse_)},
              {"active", std::to_string(state.active_.size())},
              {"config", std::to_string(state.config_ ? state.config_->version_.value_ : 0)},
              {"instances", std::to_string(state.directory_.known_.size())}});
@@ -365,6 +365,11 @@
     recordEventDelay(state.overload_, state.settings_.overload_, delay, now);
 }
 
+void recordTraffic(RelayState &state, const TrafficTotals &totals, MonoTime now)
+{
+    recordTraffic(state.overload_, state.settings_.overload_, totals, now);
+}
+
 RelayCommands runDueWork(RelayState &state, MonoTime now)
 {
     RelayCommands out;
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -166,6 +166,10 @@
 /// with the next handleRelayEvent() or runDueWork().
 void recordEventDelay(RelayState &state, PreciseMicros delay, MonoTime now);
 
+/// @brief Records the bytes of requests and responses since the start. Takes effect with the next
+/// handleRelayEvent() or runDueWork().
+void recordTraffic(RelayState &state, const TrafficTotals &totals, MonoTime now);
+
 /// @brief Handles expired timers and other work that is due at @a now.
 RelayCommands runDueWork(RelayState &state, MonoTime now);
 
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -32,20 +32,12 @@
 
 void recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now)
 {
-    const auto sent = state.sync_.unanswered_.find(event.from_);
-    if (sent != state.sync_.unanswered_.end())
-        recordPeerReply(state.overload_, state.settings_.overload_, event.from_, now - sent->second,
-                        now);
     recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_, now);
 }
 
 void requestDocuments(RelayState &state, MonoTime now, RelayCommands &out)
 {
     std::vector<PeerAddress> peers = nextSyncPeers(state.sync_, state.settings_.sync_, now);
-    // On a full link, the replies of all peers come too late.
-    for (const HostId &peer : state.sync_.newlySilent_)
-        recordPeerReply(state.overload_, state.settings_.overload_, peer,
-                        state.settings_.sync_.replyTimeout_, now);
     if (!peers.empty())
         out.emplace_back(RequestPeerDocuments {std::move(peers)});
 }
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -31,6 +31,8 @@
     std::uint64_t droppedLogLines_ = 0;
     /// Smoothed time that events wait for the control thread.
     PreciseMicros eventDelay_ {};
+    /// Smoothed share of the network link that requests and responses take.
+    double linkUse_ = 0.0;
 };
 
 /// @brief Records the events and commands of the control thread. All functions must be set.
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -334,6 +334,7 @@
             if (relay.peers_)
                 peerPort(*relay.peers_).send_(std::move(message));
         },
+        [&relay] { return trafficTotals(*relay.frontend_); },
         makeRelayMetricsPort(relay.registry_),
         [&relay] { return droppedLogLines(relay.sink_); },
         [&relay] {
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -46,6 +46,7 @@
         gauges.tokensAvailable_ += reservableTokens(balance.grant_);
     gauges.droppedLogLines_ = loop.droppedLogLines_();
     gauges.eventDelay_ = state.overload_.delay_;
+    gauges.linkUse_ = state.overload_.linkUse_;
     return gauges;
 }
 
@@ -59,6 +60,7 @@
         const auto posted = takePosted(loop.queue_, nextDueTime(state));
         const MonoTime now = std::chrono::steady_clock::now();
         recordEventDelay(state, posted ? now - posted->postedAt_ : PreciseMicros {}, now);
+        recordTraffic(state, loop.trafficTotals_(), now);
         RelayCommands commands
             = posted ? handleRelayEvent(state, posted->item_, now) : runDueWork(state, now);
         if (posted)
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -23,6 +23,7 @@
     std::function<void(bool)> setFollowsStore_;
     std::function<void(bool)> setStoreContact_;
     std::function<void(SendPeer)> sendPeer_;
+    std::function<TrafficTotals()> trafficTotals_;
     RelayMetricsPort metrics_;
     std::function<std::uint64_t()> droppedLogLines_;
     /// Logs the number of store calls; called at intervals.
--- a/tests/unit-relaysettings.cpp
+++ b/tests/unit-relaysettings.cpp
@@ -66,6 +66,16 @@
     CHECK(control.capacity_ == 250);
 }
 
+TEST_CASE("the network link of a host is converted to bytes per second")
+{
+    ValidationErrors errors;
+    const RelaySettings control
+        = relayControlSettings(parseRelaySettings(document("", R"({"linkMbps": 10.0})"), errors));
+    CHECK(errors.empty());
+    CHECK(control.overload_.linkBytesPerSecond_ == Approx(1'250'000));
+    CHECK(errorsOf(document("", R"({"linkMbps": -1})")).size() == 1);
+}
+
 TEST_CASE("invalid settings are reported with their field")
 {
     CHECK(errorsOf(document("")).empty());
