Keep the tokens of a recalled loan while more are requested for it

A borrower with a waiting request and its lender of an account with few tokens could exchange requests and replies without end; the request was refused with budget_unconfirmed after its wait.

Cause: on a reply that recalls the loan, the borrower first asked for what its request still lacked, counting the tokens of the loan, and then returned just these. The next reply was short by the returned amount, and so on. Class of fault: two messages of one event that are computed from different states.

Change: the unreserved tokens of a recalled loan stay while a request to the same lender is pending; they are returned after its reply.

Test: 'a borrower that waits for more tokens keeps those of a recalled loan' fails without the change. The fleet of unit-loans moves to loanfixture.h, where a waiting request takes its tokens before the rest of a recalled loan is returned, as in the daemon.

--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -306,6 +306,10 @@
     const auto loan = found->second.receivedLoans_.find(reply.lender_);
     if (loan == found->second.receivedLoans_.end())
         return;
+    const std::optional<PendingLoanRequest> &pending = found->second.pendingRequest_;
+    // The pending request asks for what is missing to the tokens of this loan.
+    if (pending && pending->host_ == loan->second.lenderHost_)
+        return;
     HeldGrant &grant = loan->second.grant_;
     // The lender can distribute the remaining tokens to all daemons of the zone.
     grant.returned_ += reservableTokens(grant);
--- a/tests/unit-loans.cpp
+++ b/tests/unit-loans.cpp
@@ -1,76 +1,16 @@
 // Loans of tokens between daemons. Guards against overspending when loan messages are lost,
 // duplicated or late and when daemons crash, and against a number of store calls that grows with
 // the number of daemons.
-#include "prepaidfixture.h"
-
-#include "core/relay/loans.h"
+#include "loanfixture.h"
 
 #include <rapidcheck.h>
 
-#include <algorithm>
-#include <deque>
 #include <set>
 
 namespace tamarack {
 
 namespace {
 
-std::vector<PeerAddress> peersOf(std::size_t count, std::size_t self, std::size_t zones = 1)
-{
-    std::vector<PeerAddress> peers;
-    for (std::size_t i = 0; i < count; ++i) {
-        const std::string name = std::to_string(i);
-        if (i != self)
-            peers.push_back(PeerAddress {HostId {"h" + name},
-                                         ZoneId {"z" + std::to_string(i % zones)},
-                                         "10.0.0." + name + ":1", 0});
-    }
-    return peers;
-}
-
-PeerAddress selfAs(const std::string &name)
-{
-    return PeerAddress {HostId {name}, ZoneId {"z0"}, {}, 0};
-}
-
-struct Message
-{
-    HostId from_;
-    SendPeer sent_;
-};
-
-/// A fleet in one zone, with one account and the messages in flight.
-struct Fleet
-{
-    PrepaidSettings settings_;
-    FakeStoreKey storeKey_;
-    std::vector<Daemon> daemons_;
-    std::deque<Message> messages_;
-    MonoTime now_ {Seconds {10}};
-    int starts_ = 0;
-};
-
-void startDaemon(Fleet &fleet, std::size_t index, std::int64_t prepaid)
-{
-    const std::string name = "h" + std::to_string(index);
-    Daemon daemon = makeDaemon(name + "-" + std::to_string(++fleet.starts_), configWith(1, prepaid),
-                               fleet.now_);
-    const std::size_t count = fleet.daemons_.size();
-    daemon.state_.daemons_ = static_cast<std::uint32_t>(count);
-    daemon.state_.peerAddress_ = "10.0.0." + std::to_string(index) + ":1";
-    updateLenders(daemon.state_.lenders_, selfAs(name), peersOf(count, index));
-    fleet.daemons_[index] = std::move(daemon);
-}
-
-Fleet makeFleet(std::size_t count, std::int64_t prepaid)
-{
-    Fleet fleet;
-    fleet.daemons_.resize(count);
-    for (std::size_t i = 0; i < count; ++i)
-        startDaemon(fleet, i, prepaid);
-    return fleet;
-}
-
 RegisteredMember member(const std::string &host, const std::string &holder, std::uint64_t created,
                         bool leaving = false)
 {
@@ -79,82 +19,6 @@
         Revision {created}};
 }
 
-void collect(Fleet &fleet)
-{
-    for (Daemon &daemon : fleet.daemons_) {
-        for (SendPeer &sent : std::exchange(daemon.state_.outbox_, {}))
-            fleet.messages_.push_back(Message {daemon.state_.lenders_.self_, std::move(sent)});
-    }
-}
-
-void deliver(Fleet &fleet, const Message &message)
-{
-    for (Daemon &daemon : fleet.daemons_) {
-        if (daemon.state_.lenders_.self_ != message.sent_.host_)
-            continue;
-        const PeerMessage &body = message.sent_.message_;
-        if (const auto *request = std::get_if<LoanRequest>(&body))
-            handleLoanRequest(daemon.state_, fleet.settings_, *request, message.from_, fleet.now_);
-        else if (const auto *reply = std::get_if<LoanReply>(&body)) {
-            handleLoanReply(daemon.state_, fleet.settings_, *reply, message.from_, fleet.now_);
-            returnRecalledLoan(daemon.state_, *reply);
-        }
-    }
-}
-
-/// Executes all store calls and delivers all messages that are due.
-void runCallsAndMessages(Fleet &fleet)
-{
-    for (int round = 0; round < 6; ++round) {
-        for (Daemon &daemon : fleet.daemons_) {
-            runStoreCalls(daemon, fleet.storeKey_, fleet.now_);
-            serveBorrowers(daemon.state_, fleet.settings_, fleet.now_);
-        }
-        collect(fleet);
-        while (!fleet.messages_.empty()) {
-            const Message message = fleet.messages_.front();
-            fleet.messages_.pop_front();
-            deliver(fleet, message);
-            collect(fleet);
-        }
-    }
-}
-
-std::optional<Reservation> reserve(Fleet &fleet, std::size_t index, std::int64_t amount)
-{
-    return reserveTokens(fleet.daemons_[index].state_, fleet.settings_, acme, Tokens {amount},
-                         fleet.now_);
-}
-
-std::size_t lenderIndex(const Fleet &fleet)
-{
-    for (std::size_t i = 0; i < fleet.daemons_.size(); ++i) {
-        const LenderChoice choice
-            = chooseLender(fleet.daemons_[i].state_.lenders_, fleet.settings_.lenders_,
-                           LenderQuery {}, fleet.now_);
-        if (choice.source_ == TokenSource::Ledger)
-            return i;
-    }
-    return fleet.daemons_.size();
-}
-
-const PrepaidBalance &balanceOf(const Fleet &fleet, std::size_t index)
-{
-    return fleet.daemons_[index].state_.balances_.at(acme);
-}
-
-bool isValid(const Fleet &fleet)
-{
-    return std::all_of(fleet.daemons_.begin(), fleet.daemons_.end(), [](const Daemon &daemon) {
-        return boost::leaf::try_handle_all(
-            [&]() -> Result<bool> {
-                BOOST_LEAF_CHECK(checkInvariants(daemon.state_));
-                return true;
-            },
-            [] { return false; });
-    });
-}
-
 } // namespace
 
 TEST_CASE("a host counts once, with its newest process")
@@ -483,6 +347,37 @@
     CHECK(state.lastCall_ == 0);
 }
 
+TEST_CASE("a borrower that waits for more tokens keeps those of a recalled loan")
+{
+    // If it returned them, the loan that it waits for would be too small by the same amount, and
+    // requests and replies would follow each other without end.
+    Fleet fleet = makeFleet(2, 1'000'000);
+    const std::size_t lender = lenderIndex(fleet);
+    const std::size_t borrower = 1 - lender;
+    PrepaidState &state = fleet.daemons_[borrower].state_;
+    LoanReply reply;
+    reply.lender_ = fleet.daemons_[lender].state_.holder_;
+    reply.account_ = acme;
+    reply.recalled_ = true;
+    const auto replyWith = [&](std::int64_t lent) {
+        reply.lent_ = Tokens {lent};
+        handleLoanReply(state, fleet.settings_, reply, fleet.daemons_[lender].state_.lenders_.self_,
+                        fleet.now_);
+        resumeWaiting(fleet, borrower);
+        returnRecalledLoan(state, reply);
+    };
+    reserve(fleet, borrower, 1000);
+    fleet.waiting_ = {{borrower, Tokens {1000}}};
+    replyWith(866);
+    CHECK(fleet.granted_.empty());
+    replyWith(1000);
+    CHECK(fleet.granted_.size() == 1);
+    // What is left after that is returned.
+    replyWith(1500);
+    CHECK(balanceOf(fleet, borrower).receivedLoans_.begin()->second.grant_.returned_
+          == Tokens {500});
+}
+
 TEST_CASE("a lender that waits for the ledger is not replaced by the next daemon")
 {
     // When all lenders were cut off from the store, their borrowers took them for dead, one daemon
