Send the response to a HEAD request with the upstream's length and without a body

A client that sent HEAD got Content-Length: 0, and for an event stream the last chunk after the head, which its connection's next response then began with.

Cause: the relay formats each response from the bytes of its body, which such a response doesn't have.

Change: the length is the upstream's, and no chunks are sent. Such a response doesn't need the end of the connection to delimit it.

Test: 'the response to a HEAD request has the upstream's length and no body' fails without the change for a length and for a stream.

--- a/src/adapters/relayhttp/message.cpp
+++ b/src/adapters/relayhttp/message.cpp
@@ -286,6 +286,9 @@
     head.reason_ = toString(message.reason());
     head.keepAlive_ = message.keep_alive() && !message.need_eof();
     head.keepAliveTimeout_ = keepAliveTimeout(message.base());
+    const auto length = reader.state_->parser_->content_length();
+    if (length)
+        head.contentLength_ = *length;
     head.headers_ = endToEndFields(message.base());
     return head;
 }
--- a/src/adapters/relayhttp/message.h
+++ b/src/adapters/relayhttp/message.h
@@ -36,6 +36,9 @@
     /// Timeout parameter of the Keep-Alive field: the upstream closes an idle connection after this
     /// time.
     std::optional<Seconds> keepAliveTimeout_;
+    /// The Content-Length field. In the response to a HEAD request it is the length that the body
+    /// of a GET request would have.
+    std::optional<std::uint64_t> contentLength_;
     /// End-to-end fields; hop-by-hop and framing fields are removed.
     std::vector<HeaderField> headers_;
 };
--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -20,6 +20,12 @@
     return it == state.clients_.end() ? nullptr : &it->second;
 }
 
+/// The response to such a request has no body.
+bool isHeadRequest(const ClientExchange &exchange)
+{
+    return exchange.request_.method_ == "HEAD";
+}
+
 std::string formatHead(const ClientExchange &exchange, const ClientConnection &client,
                        std::optional<std::size_t> length)
 {
@@ -28,7 +34,10 @@
     for (const HeaderField &field : head.headers_)
         text += fmt::format("{}: {}\r\n", field.name_, field.value_);
     const bool bodiless = head.status_ == 204 || head.status_ == 304;
-    if (length && !bodiless)
+    if (isHeadRequest(exchange))
+        text += head.contentLength_ ? fmt::format("Content-Length: {}\r\n", *head.contentLength_)
+                                    : "";
+    else if (length && !bodiless)
         text += fmt::format("Content-Length: {}\r\n", *length);
     else if (!length && !client.closeAfterResponse_)
         text += "Transfer-Encoding: chunked\r\n";
@@ -49,7 +58,7 @@
         client.closeAfterResponse_ = true;
     exchange.headSent_ = true;
     // HTTP/1.0 has no chunked encoding; the end of the connection delimits the body.
-    exchange.chunked_ = !exchange.request_.http10_;
+    exchange.chunked_ = !exchange.request_.http10_ && !isHeadRequest(exchange);
     client.channel_.out_.bytes_ += formatHead(exchange, client, std::nullopt);
 }
 
@@ -128,7 +137,7 @@
 {
     if (exchange.chunked_)
         client.channel_.out_.bytes_ += "0\r\n\r\n";
-    else
+    else if (!isHeadRequest(exchange))
         client.closeAfterResponse_ = true;
 }
 
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -165,11 +165,11 @@
 };
 
 Exchange startExchange(Fixture &fixture, RetryPolicy retryPolicy = RetryPolicy::AtMostOnce,
-                       bool streaming = false)
+                       bool streaming = false, const std::string &request = getRequest)
 {
     Exchange exchange;
     exchange.client_ = connectClient(fixture);
-    sendText(exchange.client_, getRequest);
+    sendText(exchange.client_, request);
     exchange.attempt_
         = attemptFor(fixture, waitForEvent<RequestRead>(fixture), retryPolicy, streaming);
     command(fixture, exchange.attempt_);
@@ -354,6 +354,42 @@
     CHECK(waitForEvent<RelayAttemptEnded>(fixture).end_ == AttemptEnd::ConnectionLost);
 }
 
+TEST_CASE("the response to a HEAD request has the upstream's length and no body")
+{
+    // A length of 0 would be untrue, and body bytes would begin the client's next response.
+    struct Case
+    {
+        std::string fields_;
+        std::string expected_;
+        bool streaming_ = false;
+    };
+    const auto test = GENERATE(
+        values<Case>({{"Content-Length: 800\r\n", "Content-Length: 800\r\n"},
+                      {"Content-Length: 0\r\n", "Content-Length: 0\r\n"},
+                      {"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+                       "Content-Type: text/event-stream\r\n", true}}));
+    Fixture fixture;
+    setUp(fixture);
+    const std::string request = "HEAD" + getRequest.substr(3);
+    Exchange exchange = startExchange(fixture, RetryPolicy::AtMostOnce, test.streaming_, request);
+    CHECK(exchange.head_.starts_with("HEAD /a/b HTTP/1.1\r\n"));
+    sendText(exchange.upstream_, responseTo("r1", test.fields_ + "\r\n"));
+    CHECK(waitForEvent<RelayAttemptEnded>(fixture).end_ == AttemptEnd::Delivered);
+    const std::string response = readHead(exchange.client_);
+    CHECK(response.find(test.expected_) != std::string::npos);
+    CHECK(response.find("\r\n\r\n") == response.size() - 4);
+    // The next response follows directly.
+    sendText(exchange.client_, getRequest);
+    command(
+        fixture,
+        attemptFor(fixture, waitForEvent<RequestRead>(fixture), RetryPolicy::AtMostOnce, false));
+    readHead(exchange.upstream_);
+    sendText(exchange.upstream_, responseTo("r1", "Content-Length: 2\r\n\r\nok"));
+    const std::string next
+        = readUntil(exchange.client_, [](const std::string &text) { return text.ends_with("ok"); });
+    CHECK(next.starts_with("HTTP/1.1 200 OK\r\n"));
+}
+
 TEST_CASE("a connection with bytes after a complete response is closed")
 {
     Fixture fixture;
