--- a/test.sh
+++ b/test.sh
@@ -5,6 +5,7 @@
 mapfile -t sources < <(git ls-files -co --exclude-standard '*.cpp' '*.h' ':!proto/generated')
 clang-format --dry-run --Werror "${sources[@]}"
 tools/check-names.sh
+tools/check-tests.sh
 tools/lint.sh build
 known_failures=()
 if [ -e KNOWN-RED.txt ]; then
