Count the age of what a peer says from the request, not from the arrival of its reply

Host b-5 has a link of 10 Mbit/s, on which replies waited up to 2 s. It learned of the removal of 26.31 at 28.45 and took it for 0.63 s old, so that the instance stayed usable as a last resort until 30.28.

Cause: the time of the peers' contact was the arrival of the reply less the age that it states. The time in transit was left out, so a reply that waited made what it said look newer.

Change: the contact is counted from the request of the reply. A reply after its timeout says nothing about the contact.

Ruled out: the observers, which learned of the removal at 26.32 to 26.36.

Test: 'what a reply says is as old as its request, not as its arrival' fails without the change.

--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -211,11 +211,18 @@
 void recordDocumentsReply(DocumentSync &sync, const DocumentSyncSettings &settings,
                           const HostId &from, std::optional<Millis> contactAge, MonoTime now)
 {
+    // A reply may have waited at a full link, so its request is the latest time that it is known to
+    // follow. That of a reply after its timeout is forgotten.
+    std::optional<MonoTime> requestedAt;
+    if (const auto request = sync.unanswered_.find(from); request != sync.unanswered_.end())
+        requestedAt = request->second;
+    else if (!sync.silent_.contains(from))
+        requestedAt = now;
     sync.unanswered_.erase(from);
     sync.silent_.erase(from);
     sync.repliedAt_ = now;
-    if (contactAge)
-        sync.freshAt_ = std::max(sync.freshAt_.value_or(MonoTime {}), now - *contactAge);
+    if (contactAge && requestedAt)
+        sync.freshAt_ = std::max(sync.freshAt_.value_or(MonoTime {}), *requestedAt - *contactAge);
     if (contactAge && *contactAge <= settings.freshLifetime_) {
         sync.freshFrom_ = from;
         sync.withoutContact_.erase(from);
--- a/tests/unit-documentsync.cpp
+++ b/tests/unit-documentsync.cpp
@@ -273,6 +273,25 @@
     }
 }
 
+TEST_CASE("what a reply says is as old as its request, not as its arrival")
+{
+    // A reply that waits at a full link made what it says look newer than it was, and a leaving
+    // instance got requests for too long.
+    const DocumentSyncSettings settings;
+    const HostId peer {"peer"};
+    const MonoTime sentAt {Seconds {1000}};
+    DocumentSync sync;
+    sync.unanswered_[peer] = sentAt;
+    const MonoTime arrivedAt = sentAt + Millis {600};
+    recordDocumentsReply(sync, settings, peer, Millis {50}, arrivedAt);
+    REQUIRE(sync.freshAt_);
+    CHECK(*sync.freshAt_ == sentAt - Millis {50});
+    // After its timeout nothing is known of the age of a reply.
+    sync.silent_[peer] = arrivedAt + Seconds {1};
+    recordDocumentsReply(sync, settings, peer, Millis {50}, arrivedAt + Seconds {1});
+    CHECK(*sync.freshAt_ == sentAt - Millis {50});
+}
+
 TEST_CASE("each observer has its turn")
 {
     // Requests to other zones shifted the turns, so that one of two observers was asked once in
