--- a/tests/unit-documentsync.cpp
+++ b/tests/unit-documentsync.cpp
@@ -277,7 +277,6 @@
 {
     // A reply that waits at a full link made what it says look newer than it was, and a leaving
     // instance got requests for too long.
-    const DocumentSyncSettings settings;
     const HostId peer {"peer"};
     const MonoTime sentAt {Seconds {1000}};
     DocumentSync sync;
--- a/tests/unit-quarantine.cpp
+++ b/tests/unit-quarantine.cpp
@@ -29,14 +29,14 @@
 void serveSoundRequests(QuarantineFleet &fleet, int count)
 {
     for (int i = 0; i < count; ++i)
-        respond(fleet, static_cast<std::size_t>(i * 7) % fleet.daemons_.size(), soundRequest(i));
+        respond(fleet, static_cast<std::size_t>(i) * 7 % fleet.daemons_.size(), soundRequest(i));
 }
 
 /// Crashes instances by requests with the deadly part at different daemons.
 void crashByDeadlyPart(QuarantineFleet &fleet, int crashes, Millis interval)
 {
     for (int i = 0; i < crashes; ++i) {
-        const std::size_t daemon = static_cast<std::size_t>(i * 37 + 5) % fleet.daemons_.size();
+        const std::size_t daemon = (static_cast<std::size_t>(i) * 37 + 5) % fleet.daemons_.size();
         crash(fleet, daemon, "i" + std::to_string(i), deadlyRequest(i));
         passTime(fleet, interval);
     }
@@ -87,7 +87,7 @@
     serveSoundRequests(fleet, 400);
     passTime(fleet, Millis {200});
     for (int i = 0; i < 15; ++i) {
-        crash(fleet, static_cast<std::size_t>(i * 11) % 73, "i" + std::to_string(i),
+        crash(fleet, static_cast<std::size_t>(i) * 11 % 73, "i" + std::to_string(i),
               {"system", "template", "deadly" + std::to_string(i % 3), "own"});
         passTime(fleet, Millis {150});
     }
@@ -125,7 +125,7 @@
     QuarantineFleet fleet = makeQuarantineFleet(73);
     const RequestParts rare {"system", "rare", "own"};
     for (int i = 0; i < 5; ++i) {
-        crash(fleet, static_cast<std::size_t>(i * 3), "i" + std::to_string(i), rare);
+        crash(fleet, static_cast<std::size_t>(i) * 3, "i" + std::to_string(i), rare);
         passTime(fleet, Millis {600});
     }
     REQUIRE(countRefusing(fleet, rare) == 73);
@@ -137,7 +137,7 @@
         CHECK(countRefusing(fleet, rare) == 0);
         // The end of the instances is counted again when it comes.
         for (int i = 0; i < 5; ++i) {
-            crash(fleet, static_cast<std::size_t>(i * 3), "i" + std::to_string(i), rare);
+            crash(fleet, static_cast<std::size_t>(i) * 3, "i" + std::to_string(i), rare);
             passTime(fleet, Millis {600});
         }
         CHECK(countRefusing(fleet, rare) == 73);
@@ -171,7 +171,7 @@
         serveSoundRequests(fleet, 100);
         for (int i = first; i < first + 3; ++i) {
             const std::string number = std::to_string(i);
-            crash(fleet, static_cast<std::size_t>(i * 5), "other" + number,
+            crash(fleet, static_cast<std::size_t>(i) * 5, "other" + number,
                   {"system", "subject" + number, "own"});
             passTime(fleet, Millis {900});
         }
@@ -228,7 +228,7 @@
     respond(fleet, 50, soundRequest(1));
     passTime(fleet, Millis {100});
     for (int i = 0; i < 4; ++i) {
-        crash(fleet, static_cast<std::size_t>(i * 9), "i" + std::to_string(i), soundRequest(1));
+        crash(fleet, static_cast<std::size_t>(i) * 9, "i" + std::to_string(i), soundRequest(1));
         for (int step = 0; step < 10; ++step) {
             passTime(fleet, Millis {60});
             CHECK(countRefusing(fleet, soundRequest(1)) == 0);
@@ -264,7 +264,7 @@
     for (std::size_t i = 0; i < 73; i += 3)
         fleet.cutOff_.insert(i);
     for (int i = 0; i < 5; ++i) {
-        crash(fleet, static_cast<std::size_t>(i * 3 + 1), "i" + std::to_string(i),
+        crash(fleet, static_cast<std::size_t>(i) * 3 + 1, "i" + std::to_string(i),
               deadlyRequest(i));
         passTime(fleet, Millis {600});
     }
--- a/tests/unit-relayquarantine.cpp
+++ b/tests/unit-relayquarantine.cpp
@@ -188,6 +188,7 @@
         const auto rare = sendRare();
         REQUIRE(rare);
         std::vector<SendAttempt> others;
+        others.reserve(40);
         for (int other = 0; other < 40; ++other)
             others.push_back(*findCommand<SendAttempt>(
                 post(fixture, RequestRead {requestWith(fixture, "stream", {"system", "own"})})));
