Revert "Count the messages of peers as traffic of the link"

Documents fill the small links whether or not their hosts take clients, so leaving the rotation doesn't help, and does again what had mended.

--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -37,7 +37,7 @@
     /// for work on behalf of other daemons.
     double processorCores_ = 0.0;
     /// Capacity of the network link in each direction, in megabits per second; 0 if unknown. A
-    /// daemon whose traffic fills the link leaves the rotation.
+    /// daemon whose requests and responses fill the link leaves the rotation.
     double linkMbps_ = 0.0;
     /// An instance that was reported as leaving may get requests for this long.
     Millis drainTimeout_ {2000};
--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -166,7 +166,7 @@
     auto *delay = gauge("tamarack_relay_event_delay_seconds",
                         "Smoothed time that events wait for the control thread");
     auto *link = gauge("tamarack_relay_link_use_ratio",
-                       "Smoothed share of the network link that is in use");
+                       "Smoothed share of the network link that requests and responses take");
     RelayMetricsPort port;
     port.event_ = [families](const RelayEvent &event) {
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, event);
--- a/src/adapters/peers/peersocket.cpp
+++ b/src/adapters/peers/peersocket.cpp
@@ -5,7 +5,6 @@
 
 #include <zmq.hpp>
 
-#include <atomic>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -52,9 +51,6 @@
     zmq::socket_t wakeReceiver_;
     std::map<std::string, Connection> connections_;
     std::uint64_t sent_ = 0;
-    /// Bytes of messages since the start; read by other threads.
-    std::atomic<std::uint64_t> receivedBytes_ = 0;
-    std::atomic<std::uint64_t> sentBytes_ = 0;
     DropCounts drops_;
     std::optional<MonoTime> loggedAt_;
     std::string lastError_;
@@ -137,9 +133,7 @@
                      .first;
         }
         it->second.lastUse_ = ++state.sent_;
-        if (it->second.socket_.send(zmq::buffer(bytes), zmq::send_flags::dontwait))
-            state.sentBytes_ += bytes.size();
-        else
+        if (!it->second.socket_.send(zmq::buffer(bytes), zmq::send_flags::dontwait))
             ++state.drops_.peerFull_;
     } catch (const zmq::error_t &error) {
         ++state.drops_.malformed_;
@@ -180,7 +174,6 @@
             body = std::move(part);
     }
     if (parts == 1) {
-        state.receivedBytes_ += body.size();
         postReceived(state, body);
     } else {
         ++state.drops_.malformed_;
@@ -278,11 +271,6 @@
     }};
 }
 
-TrafficTotals peerTraffic(const PeerSocket &socket)
-{
-    return TrafficTotals {socket.state_->receivedBytes_, socket.state_->sentBytes_};
-}
-
 void stopPeerSocket(PeerSocket &socket)
 {
     PeerSocketState &state = *socket.state_;
--- a/src/adapters/peers/peersocket.h
+++ b/src/adapters/peers/peersocket.h
@@ -5,7 +5,6 @@
 
 #include "core/command.h"
 #include "core/error.h"
-#include "core/traffictotals.h"
 #include "ports/ports.h"
 
 #include <cstddef>
@@ -52,9 +51,6 @@
 /// @brief Returns the port that sends messages. After stopPeerSocket() it has no effect.
 PeerPort peerPort(const PeerSocket &socket);
 
-/// @brief Returns the bytes of messages since the start. Safe to call from any thread.
-TrafficTotals peerTraffic(const PeerSocket &socket);
-
 /// @brief Stops the socket thread. Queued messages are sent within PeerSettings::linger_ or lost.
 void stopPeerSocket(PeerSocket &socket);
 
--- a/src/core/relay/overload.h
+++ b/src/core/relay/overload.h
@@ -1,5 +1,5 @@
 // Decides whether a daemon has more load than its host can handle: its events wait for the
-// processor, or its traffic fills the network link.
+// processor, or its requests and responses fill the network link.
 //
 // Connections are spread by a hash of the client, so one host may get most of a zone's requests,
 // and hosts differ in size. An overloaded daemon leaves the rotation until it has caught up. Only
@@ -8,7 +8,6 @@
 #pragma once
 
 #include "core/time.h"
-#include "core/traffictotals.h"
 
 #include <cstdint>
 #include <optional>
@@ -46,6 +45,13 @@
     Millis relapseTime_ {10'000};
 };
 
+/// @brief Bytes of requests and responses since the start, on all client and upstream connections.
+struct TrafficTotals
+{
+    std::uint64_t received_ = 0;
+    std::uint64_t sent_ = 0;
+};
+
 /// Invariant: overloadedUntil_ is set if and only if the daemon is overloaded.
 struct Overload
 {
@@ -67,7 +73,7 @@
 void recordEventDelay(Overload &overload, const OverloadSettings &settings, PreciseMicros delay,
                       MonoTime now);
 
-/// @brief Records the traffic since the start: requests, responses and messages of peers.
+/// @brief Records the traffic of requests and responses since the start.
 void recordTraffic(Overload &overload, const OverloadSettings &settings,
                    const TrafficTotals &totals, MonoTime now);
 
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -166,7 +166,7 @@
 /// with the next handleRelayEvent() or runDueWork().
 void recordEventDelay(RelayState &state, PreciseMicros delay, MonoTime now);
 
-/// @brief Records the traffic of this daemon since the start. Takes effect with the next
+/// @brief Records the bytes of requests and responses since the start. Takes effect with the next
 /// handleRelayEvent() or runDueWork().
 void recordTraffic(RelayState &state, const TrafficTotals &totals, MonoTime now);
 
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -31,7 +31,7 @@
     std::uint64_t droppedLogLines_ = 0;
     /// Smoothed time that events wait for the control thread.
     PreciseMicros eventDelay_ {};
-    /// Smoothed share of the network link that is in use.
+    /// Smoothed share of the network link that requests and responses take.
     double linkUse_ = 0.0;
 };
 
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -271,17 +271,6 @@
     follow(instances, instanceHandlers(*relay.documents_));
 }
 
-TrafficTotals totalTraffic(const RelayDaemon &relay)
-{
-    TrafficTotals totals = trafficTotals(*relay.frontend_);
-    if (relay.peers_) {
-        const TrafficTotals peers = peerTraffic(*relay.peers_);
-        totals.received_ += peers.received_;
-        totals.sent_ += peers.sent_;
-    }
-    return totals;
-}
-
 RelayState initialState(const RelayDaemon &relay)
 {
     RelayState state;
@@ -345,7 +334,7 @@
             if (relay.peers_)
                 peerPort(*relay.peers_).send_(std::move(message));
         },
-        [&relay] { return totalTraffic(relay); },
+        [&relay] { return trafficTotals(*relay.frontend_); },
         makeRelayMetricsPort(relay.registry_),
         [&relay] { return droppedLogLines(relay.sink_); },
         [&relay] {
