--- a/src/core/relay/overload.h
+++ b/src/core/relay/overload.h
@@ -28,13 +28,13 @@
     Millis maxSampleTime_ {50};
     /// Capacity of the network link in each direction, in bytes per second; 0 if unknown.
     double linkBytesPerSecond_ = 0.0;
-    /// The daemon is overloaded once requests and responses take this share of the link. The rest is
-    /// for messages between daemons, calls to the store and packet headers.
+    /// The daemon is overloaded once requests and responses take this share of the link. The rest
+    /// is for messages between daemons, calls to the store and packet headers.
     double maxLinkUse_ = 0.7;
     /// An overloaded daemon has caught up once the smoothed share is below this.
     double recoveredLinkUse_ = 0.4;
-    /// Time constant of the smoothing of the traffic. A single large body takes the whole link for a
-    /// shorter time.
+    /// Time constant of the smoothing of the traffic. A single large body takes the whole link for
+    /// a shorter time.
     Millis linkSmoothingTime_ {1000};
     /// Minimum time between two samples of the traffic.
     Millis minTrafficInterval_ {50};
