Use the time of the request only for the age of removals

Cause: a remedy that adds load where load is the trouble.

Change: whom to ask, and whether to follow the store, is decided by the arrival of replies as before; the age of a removal by the time of the request (completeAt_).

Test: 'what a reply says is as old as its request, not as its arrival', as before, on completeAt_.

--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -221,8 +221,11 @@
     sync.unanswered_.erase(from);
     sync.silent_.erase(from);
     sync.repliedAt_ = now;
+    if (contactAge)
+        sync.freshAt_ = std::max(sync.freshAt_.value_or(MonoTime {}), now - *contactAge);
     if (contactAge && requestedAt)
-        sync.freshAt_ = std::max(sync.freshAt_.value_or(MonoTime {}), *requestedAt - *contactAge);
+        sync.completeAt_
+            = std::max(sync.completeAt_.value_or(MonoTime {}), *requestedAt - *contactAge);
     if (contactAge && *contactAge <= settings.freshLifetime_) {
         sync.freshFrom_ = from;
         sync.withoutContact_.erase(from);
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -84,6 +84,10 @@
     std::map<HostId, MonoTime> unanswered_;
     /// Last contact to the store of any peer that replied: the age of what is known from peers.
     std::optional<MonoTime> freshAt_;
+    /// All changes up to this time are known: like freshAt_, but without the time that a reply
+    /// took. Whom to ask is decided by freshAt_. If that counted the time in transit as well,
+    /// daemons whose links are full of documents would ask more peers for documents.
+    std::optional<MonoTime> completeAt_;
     /// The peer that last replied with recent contact.
     HostId freshFrom_;
     /// Peers that replied without contact to the store, and until when they are asked last.
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -24,7 +24,7 @@
     if (source == ChangeSource::Store)
         return now - settings.instanceBatchDelay_;
     // The peer that reported the removal had no news of it at the previous contact.
-    const std::optional<MonoTime> knownAt = state.sync_.freshAt_;
+    const std::optional<MonoTime> knownAt = state.sync_.completeAt_;
     // Entries expire during an outage although their instances are alive and will renew them.
     const bool afterOutage = !knownAt || now - *knownAt > settings.minOutage_;
     return afterOutage ? now : *knownAt;
--- a/tests/unit-documentsync.cpp
+++ b/tests/unit-documentsync.cpp
@@ -283,12 +283,12 @@
     sync.unanswered_[peer] = sentAt;
     const MonoTime arrivedAt = sentAt + Millis {600};
     recordDocumentsReply(sync, settings, peer, Millis {50}, arrivedAt);
-    REQUIRE(sync.freshAt_);
-    CHECK(*sync.freshAt_ == sentAt - Millis {50});
+    REQUIRE(sync.completeAt_);
+    CHECK(*sync.completeAt_ == sentAt - Millis {50});
     // After its timeout nothing is known of the age of a reply.
     sync.silent_[peer] = arrivedAt + Seconds {1};
     recordDocumentsReply(sync, settings, peer, Millis {50}, arrivedAt + Seconds {1});
-    CHECK(*sync.freshAt_ == sentAt - Millis {50});
+    CHECK(*sync.completeAt_ == sentAt - Millis {50});
 }
 
 TEST_CASE("each observer has its turn")
