Ignore loan replies to an earlier process of the host

Cause: a stopping lender answers each process that it has lent to. Replies did not name the borrowing process, so the new process of a restarted host took the cumulative total of its predecessor for its own and its waiting requests took tokens that were long spent. Class of fault: a message to an earlier process is taken by the current one of the same host.

Change: a reply names the borrower; other processes ignore it.

Test: 'a reply to an earlier process of a host lends nothing to the current one' fails without the change.

--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -161,6 +161,7 @@
     out.set_refusal(static_cast<std::uint32_t>(message.refusal_));
     out.set_unavailable(message.unavailable_);
     out.set_recalled(message.recalled_);
+    out.set_borrower(message.borrower_.value_);
 }
 
 void encodeInto(peer::Envelope &envelope, const QuarantineReport &message)
@@ -299,6 +300,7 @@
     message.refusal_ = static_cast<LoanRefusal>(in.refusal());
     message.unavailable_ = in.unavailable();
     message.recalled_ = in.recalled();
+    message.borrower_ = HolderId {in.borrower()};
     return PeerMessage {message};
 }
 
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -209,6 +209,9 @@
     /// Little of the account is left or the lender is stopping: the borrower should return tokens
     /// that it does not need.
     bool recalled_ = false;
+    /// The process that borrowed. Messages are addressed to hosts, and the totals are of no use to
+    /// a later process of the same host.
+    HolderId borrower_;
 };
 
 using PeerMessage
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -98,6 +98,7 @@
 {
     LoanReply reply;
     reply.lender_ = state.holder_;
+    reply.borrower_ = issuedLoan.borrower_;
     reply.account_ = account;
     reply.lent_ = issuedLoan.lent_;
     reply.recalled_ = isRecalling(state, settings, account);
@@ -235,6 +236,7 @@
     if (found == state.balances_.end()) {
         // The configuration that contains the account has not been received yet.
         IssuedLoan issuedLoan;
+        issuedLoan.borrower_ = request.borrower_;
         issuedLoan.borrowerHost_ = from;
         issuedLoan.borrowerAddress_ = request.replyAddress_;
         sendUnavailable(state, settings, request.account_, issuedLoan);
@@ -242,6 +244,7 @@
     }
     PrepaidBalance &balance = found->second;
     IssuedLoan &issuedLoan = balance.issuedLoans_[request.borrower_];
+    issuedLoan.borrower_ = request.borrower_;
     issuedLoan.borrowerHost_ = from;
     issuedLoan.borrowerAddress_ = request.replyAddress_;
     const bool otherProcess = !request.lender_.isEmpty() && request.lender_ != state.holder_;
@@ -265,7 +268,7 @@
                      const HostId &from, MonoTime now)
 {
     const auto found = state.balances_.find(reply.account_);
-    if (found == state.balances_.end())
+    if (found == state.balances_.end() || reply.borrower_ != state.holder_)
         return;
     PrepaidBalance &balance = found->second;
     state.lenderProcesses_[from] = reply.lender_;
@@ -301,7 +304,8 @@
 void returnRecalledLoan(PrepaidState &state, const LoanReply &reply)
 {
     const auto found = state.balances_.find(reply.account_);
-    if (!reply.recalled_ || found == state.balances_.end())
+    const bool isOwn = reply.borrower_ == state.holder_;
+    if (!reply.recalled_ || !isOwn || found == state.balances_.end())
         return;
     const auto loan = found->second.receivedLoans_.find(reply.lender_);
     if (loan == found->second.receivedLoans_.end())
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -118,6 +118,7 @@
 /// Invariant: spent_ >= 0, returned_ >= 0, spent_ + returned_ <= lent_.
 struct IssuedLoan
 {
+    HolderId borrower_;
     HostId borrowerHost_;
     std::string borrowerAddress_;
     Tokens lent_;
--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -124,7 +124,7 @@
         DocumentsReply {{}, std::nullopt},
         LoanRequest {entry, "127.0.0.1:2", home, AccountId {"c"}, Tokens {7}, Tokens {9},
                      Tokens {3}, Tokens {1}},
-        LoanReply {home, AccountId {"c"}, Tokens {8}, LoanRefusal::Exhausted, true, true},
+        LoanReply {home, AccountId {"c"}, Tokens {8}, LoanRefusal::Exhausted, true, true, entry},
         QuarantineReport {"10.0.0.1:7340",
                           ReportPurpose::Exchange,
                           77,
--- a/tests/unit-loans.cpp
+++ b/tests/unit-loans.cpp
@@ -357,6 +357,7 @@
     PrepaidState &state = fleet.daemons_[borrower].state_;
     LoanReply reply;
     reply.lender_ = fleet.daemons_[lender].state_.holder_;
+    reply.borrower_ = state.holder_;
     reply.account_ = acme;
     reply.recalled_ = true;
     const auto replyWith = [&](std::int64_t lent) {
@@ -378,6 +379,28 @@
           == Tokens {500});
 }
 
+TEST_CASE("a reply to an earlier process of a host lends nothing to the current one")
+{
+    // The totals of the earlier process would count as new tokens, and the total be overspent.
+    Fleet fleet = makeFleet(2, 1'000'000);
+    const std::size_t lender = lenderIndex(fleet);
+    const std::size_t borrower = 1 - lender;
+    reserve(fleet, borrower, 5000);
+    runCallsAndMessages(fleet);
+    REQUIRE(reserve(fleet, borrower, 5000));
+    startDaemon(fleet, borrower, 1'000'000);
+    stopLending(fleet.daemons_[lender].state_, fleet.settings_);
+    fleet.waiting_ = {{borrower, Tokens {1000}}};
+    collect(fleet);
+    while (!fleet.messages_.empty()) {
+        const Message message = fleet.messages_.front();
+        fleet.messages_.pop_front();
+        deliver(fleet, message);
+    }
+    CHECK(fleet.granted_.empty());
+    CHECK(balanceOf(fleet, borrower).receivedLoans_.empty());
+}
+
 TEST_CASE("a lender that waits for the ledger is not replaced by the next daemon")
 {
     // When all lenders were cut off from the store, their borrowers took them for dead, one daemon
