Report and log what an instance states about itself in its responses

The front end reads a request limit, the announcement that the instance leaves, and the time to come back of a 503 from the head of a response, and the control thread logs changes as instance.notice. Nothing acts on them yet.

--- a/src/adapters/relayhttp/frontendstate.h
+++ b/src/adapters/relayhttp/frontendstate.h
@@ -158,6 +158,8 @@
     /// Idle connections per upstream address, least recently used first.
     std::map<std::string, std::vector<ConnectionId>> idleConnections_;
     std::map<std::string, std::uint32_t> connectionCounts_;
+    /// Instances whose last response stated a notice.
+    std::set<UpstreamId> noticeStated_;
     std::set<std::pair<MonoTime, ConnectionId>> deadlines_;
     bool accepting_ = true;
     /// Every response carries "Connection: close".
--- a/src/adapters/relayhttp/headernames.h
+++ b/src/adapters/relayhttp/headernames.h
@@ -29,6 +29,10 @@
     std::string signature_ = "X-Signature";
     /// Present if the upstream did not execute the request.
     std::string notExecuted_ = "X-Not-Run";
+    /// Requests per second that an instance accepts from all daemons together.
+    std::string requestLimit_ = "X-Request-Limit";
+    /// "1" if the instance is about to stop.
+    std::string leaving_ = "X-Leaving";
     /// Further fields that only the relay may set; they are removed from client requests.
     std::vector<std::string> reserved_;
 };
--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -4,7 +4,9 @@
 #include <fmt/format.h>
 #include <sys/epoll.h>
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace tamarack::frontend {
 
@@ -98,6 +100,47 @@
         OutputStarted {exchange.id_, exchange.attempt_.attempt_, std::chrono::steady_clock::now()});
 }
 
+/// Returns the number in a header field, or nothing if it is missing, malformed or negative.
+std::optional<double> decimalField(const HttpResponseHead &head, std::string_view name)
+{
+    const std::optional<std::string_view> text = findField(head.headers_, name);
+    if (!text)
+        return std::nullopt;
+    double value = 0.0;
+    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
+    const bool valid = parsed.ec == std::errc {} && parsed.ptr == text->data() + text->size();
+    return valid && std::isfinite(value) && value >= 0.0 ? std::optional(value) : std::nullopt;
+}
+
+InstanceNotice readNotice(const HttpResponseHead &head, const HeaderNames &names)
+{
+    constexpr int statusServiceUnavailable = 503;
+    /// Longer times could overflow the clock's type.
+    constexpr double maxRetryAfterSeconds = 86'400.0;
+    InstanceNotice notice;
+    notice.requestLimit_ = decimalField(head, names.requestLimit_);
+    notice.leaving_ = findField(head.headers_, names.leaving_) == "1";
+    if (head.status_ != statusServiceUnavailable)
+        return notice;
+    if (const std::optional<double> seconds = decimalField(head, "Retry-After"))
+        notice.retryAfter_ = std::chrono::ceil<Millis>(
+            std::chrono::duration<double>(std::min(*seconds, maxRetryAfterSeconds)));
+    return notice;
+}
+
+/// Reports what the head of a response states about its instance. A head that states nothing is
+/// reported only if the one before it stated something.
+void reportNotice(FrontendState &state, const UpstreamId &instance, const HttpResponseHead &head)
+{
+    const InstanceNotice notice = readNotice(head, state.settings_.headers_);
+    const bool stated = notice != InstanceNotice {};
+    const bool statedBefore = state.noticeStated_.erase(instance) > 0;
+    if (stated)
+        state.noticeStated_.insert(instance);
+    if (stated || statedBefore)
+        state.events_.post_(InstanceNoticeReceived {instance, notice});
+}
+
 std::optional<std::uint64_t> parseNumber(const std::string &text)
 {
     std::uint64_t value = 0;
@@ -198,6 +241,10 @@
     const ResponseClass responseClass = classifyResponse(received, exchange.requestId_);
     if (responseClass == ResponseClass::OtherRequest)
         return false;
+    // A response of another instance, or one that may belong to another request, says nothing about
+    // the instance that was asked.
+    if (responseClass != ResponseClass::WrongInstance && responseClass != ResponseClass::Malformed)
+        reportNotice(state, upstream.instance_, head);
     exchange.responseClass_ = responseClass;
     // A resumed stream keeps the head of its first response.
     if (!exchange.headSent_)
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -9,6 +9,7 @@
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
 #include "core/relay/fleet.h"
+#include "core/relay/instancenotice.h"
 #include "core/relay/instances.h"
 #include "core/relay/prepaid.h"
 #include "core/relay/request.h"
@@ -80,6 +81,14 @@
     std::string detail_;
 };
 
+/// @brief The head of a response stated something about its instance, or the first one after such a
+/// head stated nothing.
+struct InstanceNoticeReceived
+{
+    UpstreamId instance_;
+    InstanceNotice notice_;
+};
+
 /// @brief The client closed its connection before its response ended.
 struct ClientDisconnected
 {
@@ -169,11 +178,11 @@
 };
 
 using RelayEvent
-    = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, ClientDisconnected,
-                   ConfigReceived, InstancesListed, InstanceChanged, InstanceRemoved, FleetView,
-                   LoanRequestReceived, LoanReplyReceived, QuarantineReportReceived,
-                   DocumentsRequestReceived, DocumentsReplyReceived, FeedAvailabilityChanged,
-                   StoreReplied, RelayStopRequested>;
+    = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived,
+                   ClientDisconnected, ConfigReceived, InstancesListed, InstanceChanged,
+                   InstanceRemoved, FleetView, LoanRequestReceived, LoanReplyReceived,
+                   QuarantineReportReceived, DocumentsRequestReceived, DocumentsReplyReceived,
+                   FeedAvailabilityChanged, StoreReplied, RelayStopRequested>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -8,6 +8,7 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "core/relay/config.h"
+#include "core/relay/instancenotice.h"
 #include "core/relay/instances.h"
 #include "core/relay/request.h"
 #include "core/time.h"
@@ -71,6 +72,8 @@
     /// Another instance responded at this address.
     bool replaced_ = false;
     WallTime startedAt_ {};
+    /// What the instance last stated about itself.
+    InstanceNotice notice_;
     /// Prompt parts that this daemon sent to the engine, with the time of their last use.
     std::unordered_map<std::string, MonoTime> cachedParts_;
 };
--- /dev/null
+++ b/src/core/relay/instancenotice.h
@@ -0,0 +1,23 @@
+// What an instance states about itself in the head of a response.
+#pragma once
+
+#include "core/time.h"
+
+#include <optional>
+
+namespace tamarack {
+
+struct InstanceNotice
+{
+    /// Requests per second that the instance accepts from all daemons together. Applies until a
+    /// response doesn't state it any more.
+    std::optional<double> requestLimit_;
+    /// The instance is about to stop.
+    bool leaving_ = false;
+    /// The instance accepts no request from this daemon for this long.
+    std::optional<Millis> retryAfter_;
+
+    bool operator==(const InstanceNotice &) const = default;
+};
+
+} // namespace tamarack
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -132,6 +132,28 @@
     onAttemptEnded(state, it->second, event, now, out);
 }
 
+void logNotice(const UpstreamId &instance, const InstanceNotice &notice, RelayCommands &out)
+{
+    logLine(out, LogLevel::Info, "instance.notice",
+            {{"upstream", instance.value_},
+             {"request_limit",
+              notice.requestLimit_ ? fmt::format("{:.3f}", *notice.requestLimit_) : "none"},
+             {"leaving", notice.leaving_ ? "yes" : "no"},
+             {"retry_after_ms",
+              notice.retryAfter_ ? std::to_string(notice.retryAfter_->count()) : "none"}});
+}
+
+void onEvent(RelayState &state, const InstanceNoticeReceived &event, MonoTime, RelayCommands &out)
+{
+    // The statistics of an instance exist from the first request that it was sent.
+    const auto stats = state.choice_.instanceStats_.find(event.instance_);
+    if (stats == state.choice_.instanceStats_.end())
+        return;
+    if (stats->second.notice_ != event.notice_)
+        logNotice(event.instance_, event.notice_, out);
+    stats->second.notice_ = event.notice_;
+}
+
 void onEvent(RelayState &state, const ClientDisconnected &event, MonoTime now, RelayCommands &out)
 {
     const auto it = state.active_.find(event.id_);
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -258,6 +258,57 @@
     }
 }
 
+TEST_CASE("what a response states about its instance is reported with its head")
+{
+    struct Case
+    {
+        const char *name_;
+        std::string bytes_;
+        std::optional<InstanceNotice> notice_;
+    };
+    const std::string refused = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n";
+    const std::string complete = "Content-Length: 0\r\n\r\n";
+    const Case cases[] {
+        {"nothing", responseTo("r1", complete), std::nullopt},
+        {"limit", responseTo("r1", "X-Request-Limit: 2.5\r\n" + complete),
+         InstanceNotice {2.5, false, std::nullopt}},
+        {"limit that is no number", responseTo("r1", "X-Request-Limit: 2.5 a\r\n" + complete),
+         std::nullopt},
+        {"negative limit", responseTo("r1", "X-Request-Limit: -1\r\n" + complete), std::nullopt},
+        {"leaving", responseTo("r1", "X-Leaving: 1\r\n" + complete),
+         InstanceNotice {std::nullopt, true, std::nullopt}},
+        {"time to come back", refused + "Retry-After: 1.25\r\n\r\n",
+         InstanceNotice {std::nullopt, false, Millis {1250}}},
+        {"time to come back without end", refused + "Retry-After: 1e300\r\n\r\n",
+         InstanceNotice {std::nullopt, false, Millis {86'400'000}}},
+        {"date to come back", refused + "Retry-After: Sat, 05 Dec 2026 05:00:00 GMT\r\n\r\n",
+         std::nullopt},
+        {"time to come back after a success", responseTo("r1", "Retry-After: 1\r\n" + complete),
+         std::nullopt},
+        {"another instance", "HTTP/1.1 421 M\r\nX-Leaving: 1\r\n" + complete, std::nullopt},
+    };
+    for (const Case &c : cases) {
+        INFO(c.name_);
+        Fixture fixture;
+        setUp(fixture);
+        Exchange exchange = startExchange(fixture);
+        sendText(exchange.upstream_, c.bytes_);
+        std::optional<InstanceNotice> notice;
+        while (true) {
+            const auto event
+                = take(fixture.events_, std::chrono::steady_clock::now() + Seconds {20});
+            REQUIRE(event);
+            if (const auto *received = std::get_if<InstanceNoticeReceived>(&*event)) {
+                CHECK(received->instance_ == exchange.attempt_.instance_);
+                notice = received->notice_;
+            }
+            if (std::holds_alternative<RelayAttemptEnded>(*event))
+                break;
+        }
+        CHECK(notice == c.notice_);
+    }
+}
+
 TEST_CASE("a late response to another request is skipped")
 {
     Fixture fixture;
