--- a/src/core/quarantinereport.h
+++ b/src/core/quarantinereport.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/instanceprocess.h"
 #include "core/time.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,18 +16,9 @@
 /// @brief Hash of the id of a prompt part.
 using PromptPartId = NumericId<struct PromptPartTag>;
 
-/// @brief One process of an instance, which ends once.
-struct CrashId
-{
-    UpstreamId instance_;
-    WallTime startedAt_ {};
-
-    auto operator<=>(const CrashId &) const = default;
-};
-
 struct ReportedCrash
 {
-    CrashId id_;
+    InstanceProcess id_;
     std::string address_;
     /// A duration, because the clocks of hosts differ.
     Millis age_ {};
--- a/src/core/relay/quarantine.cpp
+++ b/src/core/relay/quarantine.cpp
@@ -219,8 +219,8 @@
     }
 }
 
-Crash *findOrAddCrash(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                      const std::string &address, MonoTime at)
+Crash *findOrAddCrash(Quarantine &quarantine, const QuarantineSettings &settings,
+                      const InstanceProcess &id, const std::string &address, MonoTime at)
 {
     const auto known = quarantine.crashes_.find(id);
     if (known != quarantine.crashes_.end()) {
@@ -239,8 +239,8 @@
     return kept == quarantine.crashes_.end() ? nullptr : &kept->second;
 }
 
-bool markSurvived(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                  MonoTime at, MonoTime now)
+bool markSurvived(Quarantine &quarantine, const QuarantineSettings &settings,
+                  const InstanceProcess &id, MonoTime at, MonoTime now)
 {
     const auto known = quarantine.crashes_.find(id);
     if (known == quarantine.crashes_.end())
@@ -288,16 +288,16 @@
     }
 }
 
-void scheduleSurvival(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                      MonoTime now)
+void scheduleSurvival(Quarantine &quarantine, const QuarantineSettings &settings,
+                      const InstanceProcess &id, MonoTime now)
 {
     quarantine.unsent_.try_emplace(id);
     if (!quarantine.sendAt_)
         quarantine.sendAt_ = now + settings.reportDelay_;
 }
 
-void scheduleNews(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                  PromptPartId part, MonoTime now)
+void scheduleNews(Quarantine &quarantine, const QuarantineSettings &settings,
+                  const InstanceProcess &id, PromptPartId part, MonoTime now)
 {
     quarantine.unsent_[id].insert(part);
     if (!quarantine.sendAt_)
@@ -339,7 +339,7 @@
 }
 
 std::vector<PromptPartId> recordCrash(Quarantine &quarantine, const QuarantineSettings &settings,
-                                      const CrashId &id, const std::string &address,
+                                      const InstanceProcess &id, const std::string &address,
                                       const RelayRequest &request, MonoTime now)
 {
     std::vector<PromptPartId> suspects;
@@ -367,8 +367,8 @@
     return suspects;
 }
 
-bool recordSurvival(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                    MonoTime sentAt, MonoTime now)
+bool recordSurvival(Quarantine &quarantine, const QuarantineSettings &settings,
+                    const InstanceProcess &id, MonoTime sentAt, MonoTime now)
 {
     const auto crash = quarantine.crashes_.find(id);
     if (crash == quarantine.crashes_.end())
--- a/src/core/relay/quarantine.h
+++ b/src/core/relay/quarantine.h
@@ -108,7 +108,7 @@
     /// All daemons including this one, sorted by zone and host, so that most neighbours are in the
     /// same zone.
     std::vector<PeerAddress> ring_;
-    std::map<CrashId, Crash> crashes_;
+    std::map<InstanceProcess, Crash> crashes_;
     /// When this daemon last saw a part in a response.
     std::unordered_map<PromptPartId, MonoTime> seen_;
     /// The parts that crash instances.
@@ -117,7 +117,7 @@
     std::map<PromptPartId, MonoTime> trials_;
     /// Suspects that are new or cleared and have not been sent to peers. No suspects if the news is
     /// that the instance has survived.
-    std::map<CrashId, std::set<PromptPartId>> unsent_;
+    std::map<InstanceProcess, std::set<PromptPartId>> unsent_;
     std::optional<MonoTime> sendAt_;
     MonoTime nextCompareAt_ {};
     std::size_t comparisons_ = 0;
@@ -137,15 +137,15 @@
 /// @brief Records that an instance closed its connection before a request had output.
 /// @return the parts of the request that may be the cause
 std::vector<PromptPartId> recordCrash(Quarantine &quarantine, const QuarantineSettings &settings,
-                                      const CrashId &id, const std::string &address,
+                                      const InstanceProcess &id, const std::string &address,
                                       const RelayRequest &request, MonoTime now);
 
 /// @brief Records output or a response of an instance. If it was presumed to have crashed, this may
 /// show that it has not.
 /// @param sentAt when the request was sent to the instance
 /// @return true if it was presumed to have crashed and has not
-bool recordSurvival(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                    MonoTime sentAt, MonoTime now);
+bool recordSurvival(Quarantine &quarantine, const QuarantineSettings &settings,
+                    const InstanceProcess &id, MonoTime sentAt, MonoTime now);
 
 /// @brief Returns the number of crashes on which a part was waiting, cleared or not.
 std::size_t crashCount(const Quarantine &quarantine, PromptPartId part);
--- a/src/core/relay/quarantineexchange.cpp
+++ b/src/core/relay/quarantineexchange.cpp
@@ -54,7 +54,7 @@
     return text.empty() ? 0 : hash64(text);
 }
 
-ReportedCrash reportOf(const CrashId &id, const Crash &crash, MonoTime now)
+ReportedCrash reportOf(const InstanceProcess &id, const Crash &crash, MonoTime now)
 {
     ReportedCrash report;
     report.id_ = id;
--- a/src/core/relay/quarantineinternal.h
+++ b/src/core/relay/quarantineinternal.h
@@ -13,13 +13,13 @@
 
 /// @brief Returns the entry of a crash, or nullptr if it is older than all that can be remembered
 /// or the instance has survived it.
-Crash *findOrAddCrash(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                      const std::string &address, MonoTime at);
+Crash *findOrAddCrash(Quarantine &quarantine, const QuarantineSettings &settings,
+                      const InstanceProcess &id, const std::string &address, MonoTime at);
 
 /// @brief Records that an instance was running at a time, and schedules the report of it.
 /// @return true if it refutes a crash
-bool markSurvived(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                  MonoTime at, MonoTime now);
+bool markSurvived(Quarantine &quarantine, const QuarantineSettings &settings,
+                  const InstanceProcess &id, MonoTime at, MonoTime now);
 
 /// @brief Adds a suspect to a crash, or clears it.
 /// @return true if the crash changed
@@ -33,11 +33,11 @@
                      MonoTime now);
 
 /// @brief Schedules the report to the peers that an instance has survived.
-void scheduleSurvival(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                      MonoTime now);
+void scheduleSurvival(Quarantine &quarantine, const QuarantineSettings &settings,
+                      const InstanceProcess &id, MonoTime now);
 
 /// @brief Schedules the report of one suspect of a crash to the peers.
-void scheduleNews(Quarantine &quarantine, const QuarantineSettings &settings, const CrashId &id,
-                  PromptPartId part, MonoTime now);
+void scheduleNews(Quarantine &quarantine, const QuarantineSettings &settings,
+                  const InstanceProcess &id, PromptPartId part, MonoTime now);
 
 } // namespace tamarack::quarantinedetail
--- a/src/core/relay/relayquarantine.cpp
+++ b/src/core/relay/relayquarantine.cpp
@@ -12,9 +12,9 @@
 constexpr int statusBadGateway = 502;
 constexpr int statusServiceUnavailable = 503;
 
-CrashId crashId(const RelayedRequest &active)
+InstanceProcess crashId(const RelayedRequest &active)
 {
-    return CrashId {active.choice_->instance_, active.instanceStartedAt_};
+    return InstanceProcess {active.choice_->instance_, active.instanceStartedAt_};
 }
 
 /// Returns true if the instance itself ended the attempt, so that it was running.
--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -125,15 +125,16 @@
         LoanRequest {entry, "127.0.0.1:2", home, AccountId {"c"}, Tokens {7}, Tokens {9},
                      Tokens {3}, Tokens {1}},
         LoanReply {home, AccountId {"c"}, Tokens {8}, LoanRefusal::Exhausted, true, true, entry},
-        QuarantineReport {"10.0.0.1:7340",
-                          ReportPurpose::Exchange,
-                          77,
-                          {ReportedCrash {CrashId {UpstreamId {"i-1"}, WallTime {Millis {1234}}},
-                                          "10.0.0.9:80",
-                                          Millis {250},
-                                          {PromptPartId {5}, PromptPartId {~std::uint64_t {0}}},
-                                          {PromptPartId {6}},
-                                          Millis {90}}}},
+        QuarantineReport {
+            "10.0.0.1:7340",
+            ReportPurpose::Exchange,
+            77,
+            {ReportedCrash {InstanceProcess {UpstreamId {"i-1"}, WallTime {Millis {1234}}},
+                            "10.0.0.9:80",
+                            Millis {250},
+                            {PromptPartId {5}, PromptPartId {~std::uint64_t {0}}},
+                            {PromptPartId {6}},
+                            Millis {90}}}},
     };
 }
 
--- a/tests/quarantinefixture.h
+++ b/tests/quarantinefixture.h
@@ -112,7 +112,7 @@
                   const RequestParts &parts, const std::string &address = {})
 {
     recordCrash(fleet.daemons_[daemon], fleet.settings_,
-                CrashId {UpstreamId {instance}, WallTime {Millis {1}}},
+                InstanceProcess {UpstreamId {instance}, WallTime {Millis {1}}},
                 address.empty() ? instance + ":80" : address, requestWithParts(parts), fleet.now_);
 }
 
@@ -120,7 +120,7 @@
                     Millis sentBefore)
 {
     return recordSurvival(fleet.daemons_[daemon], fleet.settings_,
-                          CrashId {UpstreamId {instance}, WallTime {Millis {1}}},
+                          InstanceProcess {UpstreamId {instance}, WallTime {Millis {1}}},
                           fleet.now_ - sentBefore, fleet.now_);
 }
 
--- a/tests/unit-relayquarantine.cpp
+++ b/tests/unit-relayquarantine.cpp
@@ -48,12 +48,13 @@
     QuarantineReport report;
     for (const char *instance : {"x1", "x2"}) {
         const bool first = report.crashes_.empty();
-        report.crashes_.push_back(ReportedCrash {CrashId {UpstreamId {instance}, WallTime {}},
-                                                 std::string(instance) + ":80",
-                                                 Millis {first ? 1500 : 100},
-                                                 {PromptPartId {hash64(part)}},
-                                                 {},
-                                                 std::nullopt});
+        report.crashes_.push_back(
+            ReportedCrash {InstanceProcess {UpstreamId {instance}, WallTime {}},
+                           std::string(instance) + ":80",
+                           Millis {first ? 1500 : 100},
+                           {PromptPartId {hash64(part)}},
+                           {},
+                           std::nullopt});
     }
     post(fixture, QuarantineReportReceived {HostId {"peer"}, report});
     advanceTime(fixture, fixture.state_.settings_.quarantine_.objectionTime_);
@@ -95,7 +96,7 @@
     QuarantineReport report;
     for (int i = 0; i < 2; ++i)
         report.crashes_.push_back(
-            ReportedCrash {CrashId {UpstreamId {"x" + std::to_string(i)}, WallTime {}},
+            ReportedCrash {InstanceProcess {UpstreamId {"x" + std::to_string(i)}, WallTime {}},
                            std::to_string(i) + ":80",
                            Millis {i * 1000},
                            {PromptPartId {hash64("deadly")}},
