Obtain a permit for each request to an instance with a request limit

Cause: the limit was forwarded and not read. Evidence: with instance.notice in the logs, one host alone sends 6.3 requests a second to an instance that has told it 4.8, and the rates don't change when the limit begins or ends.

A response or the end of an earlier attempt that arrives while a request waits is no longer ignored.

--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -3,6 +3,9 @@
 
 #include "peer.pb.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace tamarack {
 
 namespace {
@@ -164,6 +167,35 @@
     out.set_borrower(message.borrower_.value_);
 }
 
+std::int64_t millisSinceEpoch(WallTime time)
+{
+    return std::chrono::duration_cast<Millis>(time.time_since_epoch()).count();
+}
+
+void encodeInto(peer::Envelope &envelope, const PermitRequest &message)
+{
+    peer::PermitAsked &out = *envelope.mutable_permit_asked();
+    out.set_reply_address(message.replyAddress_);
+    out.set_instance(message.process_.instance_.value_);
+    out.set_started_ms(millisSinceEpoch(message.process_.startedAt_));
+    out.set_number(message.number_);
+    if (message.limit_)
+        out.set_limit(*message.limit_);
+    out.set_stated_age_ms(
+        static_cast<std::uint64_t>(std::max(message.statedAge_, Millis {}).count()));
+}
+
+void encodeInto(peer::Envelope &envelope, const PermitReply &message)
+{
+    peer::PermitAnswered &out = *envelope.mutable_permit_answered();
+    out.set_instance(message.process_.instance_.value_);
+    out.set_started_ms(millisSinceEpoch(message.process_.startedAt_));
+    out.set_number(message.number_);
+    out.set_result(static_cast<std::uint32_t>(message.result_));
+    out.set_retry_after_ms(
+        static_cast<std::uint64_t>(std::max(message.retryAfter_, Millis {}).count()));
+}
+
 void encodeInto(peer::Envelope &envelope, const QuarantineReport &message)
 {
     peer::CrashesReported &out = *envelope.mutable_crashes_reported();
@@ -173,8 +205,7 @@
     for (const ReportedCrash &crash : message.crashes_) {
         peer::Crash &encoded = *out.add_crashes();
         encoded.set_instance(crash.id_.instance_.value_);
-        encoded.set_started_ms(
-            std::chrono::duration_cast<Millis>(crash.id_.startedAt_.time_since_epoch()).count());
+        encoded.set_started_ms(millisSinceEpoch(crash.id_.startedAt_));
         encoded.set_address(crash.address_);
         encoded.set_age_ms(static_cast<std::uint64_t>(crash.age_.count()));
         for (const PromptPartId part : crash.suspects_)
@@ -279,6 +310,25 @@
     return message;
 }
 
+InstanceProcess processFromProto(const std::string &instance, std::int64_t startedMs)
+{
+    InstanceProcess process {UpstreamId {instance}, {}};
+    process.startedAt_ += Millis {std::clamp<std::int64_t>(startedMs, 0, maxWallMs)};
+    return process;
+}
+
+PeerMessage fromProto(const peer::PermitAsked &in)
+{
+    PermitRequest message;
+    message.replyAddress_ = in.reply_address();
+    message.process_ = processFromProto(in.instance(), in.started_ms());
+    message.number_ = in.number();
+    if (in.has_limit())
+        message.limit_ = std::isfinite(in.limit()) ? std::max(in.limit(), 0.0) : 0.0;
+    message.statedAge_ = Millis {std::min(in.stated_age_ms(), maxAgeMs)};
+    return message;
+}
+
 /// Code that refusalCode() returns for a number that is not a RefusalReason.
 constexpr std::string_view unknownRefusalCode = "internal";
 
@@ -314,9 +364,7 @@
     message.digest_ = in.digest();
     for (const peer::Crash &crash : in.crashes()) {
         ReportedCrash decoded;
-        decoded.id_.instance_ = UpstreamId {crash.instance()};
-        decoded.id_.startedAt_
-            += Millis {std::clamp<std::int64_t>(crash.started_ms(), 0, maxWallMs)};
+        decoded.id_ = processFromProto(crash.instance(), crash.started_ms());
         decoded.address_ = crash.address();
         decoded.age_ = Millis {std::min(crash.age_ms(), maxAgeMs)};
         for (const std::uint64_t part : crash.suspects())
@@ -330,6 +378,18 @@
     return PeerMessage {std::move(message)};
 }
 
+Result<PeerMessage> decodePermitReply(const peer::PermitAnswered &in)
+{
+    if (in.result() > static_cast<std::uint32_t>(PermitResult::LimitEnded))
+        return unknownCodeError(in.result());
+    PermitReply message;
+    message.process_ = processFromProto(in.instance(), in.started_ms());
+    message.number_ = in.number();
+    message.result_ = static_cast<PermitResult>(in.result());
+    message.retryAfter_ = Millis {std::min(in.retry_after_ms(), maxAgeMs)};
+    return PeerMessage {std::move(message)};
+}
+
 Result<PeerMessage> decodeRefused(const peer::Refused &in)
 {
     if (refusalCode(static_cast<RefusalReason>(in.reason())) == unknownRefusalCode)
@@ -389,6 +449,10 @@
         return decodeLoanReply(in.tokens_lent());
     case peer::Envelope::kCrashesReported:
         return decodeQuarantineReport(in.crashes_reported());
+    case peer::Envelope::kPermitAsked:
+        return fromProto(in.permit_asked());
+    case peer::Envelope::kPermitAnswered:
+        return decodePermitReply(in.permit_answered());
     case peer::Envelope::MESSAGE_NOT_SET:
         break;
     }
--- a/src/core/controlpeers.cpp
+++ b/src/core/controlpeers.cpp
@@ -87,6 +87,8 @@
     void operator()(const LoanRequest &) const { }
     void operator()(const LoanReply &) const { }
     void operator()(const QuarantineReport &) const { }
+    void operator()(const PermitRequest &) const { }
+    void operator()(const PermitReply &) const { }
     void operator()(const ReleaseRequest &message) const
     {
         if (message.holder_ == state_.membership_.self_.holder_)
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/permitmessage.h"
 #include "core/quarantinereport.h"
 #include "core/refusal.h"
 #include "core/time.h"
@@ -214,9 +215,9 @@
     HolderId borrower_;
 };
 
-using PeerMessage
-    = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle, SettleAck,
-                   BundleOffer, BundleFetch, BundleParts, ReleaseRequest, Leaving, DocumentsRequest,
-                   DocumentsReply, LoanRequest, LoanReply, QuarantineReport>;
+using PeerMessage = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle,
+                                 SettleAck, BundleOffer, BundleFetch, BundleParts, ReleaseRequest,
+                                 Leaving, DocumentsRequest, DocumentsReply, LoanRequest, LoanReply,
+                                 QuarantineReport, PermitRequest, PermitReply>;
 
 } // namespace tamarack
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -5,6 +5,7 @@
 #include "core/command.h"
 #include "core/event.h"
 #include "core/ids.h"
+#include "core/permitmessage.h"
 #include "core/quarantinereport.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
@@ -150,6 +151,20 @@
     QuarantineReport report_;
 };
 
+/// @brief Another daemon requests a permit for an instance with a request limit.
+struct PermitRequestReceived
+{
+    HostId from_;
+    PermitRequest request_;
+};
+
+/// @brief A coordinator replied to a permit request.
+struct PermitReplyReceived
+{
+    HostId from_;
+    PermitReply reply_;
+};
+
 /// @brief Another daemon requested documents from this one.
 struct DocumentsRequestReceived
 { };
@@ -181,8 +196,9 @@
     = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived,
                    ClientDisconnected, ConfigReceived, InstancesListed, InstanceChanged,
                    InstanceRemoved, FleetView, LoanRequestReceived, LoanReplyReceived,
-                   QuarantineReportReceived, DocumentsRequestReceived, DocumentsReplyReceived,
-                   FeedAvailabilityChanged, StoreReplied, RelayStopRequested>;
+                   QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
+                   DocumentsRequestReceived, DocumentsReplyReceived, FeedAvailabilityChanged,
+                   StoreReplied, RelayStopRequested>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -27,7 +27,7 @@
 {
     if (known.instance_.service_ != query.service_->id_
         || known.instance_.state_ != InstanceState::Ready
-        || query.tried_.contains(known.instance_.id_))
+        || query.excluded_.contains(known.instance_.id_))
         return false;
     return !record || (!record->replaced_ && record->ejectedUntil_ <= now);
 }
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -91,8 +91,8 @@
     ZoneId zone_;
     /// Daemons in this zone, including this one. They share the zone's instances.
     std::uint32_t zoneDaemons_ = 1;
-    /// Instances that previous attempts were sent to.
-    std::set<UpstreamId> tried_;
+    /// Instances that must not be chosen, such as those that previous attempts were sent to.
+    std::set<UpstreamId> excluded_;
 };
 
 /// @brief The chosen instance and the prediction for it.
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -6,6 +6,7 @@
 #include "core/relay/events.h"
 #include "core/relay/fleet.h"
 #include "core/relay/instancechoice.h"
+#include "core/relay/instancelimits.h"
 #include "core/relay/instancenotice.h"
 #include "core/relay/instances.h"
 #include "core/relay/lenders.h"
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack {
 
@@ -143,6 +144,8 @@
 void recordInstanceOutcome(RelayState &state, RelayedRequest &active, InstanceOutcome outcome,
                            MonoTime now)
 {
+    if (std::exchange(active.outcomeRecorded_, true))
+        return;
     recordEnded(state.choice_, state.settings_.choice_, *active.choice_, outcome,
                 active.outputStarted_, now);
 }
@@ -214,13 +217,14 @@
         return;
     }
     if (active.stage_ == RelayStage::AwaitingInstance) {
-        if (active.events_ > 0) {
-            out.emplace_back(AbortResponse {active.request_.id_});
-            finish(state, active, "cut no_upstream", now, out);
-        } else {
-            const int status = active.mayHaveRun_ ? statusBadGateway : statusServiceUnavailable;
-            refuse(state, active, status, "no_upstream", now, out);
-        }
+        failWithoutInstance(state, active, "no_upstream", std::nullopt, now, out);
+        return;
+    }
+    if (active.stage_ == RelayStage::AwaitingPermit) {
+        if (expired)
+            failWithoutInstance(state, active, "no_permit", std::nullopt, now, out);
+        else
+            onPermitTimeout(state, active, now, out);
         return;
     }
     if (expired) {
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -110,6 +110,9 @@
     if (it == state.active_.end() || it->second.attempts_ != event.attempt_)
         return;
     RelayedRequest &active = it->second;
+    // The last attempt responds while the request waits for another instance or a permit.
+    active.stage_ = RelayStage::Sent;
+    active.awaitedPermit_.reset();
     active.outputStarted_ = true;
     active.mayHaveRun_ = true;
     if (!active.firstOutputAt_)
@@ -124,34 +127,31 @@
 void onEvent(RelayState &state, const RelayAttemptEnded &event, MonoTime now, RelayCommands &out)
 {
     const auto it = state.active_.find(event.id_);
-    if (it == state.active_.end() || it->second.stage_ != RelayStage::Sent)
+    if (it == state.active_.end())
         return;
     // A completely delivered response ends the request, even if a retry was started meanwhile.
-    if (it->second.attempts_ != event.attempt_ && event.end_ != AttemptEnd::Delivered)
+    const bool isCurrent
+        = it->second.stage_ == RelayStage::Sent && it->second.attempts_ == event.attempt_;
+    if (!isCurrent && event.end_ != AttemptEnd::Delivered)
         return;
     onAttemptEnded(state, it->second, event, now, out);
 }
 
-void logNotice(const UpstreamId &instance, const InstanceNotice &notice, RelayCommands &out)
+void onEvent(RelayState &state, const InstanceNoticeReceived &event, MonoTime now,
+             RelayCommands &out)
 {
-    logLine(out, LogLevel::Info, "instance.notice",
-            {{"upstream", instance.value_},
-             {"request_limit",
-              notice.requestLimit_ ? fmt::format("{:.3f}", *notice.requestLimit_) : "none"},
-             {"leaving", notice.leaving_ ? "yes" : "no"},
-             {"retry_after_ms",
-              notice.retryAfter_ ? std::to_string(notice.retryAfter_->count()) : "none"}});
+    onInstanceNotice(state, event, now, out);
 }
 
-void onEvent(RelayState &state, const InstanceNoticeReceived &event, MonoTime, RelayCommands &out)
+void onEvent(RelayState &state, const PermitRequestReceived &event, MonoTime now,
+             RelayCommands &out)
 {
-    // The statistics of an instance exist from the first request that it was sent.
-    const auto stats = state.choice_.instanceStats_.find(event.instance_);
-    if (stats == state.choice_.instanceStats_.end())
-        return;
-    if (stats->second.notice_ != event.notice_)
-        logNotice(event.instance_, event.notice_, out);
-    stats->second.notice_ = event.notice_;
+    onPermitRequest(state, event, now, out);
+}
+
+void onEvent(RelayState &state, const PermitReplyReceived &event, MonoTime now, RelayCommands &out)
+{
+    onPermitReply(state, event, now, out);
 }
 
 void onEvent(RelayState &state, const ClientDisconnected &event, MonoTime now, RelayCommands &out)
@@ -250,6 +250,7 @@
     state.fleet_ = event;
     state.prepaid_.daemons_ = event.daemons_;
     updateQuarantinePeers(state.quarantine_, self, event.peers_, now);
+    updateLimitPeers(state.limits_, state.settings_.limits_, self, event.peers_, now);
     if (changed)
         logLine(out, LogLevel::Info, "fleet.counted",
                 {{"daemons", std::to_string(event.daemons_)},
@@ -325,6 +326,7 @@
     logLine(out, LogLevel::Info, "daemon.stopping",
             {{"active", std::to_string(state.active_.size())}});
     stopLending(state.prepaid_, state.settings_.prepaid_);
+    state.limits_.stopping_ = true;
     updateReadiness(state, out);
 }
 
@@ -403,7 +405,7 @@
             // An ejection may have ended meanwhile.
             dispatch(state, active, now, out);
             const auto left = state.active_.find(id);
-            if (left == state.active_.end() || left->second.stage_ == RelayStage::Sent)
+            if (left == state.active_.end() || *left->second.timer_ > now)
                 continue;
         }
         onTimer(state, active, now, out);
@@ -412,6 +414,7 @@
         = removeExpired(state.directory_, state.settings_.missingRetention_, now);
     for (const UpstreamId &id : removedIds) {
         state.choice_.instanceStats_.erase(id);
+        forgetLimits(state.limits_, id);
         logLine(out, LogLevel::Info, "instance.forgotten", {{"upstream", id.value_}});
     }
     if (state.directory_.tombstones_.size() > maxTombstones)
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -6,6 +6,7 @@
 #include "core/relay/documentsync.h"
 #include "core/relay/events.h"
 #include "core/relay/instancechoice.h"
+#include "core/relay/instancelimits.h"
 #include "core/relay/instances.h"
 #include "core/relay/overload.h"
 #include "core/relay/prepaid.h"
@@ -46,6 +47,10 @@
     SharedRetryLimit retries_;
     OverloadSettings overload_;
     QuarantineSettings quarantine_;
+    RequestLimitSettings limits_;
+    /// Permits that are requested from other daemons for one request. After that, it uses only
+    /// instances without a limit.
+    std::uint32_t maxPermitRequests_ = 3;
     /// Fraction of the shared retry limit that the daemons use. The rest is a margin for outdated
     /// daemon counts.
     double retryMargin_ = 0.7;
@@ -87,10 +92,23 @@
 enum class RelayStage {
     AwaitingTokens,
     AwaitingInstance,
+    /// The chosen instance has a request limit, and its coordinator was asked for a permit.
+    AwaitingPermit,
     /// An attempt is in progress.
     Sent,
 };
 
+/// @brief A permit that was requested from another daemon.
+struct AwaitedPermit
+{
+    std::uint64_t number_ = 0;
+    HostId coordinator_;
+    InstanceProcess process_;
+    Choice choice_;
+    ServiceId service_;
+    MonoTime requestedAt_ {};
+};
+
 /// @brief A request whose response has not ended.
 struct RelayedRequest
 {
@@ -104,7 +122,12 @@
     std::uint32_t attempts_ = 0;
     std::set<UpstreamId> tried_;
     std::optional<Choice> choice_;
+    /// The outcome of the last attempt was recorded, although it may still respond.
+    bool outcomeRecorded_ = false;
     ServiceId service_;
+    /// Set in stage AwaitingPermit.
+    std::optional<AwaitedPermit> awaitedPermit_;
+    std::uint32_t permitRequests_ = 0;
     MonoTime sentAt_ {};
     /// When the process that the request was sent to had started.
     WallTime instanceStartedAt_ {};
@@ -137,6 +160,7 @@
     PrepaidState prepaid_;
     std::map<ServiceId, RetryBudget> retries_;
     Quarantine quarantine_;
+    InstanceLimits limits_;
     /// The parts whose quarantine was logged as begun.
     std::set<PromptPartId> quarantinedParts_;
     std::map<ExchangeId, RelayedRequest> active_;
--- /dev/null
+++ b/src/core/relay/relaylimits.cpp
@@ -0,0 +1,211 @@
+// Requests to instances that state something about themselves: permits for those with a request
+// limit.
+#include "core/relay/relayinternal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace tamarack::relaydetail {
+
+namespace {
+
+/// Returns the zone of an instance, or an empty one if it is not known here.
+ZoneId zoneOf(const RelayState &state, const UpstreamId &instance)
+{
+    const auto known = state.directory_.known_.find(instance);
+    return known == state.directory_.known_.end() ? ZoneId {} : known->second.instance_.zone_;
+}
+
+InstanceProcess processOf(const Instance &instance)
+{
+    return InstanceProcess {instance.id_, instance.startedAt_};
+}
+
+void logPermit(const RelayedRequest &active, const InstanceProcess &process,
+               const HostId &coordinator, std::string_view result, Millis wait, RelayCommands &out)
+{
+    std::vector<LogField> fields = requestFields(active);
+    fields.push_back({"upstream", process.instance_.value_});
+    fields.push_back({"coordinator", coordinator.value_});
+    fields.push_back({"result", std::string(result)});
+    fields.push_back({"wait_ms", std::to_string(wait.count())});
+    logLine(out, LogLevel::Info, "request.permit", std::move(fields));
+}
+
+Millis waitFor(const RelayState &state, const InstanceProcess &process, MonoTime now)
+{
+    const auto until = deniedUntil(state.limits_, process, now);
+    return until ? std::chrono::ceil<Millis>(*until - now) : Millis {};
+}
+
+bool usesService(const RelayedRequest &active, const ServiceId &service)
+{
+    const std::vector<RelayTarget> &targets = active.route_->targets_;
+    return std::any_of(targets.begin(), targets.end(), [&service](const RelayTarget &target) {
+        return target.service_ == service;
+    });
+}
+
+/// Finds the request that waits for a reply to a permit request.
+RelayedRequest *findAwaiting(RelayState &state, const PermitReplyReceived &event)
+{
+    for (auto &[id, active] : state.active_) {
+        if (active.stage_ == RelayStage::AwaitingPermit && active.awaitedPermit_
+            && active.awaitedPermit_->number_ == event.reply_.number_
+            && active.awaitedPermit_->coordinator_ == event.from_
+            && active.awaitedPermit_->process_ == event.reply_.process_)
+            return &active;
+    }
+    return nullptr;
+}
+
+/// Sends a request for which a permit was granted, if the instance still takes requests.
+void sendWithPermit(RelayState &state, RelayedRequest &active, const AwaitedPermit &permit,
+                    MonoTime now, RelayCommands &out)
+{
+    const RelayService *service = serviceOf(active, permit.service_);
+    const auto known = state.directory_.known_.find(permit.process_.instance_);
+    const bool usable = service && known != state.directory_.known_.end()
+        && processOf(known->second.instance_) == permit.process_
+        && known->second.instance_.state_ == InstanceState::Ready;
+    if (!usable) {
+        dispatch(state, active, now, out);
+        return;
+    }
+    if (!refuseIfQuarantined(state, active, now, out))
+        send(state, active, Placement {permit.choice_, service}, now, out);
+}
+
+} // namespace
+
+std::set<UpstreamId> limitedInstances(const RelayState &state, const RelayedRequest &active,
+                                      MonoTime now)
+{
+    std::set<UpstreamId> limited;
+    for (const auto &[process, until] : state.limits_.deniedUntil_) {
+        if (until > now)
+            limited.insert(process.instance_);
+    }
+    if (active.permitRequests_ < state.settings_.maxPermitRequests_)
+        return limited;
+    for (const auto &[process, statement] : state.limits_.stated_)
+        limited.insert(process.instance_);
+    return limited;
+}
+
+std::optional<MonoTime> nextPermitTime(const RelayState &state, const RelayedRequest &active,
+                                       MonoTime now)
+{
+    std::optional<MonoTime> next;
+    for (const auto &[process, statement] : state.limits_.stated_) {
+        const auto known = state.directory_.known_.find(process.instance_);
+        if (known == state.directory_.known_.end()
+            || known->second.instance_.state_ != InstanceState::Ready
+            || processOf(known->second.instance_) != process
+            || active.tried_.contains(process.instance_)
+            || !usesService(active, known->second.instance_.service_))
+            continue;
+        const std::optional<MonoTime> until = deniedUntil(state.limits_, process, now);
+        if (until && (!next || *until < *next))
+            next = until;
+    }
+    return next;
+}
+
+PermitStatus obtainPermit(RelayState &state, RelayedRequest &active, const Placement &placement,
+                          MonoTime now, RelayCommands &out)
+{
+    const RequestLimitSettings &settings = state.settings_.limits_;
+    const Instance &instance = state.directory_.known_.at(placement.choice_.instance_).instance_;
+    const InstanceProcess process = processOf(instance);
+    if (!needsPermit(state.limits_, process))
+        return PermitStatus::Granted;
+    PermitAnswer answer = askForPermit(state.limits_, settings, process, instance.zone_, now);
+    if (answer.result_) {
+        logPermit(active, process, answer.coordinator_.host_, permitResultCode(*answer.result_),
+                  waitFor(state, process, now), out);
+        return *answer.result_ == PermitResult::Denied ? PermitStatus::Denied
+                                                       : PermitStatus::Granted;
+    }
+    active.stage_ = RelayStage::AwaitingPermit;
+    active.awaitedPermit_
+        = AwaitedPermit {answer.request_.number_, answer.coordinator_.host_, process,
+                         placement.choice_,       placement.service_->id_,   now};
+    ++active.permitRequests_;
+    active.stageDeadline_ = now + settings.replyTimeout_;
+    rescheduleTimer(state, active);
+    out.emplace_back(SendPeer {answer.coordinator_.host_, answer.coordinator_.address_,
+                               std::move(answer.request_)});
+    return PermitStatus::Requested;
+}
+
+void onPermitTimeout(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
+{
+    const AwaitedPermit permit = *active.awaitedPermit_;
+    recordMissingPermitReply(state.limits_, state.settings_.limits_, permit.process_,
+                             permit.coordinator_, now);
+    logPermit(active, permit.process_, permit.coordinator_, "unanswered",
+              waitFor(state, permit.process_, now), out);
+    dispatch(state, active, now, out);
+}
+
+void onPermitRequest(RelayState &state, const PermitRequestReceived &event, MonoTime now,
+                     RelayCommands &out)
+{
+    const PermitRequest &request = event.request_;
+    std::optional<PermitReply> reply
+        = handlePermitRequest(state.limits_, state.settings_.limits_, request,
+                              zoneOf(state, request.process_.instance_), now);
+    if (reply)
+        out.emplace_back(SendPeer {event.from_, request.replyAddress_, std::move(*reply)});
+}
+
+void onPermitReply(RelayState &state, const PermitReplyReceived &event, MonoTime now,
+                   RelayCommands &out)
+{
+    RelayedRequest *active = findAwaiting(state, event);
+    const AwaitedPermit permit = active ? *active->awaitedPermit_ : AwaitedPermit {};
+    handlePermitReply(state.limits_, state.settings_.limits_, event.reply_, event.from_,
+                      permit.requestedAt_, now);
+    if (!active)
+        return;
+    logPermit(*active, permit.process_, event.from_, permitResultCode(event.reply_.result_),
+              event.reply_.retryAfter_, out);
+    if (event.reply_.result_ == PermitResult::Granted)
+        sendWithPermit(state, *active, permit, now, out);
+    else
+        dispatch(state, *active, now, out);
+}
+
+void onInstanceNotice(RelayState &state, const InstanceNoticeReceived &event, MonoTime now,
+                      RelayCommands &out)
+{
+    const auto known = state.directory_.known_.find(event.instance_);
+    const auto stats = state.choice_.instanceStats_.find(event.instance_);
+    if (known == state.directory_.known_.end() || stats == state.choice_.instanceStats_.end())
+        return;
+    const InstanceNotice &notice = event.notice_;
+    if (stats->second.notice_ != notice)
+        logLine(out, LogLevel::Info, "instance.notice",
+                {{"upstream", event.instance_.value_},
+                 {"request_limit",
+                  notice.requestLimit_ ? fmt::format("{:.3f}", *notice.requestLimit_) : "none"},
+                 {"leaving", notice.leaving_ ? "yes" : "no"},
+                 {"retry_after_ms",
+                  notice.retryAfter_ ? std::to_string(notice.retryAfter_->count()) : "none"}});
+    stats->second.notice_ = notice;
+    const Instance &instance = known->second.instance_;
+    const bool ended = recordStatedLimit(state.limits_, state.settings_.limits_,
+                                         processOf(instance), notice.requestLimit_, now);
+    if (!ended)
+        return;
+    std::optional<PermitAnswer> report = reportLimitEnded(state.limits_, state.settings_.limits_,
+                                                          processOf(instance), instance.zone_, now);
+    if (report)
+        out.emplace_back(SendPeer {report->coordinator_.host_, report->coordinator_.address_,
+                                   std::move(report->request_)});
+    resumeWaitingForInstance(state, now, out);
+}
+
+} // namespace tamarack::relaydetail
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int statusPaymentRequired = 402;
+constexpr int statusBadGateway = 502;
 constexpr int statusServiceUnavailable = 503;
 
 Tokens worstCase(const PromptUsage &usage)
@@ -26,12 +27,6 @@
         && account->second.prepaid_.has_value();
 }
 
-const RelayService *serviceOf(const RelayedRequest &active, const ServiceId &id)
-{
-    const auto it = active.config_->services_.find(id);
-    return it == active.config_->services_.end() ? nullptr : &it->second;
-}
-
 /// Returns the tokens to charge: the prompt once, and the output that was sent to the client.
 Tokens usedTokens(const RelayedRequest &active)
 {
@@ -71,21 +66,16 @@
     return std::max(static_cast<std::uint32_t>(share), 1U);
 }
 
-struct Placement
-{
-    Choice choice_;
-    const RelayService *service_ = nullptr;
-};
-
+/// @param excluded instances that must not be chosen
 std::optional<Placement> chooseAcrossServices(const RelayState &state, const RelayedRequest &active,
-                                              MonoTime now)
+                                              const std::set<UpstreamId> &excluded, MonoTime now)
 {
     for (const ServiceId &id : servicesInOrder(*active.route_, active.request_.request_)) {
         const RelayService *service = serviceOf(active, id);
         if (!service)
             continue;
         const ChoiceQuery query {&active.request_, service, state.settings_.zone_,
-                                 state.fleet_.zoneDaemons_, active.tried_};
+                                 state.fleet_.zoneDaemons_, excluded};
         std::optional<Choice> choice
             = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, query, now);
         if (choice)
@@ -94,44 +84,6 @@
     return std::nullopt;
 }
 
-void send(RelayState &state, RelayedRequest &active, const Placement &placement, MonoTime now,
-          RelayCommands &out)
-{
-    const Choice &choice = placement.choice_;
-    active.stage_ = RelayStage::Sent;
-    active.choice_ = choice;
-    active.service_ = placement.service_->id_;
-    active.tried_.insert(choice.instance_);
-    ++active.attempts_;
-    active.sentAt_ = now;
-    active.outputStarted_ = false;
-    active.stageDeadline_.reset();
-    const bool mayRetry = active.route_->retryPolicy_ == RetryPolicy::Retryable
-        && active.attempts_ < active.route_->maxAttempts_;
-    if (mayRetry && active.route_->latencyObjective_ > Millis {}) {
-        const PreciseMicros silenceLimit = PreciseMicros {active.route_->latencyObjective_}
-            * state.settings_.silenceTimeoutObjectives_;
-        active.stageDeadline_ = now + std::chrono::duration_cast<Micros>(silenceLimit);
-    }
-    const Instance &instance = state.directory_.known_.at(choice.instance_).instance_;
-    active.instanceStartedAt_ = instance.startedAt_;
-    recordSent(state.choice_, state.settings_.choice_, choice, active.request_, instance.startedAt_,
-               now);
-    rescheduleTimer(state, active);
-    std::vector<LogField> fields = requestFields(active);
-    fields.push_back({"attempt", std::to_string(active.attempts_)});
-    fields.push_back({"upstream", choice.instance_.value_});
-    fields.push_back({"address", choice.address_});
-    fields.push_back({"predicted_ms", fmt::format("{:.0f}", choice.predicted_.count() / 1000.0)});
-    fields.push_back({"uncached", std::to_string(choice.uncached_.count_)});
-    fields.push_back({"same_zone", choice.sameZone_ ? "yes" : "no"});
-    logLine(out, LogLevel::Info, "request.dispatch", std::move(fields));
-    out.emplace_back(SendAttempt {
-        active.request_.id_, active.attempts_, choice.instance_, choice.address_, active.account_,
-        active.deadline_, active.route_->retryPolicy_, active.route_->streaming_,
-        connectionsPerInstance(state, *placement.service_), state.settings_.connectTimeout_});
-}
-
 void refuseForShortage(RelayState &state, RelayedRequest &active, bool exhausted, MonoTime now,
                        RelayCommands &out)
 {
@@ -192,6 +144,25 @@
     return true;
 }
 
+/// Waits for an instance, or refuses the request if none can take it in time.
+void awaitInstance(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
+{
+    const PreciseMicros wait
+        = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
+    const MonoTime waitEnd = active.request_.arrivedAt_ + std::chrono::duration_cast<Micros>(wait);
+    const std::optional<MonoTime> permitAt = nextPermitTime(state, active, now);
+    if (permitAt && *permitAt > std::max(waitEnd, now)) {
+        failWithoutInstance(state, active, "request_limit",
+                            std::chrono::ceil<Millis>(*permitAt - now), now, out);
+        return;
+    }
+    if (active.stage_ == RelayStage::AwaitingInstance && !permitAt)
+        return;
+    active.stage_ = RelayStage::AwaitingInstance;
+    active.stageDeadline_ = permitAt.value_or(waitEnd);
+    rescheduleTimer(state, active);
+}
+
 void reserveOrWait(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
     const Tokens amount = worstCase(*active.request_.usage_);
@@ -218,6 +189,52 @@
 
 } // namespace
 
+const RelayService *serviceOf(const RelayedRequest &active, const ServiceId &id)
+{
+    const auto it = active.config_->services_.find(id);
+    return it == active.config_->services_.end() ? nullptr : &it->second;
+}
+
+void send(RelayState &state, RelayedRequest &active, const Placement &placement, MonoTime now,
+          RelayCommands &out)
+{
+    const Choice &choice = placement.choice_;
+    active.stage_ = RelayStage::Sent;
+    active.choice_ = choice;
+    active.service_ = placement.service_->id_;
+    active.tried_.insert(choice.instance_);
+    ++active.attempts_;
+    active.sentAt_ = now;
+    active.outputStarted_ = false;
+    active.outcomeRecorded_ = false;
+    active.awaitedPermit_.reset();
+    active.stageDeadline_.reset();
+    const bool mayRetry = active.route_->retryPolicy_ == RetryPolicy::Retryable
+        && active.attempts_ < active.route_->maxAttempts_;
+    if (mayRetry && active.route_->latencyObjective_ > Millis {}) {
+        const PreciseMicros silenceLimit = PreciseMicros {active.route_->latencyObjective_}
+            * state.settings_.silenceTimeoutObjectives_;
+        active.stageDeadline_ = now + std::chrono::duration_cast<Micros>(silenceLimit);
+    }
+    const Instance &instance = state.directory_.known_.at(choice.instance_).instance_;
+    active.instanceStartedAt_ = instance.startedAt_;
+    recordSent(state.choice_, state.settings_.choice_, choice, active.request_, instance.startedAt_,
+               now);
+    rescheduleTimer(state, active);
+    std::vector<LogField> fields = requestFields(active);
+    fields.push_back({"attempt", std::to_string(active.attempts_)});
+    fields.push_back({"upstream", choice.instance_.value_});
+    fields.push_back({"address", choice.address_});
+    fields.push_back({"predicted_ms", fmt::format("{:.0f}", choice.predicted_.count() / 1000.0)});
+    fields.push_back({"uncached", std::to_string(choice.uncached_.count_)});
+    fields.push_back({"same_zone", choice.sameZone_ ? "yes" : "no"});
+    logLine(out, LogLevel::Info, "request.dispatch", std::move(fields));
+    out.emplace_back(SendAttempt {
+        active.request_.id_, active.attempts_, choice.instance_, choice.address_, active.account_,
+        active.deadline_, active.route_->retryPolicy_, active.route_->streaming_,
+        connectionsPerInstance(state, *placement.service_), state.settings_.connectTimeout_});
+}
+
 void logLine(RelayCommands &out, LogLevel level, std::string name, std::vector<LogField> fields)
 {
     out.emplace_back(WriteLog {LogEvent {level, std::move(name), std::move(fields)}});
@@ -241,15 +258,27 @@
 }
 
 void refuse(RelayState &state, RelayedRequest &active, int status, const std::string &reason,
-            MonoTime now, RelayCommands &out)
+            MonoTime now, RelayCommands &out, std::optional<Millis> notBefore)
 {
     std::optional<Millis> retryAfter;
     if (status == statusServiceUnavailable)
-        retryAfter = retryAfterDelay(state, active, now);
+        retryAfter = std::max(retryAfterDelay(state, active, now), notBefore.value_or(Millis {}));
     out.emplace_back(RespondToClient {active.request_.id_, status, retryAfter, reason});
     finish(state, active, fmt::format("{} {}", status, reason), now, out);
 }
 
+void failWithoutInstance(RelayState &state, RelayedRequest &active, const std::string &reason,
+                         std::optional<Millis> notBefore, MonoTime now, RelayCommands &out)
+{
+    if (active.events_ > 0) {
+        out.emplace_back(AbortResponse {active.request_.id_});
+        finish(state, active, "cut " + reason, now, out);
+        return;
+    }
+    const int status = active.mayHaveRun_ ? statusBadGateway : statusServiceUnavailable;
+    refuse(state, active, status, reason, now, out, notBefore);
+}
+
 void finish(RelayState &state, RelayedRequest &active, const std::string &outcome, MonoTime now,
             RelayCommands &out)
 {
@@ -284,17 +313,21 @@
 {
     if (refuseIfQuarantined(state, active, now, out))
         return;
-    if (const std::optional<Placement> placement = chooseAcrossServices(state, active, now)) {
-        send(state, active, *placement, now, out);
-        return;
+    active.awaitedPermit_.reset();
+    while (true) {
+        std::set<UpstreamId> excluded = limitedInstances(state, active, now);
+        excluded.insert(active.tried_.begin(), active.tried_.end());
+        const std::optional<Placement> placement
+            = chooseAcrossServices(state, active, excluded, now);
+        if (!placement)
+            break;
+        const PermitStatus permit = obtainPermit(state, active, *placement, now, out);
+        if (permit == PermitStatus::Granted)
+            send(state, active, *placement, now, out);
+        if (permit != PermitStatus::Denied)
+            return;
     }
-    if (active.stage_ == RelayStage::AwaitingInstance)
-        return;
-    const PreciseMicros wait
-        = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
-    active.stage_ = RelayStage::AwaitingInstance;
-    active.stageDeadline_ = active.request_.arrivedAt_ + std::chrono::duration_cast<Micros>(wait);
-    rescheduleTimer(state, active);
+    awaitInstance(state, active, now, out);
 }
 
 void admit(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -28,6 +28,8 @@
     ConfigVersion config_;
     std::uint32_t daemons_ = 0;
     Tokens tokensAvailable_;
+    /// Instances that state a request limit.
+    std::size_t limitedInstances_ = 0;
     std::uint64_t droppedLogLines_ = 0;
     /// Smoothed time that events wait for the control thread.
     PreciseMicros eventDelay_ {};
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -190,6 +190,10 @@
         post(relay.queue_, RelayEvent {LoanRequestReceived {received->from_, *loanRequest}});
     else if (const auto *loanReply = std::get_if<LoanReply>(&received->message_))
         post(relay.queue_, RelayEvent {LoanReplyReceived {received->from_, *loanReply}});
+    else if (const auto *permitRequest = std::get_if<PermitRequest>(&received->message_))
+        post(relay.queue_, RelayEvent {PermitRequestReceived {received->from_, *permitRequest}});
+    else if (const auto *permitReply = std::get_if<PermitReply>(&received->message_))
+        post(relay.queue_, RelayEvent {PermitReplyReceived {received->from_, *permitReply}});
 }
 
 void requestPeerDocuments(RelayDaemon &relay, const std::vector<PeerAddress> &peers)
@@ -278,6 +282,7 @@
     state.prepaid_.holder_ = relay.holder_;
     state.prepaid_.peerAddress_ = relay.settings_.peerAddress_;
     state.quarantine_.address_ = relay.settings_.peerAddress_;
+    state.limits_.address_ = relay.settings_.peerAddress_;
     std::vector<PeerAddress> seeds;
     for (const std::string &seed : relay.settings_.seeds_) {
         if (seed != relay.settings_.peerAddress_)
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -44,6 +44,7 @@
     gauges.daemons_ = state.fleet_.daemons_;
     for (const auto &[account, balance] : state.prepaid_.balances_)
         gauges.tokensAvailable_ += reservableTokens(balance.grant_);
+    gauges.limitedInstances_ = state.limits_.stated_.size();
     gauges.droppedLogLines_ = loop.droppedLogLines_();
     gauges.eventDelay_ = state.overload_.delay_;
     gauges.linkUse_ = state.overload_.linkUse_;
--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -135,6 +135,14 @@
                             {PromptPartId {5}, PromptPartId {~std::uint64_t {0}}},
                             {PromptPartId {6}},
                             Millis {90}}}},
+        PermitRequest {"10.0.0.1:7340",
+                       InstanceProcess {UpstreamId {"i-1"}, WallTime {Millis {1234}}}, 7, 2.25,
+                       Millis {40}},
+        PermitRequest {"10.0.0.1:7340",
+                       InstanceProcess {UpstreamId {"i-1"}, WallTime {Millis {1234}}}, 7,
+                       std::nullopt, Millis {40}},
+        PermitReply {InstanceProcess {UpstreamId {"i-1"}, WallTime {Millis {1234}}}, 7,
+                     PermitResult::Denied, Millis {210}},
     };
 }
 
