Keep the request limit of an instance while its entry is missing

Entries expire while the store is away and are back within two seconds of its return. The limit was forgotten with the entry, although its process goes on and this daemon has been told.

--- a/src/core/relay/instancelimits.cpp
+++ b/src/core/relay/instancelimits.cpp
@@ -334,14 +334,4 @@
     recordDenial(limits, process, now + settings.replyTimeout_);
 }
 
-void forgetLimits(InstanceLimits &limits, const UpstreamId &instance)
-{
-    const auto ofInstance = [&instance](const auto &entry) {
-        return entry.first.instance_ == instance;
-    };
-    std::erase_if(limits.stated_, ofInstance);
-    std::erase_if(limits.buckets_, ofInstance);
-    std::erase_if(limits.deniedUntil_, ofInstance);
-}
-
 } // namespace tamarack
--- a/src/core/relay/instancelimits.h
+++ b/src/core/relay/instancelimits.h
@@ -155,7 +155,4 @@
                               const InstanceProcess &process, const HostId &coordinator,
                               MonoTime now);
 
-/// @brief Forgets the limits of an instance that is gone.
-void forgetLimits(InstanceLimits &limits, const UpstreamId &instance);
-
 } // namespace tamarack
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -414,7 +414,6 @@
         = removeExpired(state.directory_, state.settings_.missingRetention_, now);
     for (const UpstreamId &id : removedIds) {
         state.choice_.instanceStats_.erase(id);
-        forgetLimits(state.limits_, id);
         logLine(out, LogLevel::Info, "instance.forgotten", {{"upstream", id.value_}});
     }
     if (state.directory_.tombstones_.size() > maxTombstones)
--- a/tests/unit-relaylimits.cpp
+++ b/tests/unit-relaylimits.cpp
@@ -175,6 +175,26 @@
     CHECK(attempt->instance_ == UpstreamId {"a2"});
 }
 
+TEST_CASE("a limit is kept while the entry of its instance is missing")
+{
+    RelayFixture fixture;
+    setUp(fixture);
+    sendToBoth(fixture);
+    post(fixture, limitNotice("a1", 0.0));
+    post(fixture, limitNotice("a2", 0.0));
+    post(fixture, InstanceRemoved {UpstreamId {"a1"}, Revision {20}, ChangeSource::Store});
+    post(fixture, InstanceRemoved {UpstreamId {"a2"}, Revision {21}, ChangeSource::Store});
+    advanceTime(fixture, Seconds {3});
+    post(fixture, InstanceChanged {makeInstance("a1", "app", 22), ChangeSource::Store});
+    post(fixture, InstanceChanged {makeInstance("a2", "app", 23), ChangeSource::Store});
+    int sent = 0;
+    for (int i = 0; i < 10; ++i)
+        sent += findCommand<SendAttempt>(post(fixture, RequestRead {makeRequest(fixture, "safe")}))
+            ? 1
+            : 0;
+    CHECK(sent <= 2);
+}
+
 TEST_CASE("a retry needs a permit too")
 {
     RelayFixture fixture;
