Act on instances that say that they leave or when to come back

An instance that announces in its responses that it leaves went on getting requests until its entry in the store said so, which a daemon without the store never learns; one that refuses with a time to come back got the next request after 0.25 s. They are now kept for the process, apart from its statistics, so they survive an entry that expires while the store is away. A leaving instance is a last resort until half a second before it may stop.

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -125,6 +125,7 @@
     control.overload_.linkBytesPerSecond_ = settings.linkMbps_ * bytesPerMegabit;
     control.retries_ = settings.retries_;
     control.missingRetention_ = std::max(settings.drainTimeout_ - drainMargin, Millis {0});
+    control.choice_.leavingRetention_ = control.missingRetention_;
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
     control.prepaid_.shards_ = settings.ledgerShards_;
     return control;
--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -22,6 +22,20 @@
     return &it->second;
 }
 
+const Withdrawal *findWithdrawal(const ChoiceState &state, const KnownInstance &known)
+{
+    const auto it = state.withdrawals_.find(
+        InstanceProcess {known.instance_.id_, known.instance_.startedAt_});
+    return it == state.withdrawals_.end() ? nullptr : &it->second;
+}
+
+bool hasWithdrawn(const Withdrawal &withdrawal, const ChoiceSettings &settings, MonoTime now)
+{
+    return withdrawal.closedUntil_ > now
+        || (withdrawal.leavingSince_
+            && now >= *withdrawal.leavingSince_ + settings.leavingRetention_);
+}
+
 bool isCandidate(const KnownInstance &known, const InstanceStats *record, const ChoiceQuery &query,
                  MonoTime now)
 {
@@ -125,10 +139,12 @@
     return settings.otherZonePenalty_ + settings.otherZonePenaltyPerKilobyte_ * kilobytes;
 }
 
-/// Makes missing instances a last resort.
-PreciseMicros missingPenalty(const KnownInstance &known)
+/// Makes missing and leaving instances a last resort.
+PreciseMicros lastResortPenalty(const KnownInstance &known, const Withdrawal *withdrawal)
 {
-    return known.missingSince_ ? PreciseMicros {Seconds {60}} : PreciseMicros {};
+    const bool isLastResort
+        = known.missingSince_ || (withdrawal && withdrawal->leavingSince_.has_value());
+    return isLastResort ? PreciseMicros {Seconds {60}} : PreciseMicros {};
 }
 
 void recordFailure(InstanceStats &record, const ChoiceSettings &settings, bool ejects, MonoTime now)
@@ -163,7 +179,9 @@
     std::uint64_t bestTie = 0;
     for (const auto &[id, known] : directory.known_) {
         const InstanceStats *record = findStats(state, known);
-        if (!isCandidate(known, record, query, now))
+        const Withdrawal *withdrawal = findWithdrawal(state, known);
+        if (!isCandidate(known, record, query, now)
+            || (withdrawal && hasWithdrawn(*withdrawal, settings, now)))
             continue;
         const Tokens uncached
             = uncachedTokens(*query.request_, record, id == preferred, settings, now);
@@ -173,7 +191,7 @@
         if (record)
             predicted += learnedDelay(*record, settings, now);
         PreciseMicros score = predicted + otherZonePenalty(known.instance_, settings, query)
-            + missingPenalty(known);
+            + lastResortPenalty(known, withdrawal);
         if (record)
             score += settings.failurePenalty_ * record->failureRate_;
         const std::uint64_t tie = rendezvousWeight(query.request_->request_.value_, id.value_);
@@ -187,6 +205,38 @@
     return best;
 }
 
+void recordNotice(ChoiceState &state, const ChoiceSettings &settings,
+                  const InstanceProcess &process, const InstanceNotice &notice, MonoTime now)
+{
+    if (!notice.leaving_ && !notice.retryAfter_)
+        return;
+    std::erase_if(state.withdrawals_, [&](const auto &entry) {
+        return now >= std::max(entry.second.statedAt_, entry.second.closedUntil_)
+            + settings.withdrawalLifetime_;
+    });
+    Withdrawal &withdrawal = state.withdrawals_[process];
+    withdrawal.statedAt_ = now;
+    if (notice.leaving_ && !withdrawal.leavingSince_)
+        withdrawal.leavingSince_ = now;
+    if (notice.retryAfter_)
+        withdrawal.closedUntil_ = std::max(withdrawal.closedUntil_, now + *notice.retryAfter_);
+}
+
+std::optional<MonoTime> closedUntil(const ChoiceState &state, const InstanceProcess &process,
+                                    MonoTime now)
+{
+    const auto it = state.withdrawals_.find(process);
+    if (it == state.withdrawals_.end() || it->second.closedUntil_ <= now)
+        return std::nullopt;
+    return it->second.closedUntil_;
+}
+
+bool isLeaving(const ChoiceState &state, const InstanceProcess &process)
+{
+    const auto it = state.withdrawals_.find(process);
+    return it != state.withdrawals_.end() && it->second.leavingSince_.has_value();
+}
+
 void recordSent(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
                 const RelayRequest &request, WallTime startedAt, MonoTime now)
 {
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -7,6 +7,7 @@
 
 #include "core/error.h"
 #include "core/ids.h"
+#include "core/instanceprocess.h"
 #include "core/relay/config.h"
 #include "core/relay/instancenotice.h"
 #include "core/relay/instances.h"
@@ -48,6 +49,10 @@
     std::uint32_t ejectAfterFailures_ = 3;
     /// Penalty for an instance that fails all its requests; scaled by the failure rate.
     PreciseMicros failurePenalty_ {Millis {1500}};
+    /// How long an instance that has said that it is leaving is used as a last resort.
+    Millis leavingRetention_ {1500};
+    /// How long it is remembered that an instance is leaving or accepts nothing.
+    Millis withdrawalLifetime_ {3'600'000};
     /// Weight of the newest sample in the moving averages of the failure rate and the extra delay.
     double learningRate_ = 0.2;
     /// Time constant of the exponential decay of the extra delay of an unused instance.
@@ -78,9 +83,22 @@
     std::unordered_map<std::string, MonoTime> cachedParts_;
 };
 
+/// @brief An instance that accepts no requests, according to its own responses.
+struct Withdrawal
+{
+    /// When it first said that it is leaving.
+    std::optional<MonoTime> leavingSince_;
+    /// It accepts no request from this daemon until then.
+    MonoTime closedUntil_ {};
+    MonoTime statedAt_ {};
+};
+
 struct ChoiceState
 {
     std::map<UpstreamId, InstanceStats> instanceStats_;
+    /// Kept apart from the statistics, which end when the entry of an instance expires: it may be
+    /// back after a store outage.
+    std::map<InstanceProcess, Withdrawal> withdrawals_;
 };
 
 /// @brief Input of chooseInstance() that depends on the request.
@@ -114,6 +132,18 @@
                                      const InstanceDirectory &directory, const ChoiceQuery &query,
                                      MonoTime now);
 
+/// @brief Records what an instance stated about itself in a response.
+void recordNotice(ChoiceState &state, const ChoiceSettings &settings,
+                  const InstanceProcess &process, const InstanceNotice &notice, MonoTime now);
+
+/// @brief Returns the end of the time in which an instance accepts no request from this daemon, or
+/// nothing if there is none.
+std::optional<MonoTime> closedUntil(const ChoiceState &state, const InstanceProcess &process,
+                                    MonoTime now);
+
+/// @brief Returns true if an instance has said that it is leaving.
+bool isLeaving(const ChoiceState &state, const InstanceProcess &process);
+
 /// @brief Records that a request is sent to the chosen instance.
 void recordSent(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
                 const RelayRequest &request, WallTime startedAt, MonoTime now);
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -81,10 +81,11 @@
 std::set<UpstreamId> limitedInstances(const RelayState &state, const RelayedRequest &active,
                                       MonoTime now);
 
-/// @brief Returns when a permit for one of the services of a request may be available, if one was
-/// denied.
-std::optional<MonoTime> nextPermitTime(const RelayState &state, const RelayedRequest &active,
-                                       MonoTime now);
+/// @brief Returns when the first instance accepts a request again, of those that have said when or
+/// for which a permit was denied.
+/// @note O(instances)
+std::optional<MonoTime> nextAcceptingTime(const RelayState &state, const RelayedRequest &active,
+                                          MonoTime now);
 
 /// @brief Handles a coordinator that did not reply to the permit request of @a active.
 void onPermitTimeout(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -68,7 +68,9 @@
     const auto known = state.directory_.known_.find(permit.process_.instance_);
     const bool usable = service && known != state.directory_.known_.end()
         && processOf(known->second.instance_) == permit.process_
-        && known->second.instance_.state_ == InstanceState::Ready;
+        && known->second.instance_.state_ == InstanceState::Ready
+        && !isLeaving(state.choice_, permit.process_)
+        && !closedUntil(state.choice_, permit.process_, now);
     if (!usable) {
         dispatch(state, active, now, out);
         return;
@@ -94,19 +96,19 @@
     return limited;
 }
 
-std::optional<MonoTime> nextPermitTime(const RelayState &state, const RelayedRequest &active,
-                                       MonoTime now)
+std::optional<MonoTime> nextAcceptingTime(const RelayState &state, const RelayedRequest &active,
+                                          MonoTime now)
 {
     std::optional<MonoTime> next;
-    for (const auto &[process, statement] : state.limits_.stated_) {
-        const auto known = state.directory_.known_.find(process.instance_);
-        if (known == state.directory_.known_.end()
-            || known->second.instance_.state_ != InstanceState::Ready
-            || processOf(known->second.instance_) != process
-            || active.tried_.contains(process.instance_)
-            || !usesService(active, known->second.instance_.service_))
+    for (const auto &[id, known] : state.directory_.known_) {
+        const Instance &instance = known.instance_;
+        const InstanceProcess process = processOf(instance);
+        if (instance.state_ != InstanceState::Ready || active.tried_.contains(id)
+            || !usesService(active, instance.service_) || isLeaving(state.choice_, process))
             continue;
-        const std::optional<MonoTime> until = deniedUntil(state.limits_, process, now);
+        // The later of the two, if there are both.
+        const std::optional<MonoTime> until = std::max(deniedUntil(state.limits_, process, now),
+                                                       closedUntil(state.choice_, process, now));
         if (until && (!next || *until < *next))
             next = until;
     }
@@ -196,6 +198,7 @@
                   notice.retryAfter_ ? std::to_string(notice.retryAfter_->count()) : "none"}});
     stats->second.notice_ = notice;
     const Instance &instance = known->second.instance_;
+    recordNotice(state.choice_, state.settings_.choice_, processOf(instance), notice, now);
     const bool ended = recordStatedLimit(state.limits_, state.settings_.limits_,
                                          processOf(instance), notice.requestLimit_, now);
     if (!ended)
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -150,16 +150,16 @@
     const PreciseMicros wait
         = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
     const MonoTime waitEnd = active.request_.arrivedAt_ + std::chrono::duration_cast<Micros>(wait);
-    const std::optional<MonoTime> permitAt = nextPermitTime(state, active, now);
-    if (permitAt && *permitAt > std::max(waitEnd, now)) {
-        failWithoutInstance(state, active, "request_limit",
-                            std::chrono::ceil<Millis>(*permitAt - now), now, out);
+    const std::optional<MonoTime> acceptedAt = nextAcceptingTime(state, active, now);
+    if (acceptedAt && *acceptedAt > std::max(waitEnd, now)) {
+        failWithoutInstance(state, active, "upstreams_limited",
+                            std::chrono::ceil<Millis>(*acceptedAt - now), now, out);
         return;
     }
-    if (active.stage_ == RelayStage::AwaitingInstance && !permitAt)
+    if (active.stage_ == RelayStage::AwaitingInstance && !acceptedAt)
         return;
     active.stage_ = RelayStage::AwaitingInstance;
-    active.stageDeadline_ = permitAt.value_or(waitEnd);
+    active.stageDeadline_ = acceptedAt.value_or(waitEnd);
     rescheduleTimer(state, active);
 }
 
