Refuse requests at once when every engine has a full queue

Each daemon now limits how many of its requests wait for their first output at an engine. The limit grows while the first output comes within 0.6 of the objective, apart from the own prompt, and shrinks by 0.7 when it does not; a request for which every engine is full is refused at once. The own prompt is left out so that large requests are not refused first. A request that is sent again is not refused. Prediction alone was ruled out as the criterion: it multiplies the own queue by the daemons of the zone, which is far off with 25 of them.

--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -43,7 +43,11 @@
         || known.instance_.state_ != InstanceState::Ready
         || query.excluded_.contains(known.instance_.id_))
         return false;
-    return !record || (!record->replaced_ && record->ejectedUntil_ <= now);
+    if (!record)
+        return true;
+    const bool hasFullQueue = query.service_->engine_ && !query.acceptsLongWait_
+        && record->waiting_ >= static_cast<std::uint32_t>(record->maxWaiting_);
+    return !record->replaced_ && record->ejectedUntil_ <= now && !hasFullQueue;
 }
 
 /// Returns the prompt part used for cache affinity: the longest shared prefix ends with it.
@@ -108,6 +112,12 @@
     return record.extraDelay_ * std::exp(-age / PreciseMicros {settings.delayLifetime_});
 }
 
+PreciseMicros prefillTime(const ChoiceSettings &settings, Tokens tokens)
+{
+    return PreciseMicros {Millis {1}} / settings.prefillTokensPerMs_
+        * static_cast<double>(tokens.count_);
+}
+
 PreciseMicros engineDelay(const InstanceStats *record, Tokens uncached,
                           const ChoiceSettings &settings, const ChoiceQuery &query)
 {
@@ -118,8 +128,7 @@
         ahead += Tokens {record->queuedPrefill_.count_ * query.zoneDaemons_};
         running = static_cast<double>(record->running_) * query.zoneDaemons_;
     }
-    const PreciseMicros perToken = PreciseMicros {Millis {1}} / settings.prefillTokensPerMs_;
-    return perToken * static_cast<double>(ahead.count_) + settings.delayPerRequest_ * running;
+    return prefillTime(settings, ahead) + settings.delayPerRequest_ * running;
 }
 
 PreciseMicros serviceDelay(const InstanceStats *record, std::uint32_t slots,
@@ -157,6 +166,26 @@
         = now + std::min(settings.baseEjectionTime_ * (1 << doublings), settings.maxEjectionTime_);
 }
 
+/// Adapts the limit on waiting requests to the time that one of them has waited.
+void adaptWaitingLimit(InstanceStats &record, const ChoiceSettings &settings, const Choice &choice,
+                       PreciseMicros waited, Millis latencyObjective, MonoTime now)
+{
+    if (latencyObjective <= Millis {})
+        return;
+    const PreciseMicros inQueue = waited - prefillTime(settings, choice.uncached_);
+    if (inQueue <= PreciseMicros {latencyObjective} * settings.maxWaitShare_) {
+        record.maxWaiting_
+            = std::min(record.maxWaiting_ + 1.0 / record.maxWaiting_, settings.maxWaiting_);
+        return;
+    }
+    // Requests that were sent before the last reduction say nothing about its effect.
+    if (PreciseMicros {now - record.maxWaitingReducedAt_} < waited)
+        return;
+    const double waiting = std::min(record.maxWaiting_, static_cast<double>(record.waiting_));
+    record.maxWaiting_ = std::max(waiting * settings.waitingDecrease_, 1.0);
+    record.maxWaitingReducedAt_ = now;
+}
+
 void evictOldParts(InstanceStats &record, const ChoiceSettings &settings, MonoTime now)
 {
     if (record.cachedParts_.size() < settings.maxCachedParts_)
@@ -244,13 +273,17 @@
     if (record.startedAt_ != startedAt) {
         // Requests sent before the restart have not ended yet and are still counted.
         const std::uint32_t running = record.running_;
+        const std::uint32_t waiting = record.waiting_;
         const Tokens ahead = record.queuedPrefill_;
         record = InstanceStats {};
         record.running_ = running;
+        record.waiting_ = waiting;
         record.queuedPrefill_ = ahead;
+        record.maxWaiting_ = settings.maxWaiting_;
         record.startedAt_ = startedAt;
     }
     ++record.running_;
+    ++record.waiting_;
     record.queuedPrefill_ += choice.uncached_;
     if (!request.usage_)
         return;
@@ -260,9 +293,11 @@
 }
 
 void recordFirstOutput(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
-                       PreciseMicros observed, MonoTime now)
+                       PreciseMicros observed, Millis latencyObjective, MonoTime now)
 {
     InstanceStats &record = state.instanceStats_[choice.instance_];
+    adaptWaitingLimit(record, settings, choice, observed, latencyObjective, now);
+    record.waiting_ -= std::min(record.waiting_, 1U);
     record.queuedPrefill_ = std::max(record.queuedPrefill_ - choice.uncached_, Tokens {});
     const PreciseMicros previous = learnedDelay(record, settings, now);
     const PreciseMicros extra
@@ -276,8 +311,10 @@
 {
     InstanceStats &record = state.instanceStats_[choice.instance_];
     record.running_ -= std::min(record.running_, 1U);
-    if (!hadOutput)
+    if (!hadOutput) {
         record.queuedPrefill_ = std::max(record.queuedPrefill_ - choice.uncached_, Tokens {});
+        record.waiting_ -= std::min(record.waiting_, 1U);
+    }
     const auto learn = [&](double failed) {
         record.failureRate_ += (failed - record.failureRate_) * settings.learningRate_;
     };
@@ -306,15 +343,27 @@
     }
 }
 
+void recordNoOutput(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
+                    PreciseMicros waited, Millis latencyObjective, MonoTime now)
+{
+    const PreciseMicros inQueue = waited - prefillTime(settings, choice.uncached_);
+    // How long the request would have waited is unknown, but it was longer than that.
+    if (inQueue > PreciseMicros {latencyObjective} * settings.maxWaitShare_)
+        adaptWaitingLimit(state.instanceStats_[choice.instance_], settings, choice, waited,
+                          latencyObjective, now);
+}
+
 Result<void> checkInvariants(const ChoiceState &state)
 {
     for (const auto &[id, record] : state.instanceStats_) {
         if (record.queuedPrefill_ < Tokens {} || record.failureRate_ < 0.0
-            || record.failureRate_ > 1.0)
+            || record.failureRate_ > 1.0 || record.maxWaiting_ < 1.0)
             return fail(ErrorKind::Internal, "tamarack.choice.101",
-                        fmt::format("instance {}: queued prefill {} or failure rate {} is out of "
-                                    "range; restart this daemon and report the error",
-                                    id.value_, record.queuedPrefill_.count_, record.failureRate_));
+                        fmt::format("instance {}: queued prefill {}, failure rate {} or waiting "
+                                    "limit {} is out of range; restart this daemon and report the "
+                                    "error",
+                                    id.value_, record.queuedPrefill_.count_, record.failureRate_,
+                                    record.maxWaiting_));
     }
     return {};
 }
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -49,6 +49,13 @@
     std::uint32_t ejectAfterFailures_ = 3;
     /// Penalty for an instance that fails all its requests; scaled by the failure rate.
     PreciseMicros failurePenalty_ {Millis {1500}};
+    /// An engine is too busy for a request that would wait for its first output longer than this
+    /// fraction of the latency objective, apart from the processing of its own prompt.
+    double maxWaitShare_ = 0.6;
+    /// Initial and largest value of InstanceStats::maxWaiting_.
+    double maxWaiting_ = 64.0;
+    /// Factor by which maxWaiting_ is reduced when requests have waited too long.
+    double waitingDecrease_ = 0.7;
     /// How long an instance that has said that it is leaving is used as a last resort.
     Millis leavingRetention_ {1500};
     /// How long it is remembered that an instance is leaving or accepts nothing.
@@ -61,13 +68,21 @@
 
 /// @brief Statistics of an instance, collected from this daemon's requests.
 ///
-/// Invariants: queuedPrefill_ >= 0; failureRate_ in [0, 1].
+/// Invariants: queuedPrefill_ >= 0; failureRate_ in [0, 1]; maxWaiting_ >= 1.
 struct InstanceStats
 {
     /// Requests of this daemon that have not ended.
     std::uint32_t running_ = 0;
     /// Uncached prompt tokens of this daemon's requests that have no output yet.
     Tokens queuedPrefill_;
+    /// Requests of this daemon that have no output yet.
+    std::uint32_t waiting_ = 0;
+    /// Limit on waiting_ for an engine. It grows while requests get their first output in time and
+    /// shrinks when they don't (additive increase, multiplicative decrease), so that all daemons
+    /// together keep the queue of the engine short.
+    double maxWaiting_ = 64.0;
+    /// When maxWaiting_ was last reduced.
+    MonoTime maxWaitingReducedAt_ {};
     /// Moving average of the observed minus the predicted time to first output.
     PreciseMicros extraDelay_ {};
     MonoTime observedAt_ {};
@@ -111,6 +126,8 @@
     std::uint32_t zoneDaemons_ = 1;
     /// Instances that must not be chosen, such as those that previous attempts were sent to.
     std::set<UpstreamId> excluded_;
+    /// Engines with a full queue may be chosen.
+    bool acceptsLongWait_ = false;
 };
 
 /// @brief The chosen instance and the prediction for it.
@@ -149,8 +166,9 @@
                 const RelayRequest &request, WallTime startedAt, MonoTime now);
 
 /// @brief Records the first output of a request.
+/// @param latencyObjective objective of the request if it was sent to an engine, otherwise 0
 void recordFirstOutput(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
-                       PreciseMicros observed, MonoTime now);
+                       PreciseMicros observed, Millis latencyObjective, MonoTime now);
 
 /// @brief Outcome of an attempt as it concerns the instance.
 enum class InstanceOutcome {
@@ -172,6 +190,11 @@
 void recordEnded(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
                  InstanceOutcome outcome, bool hadOutput, MonoTime now);
 
+/// @brief Records that a request was given up after it had no output for @a waited.
+/// @param latencyObjective objective of the request if it was sent to an engine, otherwise 0
+void recordNoOutput(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
+                    PreciseMicros waited, Millis latencyObjective, MonoTime now);
+
 /// @brief Checks the invariants of all instance statistics.
 Result<void> checkInvariants(const ChoiceState &state);
 
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -146,6 +146,10 @@
 {
     if (std::exchange(active.outcomeRecorded_, true))
         return;
+    const bool givenUp = outcome == InstanceOutcome::Failed || outcome == InstanceOutcome::Neutral;
+    if (givenUp && !active.outputStarted_)
+        recordNoOutput(state.choice_, state.settings_.choice_, *active.choice_,
+                       now - active.sentAt_, engineObjective(active), now);
     recordEnded(state.choice_, state.settings_.choice_, *active.choice_, outcome,
                 active.outputStarted_, now);
 }
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -120,7 +120,7 @@
     active.stageDeadline_.reset();
     rescheduleTimer(state, active);
     recordFirstOutput(state.choice_, state.settings_.choice_, *active.choice_,
-                      event.at_ - active.sentAt_, now);
+                      event.at_ - active.sentAt_, engineObjective(active), now);
     recordOutputForQuarantine(state, active, now, out);
 }
 
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -64,6 +64,10 @@
 /// @brief Returns the service of a request's configuration, or nullptr.
 const RelayService *serviceOf(const RelayedRequest &active, const ServiceId &id);
 
+/// @brief Returns the latency objective of the last attempt if it was sent to an engine, otherwise
+/// 0.
+Millis engineObjective(const RelayedRequest &active);
+
 enum class PermitStatus {
     /// The request may be sent now.
     Granted,
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -68,14 +68,15 @@
 
 /// @param excluded instances that must not be chosen
 std::optional<Placement> chooseAcrossServices(const RelayState &state, const RelayedRequest &active,
-                                              const std::set<UpstreamId> &excluded, MonoTime now)
+                                              const std::set<UpstreamId> &excluded,
+                                              bool acceptsLongWait, MonoTime now)
 {
     for (const ServiceId &id : servicesInOrder(*active.route_, active.request_.request_)) {
         const RelayService *service = serviceOf(active, id);
         if (!service)
             continue;
-        const ChoiceQuery query {&active.request_, service, state.settings_.zone_,
-                                 state.fleet_.zoneDaemons_, excluded};
+        const ChoiceQuery query {&active.request_,          service,  state.settings_.zone_,
+                                 state.fleet_.zoneDaemons_, excluded, acceptsLongWait};
         std::optional<Choice> choice
             = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, query, now);
         if (choice)
@@ -150,6 +151,12 @@
     const PreciseMicros wait
         = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
     const MonoTime waitEnd = active.request_.arrivedAt_ + std::chrono::duration_cast<Micros>(wait);
+    std::set<UpstreamId> excluded = limitedInstances(state, active, now);
+    excluded.insert(active.tried_.begin(), active.tried_.end());
+    if (chooseAcrossServices(state, active, excluded, true, now)) {
+        failWithoutInstance(state, active, "upstreams_overloaded", std::nullopt, now, out);
+        return;
+    }
     const std::optional<MonoTime> acceptedAt = nextAcceptingTime(state, active, now);
     if (acceptedAt && *acceptedAt > std::max(waitEnd, now)) {
         failWithoutInstance(state, active, "upstreams_limited",
@@ -235,6 +242,12 @@
         connectionsPerInstance(state, *placement.service_), state.settings_.connectTimeout_});
 }
 
+Millis engineObjective(const RelayedRequest &active)
+{
+    const RelayService *service = serviceOf(active, active.service_);
+    return service && service->engine_ ? active.route_->latencyObjective_ : Millis {};
+}
+
 void logLine(RelayCommands &out, LogLevel level, std::string name, std::vector<LogField> fields)
 {
     out.emplace_back(WriteLog {LogEvent {level, std::move(name), std::move(fields)}});
@@ -314,11 +327,13 @@
     if (refuseIfQuarantined(state, active, now, out))
         return;
     active.awaitedPermit_.reset();
+    // Work was already done for a request that is sent again.
+    const bool acceptsLongWait = active.attempts_ > 0;
     while (true) {
         std::set<UpstreamId> excluded = limitedInstances(state, active, now);
         excluded.insert(active.tried_.begin(), active.tried_.end());
         const std::optional<Placement> placement
-            = chooseAcrossServices(state, active, excluded, now);
+            = chooseAcrossServices(state, active, excluded, acceptsLongWait, now);
         if (!placement)
             break;
         const PermitStatus permit = obtainPermit(state, active, *placement, now, out);
