Tell positions of the store before and after its return from a copy apart

Callers got 404 for routes of a confirmed configuration, and requests went to an instance 2 s after it said that it leaves, on daemons that get documents from their observers. Cause: a store that returns from a copy assigns revisions again, and documents, positions and watches were ordered by revision alone.

Ruled out: that a daemon applies the older configuration of the copy (no config.applied with a lower version in any log); that the observers missed changes here (the watch got 410 and they listed) - but the test with the fake store shows that a watch from a revision that exists in the new history succeeds and misses changes, so this is mended too.

A position now has the era that the store states in its replies, and positions of a later era are greater. A watch that is answered in another era is followed by a listing; peers get all documents when the era changes; daemons of a version without eras are taken to speak of the receiver's era. A listing does not undo that a process drains or was removed, and a configuration older than the known one is neither applied nor offered to others.

--- a/src/adapters/jsonhttp/jsonclient.cpp
+++ b/src/adapters/jsonhttp/jsonclient.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/NumberParser.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/Timespan.h>
 
@@ -140,7 +141,16 @@
     session.sendRequest(httpRequest) << request.body_ << std::flush;
 }
 
-JsonResponse readResponse(HTTPClientSession &session, bool &keepAlive)
+/// Returns the era in a header field, or 0 if it is missing or malformed.
+StoreEra eraOf(const Poco::Net::HTTPResponse &response, const std::string &field)
+{
+    Poco::UInt64 era = 0;
+    const bool valid
+        = !field.empty() && Poco::NumberParser::tryParseUnsigned64(response.get(field, ""), era);
+    return valid ? StoreEra {era} : StoreEra {};
+}
+
+JsonResponse readResponse(HTTPClientSession &session, const std::string &eraField, bool &keepAlive)
 {
     Poco::Net::HTTPResponse response;
     std::istream &stream = session.receiveResponse(response);
@@ -149,12 +159,12 @@
     const bool complete = !response.hasContentLength()
         || response.getContentLength64() == static_cast<std::int64_t>(text.size());
     if (!complete)
-        return JsonResponse {StoreStatus::Unknown, 0, nullptr};
-    JsonResponse reply {StoreStatus::Ok, response.getStatus(), nullptr};
+        return JsonResponse {StoreStatus::Unknown, 0, nullptr, {}};
+    JsonResponse reply {StoreStatus::Ok, response.getStatus(), nullptr, eraOf(response, eraField)};
     if (text.starts_with('{'))
         reply.body_ = parse(text);
     else if (reply.httpStatus_ == Poco::Net::HTTPResponse::HTTP_OK && !text.empty())
-        return JsonResponse {StoreStatus::Unknown, 0, nullptr};
+        return JsonResponse {StoreStatus::Unknown, 0, nullptr, {}};
     keepAlive = response.getKeepAlive();
     return reply;
 }
@@ -196,12 +206,12 @@
         if (request.cancellable_ && !registration.emplace(client, session->socket()).registered_)
             return JsonResponse {};
         writeRequest(*session, request, request.timeout_.value_or(client.timeout_));
-        JsonResponse reply = readResponse(*session, keepAlive);
+        JsonResponse reply = readResponse(*session, client.eraField_, keepAlive);
         if (keepAlive)
             returnSession(client, std::move(session));
         return reply;
     } catch (const Poco::Exception &) {
-        return JsonResponse {StoreStatus::Unknown, 0, nullptr};
+        return JsonResponse {StoreStatus::Unknown, 0, nullptr, {}};
     }
 }
 
@@ -219,9 +229,11 @@
 
 } // namespace
 
-JsonHttpClient::JsonHttpClient(std::vector<std::string> endpoints, Millis timeout)
+JsonHttpClient::JsonHttpClient(std::vector<std::string> endpoints, Millis timeout,
+                               std::string eraField)
     : endpoints_(std::move(endpoints))
     , timeout_(timeout)
+    , eraField_(std::move(eraField))
 { }
 
 JsonHttpClient::~JsonHttpClient() = default;
--- a/src/adapters/jsonhttp/jsonclient.h
+++ b/src/adapters/jsonhttp/jsonclient.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/store.h"
+#include "core/storeposition.h"
 #include "core/time.h"
 
 #include <Poco/JSON/Object.h>
@@ -33,13 +34,15 @@
 {
     std::vector<std::string> endpoints_;
     Millis timeout_ {1000};
+    /// Name of a response header field that holds the era of the store; empty if there is none.
+    std::string eraField_;
     std::mutex mutex_;
     std::list<IdleSession> idle_;
     /// Sockets of streams and cancellable requests in progress; cancelRequests() shuts them down.
     std::list<Poco::Net::StreamSocket> cancellableSockets_;
     bool cancelled_ = false;
 
-    JsonHttpClient(std::vector<std::string> endpoints, Millis timeout);
+    JsonHttpClient(std::vector<std::string> endpoints, Millis timeout, std::string eraField = {});
     ~JsonHttpClient();
     JsonHttpClient(const JsonHttpClient &) = delete;
     JsonHttpClient &operator=(const JsonHttpClient &) = delete;
@@ -76,6 +79,7 @@
     int httpStatus_ = 0;
     /// Null if the response contains no JSON object.
     Poco::JSON::Object::Ptr body_;
+    StoreEra era_;
 };
 
 /// @brief Outcome of a request that succeeds only with status 200.
--- a/src/adapters/peers/messagecodec.cpp
+++ b/src/adapters/peers/messagecodec.cpp
@@ -118,7 +118,8 @@
     for (const FeedPosition &position : message.positions_) {
         peer::FeedPosition &entry = *out.add_positions();
         entry.set_feed(position.feed_);
-        entry.set_revision(position.revision_.value_);
+        entry.set_revision(position.position_.revision_.value_);
+        entry.set_era(position.position_.era_.value_);
     }
 }
 
@@ -129,11 +130,13 @@
         peer::FeedChanges &feed = *out.add_changes();
         feed.set_feed(changes.feed_);
         feed.set_after(changes.after_.value_);
-        feed.set_at(changes.at_.value_);
+        feed.set_at(changes.at_.revision_.value_);
+        feed.set_era(changes.at_.era_.value_);
         for (const PeerDocument &document : changes.documents_) {
             peer::Document &entry = *feed.add_documents();
             entry.set_key(document.key_.value_);
-            entry.set_revision(document.revision_.value_);
+            entry.set_revision(document.position_.revision_.value_);
+            entry.set_era(document.position_.era_.value_);
             entry.set_removed(!document.value_);
             entry.set_value(document.value_.value_or(""));
         }
@@ -263,16 +266,18 @@
 {
     DocumentsRequest message {in.reply_address(), {}};
     for (const peer::FeedPosition &position : in.positions())
-        message.positions_.push_back(
-            FeedPosition {position.feed(), Revision {position.revision()}});
+        message.positions_.push_back(FeedPosition {
+            position.feed(), {StoreEra {position.era()}, Revision {position.revision()}}});
     return message;
 }
 
 FeedChanges feedChangesFromProto(const peer::FeedChanges &in)
 {
-    FeedChanges changes {in.feed(), Revision {in.after()}, Revision {in.at()}, {}};
+    FeedChanges changes {
+        in.feed(), Revision {in.after()}, {StoreEra {in.era()}, Revision {in.at()}}, {}};
     for (const peer::Document &document : in.documents()) {
-        PeerDocument decoded {StoreKey {document.key()}, Revision {document.revision()},
+        PeerDocument decoded {StoreKey {document.key()},
+                              {StoreEra {document.era()}, Revision {document.revision()}},
                               std::nullopt};
         if (!document.removed())
             decoded.value_ = document.value();
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -6,6 +6,7 @@
 #include "core/permitmessage.h"
 #include "core/quarantinereport.h"
 #include "core/refusal.h"
+#include "core/storeposition.h"
 #include "core/time.h"
 #include "core/tokens.h"
 
@@ -129,16 +130,16 @@
 struct PeerDocument
 {
     StoreKey key_;
-    Revision revision_;
+    StorePosition position_;
     /// Empty if the key was removed.
     std::optional<std::string> value_;
 };
 
-/// @brief The revision up to which a daemon knows all changes of a feed.
+/// @brief The position up to which a daemon knows all changes of a feed.
 struct FeedPosition
 {
     std::string feed_;
-    Revision revision_;
+    StorePosition position_;
 };
 
 /// @brief Requests newer versions of documents from a peer.
@@ -149,14 +150,14 @@
     std::vector<FeedPosition> positions_;
 };
 
-/// @brief The documents of a feed that changed after a revision.
+/// @brief The documents of a feed that changed after a position. All positions have the same era.
 struct FeedChanges
 {
     std::string feed_;
     /// 0 if documents_ are all documents of the feed.
     Revision after_;
-    /// The sender knows all changes up to this revision.
-    Revision at_;
+    /// The sender knows all changes up to this position.
+    StorePosition at_;
     std::vector<PeerDocument> documents_;
 };
 
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -109,11 +109,11 @@
     ChangeSource source_ = ChangeSource::Store;
 };
 
-/// @brief A full listing of the instances at a revision of the store.
+/// @brief A full listing of the instances at a position of the store.
 struct InstancesListed
 {
     std::vector<ListedInstance> instances_;
-    Revision revision_;
+    StorePosition position_;
     ChangeSource source_ = ChangeSource::Store;
 };
 
@@ -126,10 +126,17 @@
 struct InstanceRemoved
 {
     UpstreamId id_;
-    Revision revision_;
+    StorePosition position_;
     ChangeSource source_ = ChangeSource::Store;
 };
 
+/// @brief A reply of the store, or of a peer, showed a new era of the store: it has returned from a
+/// copy since the last one. The first event of a daemon tells the era in which it started.
+struct StoreEraNoticed
+{
+    StoreEra era_;
+};
+
 /// @brief Another daemon requests a loan or reports the use of one.
 struct LoanRequestReceived
 {
@@ -198,7 +205,7 @@
                    InstanceRemoved, FleetView, LoanRequestReceived, LoanReplyReceived,
                    QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
                    DocumentsRequestReceived, DocumentsReplyReceived, FeedAvailabilityChanged,
-                   StoreReplied, RelayStopRequested>;
+                   StoreEraNoticed, StoreReplied, RelayStopRequested>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
--- a/src/core/relay/instances.h
+++ b/src/core/relay/instances.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/storeposition.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -35,47 +36,58 @@
 struct KnownInstance
 {
     Instance instance_;
-    Revision revision_;
+    StorePosition position_;
     /// Set while the entry is missing from the store. Entries also expire while instances can't
     /// renew them during a store outage, so a missing instance stays usable as a last resort until
     /// the retention time has elapsed.
     std::optional<MonoTime> missingSince_;
 };
 
+/// @brief The removal of an entry.
+struct Removal
+{
+    StorePosition position_;
+    /// The process whose entry was removed, if it was known.
+    std::optional<WallTime> startedAt_;
+};
+
 /// @brief All known instances.
 /// Invariant: no entry is older than one that was seen before for the same id.
 struct InstanceDirectory
 {
     std::map<UpstreamId, KnownInstance> known_;
-    /// Revisions of removals, so that an outdated message from a peer can't restore a removed
-    /// entry.
-    std::map<UpstreamId, Revision> tombstones_;
+    /// Removals, so that an outdated message from a peer or the copy from which the store returns
+    /// can't restore a removed entry.
+    std::map<UpstreamId, Removal> tombstones_;
 };
 
 /// @brief An entry of a listing.
 struct ListedInstance
 {
     Instance instance_;
-    Revision revision_;
+    StorePosition position_;
 };
 
-/// @brief Inserts or replaces an entry unless a newer one is known.
+/// @brief Inserts or replaces an entry unless a newer one is known. A process that was draining
+/// stays so: the store may have returned from a copy of the time before.
 /// @return true if the directory changed
 bool upsertInstance(InstanceDirectory &directory, const ListedInstance &listed);
 
-/// @brief Marks an instance as missing from @a revision on.
+/// @brief Marks an instance as missing from @a position on.
 /// @param since earliest time at which the entry may have been removed
 /// @return true if the directory changed
-bool markMissing(InstanceDirectory &directory, const UpstreamId &id, Revision revision,
+bool markMissing(InstanceDirectory &directory, const UpstreamId &id, StorePosition position,
                  MonoTime since);
 
-/// @brief Applies a full listing and marks all instances that it does not contain as missing.
-/// @param revision revision of the store at the start of the listing
+/// @brief Applies a full listing and marks all instances that it does not contain as missing. An
+/// entry that was removed in an earlier era of the store is not restored: it comes from a copy of
+/// the time before, and its instance writes it again if it is running.
+/// @param position position of the store at the start of the listing
 /// @param since earliest time at which an unlisted entry may have been removed
 /// @return ids of the instances that became missing
 std::vector<UpstreamId> applyListing(InstanceDirectory &directory,
-                                     const std::vector<ListedInstance> &listing, Revision revision,
-                                     MonoTime since);
+                                     const std::vector<ListedInstance> &listing,
+                                     StorePosition position, MonoTime since);
 
 /// @brief Removes instances that have been missing for at least @a retention.
 /// @return ids of the removed instances
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -187,7 +187,7 @@
     updateReadiness(state, out);
 }
 
-void logInstance(RelayCommands &out, const Instance &instance, Revision revision,
+void logInstance(RelayCommands &out, const Instance &instance, StorePosition position,
                  ChangeSource source)
 {
     logLine(out, LogLevel::Info, "instance.changed",
@@ -196,20 +196,22 @@
              {"address", instance.address_},
              {"zone", instance.zone_.value_},
              {"state", instance.state_ == InstanceState::Ready ? "ready" : "draining"},
-             {"revision", std::to_string(revision.value_)},
+             {"era", std::to_string(position.era_.value_)},
+             {"revision", std::to_string(position.revision_.value_)},
              {"source", sourceName(source)}});
 }
 
 void onEvent(RelayState &state, const InstancesListed &event, MonoTime now, RelayCommands &out)
 {
     const std::vector<UpstreamId> missing
-        = applyListing(state.directory_, event.instances_, event.revision_,
+        = applyListing(state.directory_, event.instances_, event.position_,
                        earliestRemoval(state, event.source_, now));
     state.instancesListed_ = true;
     logLine(out, LogLevel::Info, "instances.listed",
             {{"count", std::to_string(event.instances_.size())},
              {"missing", std::to_string(missing.size())},
-             {"revision", std::to_string(event.revision_.value_)},
+             {"era", std::to_string(event.position_.era_.value_)},
+             {"revision", std::to_string(event.position_.revision_.value_)},
              {"source", sourceName(event.source_)}});
     updateReadiness(state, out);
     resumeWaitingForInstance(state, now, out);
@@ -219,20 +221,21 @@
 {
     if (!upsertInstance(state.directory_, event.listed_))
         return;
-    logInstance(out, event.listed_.instance_, event.listed_.revision_, event.source_);
+    logInstance(out, event.listed_.instance_, event.listed_.position_, event.source_);
     resumeWaitingForInstance(state, now, out);
 }
 
 void onEvent(RelayState &state, const InstanceRemoved &event, MonoTime now, RelayCommands &out)
 {
     const MonoTime since = earliestRemoval(state, event.source_, now);
-    if (!markMissing(state.directory_, event.id_, event.revision_, since))
+    if (!markMissing(state.directory_, event.id_, event.position_, since))
         return;
     const auto age = std::chrono::duration_cast<Millis>(now - since);
     logLine(out, LogLevel::Info, "instance.missing",
             {{"upstream", event.id_.value_},
              {"age_ms", std::to_string(age.count())},
-             {"revision", std::to_string(event.revision_.value_)},
+             {"era", std::to_string(event.position_.era_.value_)},
+             {"revision", std::to_string(event.position_.revision_.value_)},
              {"source", sourceName(event.source_)}});
 }
 
@@ -302,6 +305,16 @@
             {{"name", event.name_}, {"detail", event.detail_}});
 }
 
+void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime, RelayCommands &out)
+{
+    if (event.era_ <= state.storeEra_)
+        return;
+    logLine(out, state.storeEra_ == StoreEra {} ? LogLevel::Info : LogLevel::Warning, "store.era",
+            {{"era", std::to_string(event.era_.value_)},
+             {"previous", std::to_string(state.storeEra_.value_)}});
+    state.storeEra_ = event.era_;
+}
+
 void onEvent(RelayState &state, const StoreReplied &event, MonoTime now, RelayCommands &out)
 {
     if (event.reply_.status_ == StoreStatus::Unknown
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -156,6 +156,7 @@
     std::shared_ptr<const RelayConfig> config_;
     InstanceDirectory directory_;
     bool instancesListed_ = false;
+    StoreEra storeEra_;
     ChoiceState choice_;
     PrepaidState prepaid_;
     std::map<ServiceId, RetryBudget> retries_;
--- a/src/ports/feed.h
+++ b/src/ports/feed.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/storeposition.h"
 #include "core/time.h"
 
 #include <functional>
@@ -39,6 +40,9 @@
     std::vector<FeedEntry> entries_;
     /// Description of the error for the log.
     std::string detail_;
+    /// Era of the store that replied. Entries of a watch are of no use if it is not the era of the
+    /// revision that the watch started from.
+    StoreEra era_ {};
 };
 
 /// @brief Lists and watches store keys. The functions block and are safe to call from any thread.
--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -33,19 +33,38 @@
 }
 
 /// Stores a document in the cache.
-/// @return false if the cache has this or a newer revision
+/// @return false if the cache has this or a newer version
 bool storeIfNewer(DocumentReader &reader, const PeerDocument &document)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
     const auto [known, inserted] = reader.cache_.documents_.try_emplace(document.key_, document);
     if (inserted)
         return true;
-    if (known->second.revision_ >= document.revision_)
+    if (known->second.position_ >= document.position_)
         return false;
     known->second = document;
     return true;
 }
 
+/// Records a configuration that could be decoded.
+/// @return false if a newer version is known; the cache then keeps that one, so that peers without
+/// a configuration get it
+bool recordConfigVersion(DocumentReader &reader, const PeerDocument &document,
+                         ConfigVersion version)
+{
+    const std::lock_guard lock(reader.cache_.mutex_);
+    DocumentCache &cache = reader.cache_;
+    if (version >= cache.newestConfigVersion_) {
+        cache.newestConfigVersion_ = version;
+        cache.newestConfig_ = document.value_;
+        return true;
+    }
+    const auto cached = cache.documents_.find(document.key_);
+    if (cached != cache.documents_.end() && cached->second.position_ == document.position_)
+        cached->second.value_ = cache.newestConfig_;
+    return false;
+}
+
 void readConfig(DocumentReader &reader, const PeerDocument &document, ChangeSource source)
 {
     if (!document.value_)
@@ -53,7 +72,9 @@
     std::optional<RelayConfig> config = decodeOrLog<RelayConfig>(reader.log_, document.key_, [&] {
         return reader.formats_.decodeConfig_(*document.value_);
     });
-    if (config)
+    if (!config)
+        return;
+    if (recordConfigVersion(reader, document, config->version_))
         post(reader.queue_,
              RelayEvent {
                  ConfigReceived {std::make_shared<const RelayConfig>(std::move(*config)), source}});
@@ -69,7 +90,7 @@
     });
     if (!instance)
         return std::nullopt;
-    return ListedInstance {std::move(*instance), document.revision_};
+    return ListedInstance {std::move(*instance), document.position_};
 }
 
 void readInstance(DocumentReader &reader, const PeerDocument &document, ChangeSource source)
@@ -81,7 +102,7 @@
         post(reader.queue_,
              RelayEvent {InstanceRemoved {
                  UpstreamId {document.key_.value_.substr(reader.formats_.instancePrefix_.size())},
-                 document.revision_, source}});
+                 document.position_, source}});
 }
 
 void readDocument(DocumentReader &reader, const PeerDocument &document, ChangeSource source)
@@ -94,30 +115,42 @@
         readInstance(reader, document, source);
 }
 
-PeerDocument toDocument(const FeedEntry &entry)
+PeerDocument toDocument(const FeedEntry &entry, StoreEra era)
+{
+    return PeerDocument {entry.key_, {era, entry.revision_}, entry.value_};
+}
+
+/// Posts the era of the store if it is newer than the known one.
+void noteEra(DocumentReader &reader, StoreEra era)
 {
-    return PeerDocument {entry.key_, entry.revision_, entry.value_};
+    {
+        const std::lock_guard lock(reader.cache_.mutex_);
+        if (era <= reader.cache_.era_)
+            return;
+        reader.cache_.era_ = era;
+    }
+    post(reader.queue_, RelayEvent {StoreEraNoticed {era}});
 }
 
-/// Marks cached documents of a prefix as removed if a listing at @a revision doesn't contain them.
+/// Marks cached documents of a prefix as removed if a listing at @a position doesn't contain them.
 /// Documents that changed after the listing are kept.
 void markUnlistedRemoved(DocumentReader &reader, const std::string &prefix,
-                         const std::set<StoreKey> &listed, Revision revision)
+                         const std::set<StoreKey> &listed, StorePosition position)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
     for (auto &[key, document] : reader.cache_.documents_) {
         const bool removed = key.value_.starts_with(prefix) && !listed.contains(key)
-            && document.value_ && document.revision_ <= revision;
+            && document.value_ && document.position_ <= position;
         if (removed)
-            document = PeerDocument {key, revision, std::nullopt};
+            document = PeerDocument {key, position, std::nullopt};
     }
 }
 
 void readInstanceListing(DocumentReader &reader, const std::vector<PeerDocument> &documents,
-                         Revision revision, ChangeSource source)
+                         StorePosition position, ChangeSource source)
 {
     InstancesListed listing;
-    listing.revision_ = revision;
+    listing.position_ = position;
     listing.source_ = source;
     std::set<StoreKey> listed;
     for (const PeerDocument &document : documents) {
@@ -128,7 +161,7 @@
         if (std::optional<ListedInstance> instance = decodeInstance(reader, document))
             listing.instances_.push_back(std::move(*instance));
     }
-    markUnlistedRemoved(reader, reader.formats_.instancePrefix_, listed, revision);
+    markUnlistedRemoved(reader, reader.formats_.instancePrefix_, listed, position);
     post(reader.queue_, RelayEvent {std::move(listing)});
 }
 
@@ -136,24 +169,25 @@
 constexpr const char *instanceFeed = "store.instances";
 
 /// Advances the position of a feed, which never goes back.
-void advancePosition(FeedState &feed, Revision revision)
+void advancePosition(FeedState &feed, StorePosition position)
 {
-    feed.position_ = std::max(feed.position_, revision);
+    feed.position_ = std::max(feed.position_, position);
 }
 
 FollowerHandlers commonHandlers(DocumentReader &reader, const std::string &feed)
 {
     FollowerHandlers handlers;
-    handlers.onChange_ = [&reader](const FeedEntry &entry) {
-        readDocument(reader, toDocument(entry), ChangeSource::Store);
+    handlers.onChange_ = [&reader](const FeedEntry &entry, StoreEra era) {
+        readDocument(reader, toDocument(entry, era), ChangeSource::Store);
     };
-    handlers.onProgress_ = [&reader, feed](Revision revision) {
+    handlers.onProgress_ = [&reader, feed](StorePosition position) {
+        noteEra(reader, position.era_);
         const std::lock_guard lock(reader.cache_.mutex_);
         FeedState &state = reader.cache_.feeds_.at(feed);
-        advancePosition(state, revision);
+        advancePosition(state, position);
         state.contactAt_ = std::chrono::steady_clock::now();
     };
-    handlers.knownRevision_ = [&reader, feed] {
+    handlers.knownPosition_ = [&reader, feed] {
         const std::lock_guard lock(reader.cache_.mutex_);
         return reader.cache_.feeds_.at(feed).position_;
     };
@@ -167,24 +201,31 @@
     return handlers;
 }
 
-void recordListing(DocumentReader &reader, const std::string &feed, Revision revision)
+void recordListing(DocumentReader &reader, const std::string &feed, StorePosition position)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
     FeedState &state = reader.cache_.feeds_.at(feed);
-    state.listedAt_ = std::max(state.listedAt_, revision);
-    advancePosition(state, revision);
+    state.listedAt_ = std::max(state.listedAt_, position);
+    advancePosition(state, position);
+}
+
+/// Returns a position with the era of this daemon if its sender runs a version without eras.
+StorePosition withEra(StorePosition position, StoreEra era)
+{
+    return position.era_ == StoreEra {} ? StorePosition {era, position.revision_} : position;
 }
 
 /// Returns the changes of a feed after a position. The caller holds the mutex of the cache.
 FeedChanges changesAfter(const DocumentCache &cache, const std::string &name, const FeedState &feed,
-                         Revision position)
+                         StorePosition position)
 {
     FeedChanges changes {
-        name, position < feed.listedAt_ ? Revision {} : position, feed.position_, {}};
+        name, position < feed.listedAt_ ? Revision {} : position.revision_, feed.position_, {}};
+    const StorePosition after {feed.position_.era_, changes.after_};
     const bool complete = changes.after_ == Revision {};
     for (const auto &[key, document] : cache.documents_) {
         const bool wanted = key.value_.starts_with(feed.prefix_)
-            && (complete ? document.value_.has_value() : document.revision_ > changes.after_);
+            && (complete ? document.value_.has_value() : document.position_ > after);
         if (wanted)
             changes.documents_.push_back(document);
     }
@@ -193,15 +234,17 @@
 
 void applyFeedChanges(DocumentReader &reader, const FeedChanges &changes)
 {
+    noteEra(reader, changes.at_.era_);
+    const bool complete = changes.after_ == Revision {};
     {
         const std::lock_guard lock(reader.cache_.mutex_);
         const auto feed = reader.cache_.feeds_.find(changes.feed_);
+        const StorePosition after {changes.at_.era_, changes.after_};
         // A peer that knows less, or changes that don't continue what is known.
         if (feed == reader.cache_.feeds_.end() || changes.at_ <= feed->second.position_
-            || changes.after_ > feed->second.position_)
+            || (!complete && after > feed->second.position_))
             return;
     }
-    const bool complete = changes.after_ == Revision {};
     if (complete && changes.feed_ == instanceFeed) {
         readInstanceListing(reader, changes.documents_, changes.at_, ChangeSource::Peer);
     } else {
@@ -249,10 +292,11 @@
 FollowerHandlers configHandlers(DocumentReader &reader)
 {
     FollowerHandlers handlers = commonHandlers(reader, configFeed);
-    handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, Revision revision) {
+    handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, StorePosition position) {
+        noteEra(reader, position.era_);
         for (const FeedEntry &entry : entries)
-            readDocument(reader, toDocument(entry), ChangeSource::Store);
-        recordListing(reader, configFeed, revision);
+            readDocument(reader, toDocument(entry, position.era_), ChangeSource::Store);
+        recordListing(reader, configFeed, position);
     };
     return handlers;
 }
@@ -260,11 +304,14 @@
 FollowerHandlers instanceHandlers(DocumentReader &reader)
 {
     FollowerHandlers handlers = commonHandlers(reader, instanceFeed);
-    handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, Revision revision) {
+    handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, StorePosition position) {
+        noteEra(reader, position.era_);
         std::vector<PeerDocument> documents;
-        std::transform(entries.begin(), entries.end(), std::back_inserter(documents), toDocument);
-        readInstanceListing(reader, documents, revision, ChangeSource::Store);
-        recordListing(reader, instanceFeed, revision);
+        documents.reserve(entries.size());
+        for (const FeedEntry &entry : entries)
+            documents.push_back(toDocument(entry, position.era_));
+        readInstanceListing(reader, documents, position, ChangeSource::Store);
+        recordListing(reader, instanceFeed, position);
     };
     return handlers;
 }
@@ -286,17 +333,30 @@
     reply.contactAge_ = contactAge(reader.cache_, reader.maxContactAge_, now);
     for (const FeedPosition &position : request.positions_) {
         const auto feed = reader.cache_.feeds_.find(position.feed_);
-        if (feed != reader.cache_.feeds_.end() && feed->second.position_ > position.revision_)
-            reply.changes_.push_back(
-                changesAfter(reader.cache_, feed->first, feed->second, position.revision_));
+        if (feed == reader.cache_.feeds_.end())
+            continue;
+        const StorePosition known = withEra(position.position_, feed->second.position_.era_);
+        if (feed->second.position_ > known)
+            reply.changes_.push_back(changesAfter(reader.cache_, feed->first, feed->second, known));
     }
     return reply;
 }
 
 void applyDocumentsReply(DocumentReader &reader, const DocumentsReply &reply)
 {
-    for (const FeedChanges &changes : reply.changes_)
+    for (FeedChanges changes : reply.changes_) {
+        {
+            const std::lock_guard lock(reader.cache_.mutex_);
+            const auto feed = reader.cache_.feeds_.find(changes.feed_);
+            if (feed == reader.cache_.feeds_.end())
+                continue;
+            const StoreEra era = feed->second.position_.era_;
+            changes.at_ = withEra(changes.at_, era);
+            for (PeerDocument &document : changes.documents_)
+                document.position_ = withEra(document.position_, era);
+        }
         applyFeedChanges(reader, changes);
+    }
 }
 
 void clearStoreContact(DocumentReader &reader)
--- a/src/relayd/documents.h
+++ b/src/relayd/documents.h
@@ -20,28 +20,34 @@
 
 /// @brief What is known of the documents of one feed.
 ///
-/// Invariants: listedAt_ <= position(feed); contactAt_ is set only while the store delivers the
+/// Invariants: listedAt_ <= position_; contactAt_ is set only while the store delivers the
 /// feed to this daemon.
 struct FeedState
 {
     std::string prefix_;
-    /// Revision up to which all changes are known, from the store or from peers.
-    Revision position_;
-    /// Revision of the last full listing. Removals before it may be unknown, so a peer at an older
-    /// position gets all documents.
-    Revision listedAt_;
+    /// Position up to which all changes are known, from the store or from peers.
+    StorePosition position_;
+    /// Position of the last full listing. Removals before it may be unknown, so a peer at an older
+    /// position gets all documents. The first position that is known of an era is a listing.
+    StorePosition listedAt_;
     /// Last reply of the store.
     std::optional<MonoTime> contactAt_;
 };
 
-/// @brief The newest known revision of each document. The mutex guards all members after it.
+/// @brief The newest known version of each document. The mutex guards all members after it.
 ///
-/// Invariant: no document is replaced by one with a lower revision.
+/// Invariant: no document is replaced by one with a lower position.
 struct DocumentCache
 {
     std::mutex mutex_;
     std::map<StoreKey, PeerDocument> documents_;
     std::map<std::string, FeedState> feeds_;
+    /// Newest era of the store, from its replies or from peers.
+    StoreEra era_;
+    /// The newest configuration that could be decoded, and its version. The copy from which a store
+    /// returns may contain an older one.
+    std::optional<std::string> newestConfig_;
+    ConfigVersion newestConfigVersion_;
 };
 
 /// @brief Data for converting documents to events of the control thread.
--- a/src/relayd/follower.cpp
+++ b/src/relayd/follower.cpp
@@ -12,8 +12,8 @@
 
 struct FollowerState
 {
-    /// Revision after which the next watch starts; nothing if the keys must be listed first.
-    std::optional<Revision> revision_;
+    /// Position after which the next watch starts; nothing if the keys must be listed first.
+    std::optional<StorePosition> position_;
     bool available_ = true;
     /// The store has not replied since the last failure or pause. The next watch returns at once,
     /// because a watch that waits shows only at its end that the store is available.
@@ -25,16 +25,21 @@
 FeedReply listOrWatch(const FeedPort &feed, const FollowerSettings &settings,
                       const FollowerHandlers &handlers, FollowerState &state)
 {
-    if (!state.revision_) {
+    if (!state.position_) {
         FeedReply reply = feed.list_(settings.prefix_);
         if (reply.status_ == FeedStatus::Ok)
-            handlers.onListing_(reply.entries_, reply.revision_);
+            handlers.onListing_(reply.entries_, {reply.era_, reply.revision_});
         return reply;
     }
     const Millis timeout = state.unconfirmed_ ? confirmTimeout : settings.watchTimeout_;
-    FeedReply reply = feed.watch_(settings.prefix_, *state.revision_, timeout);
+    FeedReply reply = feed.watch_(settings.prefix_, state.position_->revision_, timeout);
+    if (reply.status_ == FeedStatus::Ok && reply.era_ != state.position_->era_) {
+        // The watch started from a revision of another history.
+        reply.status_ = FeedStatus::HistoryCompacted;
+        return reply;
+    }
     for (const FeedEntry &entry : reply.entries_)
-        handlers.onChange_(entry);
+        handlers.onChange_(entry, reply.era_);
     return reply;
 }
 
@@ -65,9 +70,9 @@
             return false;
     }
     // Changes of the meantime came from peers.
-    const Revision known = handlers.knownRevision_();
-    if (known > Revision {})
-        state.revision_ = state.revision_ ? std::max(*state.revision_, known) : known;
+    const StorePosition known = handlers.knownPosition_();
+    if (known > StorePosition {})
+        state.position_ = state.position_ ? std::max(*state.position_, known) : known;
     state.available_ = true;
     state.unconfirmed_ = true;
     state.retryDelay_ = settings.retryDelay_;
@@ -138,15 +143,15 @@
             reportAvailability(handlers, state, true, {});
             state.retryDelay_ = settings.retryDelay_;
             state.unconfirmed_ = false;
-            state.revision_
-                = state.revision_ ? std::max(*state.revision_, reply.revision_) : reply.revision_;
-            handlers.onProgress_(*state.revision_);
+            const StorePosition reached {reply.era_, reply.revision_};
+            state.position_ = state.position_ ? std::max(*state.position_, reached) : reached;
+            handlers.onProgress_(*state.position_);
             if (!reply.entries_.empty())
                 pause(gate, settings.changeBatchDelay_);
             continue;
         }
         if (reply.status_ == FeedStatus::HistoryCompacted) {
-            state.revision_.reset();
+            state.position_.reset();
             continue;
         }
         state.unconfirmed_ = true;
--- a/src/relayd/follower.h
+++ b/src/relayd/follower.h
@@ -45,13 +45,13 @@
 /// @brief Callbacks of a follower, called on its thread.
 struct FollowerHandlers
 {
-    std::function<void(const std::vector<FeedEntry> &, Revision revision)> onListing_;
-    std::function<void(const FeedEntry &)> onChange_;
-    /// Called when all changes up to a revision were handed to the other callbacks.
-    std::function<void(Revision revision)> onProgress_;
-    /// Returns the revision up to which all changes are known from other sources. Called when
+    std::function<void(const std::vector<FeedEntry> &, StorePosition position)> onListing_;
+    std::function<void(const FeedEntry &, StoreEra era)> onChange_;
+    /// Called when all changes up to a position were handed to the other callbacks.
+    std::function<void(StorePosition position)> onProgress_;
+    /// Returns the position up to which all changes are known from other sources. Called when
     /// following starts again.
-    std::function<Revision()> knownRevision_;
+    std::function<StorePosition()> knownPosition_;
     /// Called when the store becomes unavailable or available again.
     std::function<void(bool available, const std::string &detail)> onAvailability_;
 };
@@ -60,7 +60,8 @@
 void stopFollowing(FollowGate &gate);
 
 /// @brief Follows a prefix while @a gate allows it. Blocks until stopFollowing(). Lists the keys
-/// again if the store has discarded the history after the last known revision.
+/// again if the store has discarded the history after the last known position, or has returned from
+/// a copy since.
 void followPrefix(const FeedPort &feed, const FollowerSettings &settings,
                   const FollowerHandlers &handlers, FollowGate &gate);
 
--- a/tests/unit-documentexchange.cpp
+++ b/tests/unit-documentexchange.cpp
@@ -52,6 +52,18 @@
     return FeedEntry {StoreKey {key}, Revision {revision}, value};
 }
 
+/// Applies an event to the directory of instances.
+void applyEvent(ExchangeDaemon &daemon, const RelayEvent &event)
+{
+    const MonoTime now = std::chrono::steady_clock::now();
+    if (const auto *listed = std::get_if<InstancesListed>(&event))
+        applyListing(daemon.directory_, listed->instances_, listed->position_, now);
+    else if (const auto *changed = std::get_if<InstanceChanged>(&event))
+        upsertInstance(daemon.directory_, changed->listed_);
+    else if (const auto *removed = std::get_if<InstanceRemoved>(&event))
+        markMissing(daemon.directory_, removed->id_, removed->position_, now);
+}
+
 /// Applies the posted events to the directory of instances.
 /// @return the number of events
 std::size_t applyEvents(ExchangeDaemon &daemon)
@@ -60,12 +72,7 @@
     const MonoTime now = std::chrono::steady_clock::now();
     while (const std::optional<RelayEvent> event = take(daemon.queue_, now)) {
         ++events;
-        if (const auto *listed = std::get_if<InstancesListed>(&*event))
-            applyListing(daemon.directory_, listed->instances_, listed->revision_, now);
-        else if (const auto *changed = std::get_if<InstanceChanged>(&*event))
-            upsertInstance(daemon.directory_, changed->listed_);
-        else if (const auto *removed = std::get_if<InstanceRemoved>(&*event))
-            markMissing(daemon.directory_, removed->id_, removed->revision_, now);
+        applyEvent(daemon, *event);
     }
     return events;
 }
@@ -79,6 +86,32 @@
     applyEvents(daemon);
 }
 
+/// Lists all documents as a store in an era does.
+void listInEra(ExchangeDaemon &daemon, StoreEra era, const std::vector<FeedEntry> &entries,
+               const std::string &config, std::uint64_t revision)
+{
+    const StorePosition position {era, Revision {revision}};
+    daemon.instances_.onListing_(entries, position);
+    daemon.instances_.onProgress_(position);
+    daemon.config_.onListing_({entry("config", revision - 1, config)}, position);
+    daemon.config_.onProgress_(position);
+}
+
+/// Applies the posted events.
+/// @return the newest configuration among them
+ConfigVersion newestConfig(ExchangeDaemon &daemon)
+{
+    ConfigVersion newest;
+    const MonoTime now = std::chrono::steady_clock::now();
+    while (const std::optional<RelayEvent> event = take(daemon.queue_, now)) {
+        if (const auto *config = std::get_if<ConfigReceived>(&*event))
+            newest = std::max(newest, config->config_->version_);
+        else
+            applyEvent(daemon, *event);
+    }
+    return newest;
+}
+
 /// Lets @a receiver ask @a sender once.
 DocumentsReply ask(ExchangeDaemon &receiver, ExchangeDaemon &sender)
 {
@@ -108,9 +141,9 @@
     CHECK(isKnown(daemon, "b"));
     CHECK(ask(daemon, observer).changes_.empty());
 
-    observer.instances_.onChange_(entry("instances/c", 11));
-    observer.instances_.onChange_(
-        FeedEntry {StoreKey {"instances/a"}, Revision {12}, std::nullopt});
+    observer.instances_.onChange_(entry("instances/c", 11), {});
+    observer.instances_.onChange_(FeedEntry {StoreKey {"instances/a"}, Revision {12}, std::nullopt},
+                                  {});
     observer.instances_.onProgress_(Revision {12});
     const DocumentsReply reply = ask(daemon, observer);
     REQUIRE(reply.changes_.size() == 1);
@@ -128,7 +161,7 @@
     ExchangeDaemon daemon;
     list(observer, {entry("instances/a", 3)}, 10);
     ask(daemon, observer);
-    observer.config_.onChange_(entry("config", 15, "2"));
+    observer.config_.onChange_(entry("config", 15, "2"), {});
     observer.config_.onProgress_(Revision {15});
     CHECK(ask(daemon, observer).changes_.size() == 1);
     CHECK(ask(daemon, observer).changes_.empty());
@@ -177,7 +210,90 @@
     applyDocumentsReply(daemon.reader_, reply);
     const DocumentsRequest next = makeDocumentsRequest(daemon.reader_, "127.0.0.1:1");
     for (const FeedPosition &position : next.positions_)
-        CHECK(position.revision_ == Revision {10});
+        CHECK(position.position_ == StorePosition {Revision {10}});
+}
+
+TEST_CASE(
+    "changes after the store has returned from a copy reach daemons that know later revisions")
+{
+    ExchangeDaemon observer;
+    ExchangeDaemon daemon;
+    listInEra(observer, StoreEra {1}, {entry("instances/a", 100), entry("instances/b", 140)}, "7",
+              150);
+    ask(daemon, observer);
+    applyEvents(daemon);
+    REQUIRE(isKnown(daemon, "b"));
+
+    // The copy lacks b, and the revisions up to 150 are assigned again.
+    listInEra(observer, StoreEra {2}, {entry("instances/a", 100)}, "6", 118);
+    observer.config_.onChange_(entry("config", 137, "9"), StoreEra {2});
+    observer.config_.onProgress_({StoreEra {2}, Revision {138}});
+    observer.instances_.onChange_(entry("instances/c", 138), StoreEra {2});
+    observer.instances_.onProgress_({StoreEra {2}, Revision {138}});
+    ask(daemon, observer);
+    CHECK(newestConfig(daemon) == ConfigVersion {9});
+    CHECK(isKnown(daemon, "a"));
+    CHECK(!isKnown(daemon, "b"));
+    CHECK(isKnown(daemon, "c"));
+
+    SECTION("also if it returns once more")
+    {
+        listInEra(observer, StoreEra {3}, {entry("instances/a", 100)}, "9", 110);
+        observer.instances_.onChange_(entry("instances/d", 111), StoreEra {3});
+        observer.instances_.onProgress_({StoreEra {3}, Revision {111}});
+        ask(daemon, observer);
+        applyEvents(daemon);
+        CHECK(isKnown(daemon, "d"));
+        CHECK(!isKnown(daemon, "c"));
+    }
+    SECTION("a daemon that has not noticed the return overrules nobody")
+    {
+        ExchangeDaemon behind;
+        listInEra(behind, StoreEra {1}, {entry("instances/a", 100), entry("instances/b", 140)}, "7",
+                  160);
+        CHECK(ask(daemon, behind).changes_.empty());
+        ask(behind, daemon);
+        applyEvents(behind);
+        CHECK(isKnown(behind, "c"));
+        CHECK(!isKnown(behind, "b"));
+    }
+}
+
+TEST_CASE("the older configuration of a copy is not offered to a daemon that has just started")
+{
+    ExchangeDaemon observer;
+    listInEra(observer, StoreEra {1}, {}, "7", 150);
+    listInEra(observer, StoreEra {2}, {}, "6", 118);
+    CHECK(newestConfig(observer) == ConfigVersion {7});
+    ExchangeDaemon started;
+    ask(started, observer);
+    CHECK(newestConfig(started) == ConfigVersion {7});
+    // The operator writes the lost version again, and then a new one.
+    observer.config_.onChange_(entry("config", 120, "7"), StoreEra {2});
+    observer.config_.onChange_(entry("config", 130, "8"), StoreEra {2});
+    observer.config_.onProgress_({StoreEra {2}, Revision {130}});
+    ask(started, observer);
+    CHECK(newestConfig(started) == ConfigVersion {8});
+}
+
+TEST_CASE("daemons of a version without eras exchange documents with this one")
+{
+    ExchangeDaemon daemon;
+    listInEra(daemon, StoreEra {3}, {entry("instances/a", 100)}, "7", 150);
+    DocumentsReply reply;
+    reply.changes_.push_back(
+        FeedChanges {"store.instances",
+                     Revision {150},
+                     Revision {155},
+                     {PeerDocument {StoreKey {"instances/b"}, Revision {155}, std::string("1")}}});
+    applyDocumentsReply(daemon.reader_, reply);
+    applyEvents(daemon);
+    CHECK(isKnown(daemon, "b"));
+    const DocumentsRequest request {"127.0.0.1:1",
+                                    {FeedPosition {"store.instances", Revision {155}},
+                                     FeedPosition {"store.config", Revision {150}}}};
+    CHECK(makeDocumentsReply(daemon.reader_, request, std::chrono::steady_clock::now())
+              .changes_.empty());
 }
 
 TEST_CASE("the contact age is that of the newest contact while all feeds are available")
--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -25,6 +25,8 @@
     std::size_t failures_ = 0;
     std::vector<Millis> watchLimits_;
     std::vector<Revision> watchedAfter_;
+    StoreEra era_;
+    Revision listedAt_ {5};
 };
 
 FeedPort portOf(FakeFeed &feed)
@@ -35,8 +37,11 @@
         ++feed.lists_;
         feed.failures_ += feed.down_ ? 1 : 0;
         feed.changed_.notify_all();
-        return FeedReply {
-            feed.down_ ? FeedStatus::Unavailable : FeedStatus::Ok, Revision {5}, {}, {}};
+        return FeedReply {feed.down_ ? FeedStatus::Unavailable : FeedStatus::Ok,
+                          feed.listedAt_,
+                          {},
+                          {},
+                          feed.era_};
     };
     port.watch_ = [&feed](const std::string &, Revision after, Millis limit) {
         const std::lock_guard lock(feed.mutex_);
@@ -44,21 +49,22 @@
         feed.watchedAfter_.push_back(after);
         feed.failures_ += feed.down_ ? 1 : 0;
         feed.changed_.notify_all();
-        return FeedReply {feed.down_ ? FeedStatus::Unavailable : FeedStatus::Ok, after, {}, {}};
+        return FeedReply {
+            feed.down_ ? FeedStatus::Unavailable : FeedStatus::Ok, after, {}, {}, feed.era_};
     };
     return port;
 }
 
-FollowerHandlers handlers(Revision known = {})
+FollowerHandlers handlers(StorePosition known = {})
 {
     FollowerHandlers result;
-    result.onListing_ = [](const std::vector<FeedEntry> &, Revision) {
+    result.onListing_ = [](const std::vector<FeedEntry> &, StorePosition) {
     };
-    result.onChange_ = [](const FeedEntry &) {
+    result.onChange_ = [](const FeedEntry &, StoreEra) {
     };
-    result.onProgress_ = [](Revision) {
+    result.onProgress_ = [](StorePosition) {
     };
-    result.knownRevision_ = [known] {
+    result.knownPosition_ = [known] {
         return known;
     };
     result.onAvailability_ = [](bool, const std::string &) {
@@ -141,6 +147,34 @@
     two.join();
 }
 
+TEST_CASE("the keys are listed again after the store has returned from a copy")
+{
+    FakeFeed feed;
+    feed.era_ = StoreEra {1};
+    FollowGate gate;
+    std::thread follower([&] { followPrefix(portOf(feed), fastSettings("a"), handlers(), gate); });
+    await(feed, [&] { return feed.watchLimits_.size() >= 2; });
+    {
+        // Revision 5 exists in the new history as well, so that watches from it succeed.
+        const std::lock_guard lock(feed.mutex_);
+        feed.era_ = StoreEra {2};
+        feed.listedAt_ = Revision {3};
+        feed.lists_ = 0;
+    }
+    await(feed, [&] { return feed.lists_ >= 1; });
+    {
+        const std::lock_guard lock(feed.mutex_);
+        feed.watchedAfter_.clear();
+    }
+    await(feed, [&] { return feed.watchedAfter_.size() >= 2; });
+    {
+        const std::lock_guard lock(feed.mutex_);
+        CHECK(feed.watchedAfter_[1] == Revision {3});
+    }
+    stopFollowing(gate);
+    follower.join();
+}
+
 TEST_CASE("a closed gate stops the calls; following goes on after the revision known from peers")
 {
     FakeFeed feed;
--- a/tests/unit-instances.cpp
+++ b/tests/unit-instances.cpp
@@ -51,6 +51,48 @@
     CHECK(isUsable(directory, "listed"));
 }
 
+TEST_CASE("the copy from which the store returns does not undo what is known of a process")
+{
+    const StoreEra next {1};
+    const auto inCopy = [next](const std::string &id, std::uint64_t revision) {
+        ListedInstance listed = makeInstance(id, "s", revision);
+        listed.position_.era_ = next;
+        return listed;
+    };
+    InstanceDirectory directory;
+    ListedInstance draining = makeInstance("draining", "s", 140);
+    draining.instance_.state_ = InstanceState::Draining;
+    applyListing(directory,
+                 {makeInstance("kept", "s", 90), makeInstance("removed", "s", 91),
+                  makeInstance("gone", "s", 92), makeInstance("later", "s", 145), draining},
+                 Revision {145}, start);
+    markMissing(directory, UpstreamId {"removed"}, Revision {147}, start);
+    markMissing(directory, UpstreamId {"gone"}, Revision {148}, start);
+    removeExpired(directory, Millis {1}, start + Seconds {1});
+    markMissing(directory, UpstreamId {"removed"}, Revision {149}, start);
+
+    applyListing(
+        directory,
+        {inCopy("kept", 90), inCopy("removed", 91), inCopy("gone", 92), inCopy("draining", 80)},
+        {next, Revision {100}}, start + Seconds {5});
+    CHECK(isUsable(directory, "kept"));
+    CHECK(!isUsable(directory, "removed"));
+    CHECK(!isUsable(directory, "gone"));
+    CHECK(!isUsable(directory, "later"));
+    CHECK(directory.known_.at(UpstreamId {"draining"}).instance_.state_ == InstanceState::Draining);
+
+    // Instances that are running write their entries again.
+    CHECK(upsertInstance(directory, inCopy("gone", 101)));
+    CHECK(upsertInstance(directory, inCopy("later", 102)));
+    CHECK(isUsable(directory, "gone"));
+    CHECK(isUsable(directory, "later"));
+    // A new process under the same id is not draining.
+    ListedInstance restarted = inCopy("draining", 103);
+    restarted.instance_.startedAt_ += Seconds {9};
+    CHECK(upsertInstance(directory, restarted));
+    CHECK(directory.known_.at(UpstreamId {"draining"}).instance_.state_ == InstanceState::Ready);
+}
+
 TEST_CASE("missing instances are a last resort until the retention time has elapsed")
 {
     RelayFixture fixture;
