Write to the ledger again what a returned store has lost

Cause: a holder keeps the tokens of its grant, because totals never decrease, but the copy lacks the newest draws, so the ledger grants the same tokens again.

Replies carry the era of the store. When it rises, each holder reads the shard, adds what its own last copy has in addition, and writes the result. Totals of a grant are cumulative and written by one holder, so the larger one is the later one, and the copies of others tell what a killed holder had drawn. Nothing is drawn for 2.5 s from then on, so that all holders can write before; requests are served from grants and loans. A daemon that has started since pauses as well if nobody has written the shard in this era.

Ruled out: reading the shard before each write (costs a call each time, and a holder would still keep what the ledger has forgotten); refusing the grant after the return (tokens that were spent would be granted again).

--- a/src/adapters/jsonhttp/jsonclient.cpp
+++ b/src/adapters/jsonhttp/jsonclient.cpp
@@ -207,6 +207,9 @@
             return JsonResponse {};
         writeRequest(*session, request, request.timeout_.value_or(client.timeout_));
         JsonResponse reply = readResponse(*session, client.eraField_, keepAlive);
+        std::uint64_t newest = client.newestEra_;
+        while (reply.era_.value_ > newest
+               && !client.newestEra_.compare_exchange_weak(newest, reply.era_.value_)) { }
         if (keepAlive)
             returnSession(client, std::move(session));
         return reply;
@@ -238,6 +241,11 @@
 
 JsonHttpClient::~JsonHttpClient() = default;
 
+StoreEra newestEra(const JsonHttpClient &client)
+{
+    return StoreEra {client.newestEra_};
+}
+
 JsonResponse sendJson(JsonHttpClient &client, const JsonRequest &request)
 {
     if (SessionPtr pooled = takeIdleSession(client)) {
--- a/src/adapters/jsonhttp/jsonclient.h
+++ b/src/adapters/jsonhttp/jsonclient.h
@@ -8,6 +8,8 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -36,6 +38,7 @@
     Millis timeout_ {1000};
     /// Name of a response header field that holds the era of the store; empty if there is none.
     std::string eraField_;
+    std::atomic<std::uint64_t> newestEra_ = 0;
     std::mutex mutex_;
     std::list<IdleSession> idle_;
     /// Sockets of streams and cancellable requests in progress; cancelRequests() shuts them down.
@@ -97,6 +100,9 @@
 /// Unknown unless the request is idempotent.
 JsonResponse sendJson(JsonHttpClient &client, const JsonRequest &request);
 
+/// @brief Returns the newest era of the store in any response; 0 if there was none.
+StoreEra newestEra(const JsonHttpClient &client);
+
 /// @brief Aborts all streams and cancellable requests in progress; later ones fail immediately.
 void cancelRequests(JsonHttpClient &client);
 
--- a/src/adapters/shardcodec/storedvalue.cpp
+++ b/src/adapters/shardcodec/storedvalue.cpp
@@ -10,6 +10,7 @@
 std::string encode(const LedgerShard &shard)
 {
     stored::LedgerShard message;
+    message.set_written_era(shard.writtenEra_.value_);
     for (const auto &[id, record] : shard.budgets_) {
         stored::Budget &budget = *message.add_budgets();
         budget.set_id(id.value_);
@@ -92,6 +93,7 @@
 LedgerShard fromProto(const stored::LedgerShard &message)
 {
     LedgerShard shard;
+    shard.writtenEra_ = StoreEra {message.written_era()};
     for (const stored::Budget &budget : message.budgets()) {
         BudgetRecord &record = shard.budgets_[BudgetId {budget.id()}];
         record.funded_ = Tokens {budget.funded()};
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -8,6 +8,7 @@
 
 #include "core/error.h"
 #include "core/ids.h"
+#include "core/storeposition.h"
 #include "core/tokens.h"
 
 #include <map>
@@ -62,6 +63,8 @@
 struct LedgerShard
 {
     std::map<BudgetId, BudgetRecord> budgets_;
+    /// Era of the store in which the shard was last written; 0 if its writer did not know eras.
+    StoreEra writtenEra_ {};
 };
 
 /// @brief Returns the tokens authorized to written-off holders and not settled or returned.
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -65,6 +65,21 @@
     }
 }
 
+void pauseDraws(PrepaidState &state, const PrepaidSettings &settings, StoreEra era, MonoTime now)
+{
+    state.pausedEra_ = era;
+    state.drawsPausedUntil_ = now + settings.returnSettleTime_;
+    for (auto &[number, shard] : state.shards_)
+        dropDraws(state, settings, number);
+}
+
+/// Returns true if the copy from which the store returned may lack tokens that other daemons hold:
+/// none of them has written the shard since.
+bool mayLackHistory(const PrepaidShard &shard)
+{
+    return !shard.cached_.budgets_.empty() && shard.cached_.writtenEra_ < shard.era_;
+}
+
 Millis maxStoreBackoff(const PrepaidState &state, const PrepaidSettings &settings)
 {
     return std::clamp(settings.backoffPerDaemon_ * state.daemons_, settings.maxBackoff_,
@@ -219,6 +234,8 @@
 std::vector<SubmitStoreCall> startPrepaidCalls(PrepaidState &state, const PrepaidSettings &settings,
                                                MonoTime now)
 {
+    if (state.drawsPausedUntil_ && now >= *state.drawsPausedUntil_)
+        state.drawsPausedUntil_.reset();
     std::vector<SubmitStoreCall> calls;
     for (auto &[number, shard] : state.shards_) {
         if (!mayCallStore(state, now))
@@ -248,8 +265,14 @@
         return changed;
     const ShardNumber number = call->second;
     state.calls_.erase(call);
+    noticeStoreEra(state, settings, reply.era_, now);
     PrepaidShard &shard = state.shards_.at(number);
     const std::vector<LedgerOp> committed = finishCall(shard, reply, now);
+    // A daemon that has started since the return has not noticed it.
+    if (shard.loaded_ && mayLackHistory(shard) && state.pausedEra_ < shard.era_)
+        pauseDraws(state, settings, shard.era_, now);
+    if (state.drawsPausedUntil_)
+        dropDraws(state, settings, number);
     if (!shard.loaded_) {
         dropDraws(state, settings, number);
         const Millis backoff = settings.minBackoff_ * (1U << std::min(state.failures_, 10U));
@@ -303,7 +326,24 @@
 {
     const auto shard
         = state.shards_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
-    return state.failures_ > 0 || (shard != state.shards_.end() && shard->second.failures_ > 0);
+    return state.failures_ > 0 || state.drawsPausedUntil_
+        || (shard != state.shards_.end() && shard->second.failures_ > 0);
+}
+
+void noticeStoreEra(PrepaidState &state, const PrepaidSettings &settings, StoreEra era,
+                    MonoTime now)
+{
+    if (era <= state.storeEra_)
+        return;
+    const bool returned = state.storeEra_ != StoreEra {};
+    state.storeEra_ = era;
+    if (!returned)
+        return;
+    pauseDraws(state, settings, era, now);
+    for (auto &[number, shard] : state.shards_) {
+        shard.loaded_ = false;
+        scheduleCall(shard, now);
+    }
 }
 
 void endBackoff(PrepaidState &state, MonoTime now)
@@ -324,6 +364,8 @@
         if (time && (!next || *time < *next))
             next = time;
     };
+    if (state.drawsPausedUntil_)
+        takeEarlier(*state.drawsPausedUntil_);
     const bool waitsForReply = state.failures_ > 0 && !state.calls_.empty();
     for (const auto &[number, shard] : state.shards_) {
         const std::optional<MonoTime> call = nextCallTime(shard);
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -80,6 +80,9 @@
     Millis loanRequestInterval_ {400};
     /// Loans that have been unused for this long are returned.
     Millis loanIdleTimeout_ {1500};
+    /// No tokens are drawn for this long after the store was noticed to have returned from a copy.
+    /// All daemons notice it, and write what they hold, within this time.
+    Millis returnSettleTime_ {2500};
 };
 
 /// @brief Tokens that another daemon lent to this one.
@@ -186,6 +189,12 @@
     std::uint32_t failures_ = 0;
     /// No call starts before this time.
     MonoTime backoffUntil_ {};
+    /// Newest known era of the store; 0 if it is unknown or the store does not count eras.
+    StoreEra storeEra_;
+    /// Set while no tokens are drawn, because the ledger may lack some that other daemons hold.
+    std::optional<MonoTime> drawsPausedUntil_;
+    /// The era for which draws were last paused.
+    StoreEra pausedEra_;
     /// Daemons that share the budgets, including this one.
     std::uint32_t daemons_ = 1;
     Lenders lenders_;
@@ -276,10 +285,15 @@
 void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
 
 /// @brief Returns true if the last store call failed, or the last one for the account's ledger
-/// shard.
+/// shard, or draws are paused.
 bool isLedgerFailing(const PrepaidState &state, const PrepaidSettings &settings,
                      const AccountId &account);
 
+/// @brief Records the era of the store. After a return from a copy, the shards are read again, what
+/// this daemon knows in addition is written, and draws are paused.
+void noticeStoreEra(PrepaidState &state, const PrepaidSettings &settings, StoreEra era,
+                    MonoTime now);
+
 /// @brief Ends the backoff after failed store calls, because the store is available again.
 void endBackoff(PrepaidState &state, MonoTime now);
 
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -174,6 +174,8 @@
 void submitDraw(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                 PrepaidBalance &balance, Tokens needed, MonoTime now, MonoTime due)
 {
+    if (state.drawsPausedUntil_ && now < *state.drawsPausedUntil_)
+        return;
     HeldGrant &grant = balance.grant_;
     HeldGrant estimate = grant;
     estimate.consumptionRate_ = consumptionRate(balance, now);
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -305,7 +305,7 @@
             {{"name", event.name_}, {"detail", event.detail_}});
 }
 
-void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime, RelayCommands &out)
+void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime now, RelayCommands &out)
 {
     if (event.era_ <= state.storeEra_)
         return;
@@ -313,6 +313,7 @@
             {{"era", std::to_string(event.era_.value_)},
              {"previous", std::to_string(state.storeEra_.value_)}});
     state.storeEra_ = event.era_;
+    noticeStoreEra(state.prepaid_, state.settings_.prepaid_, event.era_, now);
 }
 
 void onEvent(RelayState &state, const StoreReplied &event, MonoTime now, RelayCommands &out)
--- a/src/core/shardcommit.h
+++ b/src/core/shardcommit.h
@@ -3,6 +3,7 @@
 // conflict or an unknown outcome they are applied again to a freshly read copy.
 #pragma once
 
+#include "core/ledgerhistory.h"
 #include "core/store.h"
 #include "core/time.h"
 
@@ -24,8 +25,9 @@
 /// @tparam Shard value type stored under the key of the shard
 /// @tparam Op operation type, for which applyOp(Shard &, const Op &) returns true on a change
 ///
-/// Invariants: inFlight_ is empty unless call_ is set; cached_ and revision_ are valid only if
-/// loaded_ is true; proposed_ is valid only if swapping_ is true.
+/// Invariants: inFlight_ is empty unless call_ is set; revision_ is valid only if loaded_ is true;
+/// cached_ is the last value that is known of the store if loaded_ is true or era_ is set;
+/// proposed_ is valid only if swapping_ is true.
 template <typename Shard, typename Op>
 struct ShardCommit
 {
@@ -37,6 +39,10 @@
     /// The value that the compare-and-swap in flight writes.
     Shard proposed_;
     bool swapping_ = false;
+    /// Era of the last reply; 0 if there was none, or if the store does not count eras.
+    StoreEra era_ {};
+    /// cached_ contains changes that the store has lost and that must be written again.
+    bool joinPending_ = false;
     std::vector<Op> pending_;
     std::vector<Op> inFlight_;
     std::optional<CallId> call_;
@@ -68,7 +74,7 @@
 template <typename Shard, typename Op>
 bool isIdle(const ShardCommit<Shard, Op> &shard)
 {
-    return !shard.call_ && shard.pending_.empty();
+    return !shard.call_ && shard.pending_.empty() && !shard.joinPending_;
 }
 
 /// @brief Returns when the next call may start, or nothing if a call is in flight or none is
@@ -96,7 +102,9 @@
         return std::nullopt;
     bool changed = false;
     if (shard.loaded_) {
+        changed = shard.joinPending_;
         shard.proposed_ = shard.cached_;
+        setWrittenEra(shard.proposed_, shard.era_);
         for (const Op &op : shard.pending_)
             changed |= applyOp(shard.proposed_, op);
     }
@@ -125,11 +133,19 @@
     }
     if (swapped && reply.status_ == StoreStatus::Ok) {
         shard.cached_ = std::move(shard.proposed_);
+        shard.joinPending_ = false;
+        shard.era_ = std::max(shard.era_, reply.era_);
         return std::exchange(shard.inFlight_, {});
     }
     if (answered) {
         const bool present = reply.current_.value_.has_value();
-        shard.cached_ = present ? std::get<Shard>(*reply.current_.value_) : Shard {};
+        Shard current = present ? std::get<Shard>(*reply.current_.value_) : Shard {};
+        // Totals never decrease in a store that has lost nothing.
+        shard.joinPending_ = shard.era_ != StoreEra {} && joinHistories(current, shard.cached_);
+        shard.era_ = std::max(shard.era_, reply.era_);
+        shard.cached_ = std::move(current);
+        if (shard.joinPending_)
+            shard.startBy_ = now;
         Shard trial = shard.cached_;
         bool changed = false;
         for (const Op &op : shard.inFlight_)
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -5,6 +5,7 @@
 #include "core/ids.h"
 #include "core/ledger.h"
 #include "core/requestrecords.h"
+#include "core/storeposition.h"
 
 #include <optional>
 #include <string>
@@ -106,6 +107,8 @@
     /// For a successful read and for a conflict: the current value and revision. For a successful
     /// compare-and-swap: the new revision only.
     VersionedValue current_;
+    /// Era of the store that replied; 0 if it does not count eras.
+    StoreEra era_ {};
 };
 
 } // namespace tamarack
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -48,6 +48,9 @@
     /// @return LeaseId 0 if the store didn't confirm it
     std::function<LeaseId(Seconds timeToLive)> grantLease_;
     std::function<LeaseRenewal(LeaseId)> renewLease_;
+    /// Returns the newest era of the store that any reply has shown; 0 if there was none. Empty if
+    /// the store does not count eras.
+    std::function<StoreEra()> era_;
     /// Deletes a lease and its keys.
     /// @return false if the store didn't confirm it
     std::function<bool(LeaseId)> revokeLease_;
--- /dev/null
+++ b/tests/unit-ledgerhistory.cpp
@@ -0,0 +1,288 @@
+// A store that returns from a copy has lost the newest operations of the ledger. Guards against
+// tokens that are granted a second time, and against tokens that stay lost although their holder
+// lives.
+#include "loanfixture.h"
+
+#include <rapidcheck.h>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::int64_t prepaid = 20'000;
+
+/// The store and the era that it states in its replies.
+struct ReturningStore
+{
+    FakeStoreKey key_;
+    StoreEra era_ {1};
+};
+
+/// Executes all calls of a daemon that are due.
+void runCalls(Fleet &fleet, ReturningStore &store, std::size_t index)
+{
+    Daemon &daemon = fleet.daemons_[index];
+    for (int round = 0; round < 10; ++round) {
+        const auto calls = startPrepaidCalls(daemon.state_, fleet.settings_, fleet.now_);
+        if (calls.empty())
+            break;
+        for (const SubmitStoreCall &call : calls) {
+            StoreReply reply = applyStoreCall(store.key_, call);
+            reply.era_ = store.era_;
+            finishPrepaidCall(daemon.state_, fleet.settings_, reply, fleet.now_);
+        }
+    }
+    serveBorrowers(daemon.state_, fleet.settings_, fleet.now_);
+}
+
+void restore(ReturningStore &store, const FakeStoreKey &copy)
+{
+    store.key_ = copy;
+    ++store.era_.value_;
+}
+
+/// Lets all daemons notice the era of the store, one after the other.
+void noticeByAll(Fleet &fleet, ReturningStore &store, std::size_t first)
+{
+    for (std::size_t i = 0; i < fleet.daemons_.size(); ++i) {
+        const std::size_t index = (first + i) % fleet.daemons_.size();
+        fleet.now_ += Millis {200};
+        noticeStoreEra(fleet.daemons_[index].state_, fleet.settings_, store.era_, fleet.now_);
+        runCalls(fleet, store, index);
+    }
+}
+
+const BudgetRecord &recordOf(const ReturningStore &store)
+{
+    return std::get<LedgerShard>(*store.key_.value_).budgets_.at(BudgetId {"acme"});
+}
+
+/// A fleet in which the lender has drawn once before and once after the copy was made.
+struct DrawnTwice
+{
+    Fleet fleet_ = makeFleet(3, prepaid);
+    ReturningStore store_;
+    FakeStoreKey copy_;
+    std::size_t lender_ = lenderIndex(fleet_);
+};
+
+void draw(DrawnTwice &drawn, std::int64_t amount)
+{
+    if (!reserve(drawn.fleet_, drawn.lender_, amount)) {
+        runCalls(drawn.fleet_, drawn.store_, drawn.lender_);
+        REQUIRE(reserve(drawn.fleet_, drawn.lender_, amount));
+    }
+    runCalls(drawn.fleet_, drawn.store_, drawn.lender_);
+    drawn.fleet_.now_ += Millis {500};
+}
+
+void drawTwice(DrawnTwice &drawn)
+{
+    draw(drawn, 100);
+    drawn.copy_ = drawn.store_.key_;
+    draw(drawn, 6000);
+}
+
+} // namespace
+
+TEST_CASE("tokens that were drawn since the copy are not granted again")
+{
+    DrawnTwice drawn;
+    drawTwice(drawn);
+    Fleet &fleet = drawn.fleet_;
+    const Tokens held = balanceOf(fleet, drawn.lender_).grant_.authorized_;
+    restore(drawn.store_, drawn.copy_);
+    REQUIRE(outstandingTokens(recordOf(drawn.store_)) < held);
+    SECTION("after the holder has noticed the return")
+    {
+        noticeByAll(fleet, drawn.store_, 0);
+        CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+    }
+    SECTION("while the holder has not noticed it yet, another daemon draws nothing")
+    {
+        const std::size_t other = (drawn.lender_ + 1) % fleet.daemons_.size();
+        PrepaidState &state = fleet.daemons_[other].state_;
+        noticeStoreEra(state, fleet.settings_, StoreEra {1}, fleet.now_);
+        noticeStoreEra(state, fleet.settings_, drawn.store_.era_, fleet.now_);
+        updateLenders(state.lenders_, selfAs("h" + std::to_string(other)), {});
+        CHECK(!reserve(fleet, other, 15'000));
+        runCalls(fleet, drawn.store_, other);
+        CHECK(!reserve(fleet, other, 15'000));
+        fleet.now_ += Millis {2000};
+        noticeStoreEra(fleet.daemons_[drawn.lender_].state_, fleet.settings_, drawn.store_.era_,
+                       fleet.now_);
+        runCalls(fleet, drawn.store_, drawn.lender_);
+        fleet.now_ += Millis {600};
+        CHECK(!reserve(fleet, other, 15'000));
+        runCalls(fleet, drawn.store_, other);
+        CHECK(!reserve(fleet, other, 15'000));
+        CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+    }
+    SECTION("a daemon that has started since draws nothing before the holders have written")
+    {
+        const std::size_t other = (drawn.lender_ + 1) % fleet.daemons_.size();
+        startDaemon(fleet, other, prepaid);
+        updateLenders(fleet.daemons_[other].state_.lenders_, selfAs("h" + std::to_string(other)),
+                      {});
+        CHECK(!reserve(fleet, other, 15'000));
+        runCalls(fleet, drawn.store_, other);
+        CHECK(!reserve(fleet, other, 15'000));
+        CHECK(fleet.daemons_[other].state_.drawsPausedUntil_);
+    }
+    SECTION("if the holder's first call since is a write whose revision was assigned again")
+    {
+        // Another daemon writes until the revision that the holder expects.
+        while (drawn.store_.key_.revision_ < Revision {3})
+            drawn.store_.key_.revision_.value_ += 1;
+        noticeByAll(fleet, drawn.store_, drawn.lender_);
+        CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+    }
+    SECTION("also if the store returns once more before the holder has written")
+    {
+        restore(drawn.store_, drawn.copy_);
+        noticeByAll(fleet, drawn.store_, 1);
+        CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+    }
+}
+
+TEST_CASE("what a killed holder drew is known from the daemons that saw it")
+{
+    DrawnTwice drawn;
+    drawTwice(drawn);
+    Fleet &fleet = drawn.fleet_;
+    const Tokens held = balanceOf(fleet, drawn.lender_).grant_.authorized_;
+    const std::size_t other = (drawn.lender_ + 1) % fleet.daemons_.size();
+    updateLenders(fleet.daemons_[other].state_.lenders_, selfAs("h" + std::to_string(other)), {});
+    reserve(fleet, other, 50);
+    runCalls(fleet, drawn.store_, other);
+    REQUIRE(reserve(fleet, other, 50));
+    startDaemon(fleet, drawn.lender_, prepaid);
+    restore(drawn.store_, drawn.copy_);
+    noticeByAll(fleet, drawn.store_, 0);
+    CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+}
+
+TEST_CASE("draws go on after the pause, and new funding is kept")
+{
+    DrawnTwice drawn;
+    drawTwice(drawn);
+    Fleet &fleet = drawn.fleet_;
+    for (Daemon &daemon : fleet.daemons_)
+        applyFunding(daemon.state_, fleet.settings_, configWith(2, 2 * prepaid), fleet.now_);
+    fleet.now_ += Millis {500};
+    runCalls(fleet, drawn.store_, drawn.lender_);
+    REQUIRE(recordOf(drawn.store_).funded_ == Tokens {2 * prepaid});
+    restore(drawn.store_, drawn.copy_);
+    noticeByAll(fleet, drawn.store_, 0);
+    CHECK(recordOf(drawn.store_).funded_ == Tokens {2 * prepaid});
+    fleet.now_ += fleet.settings_.returnSettleTime_;
+    runCalls(fleet, drawn.store_, drawn.lender_);
+    reserve(fleet, drawn.lender_, 25'000);
+    runCalls(fleet, drawn.store_, drawn.lender_);
+    CHECK(reserve(fleet, drawn.lender_, 25'000));
+}
+
+TEST_CASE("joining histories is idempotent, independent of the order and keeps the invariants")
+{
+    const bool held = rc::check("of two histories of a shard", [] {
+        const BudgetId budget {"acme"};
+        LedgerShard common;
+        applyOp(common, FundOp {budget, Tokens {1000}, BundleVersion {1}});
+        const auto grow = [&budget](LedgerShard shard, int first) {
+            const auto ops = *rc::gen::container<std::vector<std::pair<int, int>>>(
+                12, rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 400)));
+            for (const auto &[kind, amount] : ops) {
+                // Each grant is written in one history only, like by one holder.
+                const GrantId grant {std::to_string(first + kind % 2)};
+                const Tokens tokens {amount};
+                if (kind < 4)
+                    applyOp(shard,
+                            DrawOp {budget, grant, HolderId {grant.value_}, tokens, Tokens {},
+                                    Tokens {}, true});
+                else if (kind < 6)
+                    applyOp(shard, SettleOp {budget, grant, tokens});
+                else
+                    applyOp(shard, ReturnOp {budget, grant, tokens});
+            }
+            return shard;
+        };
+        const LedgerShard base = grow(common, 0);
+        const LedgerShard left = grow(base, 2);
+        const LedgerShard right = grow(base, 4);
+        const auto isSound = [](const LedgerShard &shard) {
+            return boost::leaf::try_handle_all(
+                [&]() -> Result<bool> {
+                    BOOST_LEAF_CHECK(checkInvariants(shard));
+                    return true;
+                },
+                [] { return false; });
+        };
+        LedgerShard joined = left;
+        joinHistories(joined, right);
+        LedgerShard reversed = right;
+        joinHistories(reversed, left);
+        RC_ASSERT(isSound(joined));
+        LedgerShard again = joined;
+        RC_ASSERT(!joinHistories(again, left));
+        RC_ASSERT(!joinHistories(again, right));
+        RC_ASSERT(!joinHistories(again, reversed));
+        RC_ASSERT(!joinHistories(reversed, joined));
+        // Nothing is lost that either history had.
+        RC_ASSERT(joined.budgets_.at(budget).charged_ >= std::max(
+                      left.budgets_.at(budget).charged_, right.budgets_.at(budget).charged_));
+    });
+    CHECK(held);
+}
+
+TEST_CASE("no sequence of draws and returns of the store overspends a total")
+{
+    const bool held = rc::check("with all holders alive", [] {
+        Fleet fleet = makeFleet(5, prepaid);
+        ReturningStore store;
+        std::vector<FakeStoreKey> copies;
+        Tokens spent;
+        std::vector<std::pair<std::size_t, Reservation>> open;
+        const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            120, rc::gen::pair(rc::gen::inRange(0, 14), rc::gen::inRange(1, 1500)));
+        for (const auto &[action, amount] : steps) {
+            const std::size_t index = static_cast<std::size_t>(amount) % fleet.daemons_.size();
+            PrepaidState &state = fleet.daemons_[index].state_;
+            fleet.now_ += Millis {amount % 300};
+            expireLoanRequests(state, fleet.settings_, fleet.now_);
+            reconcileBalances(state, fleet.settings_, fleet.now_);
+            if (action < 8) {
+                if (const auto reservation = reserve(fleet, index, amount))
+                    open.emplace_back(index, *reservation);
+                runCalls(fleet, store, index);
+            } else if (action < 10 && !open.empty()) {
+                const auto [owner, reservation] = open.back();
+                open.pop_back();
+                settleTokens(fleet.daemons_[owner].state_, acme, reservation, reservation.amount_,
+                             fleet.now_);
+                spent += reservation.amount_;
+            } else if (action == 10) {
+                copies.push_back(store.key_);
+            } else if (action == 11 && !copies.empty()) {
+                restore(store, copies[static_cast<std::size_t>(amount) % copies.size()]);
+                // Daemons that have not seen the store before don't notice its return.
+                noticeByAll(fleet, store, index);
+            } else {
+                collect(fleet);
+                while (!fleet.messages_.empty()) {
+                    const Message message = fleet.messages_.front();
+                    fleet.messages_.pop_front();
+                    deliver(fleet, message);
+                    collect(fleet);
+                }
+            }
+            Tokens reserved;
+            for (const auto &[owner, reservation] : open)
+                reserved += reservation.amount_;
+            RC_ASSERT(spent + reserved <= Tokens {prepaid});
+            RC_ASSERT(isValid(fleet));
+        }
+    });
+    CHECK(held);
+}
+
+} // namespace tamarack
