Register again when the store has returned from a copy

Ids of leases are assigned again in the new history, so the renewal of a lost lease succeeds if another daemon has got its id, and keeps that one's lease instead: the daemon stays unregistered without noticing. A lease now counts as ended when the era of the store has risen since it was granted. Found by reading; without the check the new section of contract-registration fails.

--- a/src/runtime/registration.cpp
+++ b/src/runtime/registration.cpp
@@ -69,6 +69,11 @@
     return !threads.stopping_;
 }
 
+StoreEra currentEra(const RegistrationThreads &threads)
+{
+    return threads.store_.era_ ? threads.store_.era_() : StoreEra {};
+}
+
 bool isLeaving(RegistrationThreads &threads)
 {
     const std::lock_guard lock(threads.mutex_);
@@ -184,13 +189,14 @@
         const LeaseRenewal renewal = threads.store_.renewLease_(written.lease_);
         if (renewal == LeaseRenewal::Unconfirmed)
             return false;
-        if (renewal == LeaseRenewal::Ended)
+        if (renewal == LeaseRenewal::Ended || currentEra(threads) > written.era_)
             written.lease_ = LeaseId {};
     }
     if (written.lease_ == LeaseId {}) {
         written.lease_ = threads.store_.grantLease_(threads.settings_.leaseTtl_);
         if (written.lease_ == LeaseId {})
             return false;
+        written.era_ = currentEra(threads);
         return writeRegistration(threads, written, leaving)
             || writeRegistration(threads, written, leaving);
     }
--- a/src/runtime/registration.h
+++ b/src/runtime/registration.h
@@ -61,6 +61,9 @@
     LeaseId lease_;
     Revision revision_;
     bool leavingWritten_ = false;
+    /// Era of the store that granted the lease. Ids of leases are assigned again when the store
+    /// returns from a copy, so the same id may belong to another daemon then.
+    StoreEra era_;
 };
 
 /// @brief Renews the lease and writes the registration if it has changed.
--- a/tests/contract-registration.cpp
+++ b/tests/contract-registration.cpp
@@ -20,6 +20,7 @@
     std::uint64_t lastLease_ = 0;
     bool down_ = false;
     bool losesReplies_ = false;
+    StoreEra era_ {1};
 };
 
 StoreReply compareAndSwap(LeaseStore &store, const CompareAndSwapCall &call)
@@ -55,6 +56,9 @@
             return LeaseRenewal::Unconfirmed;
         return store.leases_.contains(lease) ? LeaseRenewal::Renewed : LeaseRenewal::Ended;
     };
+    port.era_ = [&store] {
+        return store.era_;
+    };
     return port;
 }
 
@@ -95,6 +99,14 @@
         CHECK(refreshRegistration(threads, written, false));
         CHECK(stored());
     }
+    SECTION("after the store returned from a copy it registers again, although its lease id exists")
+    {
+        // The copy lacks the registration, and another daemon got the same lease id since.
+        store.entries_.clear();
+        store.era_ = StoreEra {2};
+        CHECK(refreshRegistration(threads, written, false));
+        CHECK(stored());
+    }
     SECTION("it registers again after the store was unavailable")
     {
         store.down_ = true;
