Don't believe a refusal without request id on a reused connection

Another operator reports a runner that repeats an earlier refusal on a kept connection: clients were told "not run, try again" for requests that were running, or such a request ran at a second runner. It could happen here: a response without request id was classified by its status, on a reused connection too, so a repeated 503 with "not run", a 421 or a signed 404 was taken for the answer to the next request. Responses with another id were skipped before.

Upstreams echo the id, so without it a response on a connection that has served an earlier request proves nothing; it is malformed, and the request may have run. On a new connection there is no earlier request, and nothing changes.

--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -238,6 +238,7 @@
     received.signed_ = findField(head.headers_, names.signature_).has_value();
     received.notExecuted_ = findField(head.headers_, names.notExecuted_).has_value();
     received.contentEncoded_ = findField(head.headers_, "Content-Encoding").has_value();
+    received.connectionReused_ = upstream.reused_;
     const ResponseClass responseClass = classifyResponse(received, exchange.requestId_);
     if (responseClass == ResponseClass::OtherRequest)
         return false;
--- a/src/core/relay/responseclass.cpp
+++ b/src/core/relay/responseclass.cpp
@@ -13,6 +13,9 @@
 {
     if (head.echoedRequest_ && *head.echoedRequest_ != request)
         return ResponseClass::OtherRequest;
+    // Not even a refusal may be believed: the request may be running.
+    if (!head.echoedRequest_ && head.connectionReused_)
+        return ResponseClass::Malformed;
     if (head.status_ == statusMisdirected)
         return ResponseClass::WrongInstance;
     if (head.notExecuted_)
--- a/src/core/relay/responseclass.h
+++ b/src/core/relay/responseclass.h
@@ -21,6 +21,9 @@
     bool notExecuted_ = false;
     /// The body has a content encoding, although no client requests one.
     bool contentEncoded_ = false;
+    /// The connection has served an earlier request. Without a request id, the response may be a
+    /// repetition of the one to that request.
+    bool connectionReused_ = false;
 };
 
 enum class ResponseClass {
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -324,6 +324,31 @@
     CHECK(readToEnd(exchange.upstream_).empty());
 }
 
+TEST_CASE("a repeated refusal without request id on a reused connection is no answer")
+{
+    const std::string statuses[] {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n", "HTTP/1.1 421 Other\r\n",
+                                  "HTTP/1.1 404 N\r\nX-Signature: s\r\n", "HTTP/1.1 500 E\r\n"};
+    for (const std::string &status : statuses) {
+        INFO(status);
+        Fixture fixture;
+        setUp(fixture);
+        Exchange exchange = startExchange(fixture);
+        sendText(exchange.upstream_, responseTo("r1", "Content-Length: 2\r\n\r\nok"));
+        readUntil(exchange.client_, [](const std::string &text) { return text.ends_with("ok"); });
+        waitForEvent<RelayAttemptEnded>(fixture);
+        sendText(exchange.client_, getRequest);
+        const RequestRead second = waitForEvent<RequestRead>(fixture);
+        command(fixture, attemptFor(fixture, second, RetryPolicy::AtMostOnce, false));
+        readHead(exchange.upstream_);
+        // The upstream runs the request, but repeats what it had sent for an earlier one.
+        sendText(exchange.upstream_, status + "Content-Length: 0\r\n\r\n");
+        const RelayAttemptEnded ended = waitForEvent<RelayAttemptEnded>(fixture);
+        CHECK(ended.end_ == AttemptEnd::Malformed);
+        command(fixture, RespondToClient {second.request_.id_, 502, std::nullopt, "test"});
+        CHECK(readHead(exchange.client_).starts_with("HTTP/1.1 502 "));
+    }
+}
+
 TEST_CASE("an upstream that sends without end is cut off")
 {
     // Otherwise the response is buffered or searched until the request's deadline, and one bad
