Keep the error of a second upstream out of a stream that has begun

It could happen here: a resumed stream keeps the head of its first response, and a signed 404 of the next upstream (or a success with another status) was classified as deliverable, so its body was forwarded as events and the stream ended as if it were complete. A status other than that of the stream is now a failure of the attempt, which is repeated or cuts the stream. A 500 was handled correctly before.

Without the change the new case of contract-relayfront fails for the 404 and for the 202.

--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -238,7 +238,8 @@
     received.signed_ = findField(head.headers_, names.signature_).has_value();
     received.notExecuted_ = findField(head.headers_, names.notExecuted_).has_value();
     received.contentEncoded_ = findField(head.headers_, "Content-Encoding").has_value();
-    received.connectionReused_ = upstream.reused_;
+    // A skipped response to another request shows as well that the upstream repeats responses.
+    received.connectionReused_ = upstream.reused_ || upstream.closeAfterResponse_;
     const ResponseClass responseClass = classifyResponse(received, exchange.requestId_);
     if (responseClass == ResponseClass::OtherRequest)
         return false;
@@ -247,10 +248,14 @@
     if (responseClass != ResponseClass::WrongInstance && responseClass != ResponseClass::Malformed)
         reportNotice(state, upstream.instance_, head);
     exchange.responseClass_ = responseClass;
+    // Only the rest of the stream may follow its beginning, not the body of an error.
+    if (exchange.headSent_ && responseClass == ResponseClass::Deliver
+        && head.status_ != exchange.head_.status_)
+        exchange.responseClass_ = ResponseClass::UpstreamFailure;
     // A resumed stream keeps the head of its first response.
     if (!exchange.headSent_)
         exchange.head_ = std::move(head);
-    if (responseClass == ResponseClass::Deliver && !isEventStream(exchange))
+    if (exchange.responseClass_ == ResponseClass::Deliver && !isEventStream(exchange))
         reportOutputStarted(state, exchange);
     return true;
 }
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -586,6 +586,44 @@
     CHECK(waitForEvent<RelayAttemptEnded>(fixture).events_ == 2);
 }
 
+TEST_CASE("an error of the next upstream does not become part of a stream that has begun")
+{
+    const std::string body = "Content-Length: 9\r\n\r\nnot found";
+    const std::string notFound = "HTTP/1.1 404 N\r\nX-Request-Id: r1\r\nX-Signature: s\r\n" + body;
+    const std::string failed = "HTTP/1.1 500 E\r\nX-Request-Id: r1\r\nX-Signature: s\r\n" + body;
+    const std::string otherSuccess
+        = "HTTP/1.1 202 A\r\nX-Request-Id: r1\r\nX-Signature: s\r\n" + body;
+    for (const std::string &error : {notFound, failed, otherSuccess}) {
+        INFO(error);
+        Fixture fixture;
+        setUp(fixture);
+        Exchange exchange = startExchange(fixture, RetryPolicy::Retryable, true);
+        sendText(exchange.upstream_,
+                 responseTo("r1",
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "1c\r\nid: 1\ndata: a\n\nid: 2\ndata:\r\n"));
+        waitForEvent<OutputStarted>(fixture);
+        exchange.upstream_.close();
+        waitForEvent<RelayAttemptEnded>(fixture);
+        SendAttempt next = exchange.attempt_;
+        next.attempt_ = 2;
+        command(fixture, next);
+        StreamSocket second = fixture.upstream_.acceptConnection();
+        second.setReceiveTimeout(receiveTimeout);
+        readHead(second);
+        sendText(second, error);
+        const RelayAttemptEnded ended = waitForEvent<RelayAttemptEnded>(fixture);
+        CHECK(ended.end_ != AttemptEnd::Delivered);
+        CHECK(ended.partiallyDelivered_);
+        command(fixture, AbortResponse {exchange.attempt_.id_});
+        const std::string response = readToEnd(exchange.client_);
+        CHECK(response.find("data: a") != std::string::npos);
+        CHECK(response.find("not found") == std::string::npos);
+        CHECK(response.find("HTTP/1.1") == response.rfind("HTTP/1.1"));
+        CHECK(!response.ends_with("0\r\n\r\n"));
+    }
+}
+
 TEST_CASE("the upstream connection is closed when the client disconnects")
 {
     Fixture fixture;
