--- /dev/null
+++ b/src/adapters/peers/messageencoder.cpp
@@ -0,0 +1,232 @@
+// Protobuf encoding of the messages between daemons.
+#include "adapters/peers/messagecodec.h"
+
+#include "peer.pb.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+void encodeInto(peer::Envelope &envelope, const Heartbeat &message)
+{
+    peer::Heartbeat &out = *envelope.mutable_heartbeat();
+    out.set_holder(message.holder_.value_);
+    out.set_zone(message.zone_.value_);
+    out.set_peer_address(message.peerAddress_);
+    out.set_bundle(message.bundle_.value_);
+    out.set_leaving(message.leaving_);
+    out.set_members(message.members_);
+    out.set_members_digest(message.membersDigest_);
+}
+
+void encodeInto(peer::Envelope &envelope, const Reserve &message)
+{
+    peer::Reserve &out = *envelope.mutable_reserve();
+    out.set_admission(message.admission_.value_);
+    out.set_entry(message.entry_.value_);
+    out.set_home(message.home_.value_);
+    out.set_request(message.request_.value_);
+    out.set_account(message.account_.value_);
+    out.set_budget(message.budget_.value_);
+    out.set_worst_case(message.worstCase_.count_);
+    out.set_remaining_ms(message.remaining_.count());
+}
+
+void encodeInto(peer::Envelope &envelope, const ReserveQueued &message)
+{
+    peer::ReserveQueued &out = *envelope.mutable_reserve_queued();
+    out.set_admission(message.admission_.value_);
+    out.set_home(message.home_.value_);
+}
+
+void encodeInto(peer::Envelope &envelope, const Reserved &message)
+{
+    peer::Reserved &out = *envelope.mutable_reserved();
+    out.set_admission(message.admission_.value_);
+    out.set_home(message.home_.value_);
+}
+
+void encodeInto(peer::Envelope &envelope, const Refused &message)
+{
+    peer::Refused &out = *envelope.mutable_refused();
+    out.set_admission(message.admission_.value_);
+    out.set_home(message.home_.value_);
+    out.set_bundle(message.bundle_.value_);
+    out.set_reason(static_cast<std::uint32_t>(message.refusal_.reason_));
+    out.set_execution(static_cast<std::uint32_t>(message.refusal_.execution_));
+    out.set_message(message.refusal_.message_);
+    if (message.refusal_.retryAfter_)
+        out.set_retry_after_ms(message.refusal_.retryAfter_->count());
+}
+
+void encodeInto(peer::Envelope &envelope, const Settle &message)
+{
+    peer::Settle &out = *envelope.mutable_settle();
+    out.set_admission(message.admission_.value_);
+    out.set_entry(message.entry_.value_);
+    out.set_home(message.home_.value_);
+    out.set_charged(message.charged_.count_);
+}
+
+void encodeInto(peer::Envelope &envelope, const SettleAck &message)
+{
+    peer::SettleAck &out = *envelope.mutable_settle_ack();
+    out.set_admission(message.admission_.value_);
+    out.set_home(message.home_.value_);
+}
+
+void encodeInto(peer::Envelope &envelope, const BundleOffer &message)
+{
+    envelope.mutable_bundle_offer()->set_version(message.version_.value_);
+}
+
+void encodeInto(peer::Envelope &envelope, const BundleFetch &message)
+{
+    envelope.mutable_bundle_fetch()->set_version(message.version_.value_);
+}
+
+void encodeInto(peer::Envelope &envelope, const BundleParts &message)
+{
+    peer::BundleParts &out = *envelope.mutable_bundle_parts();
+    out.set_version(message.version_.value_);
+    out.set_manifest(message.manifest_);
+    out.set_operator_id(message.operator_.value_);
+    out.set_signature(message.signature_);
+    for (const std::string &part : message.parts_)
+        out.add_parts(part);
+}
+
+void encodeInto(peer::Envelope &envelope, const ReleaseRequest &message)
+{
+    peer::ReleaseAsked &out = *envelope.mutable_release_asked();
+    out.set_holder(message.holder_.value_);
+    out.set_budget(message.budget_.value_);
+}
+
+void encodeInto(peer::Envelope &envelope, const Leaving &message)
+{
+    envelope.mutable_leaving()->set_holder(message.holder_.value_);
+}
+
+void encodeInto(peer::Envelope &envelope, const DocumentsRequest &message)
+{
+    peer::DocumentsAsked &out = *envelope.mutable_documents_asked();
+    out.set_reply_address(message.replyAddress_);
+    for (const FeedPosition &position : message.positions_) {
+        peer::FeedPosition &entry = *out.add_positions();
+        entry.set_feed(position.feed_);
+        entry.set_revision(position.position_.revision_.value_);
+        entry.set_era(position.position_.era_.value_);
+    }
+}
+
+void encodeInto(peer::Envelope &envelope, const DocumentsReply &message)
+{
+    peer::DocumentsOffered &out = *envelope.mutable_documents_offered();
+    for (const FeedChanges &changes : message.changes_) {
+        peer::FeedChanges &feed = *out.add_changes();
+        feed.set_feed(changes.feed_);
+        feed.set_after(changes.after_.value_);
+        feed.set_at(changes.at_.revision_.value_);
+        feed.set_era(changes.at_.era_.value_);
+        for (const PeerDocument &document : changes.documents_) {
+            peer::Document &entry = *feed.add_documents();
+            entry.set_key(document.key_.value_);
+            entry.set_revision(document.position_.revision_.value_);
+            entry.set_era(document.position_.era_.value_);
+            entry.set_removed(!document.value_);
+            entry.set_value(document.value_.value_or(""));
+        }
+    }
+    if (message.contactAge_)
+        out.set_contact_age_ms(static_cast<std::uint64_t>(message.contactAge_->count()));
+}
+
+void encodeInto(peer::Envelope &envelope, const LoanRequest &message)
+{
+    peer::TokensAsked &out = *envelope.mutable_tokens_asked();
+    out.set_borrower(message.borrower_.value_);
+    out.set_reply_address(message.replyAddress_);
+    out.set_lender(message.lender_.value_);
+    out.set_account(message.account_.value_);
+    out.set_needed(message.needed_.count_);
+    out.set_wanted(message.wanted_.count_);
+    out.set_spent(message.spent_.count_);
+    out.set_returned(message.returned_.count_);
+}
+
+void encodeInto(peer::Envelope &envelope, const LoanReply &message)
+{
+    peer::TokensLent &out = *envelope.mutable_tokens_lent();
+    out.set_lender(message.lender_.value_);
+    out.set_account(message.account_.value_);
+    out.set_lent(message.lent_.count_);
+    out.set_refusal(static_cast<std::uint32_t>(message.refusal_));
+    out.set_unavailable(message.unavailable_);
+    out.set_recalled(message.recalled_);
+    out.set_borrower(message.borrower_.value_);
+}
+
+std::int64_t millisSinceEpoch(WallTime time)
+{
+    return std::chrono::duration_cast<Millis>(time.time_since_epoch()).count();
+}
+
+void encodeInto(peer::Envelope &envelope, const PermitRequest &message)
+{
+    peer::PermitAsked &out = *envelope.mutable_permit_asked();
+    out.set_reply_address(message.replyAddress_);
+    out.set_instance(message.process_.instance_.value_);
+    out.set_started_ms(millisSinceEpoch(message.process_.startedAt_));
+    out.set_number(message.number_);
+    if (message.limit_)
+        out.set_limit(*message.limit_);
+    out.set_stated_age_ms(
+        static_cast<std::uint64_t>(std::max(message.statedAge_, Millis {}).count()));
+}
+
+void encodeInto(peer::Envelope &envelope, const PermitReply &message)
+{
+    peer::PermitAnswered &out = *envelope.mutable_permit_answered();
+    out.set_instance(message.process_.instance_.value_);
+    out.set_started_ms(millisSinceEpoch(message.process_.startedAt_));
+    out.set_number(message.number_);
+    out.set_result(static_cast<std::uint32_t>(message.result_));
+    out.set_retry_after_ms(
+        static_cast<std::uint64_t>(std::max(message.retryAfter_, Millis {}).count()));
+}
+
+void encodeInto(peer::Envelope &envelope, const QuarantineReport &message)
+{
+    peer::CrashesReported &out = *envelope.mutable_crashes_reported();
+    out.set_reply_address(message.replyAddress_);
+    out.set_purpose(static_cast<std::uint32_t>(message.purpose_));
+    out.set_digest(message.digest_);
+    for (const ReportedCrash &crash : message.crashes_) {
+        peer::Crash &encoded = *out.add_crashes();
+        encoded.set_instance(crash.id_.instance_.value_);
+        encoded.set_started_ms(millisSinceEpoch(crash.id_.startedAt_));
+        encoded.set_address(crash.address_);
+        encoded.set_age_ms(static_cast<std::uint64_t>(crash.age_.count()));
+        for (const PromptPartId part : crash.suspects_)
+            encoded.add_suspects(part.value_);
+        for (const PromptPartId part : crash.cleared_)
+            encoded.add_cleared(part.value_);
+        if (crash.survivedAge_)
+            encoded.set_survived_age_ms(static_cast<std::uint64_t>(crash.survivedAge_->count()));
+    }
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerEnvelope &envelope)
+{
+    peer::Envelope out;
+    out.set_from(envelope.from_.value_);
+    std::visit([&out](const auto &message) { encodeInto(out, message); }, envelope.message_);
+    return out.SerializeAsString();
+}
+
+} // namespace tamarack
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -18,39 +18,10 @@
 constexpr int statusNotFound = 404;
 constexpr int statusServiceUnavailable = 503;
 
-std::string sourceName(ChangeSource source)
-{
-    return source == ChangeSource::Store ? "store" : "peer";
-}
-
 /// Maximum number of remembered removals. Far more instances than this would have to be removed
 /// before an outdated message could restore one.
 constexpr std::size_t maxTombstones = 2000;
 
-void updateReadiness(RelayState &state, RelayCommands &out)
-{
-    const bool overloaded = isOverloaded(state.overload_);
-    const bool keepsConnections = !state.stopRequestedAt_ && !overloaded;
-    if (keepsConnections != state.keepsConnections_) {
-        state.keepsConnections_ = keepsConnections;
-        out.emplace_back(SetKeepAlive {keepsConnections});
-    }
-    const bool ready
-        = state.config_ && state.instancesListed_ && !state.stopRequestedAt_ && !overloaded;
-    if (ready == state.ready_)
-        return;
-    state.ready_ = ready;
-    out.emplace_back(SetReady {ready});
-    logLine(out, LogLevel::Info, "daemon.readiness",
-            {{"ready", ready ? "yes" : "no"},
-             {"overloaded", overloaded ? "yes" : "no"},
-             {"event_delay_ms", fmt::format("{:.0f}", state.overload_.delay_.count() / 1000.0)},
-             {"link_use", fmt::format("{:.2f}", state.overload_.linkUse_)},
-             {"active", std::to_string(state.active_.size())},
-             {"config", std::to_string(state.config_ ? state.config_->version_.value_ : 0)},
-             {"instances", std::to_string(state.directory_.known_.size())}});
-}
-
 /// Returns the status code of a refusal, or 0 if access is granted.
 int checkAccess(RelayedRequest &active)
 {
@@ -172,73 +143,6 @@
     onAttemptEnded(state, active, ended, now, out);
 }
 
-void onEvent(RelayState &state, const ConfigReceived &event, MonoTime now, RelayCommands &out)
-{
-    if (state.config_ && event.config_->version_ <= state.config_->version_)
-        return;
-    state.config_ = event.config_;
-    applyFunding(state.prepaid_, state.settings_.prepaid_, *state.config_, now);
-    out.emplace_back(ApplyLimits {state.config_->limits_});
-    logLine(out, LogLevel::Info, "config.applied",
-            {{"version", std::to_string(state.config_->version_.value_)},
-             {"routes", std::to_string(state.config_->routes_.size())},
-             {"accounts", std::to_string(state.config_->accounts_.size())},
-             {"source", sourceName(event.source_)}});
-    updateReadiness(state, out);
-}
-
-void logInstance(RelayCommands &out, const Instance &instance, StorePosition position,
-                 ChangeSource source)
-{
-    logLine(out, LogLevel::Info, "instance.changed",
-            {{"upstream", instance.id_.value_},
-             {"service", instance.service_.value_},
-             {"address", instance.address_},
-             {"zone", instance.zone_.value_},
-             {"state", instance.state_ == InstanceState::Ready ? "ready" : "draining"},
-             {"era", std::to_string(position.era_.value_)},
-             {"revision", std::to_string(position.revision_.value_)},
-             {"source", sourceName(source)}});
-}
-
-void onEvent(RelayState &state, const InstancesListed &event, MonoTime now, RelayCommands &out)
-{
-    const std::vector<UpstreamId> missing
-        = applyListing(state.directory_, event.instances_, event.position_,
-                       earliestRemoval(state, event.source_, now));
-    state.instancesListed_ = true;
-    logLine(out, LogLevel::Info, "instances.listed",
-            {{"count", std::to_string(event.instances_.size())},
-             {"missing", std::to_string(missing.size())},
-             {"era", std::to_string(event.position_.era_.value_)},
-             {"revision", std::to_string(event.position_.revision_.value_)},
-             {"source", sourceName(event.source_)}});
-    updateReadiness(state, out);
-    resumeWaitingForInstance(state, now, out);
-}
-
-void onEvent(RelayState &state, const InstanceChanged &event, MonoTime now, RelayCommands &out)
-{
-    if (!upsertInstance(state.directory_, event.listed_))
-        return;
-    logInstance(out, event.listed_.instance_, event.listed_.position_, event.source_);
-    resumeWaitingForInstance(state, now, out);
-}
-
-void onEvent(RelayState &state, const InstanceRemoved &event, MonoTime now, RelayCommands &out)
-{
-    const MonoTime since = earliestRemoval(state, event.source_, now);
-    if (!markMissing(state.directory_, event.id_, event.position_, since))
-        return;
-    const auto age = std::chrono::duration_cast<Millis>(now - since);
-    logLine(out, LogLevel::Info, "instance.missing",
-            {{"upstream", event.id_.value_},
-             {"age_ms", std::to_string(age.count())},
-             {"era", std::to_string(event.position_.era_.value_)},
-             {"revision", std::to_string(event.position_.revision_.value_)},
-             {"source", sourceName(event.source_)}});
-}
-
 void onEvent(RelayState &state, const FleetView &event, MonoTime now, RelayCommands &out)
 {
     const bool changed = event.daemons_ != state.fleet_.daemons_
@@ -293,29 +197,6 @@
     returnRecalledLoan(state.prepaid_, lent);
 }
 
-void onEvent(RelayState &state, const FeedAvailabilityChanged &event, MonoTime now,
-             RelayCommands &out)
-{
-    // A watch that ends after following was stopped says nothing about the source in use.
-    if (!state.followsStore_)
-        return;
-    setFeedAvailability(state.sync_, event.name_, event.available_, now);
-    logLine(out, event.available_ ? LogLevel::Info : LogLevel::Warning,
-            event.available_ ? "dependency.regained" : "dependency.lost",
-            {{"name", event.name_}, {"detail", event.detail_}});
-}
-
-void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime now, RelayCommands &out)
-{
-    if (event.era_ <= state.storeEra_)
-        return;
-    logLine(out, state.storeEra_ == StoreEra {} ? LogLevel::Info : LogLevel::Warning, "store.era",
-            {{"era", std::to_string(event.era_.value_)},
-             {"previous", std::to_string(state.storeEra_.value_)}});
-    state.storeEra_ = event.era_;
-    noticeStoreEra(state.prepaid_, state.settings_.prepaid_, event.era_, now);
-}
-
 void onEvent(RelayState &state, const StoreReplied &event, MonoTime now, RelayCommands &out)
 {
     if (event.reply_.status_ == StoreStatus::Unknown
@@ -389,6 +270,34 @@
 
 } // namespace
 
+namespace relaydetail {
+
+void updateReadiness(RelayState &state, RelayCommands &out)
+{
+    const bool overloaded = isOverloaded(state.overload_);
+    const bool keepsConnections = !state.stopRequestedAt_ && !overloaded;
+    if (keepsConnections != state.keepsConnections_) {
+        state.keepsConnections_ = keepsConnections;
+        out.emplace_back(SetKeepAlive {keepsConnections});
+    }
+    const bool ready
+        = state.config_ && state.instancesListed_ && !state.stopRequestedAt_ && !overloaded;
+    if (ready == state.ready_)
+        return;
+    state.ready_ = ready;
+    out.emplace_back(SetReady {ready});
+    logLine(out, LogLevel::Info, "daemon.readiness",
+            {{"ready", ready ? "yes" : "no"},
+             {"overloaded", overloaded ? "yes" : "no"},
+             {"event_delay_ms", fmt::format("{:.0f}", state.overload_.delay_.count() / 1000.0)},
+             {"link_use", fmt::format("{:.2f}", state.overload_.linkUse_)},
+             {"active", std::to_string(state.active_.size())},
+             {"config", std::to_string(state.config_ ? state.config_->version_.value_ : 0)},
+             {"instances", std::to_string(state.directory_.known_.size())}});
+}
+
+} // namespace relaydetail
+
 RelayCommands handleRelayEvent(RelayState &state, const RelayEvent &event, MonoTime now)
 {
     RelayCommands out;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -1,4 +1,4 @@
-// Where a relay's documents come from: the store or peers, and what their replies show.
+// Documents of the store: where they come from, and how the relay applies them.
 #include "core/relay/relayinternal.h"
 
 #include <utility>
@@ -16,6 +16,25 @@
     return std::to_string(std::chrono::duration_cast<Millis>(now - *sync.freshAt_).count());
 }
 
+std::string sourceName(ChangeSource source)
+{
+    return source == ChangeSource::Store ? "store" : "peer";
+}
+
+void logInstance(RelayCommands &out, const Instance &instance, StorePosition position,
+                 ChangeSource source)
+{
+    logLine(out, LogLevel::Info, "instance.changed",
+            {{"upstream", instance.id_.value_},
+             {"service", instance.service_.value_},
+             {"address", instance.address_},
+             {"zone", instance.zone_.value_},
+             {"state", instance.state_ == InstanceState::Ready ? "ready" : "draining"},
+             {"era", std::to_string(position.era_.value_)},
+             {"revision", std::to_string(position.revision_.value_)},
+             {"source", sourceName(source)}});
+}
+
 } // namespace
 
 MonoTime earliestRemoval(const RelayState &state, ChangeSource source, MonoTime now)
@@ -69,4 +88,80 @@
     }
 }
 
+void onEvent(RelayState &state, const ConfigReceived &event, MonoTime now, RelayCommands &out)
+{
+    if (state.config_ && event.config_->version_ <= state.config_->version_)
+        return;
+    state.config_ = event.config_;
+    applyFunding(state.prepaid_, state.settings_.prepaid_, *state.config_, now);
+    out.emplace_back(ApplyLimits {state.config_->limits_});
+    logLine(out, LogLevel::Info, "config.applied",
+            {{"version", std::to_string(state.config_->version_.value_)},
+             {"routes", std::to_string(state.config_->routes_.size())},
+             {"accounts", std::to_string(state.config_->accounts_.size())},
+             {"source", sourceName(event.source_)}});
+    updateReadiness(state, out);
+}
+
+void onEvent(RelayState &state, const InstancesListed &event, MonoTime now, RelayCommands &out)
+{
+    const std::vector<UpstreamId> missing
+        = applyListing(state.directory_, event.instances_, event.position_,
+                       earliestRemoval(state, event.source_, now));
+    state.instancesListed_ = true;
+    logLine(out, LogLevel::Info, "instances.listed",
+            {{"count", std::to_string(event.instances_.size())},
+             {"missing", std::to_string(missing.size())},
+             {"era", std::to_string(event.position_.era_.value_)},
+             {"revision", std::to_string(event.position_.revision_.value_)},
+             {"source", sourceName(event.source_)}});
+    updateReadiness(state, out);
+    resumeWaitingForInstance(state, now, out);
+}
+
+void onEvent(RelayState &state, const InstanceChanged &event, MonoTime now, RelayCommands &out)
+{
+    if (!upsertInstance(state.directory_, event.listed_))
+        return;
+    logInstance(out, event.listed_.instance_, event.listed_.position_, event.source_);
+    resumeWaitingForInstance(state, now, out);
+}
+
+void onEvent(RelayState &state, const InstanceRemoved &event, MonoTime now, RelayCommands &out)
+{
+    const MonoTime since = earliestRemoval(state, event.source_, now);
+    if (!markMissing(state.directory_, event.id_, event.position_, since))
+        return;
+    const auto age = std::chrono::duration_cast<Millis>(now - since);
+    logLine(out, LogLevel::Info, "instance.missing",
+            {{"upstream", event.id_.value_},
+             {"age_ms", std::to_string(age.count())},
+             {"era", std::to_string(event.position_.era_.value_)},
+             {"revision", std::to_string(event.position_.revision_.value_)},
+             {"source", sourceName(event.source_)}});
+}
+
+void onEvent(RelayState &state, const FeedAvailabilityChanged &event, MonoTime now,
+             RelayCommands &out)
+{
+    // A watch that ends after following was stopped says nothing about the source in use.
+    if (!state.followsStore_)
+        return;
+    setFeedAvailability(state.sync_, event.name_, event.available_, now);
+    logLine(out, event.available_ ? LogLevel::Info : LogLevel::Warning,
+            event.available_ ? "dependency.regained" : "dependency.lost",
+            {{"name", event.name_}, {"detail", event.detail_}});
+}
+
+void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime now, RelayCommands &out)
+{
+    if (event.era_ <= state.storeEra_)
+        return;
+    logLine(out, state.storeEra_ == StoreEra {} ? LogLevel::Info : LogLevel::Warning, "store.era",
+            {{"era", std::to_string(event.era_.value_)},
+             {"previous", std::to_string(state.storeEra_.value_)}});
+    state.storeEra_ = event.era_;
+    noticeStoreEra(state.prepaid_, state.settings_.prepaid_, event.era_, now);
+}
+
 } // namespace tamarack::relaydetail
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -114,6 +114,18 @@
 /// @brief Returns since when an instance may have been missing whose removal is learned now.
 MonoTime earliestRemoval(const RelayState &state, ChangeSource source, MonoTime now);
 
+/// @brief Reports changed readiness, and enables keep-alive accordingly.
+void updateReadiness(RelayState &state, RelayCommands &out);
+
+// Handlers of the events about documents, in relaydocuments.cpp.
+void onEvent(RelayState &state, const ConfigReceived &event, MonoTime now, RelayCommands &out);
+void onEvent(RelayState &state, const InstancesListed &event, MonoTime now, RelayCommands &out);
+void onEvent(RelayState &state, const InstanceChanged &event, MonoTime now, RelayCommands &out);
+void onEvent(RelayState &state, const InstanceRemoved &event, MonoTime now, RelayCommands &out);
+void onEvent(RelayState &state, const FeedAvailabilityChanged &event, MonoTime now,
+             RelayCommands &out);
+void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime now, RelayCommands &out);
+
 /// @brief Handles the reply of a peer to a request for documents.
 void recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now);
 
