--- a/src/adapters/json/json.h
+++ b/src/adapters/json/json.h
@@ -6,6 +6,7 @@
 #include "adapters/json/bundleparts.h"
 #include "adapters/json/chat.h"
 #include "adapters/json/jsonreader.h"
+#include "adapters/json/jsonscan.h"
 #include "adapters/json/manifest.h"
 #include "adapters/json/relaysettings.h"
 #include "adapters/json/settings.h"
