e2e-plannedstop: wait until the daemon has all requests before it is stopped

It waited for the first tokens of the two streams but not for the third request, which may reach the daemon only after it has stopped accepting. With the third request delayed by 2 s the old test fails each time with exactly this output; the new one passes. The log of the run that failed was not kept, so that this was its cause is inferred: 32 runs beside load did not repeat it (one of them ended earlier, with four copies of the test side by side). All checks stay as they were.

--- a/tests/e2e-plannedstop.sh
+++ b/tests/e2e-plannedstop.sh
@@ -24,9 +24,16 @@
 write_bundle 10000
 submit 1
 
+# count_dispatched: prints how many requests the daemon has sent to an engine.
+count_dispatched() {
+    grep -c event=request.dispatch "$WORK/daemon.log" || true
+}
+
 # start_requests: starts two streamed requests and a non-streamed one, then waits for the first token of
-# both streams.
+# both streams and until the daemon has sent all three to an engine. Without the latter, the daemon may
+# stop before it has accepted the third.
 start_requests() {
+    dispatched=$(count_dispatched)
     chat "$request,\"stream\":true}" >"$WORK/stream1" &
     STREAM1=$!
     chat "$request,\"stream\":true}" >"$WORK/stream2" &
@@ -34,10 +41,11 @@
     chat "$request}" >"$WORK/plain" &
     PLAIN=$!
     for _ in $(seq 500); do
-        grep -q w0 "$WORK/stream1" && grep -q w0 "$WORK/stream2" && return 0
+        grep -q w0 "$WORK/stream1" && grep -q w0 "$WORK/stream2" \
+            && [ "$(count_dispatched)" -ge $((dispatched + 3)) ] && return 0
         sleep 0.02
     done
-    echo "FAILED: the streams did not start" >&2
+    echo "FAILED: the requests did not start" >&2
     exit 1
 }
 
