Compute excluded instances and processes of entries in one place

The exclusions of a request were put together twice, by the choice and by the wait that follows it; the process of an entry was built in three files; and two callers tested for a fleet without daemons, which the choice of a coordinator handles itself.

--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -24,8 +24,7 @@
 
 const Withdrawal *findWithdrawal(const ChoiceState &state, const KnownInstance &known)
 {
-    const auto it = state.withdrawals_.find(
-        InstanceProcess {known.instance_.id_, known.instance_.startedAt_});
+    const auto it = state.withdrawals_.find(processOf(known.instance_));
     return it == state.withdrawals_.end() ? nullptr : &it->second;
 }
 
--- a/src/core/relay/instancelimits.cpp
+++ b/src/core/relay/instancelimits.cpp
@@ -239,9 +239,8 @@
 {
     PermitAnswer answer;
     const StatedLimit statement = limits.stated_.at(process);
-    const std::optional<PeerAddress> coordinator = limits.daemons_.empty()
-        ? std::nullopt
-        : chooseCoordinator(limits, settings, process, zone, now);
+    const std::optional<PeerAddress> coordinator
+        = chooseCoordinator(limits, settings, process, zone, now);
     if (coordinator && coordinator->host_ != limits.self_) {
         answer.coordinator_ = *coordinator;
         answer.request_
@@ -267,9 +266,8 @@
                                              const InstanceProcess &process, const ZoneId &zone,
                                              MonoTime now)
 {
-    const std::optional<PeerAddress> coordinator = limits.daemons_.empty()
-        ? std::nullopt
-        : chooseCoordinator(limits, settings, process, zone, now);
+    const std::optional<PeerAddress> coordinator
+        = chooseCoordinator(limits, settings, process, zone, now);
     if (!coordinator || coordinator->host_ == limits.self_)
         return std::nullopt;
     return PermitAnswer {
--- a/src/core/relay/instances.h
+++ b/src/core/relay/instances.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/instanceprocess.h"
 #include "core/storeposition.h"
 #include "core/time.h"
 
@@ -32,6 +33,12 @@
     WallTime startedAt_ {};
 };
 
+/// @brief Returns the process that an entry describes.
+inline InstanceProcess processOf(const Instance &instance)
+{
+    return InstanceProcess {instance.id_, instance.startedAt_};
+}
+
 /// @brief An instance with the directory's bookkeeping.
 struct KnownInstance
 {
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -81,9 +81,10 @@
 PermitStatus obtainPermit(RelayState &state, RelayedRequest &active, const Placement &placement,
                           MonoTime now, RelayCommands &out);
 
-/// @brief Returns the instances to which a request may not be sent now because of their limits.
-std::set<UpstreamId> limitedInstances(const RelayState &state, const RelayedRequest &active,
-                                      MonoTime now);
+/// @brief Returns the instances to which a request may not be sent now: those of its earlier
+/// attempts, and those whose limit does not permit it.
+std::set<UpstreamId> excludedInstances(const RelayState &state, const RelayedRequest &active,
+                                       MonoTime now);
 
 /// @brief Returns when the first instance accepts a request again, of those that have said when or
 /// for which a permit was denied.
--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -17,11 +17,6 @@
     return known == state.directory_.known_.end() ? ZoneId {} : known->second.instance_.zone_;
 }
 
-InstanceProcess processOf(const Instance &instance)
-{
-    return InstanceProcess {instance.id_, instance.startedAt_};
-}
-
 void logPermit(const RelayedRequest &active, const InstanceProcess &process,
                const HostId &coordinator, std::string_view result, Millis wait, RelayCommands &out)
 {
@@ -81,19 +76,19 @@
 
 } // namespace
 
-std::set<UpstreamId> limitedInstances(const RelayState &state, const RelayedRequest &active,
-                                      MonoTime now)
+std::set<UpstreamId> excludedInstances(const RelayState &state, const RelayedRequest &active,
+                                       MonoTime now)
 {
-    std::set<UpstreamId> limited;
+    std::set<UpstreamId> excluded = active.tried_;
     for (const auto &[process, until] : state.limits_.deniedUntil_) {
         if (until > now)
-            limited.insert(process.instance_);
+            excluded.insert(process.instance_);
     }
     if (active.permitRequests_ < state.settings_.maxPermitRequests_)
-        return limited;
+        return excluded;
     for (const auto &[process, statement] : state.limits_.stated_)
-        limited.insert(process.instance_);
-    return limited;
+        excluded.insert(process.instance_);
+    return excluded;
 }
 
 std::optional<MonoTime> nextAcceptingTime(const RelayState &state, const RelayedRequest &active,
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -66,11 +66,10 @@
     return std::max(static_cast<std::uint32_t>(share), 1U);
 }
 
-/// @param excluded instances that must not be chosen
 std::optional<Placement> chooseAcrossServices(const RelayState &state, const RelayedRequest &active,
-                                              const std::set<UpstreamId> &excluded,
                                               bool acceptsLongWait, MonoTime now)
 {
+    const std::set<UpstreamId> excluded = excludedInstances(state, active, now);
     for (const ServiceId &id : servicesInOrder(*active.route_, active.request_.request_)) {
         const RelayService *service = serviceOf(active, id);
         if (!service)
@@ -151,9 +150,7 @@
     const PreciseMicros wait
         = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
     const MonoTime waitEnd = active.request_.arrivedAt_ + std::chrono::duration_cast<Micros>(wait);
-    std::set<UpstreamId> excluded = limitedInstances(state, active, now);
-    excluded.insert(active.tried_.begin(), active.tried_.end());
-    if (chooseAcrossServices(state, active, excluded, true, now)) {
+    if (chooseAcrossServices(state, active, true, now)) {
         failWithoutInstance(state, active, "upstreams_overloaded", std::nullopt, now, out);
         return;
     }
@@ -330,10 +327,8 @@
     // Work was already done for a request that is sent again.
     const bool acceptsLongWait = active.attempts_ > 0;
     while (true) {
-        std::set<UpstreamId> excluded = limitedInstances(state, active, now);
-        excluded.insert(active.tried_.begin(), active.tried_.end());
         const std::optional<Placement> placement
-            = chooseAcrossServices(state, active, excluded, acceptsLongWait, now);
+            = chooseAcrossServices(state, active, acceptsLongWait, now);
         if (!placement)
             break;
         const PermitStatus permit = obtainPermit(state, active, *placement, now, out);
