--- a/tests/prepaidfixture.h
+++ b/tests/prepaidfixture.h
@@ -18,12 +18,15 @@
 {
     Revision revision_;
     std::optional<StoredValue> value_;
+    /// Era that the store states in its replies.
+    StoreEra era_ {};
 };
 
 inline StoreReply applyStoreCall(FakeStoreKey &storeKey, const SubmitStoreCall &call)
 {
     StoreReply reply;
     reply.call_ = call.id_;
+    reply.era_ = storeKey.era_;
     const auto *swap = std::get_if<CompareAndSwapCall>(&call.call_);
     if (swap && swap->expected_ == storeKey.revision_) {
         storeKey.revision_ = Revision {storeKey.revision_.value_ + 1};
--- a/tests/unit-ledgerhistory.cpp
+++ b/tests/unit-ledgerhistory.cpp
@@ -11,57 +11,55 @@
 
 constexpr std::int64_t prepaid = 20'000;
 
-/// The store and the era that it states in its replies.
-struct ReturningStore
-{
-    FakeStoreKey key_;
-    StoreEra era_ {1};
-};
-
-/// Executes all calls of a daemon that are due.
-void runCalls(Fleet &fleet, ReturningStore &store, std::size_t index)
+void runCalls(Fleet &fleet, std::size_t index)
 {
     Daemon &daemon = fleet.daemons_[index];
-    for (int round = 0; round < 10; ++round) {
-        const auto calls = startPrepaidCalls(daemon.state_, fleet.settings_, fleet.now_);
-        if (calls.empty())
-            break;
-        for (const SubmitStoreCall &call : calls) {
-            StoreReply reply = applyStoreCall(store.key_, call);
-            reply.era_ = store.era_;
-            finishPrepaidCall(daemon.state_, fleet.settings_, reply, fleet.now_);
-        }
-    }
+    runStoreCalls(daemon, fleet.storeKey_, fleet.now_);
     serveBorrowers(daemon.state_, fleet.settings_, fleet.now_);
 }
 
-void restore(ReturningStore &store, const FakeStoreKey &copy)
+/// Has the store return from a copy.
+void restore(Fleet &fleet, const FakeStoreKey &copy)
+{
+    const StoreEra era {fleet.storeKey_.era_.value_ + 1};
+    fleet.storeKey_ = copy;
+    fleet.storeKey_.era_ = era;
+}
+
+/// Makes a daemon draw for itself, as if it knew no other.
+void removePeers(Fleet &fleet, std::size_t index)
 {
-    store.key_ = copy;
-    ++store.era_.value_;
+    updateLenders(fleet.daemons_[index].state_.lenders_, selfAs("h" + std::to_string(index)), {});
 }
 
 /// Lets all daemons notice the era of the store, one after the other.
-void noticeByAll(Fleet &fleet, ReturningStore &store, std::size_t first)
+void noticeByAll(Fleet &fleet, std::size_t first)
 {
     for (std::size_t i = 0; i < fleet.daemons_.size(); ++i) {
         const std::size_t index = (first + i) % fleet.daemons_.size();
         fleet.now_ += Millis {200};
-        noticeStoreEra(fleet.daemons_[index].state_, fleet.settings_, store.era_, fleet.now_);
-        runCalls(fleet, store, index);
+        noticeStoreEra(fleet.daemons_[index].state_, fleet.settings_, fleet.storeKey_.era_,
+                       fleet.now_);
+        runCalls(fleet, index);
     }
 }
 
-const BudgetRecord &recordOf(const ReturningStore &store)
+const BudgetRecord &recordOf(const Fleet &fleet)
+{
+    return std::get<LedgerShard>(*fleet.storeKey_.value_).budgets_.at(BudgetId {"acme"});
+}
+
+Fleet makeFleetInEra(std::size_t size)
 {
-    return std::get<LedgerShard>(*store.key_.value_).budgets_.at(BudgetId {"acme"});
+    Fleet fleet = makeFleet(size, prepaid);
+    fleet.storeKey_.era_ = StoreEra {1};
+    return fleet;
 }
 
 /// A fleet in which the lender has drawn once before and once after the copy was made.
 struct DrawnTwice
 {
-    Fleet fleet_ = makeFleet(3, prepaid);
-    ReturningStore store_;
+    Fleet fleet_ = makeFleetInEra(3);
     FakeStoreKey copy_;
     std::size_t lender_ = lenderIndex(fleet_);
 };
@@ -69,17 +67,17 @@
 void draw(DrawnTwice &drawn, std::int64_t amount)
 {
     if (!reserve(drawn.fleet_, drawn.lender_, amount)) {
-        runCalls(drawn.fleet_, drawn.store_, drawn.lender_);
+        runCalls(drawn.fleet_, drawn.lender_);
         REQUIRE(reserve(drawn.fleet_, drawn.lender_, amount));
     }
-    runCalls(drawn.fleet_, drawn.store_, drawn.lender_);
+    runCalls(drawn.fleet_, drawn.lender_);
     drawn.fleet_.now_ += Millis {500};
 }
 
 void drawTwice(DrawnTwice &drawn)
 {
     draw(drawn, 100);
-    drawn.copy_ = drawn.store_.key_;
+    drawn.copy_ = drawn.fleet_.storeKey_;
     draw(drawn, 6000);
 }
 
@@ -91,57 +89,56 @@
     drawTwice(drawn);
     Fleet &fleet = drawn.fleet_;
     const Tokens held = balanceOf(fleet, drawn.lender_).grant_.authorized_;
-    restore(drawn.store_, drawn.copy_);
-    REQUIRE(outstandingTokens(recordOf(drawn.store_)) < held);
+    restore(fleet, drawn.copy_);
+    REQUIRE(outstandingTokens(recordOf(fleet)) < held);
     SECTION("after the holder has noticed the return")
     {
-        noticeByAll(fleet, drawn.store_, 0);
-        CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+        noticeByAll(fleet, 0);
+        CHECK(outstandingTokens(recordOf(fleet)) >= held);
     }
     SECTION("while the holder has not noticed it yet, another daemon draws nothing")
     {
         const std::size_t other = (drawn.lender_ + 1) % fleet.daemons_.size();
         PrepaidState &state = fleet.daemons_[other].state_;
         noticeStoreEra(state, fleet.settings_, StoreEra {1}, fleet.now_);
-        noticeStoreEra(state, fleet.settings_, drawn.store_.era_, fleet.now_);
-        updateLenders(state.lenders_, selfAs("h" + std::to_string(other)), {});
+        noticeStoreEra(state, fleet.settings_, fleet.storeKey_.era_, fleet.now_);
+        removePeers(fleet, other);
         CHECK(!reserve(fleet, other, 15'000));
-        runCalls(fleet, drawn.store_, other);
+        runCalls(fleet, other);
         CHECK(!reserve(fleet, other, 15'000));
         fleet.now_ += Millis {2000};
-        noticeStoreEra(fleet.daemons_[drawn.lender_].state_, fleet.settings_, drawn.store_.era_,
+        noticeStoreEra(fleet.daemons_[drawn.lender_].state_, fleet.settings_, fleet.storeKey_.era_,
                        fleet.now_);
-        runCalls(fleet, drawn.store_, drawn.lender_);
+        runCalls(fleet, drawn.lender_);
         fleet.now_ += Millis {600};
         CHECK(!reserve(fleet, other, 15'000));
-        runCalls(fleet, drawn.store_, other);
+        runCalls(fleet, other);
         CHECK(!reserve(fleet, other, 15'000));
-        CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+        CHECK(outstandingTokens(recordOf(fleet)) >= held);
     }
     SECTION("a daemon that has started since draws nothing before the holders have written")
     {
         const std::size_t other = (drawn.lender_ + 1) % fleet.daemons_.size();
         startDaemon(fleet, other, prepaid);
-        updateLenders(fleet.daemons_[other].state_.lenders_, selfAs("h" + std::to_string(other)),
-                      {});
+        removePeers(fleet, other);
         CHECK(!reserve(fleet, other, 15'000));
-        runCalls(fleet, drawn.store_, other);
+        runCalls(fleet, other);
         CHECK(!reserve(fleet, other, 15'000));
         CHECK(fleet.daemons_[other].state_.drawsPausedUntil_);
     }
     SECTION("if the holder's first call since is a write whose revision was assigned again")
     {
         // Another daemon writes until the revision that the holder expects.
-        while (drawn.store_.key_.revision_ < Revision {3})
-            drawn.store_.key_.revision_.value_ += 1;
-        noticeByAll(fleet, drawn.store_, drawn.lender_);
-        CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+        while (fleet.storeKey_.revision_ < Revision {3})
+            fleet.storeKey_.revision_.value_ += 1;
+        noticeByAll(fleet, drawn.lender_);
+        CHECK(outstandingTokens(recordOf(fleet)) >= held);
     }
     SECTION("also if the store returns once more before the holder has written")
     {
-        restore(drawn.store_, drawn.copy_);
-        noticeByAll(fleet, drawn.store_, 1);
-        CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+        restore(fleet, drawn.copy_);
+        noticeByAll(fleet, 1);
+        CHECK(outstandingTokens(recordOf(fleet)) >= held);
     }
 }
 
@@ -152,14 +149,14 @@
     Fleet &fleet = drawn.fleet_;
     const Tokens held = balanceOf(fleet, drawn.lender_).grant_.authorized_;
     const std::size_t other = (drawn.lender_ + 1) % fleet.daemons_.size();
-    updateLenders(fleet.daemons_[other].state_.lenders_, selfAs("h" + std::to_string(other)), {});
+    removePeers(fleet, other);
     reserve(fleet, other, 50);
-    runCalls(fleet, drawn.store_, other);
+    runCalls(fleet, other);
     REQUIRE(reserve(fleet, other, 50));
     startDaemon(fleet, drawn.lender_, prepaid);
-    restore(drawn.store_, drawn.copy_);
-    noticeByAll(fleet, drawn.store_, 0);
-    CHECK(outstandingTokens(recordOf(drawn.store_)) >= held);
+    restore(fleet, drawn.copy_);
+    noticeByAll(fleet, 0);
+    CHECK(outstandingTokens(recordOf(fleet)) >= held);
 }
 
 TEST_CASE("draws go on after the pause, and new funding is kept")
@@ -170,15 +167,15 @@
     for (Daemon &daemon : fleet.daemons_)
         applyFunding(daemon.state_, fleet.settings_, configWith(2, 2 * prepaid), fleet.now_);
     fleet.now_ += Millis {500};
-    runCalls(fleet, drawn.store_, drawn.lender_);
-    REQUIRE(recordOf(drawn.store_).funded_ == Tokens {2 * prepaid});
-    restore(drawn.store_, drawn.copy_);
-    noticeByAll(fleet, drawn.store_, 0);
-    CHECK(recordOf(drawn.store_).funded_ == Tokens {2 * prepaid});
+    runCalls(fleet, drawn.lender_);
+    REQUIRE(recordOf(fleet).funded_ == Tokens {2 * prepaid});
+    restore(fleet, drawn.copy_);
+    noticeByAll(fleet, 0);
+    CHECK(recordOf(fleet).funded_ == Tokens {2 * prepaid});
     fleet.now_ += fleet.settings_.returnSettleTime_;
-    runCalls(fleet, drawn.store_, drawn.lender_);
+    runCalls(fleet, drawn.lender_);
     reserve(fleet, drawn.lender_, 25'000);
-    runCalls(fleet, drawn.store_, drawn.lender_);
+    runCalls(fleet, drawn.lender_);
     CHECK(reserve(fleet, drawn.lender_, 25'000));
 }
 
@@ -237,8 +234,7 @@
 TEST_CASE("no sequence of draws and returns of the store overspends a total")
 {
     const bool held = rc::check("with all holders alive", [] {
-        Fleet fleet = makeFleet(5, prepaid);
-        ReturningStore store;
+        Fleet fleet = makeFleetInEra(5);
         std::vector<FakeStoreKey> copies;
         Tokens spent;
         std::vector<std::pair<std::size_t, Reservation>> open;
@@ -253,7 +249,7 @@
             if (action < 8) {
                 if (const auto reservation = reserve(fleet, index, amount))
                     open.emplace_back(index, *reservation);
-                runCalls(fleet, store, index);
+                runCalls(fleet, index);
             } else if (action < 10 && !open.empty()) {
                 const auto [owner, reservation] = open.back();
                 open.pop_back();
@@ -261,11 +257,11 @@
                              fleet.now_);
                 spent += reservation.amount_;
             } else if (action == 10) {
-                copies.push_back(store.key_);
+                copies.push_back(fleet.storeKey_);
             } else if (action == 11 && !copies.empty()) {
-                restore(store, copies[static_cast<std::size_t>(amount) % copies.size()]);
+                restore(fleet, copies[static_cast<std::size_t>(amount) % copies.size()]);
                 // Daemons that have not seen the store before don't notice its return.
-                noticeByAll(fleet, store, index);
+                noticeByAll(fleet, index);
             } else {
                 collect(fleet);
                 while (!fleet.messages_.empty()) {
