Let a silent attempt go on if no other instance can take the request

A retryable request without output for twice its latency objective is sent to another instance. If there was none, it was answered with 502 although its first attempt was running and could still respond. That was so before when all other instances were out, but limits, full queues and times to come back made it frequent: with them a slow attempt on a busy service ended as a failure.

The attempt now goes on until it ends or the route's timeout passes. An end that arrives while the request waits for a permit is remembered, so a denied permit then ends the request at once (the section for this failed before that part).

--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -182,6 +182,7 @@
 void onAttemptEnded(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
                     MonoTime now, RelayCommands &out)
 {
+    active.attemptRunning_ = false;
     active.events_ = std::max(active.events_, ended.events_);
     if (!provesNotExecuted(ended.end_))
         active.mayHaveRun_ = true;
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -103,8 +103,12 @@
     // A completely delivered response ends the request, even if a retry was started meanwhile.
     const bool isCurrent
         = it->second.stage_ == RelayStage::Sent && it->second.attempts_ == event.attempt_;
-    if (!isCurrent && event.end_ != AttemptEnd::Delivered)
+    if (!isCurrent && event.end_ != AttemptEnd::Delivered) {
+        // The request waits for an instance or a permit to be sent again.
+        if (it->second.attempts_ == event.attempt_)
+            it->second.attemptRunning_ = false;
         return;
+    }
     onAttemptEnded(state, it->second, event, now, out);
 }
 
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -122,6 +122,8 @@
     std::uint32_t attempts_ = 0;
     std::set<UpstreamId> tried_;
     std::optional<Choice> choice_;
+    /// The last attempt has not ended.
+    bool attemptRunning_ = false;
     /// The outcome of the last attempt was recorded, although it may still respond.
     bool outcomeRecorded_ = false;
     ServiceId service_;
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -144,9 +144,16 @@
     return true;
 }
 
-/// Waits for an instance, or refuses the request if none can take it in time.
+/// Waits for an instance, or refuses the request if none can take it in time. An attempt that is
+/// only silent goes on instead.
 void awaitInstance(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
+    if (active.attemptRunning_) {
+        active.stage_ = RelayStage::Sent;
+        active.stageDeadline_.reset();
+        rescheduleTimer(state, active);
+        return;
+    }
     const PreciseMicros wait
         = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
     const MonoTime waitEnd = active.request_.arrivedAt_ + std::chrono::duration_cast<Micros>(wait);
@@ -210,6 +217,7 @@
     ++active.attempts_;
     active.sentAt_ = now;
     active.outputStarted_ = false;
+    active.attemptRunning_ = true;
     active.outcomeRecorded_ = false;
     active.awaitedPermit_.reset();
     active.stageDeadline_.reset();
--- a/tests/unit-relaylimits.cpp
+++ b/tests/unit-relaylimits.cpp
@@ -298,6 +298,43 @@
         post(fixture, ended(sent[0], AttemptEnd::Delivered, 200));
         CHECK(!fixture.state_.active_.contains(sent[0].id_));
     }
+    SECTION("its failure is not forgotten if the permit is denied")
+    {
+        post(fixture, ended(sent[0], AttemptEnd::ConnectionLost));
+        const auto response = findCommand<RespondToClient>(
+            post(fixture, replyTo(*asked, PermitResult::Denied, Millis {700})));
+        REQUIRE(response);
+        CHECK(response->status_ == 502);
+    }
+}
+
+TEST_CASE("a silent attempt goes on if no other instance can take the request")
+{
+    RelayFixture fixture;
+    setUp(fixture);
+    const std::vector<SendAttempt> sent = sendToBoth(fixture);
+    const InstanceNotice closed {std::nullopt, false, Millis {5000}};
+    post(fixture, InstanceNoticeReceived {sent[1].instance_, closed});
+    CHECK(!findCommand<RespondToClient>(advanceTime(fixture, Millis {801})));
+    REQUIRE(fixture.state_.active_.contains(sent[0].id_));
+    SECTION("its response is delivered")
+    {
+        post(fixture, ended(sent[0], AttemptEnd::Delivered, 200));
+        CHECK(!fixture.state_.active_.contains(sent[0].id_));
+    }
+    SECTION("its failure ends the request")
+    {
+        const auto response = findCommand<RespondToClient>(
+            post(fixture, ended(sent[0], AttemptEnd::ConnectionLost)));
+        REQUIRE(response);
+        CHECK(response->status_ == 502);
+    }
+    SECTION("the route's timeout ends the request")
+    {
+        const auto response = findCommand<RespondToClient>(advanceTime(fixture, Seconds {2}));
+        REQUIRE(response);
+        CHECK(response->status_ == 504);
+    }
 }
 
 TEST_CASE("a stopping daemon grants no permits to others")
