Limit the size line of a chunk and the trailer section

Cause: the parser consumes the size line of a chunk and the trailer section only when they are complete, and limits neither. What it leaves stays in UpstreamConnection::input_ (RequestReader::pending_ for requests), which nothing limited. An upstream that sends digits without end fills it at the speed of the link.

Change: once the head is complete, at most 16 KiB may remain unparsed. More is a malformed response, or a request that is rejected with 400. The head itself was limited already.

--- a/src/adapters/relayhttp/message.cpp
+++ b/src/adapters/relayhttp/message.cpp
@@ -23,6 +23,10 @@
 constexpr std::size_t maxInterimResponses = 16;
 constexpr std::size_t maxResponseBodyBytes = 64U << 20U;
 
+/// Maximum length of the size line of a chunk and of a trailer section. The parser consumes them
+/// only when they are complete and doesn't limit them.
+constexpr std::size_t maxChunkFramingBytes = 16U << 10U;
+
 constexpr int statusBadRequest = 400;
 constexpr int statusContentTooLarge = 413;
 constexpr int statusHeaderFieldsTooLarge = 431;
@@ -214,10 +218,17 @@
         if (error || used == 0)
             break;
     }
-    if (state.parser_->is_done())
+    if (state.parser_->is_done()) {
         progress.parseStatus_ = ParseStatus::Done;
-    else if (state.headParsed_)
+    } else if (state.headParsed_) {
         progress.parseStatus_ = ParseStatus::HeadDone;
+        if (reader.pending_.size() > maxChunkFramingBytes) {
+            progress.parseStatus_ = ParseStatus::Invalid;
+            progress.status_ = statusBadRequest;
+            progress.error_ = "the size line of a chunk or the trailer section is too long; "
+                              "shorten it, or send a Content-Length";
+        }
+    }
     return progress;
 }
 
@@ -265,7 +276,9 @@
     }
     if (state.parser_->is_done())
         return ParseStatus::Done;
-    return state.parser_->is_header_done() ? ParseStatus::HeadDone : ParseStatus::NeedMore;
+    if (!state.parser_->is_header_done())
+        return ParseStatus::NeedMore;
+    return bytes.size() > maxChunkFramingBytes ? ParseStatus::Invalid : ParseStatus::HeadDone;
 }
 
 ParseStatus endResponse(ResponseReader &reader)
--- a/tests/contract-relayfaults.cpp
+++ b/tests/contract-relayfaults.cpp
@@ -119,6 +119,24 @@
     {
         start = responseTo("r0", "\r\n");
     }
+    SECTION("in the size of a chunk")
+    {
+        start = responseTo("r1", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n");
+        repeated.assign(chunk.size(), '0');
+    }
+    SECTION("in the extension of a chunk")
+    {
+        start = responseTo("r1", "Transfer-Encoding: chunked\r\n\r\n2;");
+    }
+    SECTION("in a trailer field")
+    {
+        start = responseTo("r1", "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ");
+    }
+    SECTION("as trailer fields")
+    {
+        start = responseTo("r1", "Transfer-Encoding: chunked\r\n\r\n0\r\n");
+        repeated = "X-Field: " + chunk + "\r\n";
+    }
     SECTION("in an event")
     {
         streaming = true;
--- a/tests/unit-httpmessage.cpp
+++ b/tests/unit-httpmessage.cpp
@@ -179,6 +179,42 @@
     }
 }
 
+TEST_CASE("framing without end between the parts of a body is rejected")
+{
+    // The parser consumes the size line of a chunk and the trailer section only when they are
+    // complete, so the unparsed bytes grew until the process ran out of memory.
+    const std::string start
+        = GENERATE("0", "2;extension=", "2\r\nok\r\n0", "0\r\nX-Long: ", "0\r\nX-Short: 1\r\n");
+    const std::string piece(4096, '0');
+    constexpr std::size_t maxPieces = 256;
+    SECTION("of a response")
+    {
+        ResponseReader reader;
+        startResponse(reader, "GET");
+        std::string unparsed = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + start;
+        ParseStatus status = readResponse(reader, unparsed);
+        for (std::size_t i = 0; i < maxPieces && status != ParseStatus::Invalid; ++i) {
+            unparsed += piece;
+            status = readResponse(reader, unparsed);
+        }
+        CHECK(status == ParseStatus::Invalid);
+    }
+    SECTION("of a request")
+    {
+        RequestReader reader;
+        reader.pending_
+            = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + start;
+        RequestProgress progress = readRequest(reader, limits);
+        for (std::size_t i = 0; i < maxPieces && progress.parseStatus_ != ParseStatus::Invalid;
+             ++i) {
+            reader.pending_ += piece;
+            progress = readRequest(reader, limits);
+        }
+        CHECK(progress.parseStatus_ == ParseStatus::Invalid);
+        CHECK(progress.status_ == 400);
+    }
+}
+
 TEST_CASE("event streams are split into complete events")
 {
     const std::string text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: comment\n\nid: 3\ndata";
