Truncate a response that began before a decision about it arrives

Cause: the control thread decides about a request from the events that it has handled. The front end may have sent the head and events of a response whose OutputStarted still waits in the queue. Only AbortResponse looked at what had been sent; RespondToClient and ForwardFailure wrote a whole response, and SendAttempt started one again.

Change: endClientResponse() is the only function that ends a response as the control thread has decided. It truncates a response that has begun, for all three commands. SendAttempt is carried out after the response has begun only if the stream can continue after its last event; otherwise the attempt ends as lost, with partiallyDelivered_.

Ruled out: a second response of the upstream (the extra bytes are the relay's own 504, with its error body), and a response that is complete (its exchange is gone, so the command is ignored).

--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -19,6 +19,7 @@
 
 constexpr int statusPaymentRequired = 402;
 constexpr int statusServiceUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
 
 /// CLOCK_BOOTTIME also counts suspended time. If it gains more than this on the steady clock
 /// between two iterations of the event loop, the machine was suspended.
@@ -34,39 +35,44 @@
 void execute(FrontendState &state, const SendAttempt &command)
 {
     const auto it = state.exchanges_.find(command.id_);
-    if (it != state.exchanges_.end() && !it->second.abandoned_)
-        sendAttempt(state, it->second, command);
+    if (it == state.exchanges_.end() || it->second.abandoned_)
+        return;
+    ClientExchange &exchange = it->second;
+    if (mayRestartResponse(exchange)) {
+        sendAttempt(state, exchange, command);
+        return;
+    }
+    cancelAttempt(state, exchange);
+    exchange.attempt_ = command;
+    reportAttemptEnd(state, exchange, AttemptEnd::ConnectionLost,
+                     "the response of the earlier attempt had begun");
 }
 
 void execute(FrontendState &state, const RespondToClient &command)
 {
-    const auto it = state.exchanges_.find(command.id_);
-    if (it == state.exchanges_.end() || it->second.abandoned_)
-        return;
-    cancelAttempt(state, it->second);
-    const auto client = state.clients_.find(it->second.client_);
-    if (client == state.clients_.end())
-        return;
-    LocalResponse response;
-    response.contentType_ = "application/json";
-    response.body_ = fmt::format(
-        R"({{"error":{{"code":"{}","request_id":"{}","execution":"{}"}}}})", command.reason_,
-        it->second.requestId_.value_, executionForStatus(command.status_));
-    sendLocalResponse(state, client->second, command.status_, response, command.retryAfter_);
+    endClientResponse(
+        state, command.id_, [&](const ClientExchange &exchange, ClientConnection &client) {
+            LocalResponse response;
+            response.contentType_ = "application/json";
+            response.body_ = fmt::format(
+                R"({{"error":{{"code":"{}","request_id":"{}","execution":"{}"}}}})",
+                command.reason_, exchange.requestId_.value_, executionForStatus(command.status_));
+            sendLocalResponse(state, client, command.status_, response, command.retryAfter_);
+        });
 }
 
 void execute(FrontendState &state, const ForwardFailure &command)
 {
-    const auto it = state.exchanges_.find(command.id_);
-    if (it != state.exchanges_.end())
-        forwardBufferedResponse(state, it->second);
+    endClientResponse(state, command.id_, [&](ClientExchange &exchange, ClientConnection &client) {
+        forwardBufferedResponse(state, exchange, client);
+    });
 }
 
 void execute(FrontendState &state, const AbortResponse &command)
 {
-    const auto it = state.exchanges_.find(command.id_);
-    if (it != state.exchanges_.end())
-        abortResponse(state, it->second);
+    endClientResponse(state, command.id_, [&](const ClientExchange &, ClientConnection &client) {
+        sendLocalResponse(state, client, statusGatewayTimeout, LocalResponse {}, std::nullopt);
+    });
 }
 
 void execute(FrontendState &state, const ApplyLimits &command)
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -4,6 +4,7 @@
 
 #include "adapters/relayhttp/frontendstate.h"
 
+#include <functional>
 #include <string_view>
 
 namespace tamarack::frontend {
@@ -113,11 +114,18 @@
 void reportAttemptEnd(FrontendState &state, ClientExchange &exchange, AttemptEnd end,
                       std::string detail);
 
-/// @brief Forwards the buffered response to the client.
-void forwardBufferedResponse(FrontendState &state, ClientExchange &exchange);
+/// @brief Ends a response as the control thread has decided. The decision may have been made before
+/// the response began to be sent: its remainder is cut off then, so that the client detects the
+/// truncation. Does nothing if the client has left or the response is complete.
+/// @param respond queues a complete response and ends the exchange; called if nothing was sent yet
+void endClientResponse(FrontendState &state, ExchangeId id,
+                       const std::function<void(ClientExchange &, ClientConnection &)> &respond);
+
+/// @brief Returns whether the response of another attempt may follow what the client was sent.
+bool mayRestartResponse(const ClientExchange &exchange);
 
-/// @brief Ends a partly sent response so that the client detects the truncation. Sends status 504
-/// if nothing was sent yet.
-void abortResponse(FrontendState &state, ClientExchange &exchange);
+/// @brief Forwards the buffered response to the client.
+void forwardBufferedResponse(FrontendState &state, ClientExchange &exchange,
+                             ClientConnection &client);
 
 } // namespace tamarack::frontend
--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr int statusGatewayTimeout = 504;
-
 ClientConnection *findClient(FrontendState &state, const ClientExchange &exchange)
 {
     if (exchange.abandoned_)
@@ -205,6 +203,17 @@
     out += exchange.bufferedBody_;
 }
 
+/// A chunked response lacks its last chunk then. Any other body is delimited by the end of the
+/// connection, which is reset to signal the truncation.
+void truncateResponse(FrontendState &state, const ClientExchange &exchange,
+                      ClientConnection &client)
+{
+    client.closeAfterResponse_ = true;
+    if (!exchange.chunked_)
+        client.resetOnClose_ = true;
+    completeResponse(state, client);
+}
+
 bool isEventStream(const ClientExchange &exchange)
 {
     return exchange.attempt_.streaming_ && exchange.responseClass_ == ResponseClass::Deliver
@@ -334,30 +343,33 @@
     state.events_.post_(std::move(ended));
 }
 
-void forwardBufferedResponse(FrontendState &state, ClientExchange &exchange)
+void endClientResponse(FrontendState &state, ExchangeId id,
+                       const std::function<void(ClientExchange &, ClientConnection &)> &respond)
 {
+    const auto it = state.exchanges_.find(id);
+    if (it == state.exchanges_.end())
+        return;
+    ClientExchange &exchange = it->second;
     ClientConnection *client = findClient(state, exchange);
     if (!client)
         return;
-    sendBufferedResponse(state, exchange, *client);
-    completeResponse(state, *client);
+    if (exchange.headSent_)
+        truncateResponse(state, exchange, *client);
+    else
+        respond(exchange, *client);
 }
 
-void abortResponse(FrontendState &state, ClientExchange &exchange)
+bool mayRestartResponse(const ClientExchange &exchange)
 {
-    ClientConnection *client = findClient(state, exchange);
-    if (!client)
-        return;
-    if (!exchange.headSent_) {
-        sendLocalResponse(state, *client, statusGatewayTimeout, LocalResponse {}, std::nullopt);
-        return;
-    }
-    // A chunked response lacks its last chunk. Any other body is delimited by the end of the
-    // connection, which is reset to signal the truncation.
-    client->closeAfterResponse_ = true;
-    if (!exchange.chunked_)
-        client->resetOnClose_ = true;
-    completeResponse(state, *client);
+    // Only a stream whose events have ids continues after its last event.
+    return !exchange.headSent_ || !exchange.lastEventId_.empty();
+}
+
+void forwardBufferedResponse(FrontendState &state, ClientExchange &exchange,
+                             ClientConnection &client)
+{
+    sendBufferedResponse(state, exchange, client);
+    completeResponse(state, client);
 }
 
 } // namespace tamarack::frontend
--- a/tests/contract-relaystreams.cpp
+++ b/tests/contract-relaystreams.cpp
@@ -170,4 +170,67 @@
     }
 }
 
+TEST_CASE("a decision that was made before a response began does not become part of it")
+{
+    // The control thread decides about a request without knowing that its response has begun if
+    // both happen at the same time. A 504 was written where the size of a chunk was due.
+    const bool streaming = GENERATE(true, false);
+    Fixture fixture;
+    setUp(fixture);
+    Exchange exchange = startExchange(fixture, RetryPolicy::Retryable, streaming);
+    const std::string begun
+        = streaming ? "id: 1\ndata: a\n\n" : std::string(std::size_t {300} << 10U, 'a');
+    sendText(exchange.upstream_, responseTo("r1", "\r\n") + begun);
+    std::string response = readUntil(exchange.client_, [&](const std::string &text) {
+        return text.find(begun.substr(0, 12)) != std::string::npos;
+    });
+    SECTION("timeout")
+    {
+        command(fixture, RespondToClient {exchange.attempt_.id_, 504, std::nullopt, "timeout"});
+    }
+    SECTION("refusal")
+    {
+        command(fixture, RespondToClient {exchange.attempt_.id_, 503, Millis {250}, "no_upstream"});
+    }
+    SECTION("failure of the upstream")
+    {
+        command(fixture, ForwardFailure {exchange.attempt_.id_});
+    }
+    SECTION("truncation")
+    {
+        command(fixture, AbortResponse {exchange.attempt_.id_});
+    }
+    response += readToEnd(exchange.client_);
+    CHECK(response.find("HTTP/1.1") == response.rfind("HTTP/1.1"));
+    CHECK(response.find("error") == std::string::npos);
+    CHECK(!response.ends_with("0\r\n\r\n"));
+    // The connection to the upstream is closed, by a reset if bytes of the response are unread.
+    const std::string afterRequest = readToEnd(exchange.upstream_);
+    CHECK((afterRequest.empty() || afterRequest == "<reset>"));
+}
+
+TEST_CASE("a response that has begun is not started again by another attempt")
+{
+    // The first attempt was given up as silent while its response began.
+    Fixture fixture;
+    setUp(fixture);
+    Exchange exchange = startExchange(fixture, RetryPolicy::Retryable, false);
+    sendText(exchange.upstream_,
+             responseTo("r1", "\r\n") + std::string(std::size_t {300} << 10U, 'a'));
+    std::string response = readUntil(exchange.client_, [](const std::string &text) {
+        return text.find("aaaa") != std::string::npos;
+    });
+    SendAttempt next = exchange.attempt_;
+    next.attempt_ = 2;
+    command(fixture, next);
+    const RelayAttemptEnded ended = waitForEvent<RelayAttemptEnded>(fixture);
+    CHECK(ended.attempt_ == 2);
+    CHECK(ended.end_ == AttemptEnd::ConnectionLost);
+    CHECK(ended.partiallyDelivered_);
+    command(fixture, AbortResponse {exchange.attempt_.id_});
+    response += readToEnd(exchange.client_);
+    CHECK(response.find("HTTP/1.1") == response.rfind("HTTP/1.1"));
+    CHECK(!response.ends_with("0\r\n\r\n"));
+}
+
 } // namespace tamarack
