End a planned stop when the last responses were received

Cause: the control thread completed the stop in the step that decided the last response. The process then stopped the front end, whose loop discarded the queued commands when it saw the request to stop, and exited; also with bytes of earlier responses still queued for slow clients, and with requests that had been read but not handled.

Change: - When no request is active, the control thread tells the front end to close its clients (CloseClients). It accepts what the kernel has accepted, closes the listener, serves requests that have arrived, and closes each connection after its response was received (the existing linger: the client's end of the connection, or 1 s). ClientsClosed ends the stop. The control thread keeps handling requests until then. - Requests that still run 500 ms before the deadline get a 504, or are cut if their response has begun, instead of being cut in silence. 300 ms are left for the delivery. - Commands that were queued before stopFrontend() are executed.

Ruled out: the kernel discarding sent bytes (the commands were never executed; answers that were queued in the kernel did arrive).

Tests: unit-relay "readiness and graceful shutdown" (the check that the stop isn't completed with the decision failed before), contract-relayfront "all client connections are closed after their last response" and "a response that was decided before the front end stops is sent".

--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -8,6 +8,7 @@
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 
@@ -91,6 +92,16 @@
     closeIdleClients(state);
 }
 
+void execute(FrontendState &state, const CloseClients &)
+{
+    // Connections that the kernel has accepted may hold a request.
+    acceptClients(state, false);
+    state.clientListener_ = Descriptor();
+    state.closingAllClients_ = true;
+    state.closingIdleClients_ = true;
+    closeIdleClients(state);
+}
+
 /// Ignores commands that are executed elsewhere in the daemon.
 template <typename Other>
 void execute(FrontendState &, const Other &)
@@ -100,15 +111,16 @@
 bool executeCommands(FrontendState &state)
 {
     std::deque<RelayCommand> commands;
+    bool stopping = false;
     {
         const std::lock_guard lock(state.commandQueue_.mutex_);
         commands.swap(state.commandQueue_.commands_);
-        if (state.commandQueue_.stopping_)
-            return false;
+        stopping = state.commandQueue_.stopping_;
     }
+    // A response may be the last command before the stop.
     for (const RelayCommand &command : commands)
         std::visit([&state](const auto &concrete) { execute(state, concrete); }, command);
-    return true;
+    return !stopping;
 }
 
 void wakeUp(const FrontendState &state)
@@ -128,6 +140,8 @@
 /// Pauses accepting while the limit on client connections is reached.
 void updateAccepting(FrontendState &state)
 {
+    if (state.closingAllClients_)
+        return;
     const bool listen = state.clients_.size() < state.settings_.maxClients_;
     if (listen == state.accepting_)
         return;
@@ -138,6 +152,18 @@
     ::epoll_ctl(state.epoll_.fd_, EPOLL_CTL_MOD, state.clientListener_.fd_, &event);
 }
 
+void reportClientsClosed(FrontendState &state)
+{
+    if (!state.closingAllClients_ || state.clientsClosedReported_)
+        return;
+    const bool closed = std::all_of(state.clients_.begin(), state.clients_.end(),
+                                    [](const auto &entry) { return entry.second.local_; });
+    if (!closed)
+        return;
+    state.clientsClosedReported_ = true;
+    state.events_.post_(ClientsClosed {});
+}
+
 void dispatchEvent(FrontendState &state, std::uint64_t number, std::uint32_t events)
 {
     if (number == wakeupEventId) {
@@ -203,6 +229,7 @@
             return;
         handleDeadlines(state);
         updateAccepting(state);
+        reportClientsClosed(state);
     }
 }
 
--- a/src/adapters/relayhttp/frontendstate.h
+++ b/src/adapters/relayhttp/frontendstate.h
@@ -166,6 +166,9 @@
     bool keepAliveDisabled_ = false;
     /// Client connections are closed as soon as they become idle.
     bool closingIdleClients_ = false;
+    /// No connections are accepted any more, and ClientsClosed is due when no client is left.
+    bool closingAllClients_ = false;
+    bool clientsClosedReported_ = false;
     /// CLOCK_BOOTTIME minus CLOCK_MONOTONIC: total time for which the machine was suspended.
     std::chrono::nanoseconds suspendedTime_ {};
 };
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -199,13 +199,17 @@
     MonoTime deadline_ {};
 };
 
+/// @brief The front end has closed all client connections after CloseClients.
+struct ClientsClosed
+{ };
+
 using RelayEvent
     = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived,
                    ClientDisconnected, ConfigReceived, InstancesListed, InstanceChanged,
                    InstanceRemoved, FleetView, LoanRequestReceived, LoanReplyReceived,
                    QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
                    DocumentsRequestReceived, DocumentsReplyReceived, FeedAvailabilityChanged,
-                   StoreEraNoticed, StoreReplied, RelayStopRequested>;
+                   StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
@@ -286,13 +290,19 @@
 struct CloseIdleConnections
 { };
 
-/// @brief All requests have ended; the daemon may exit.
+/// @brief Stops accepting connections, and closes each client connection once its response was
+/// received. ClientsClosed follows when none is left; no request is read after it.
+struct CloseClients
+{ };
+
+/// @brief All responses were delivered, or the time for the stop is over; the daemon may exit.
 struct RelayStopCompleted
 { };
 
 using RelayCommand
     = std::variant<SendAttempt, RespondToClient, ForwardFailure, AbortResponse, ApplyLimits,
                    RequestPeerDocuments, SetFollowsStore, SetStoreContact, SetReady, SetKeepAlive,
-                   CloseIdleConnections, SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
+                   CloseIdleConnections, CloseClients, SendPeer, SubmitStoreCall, WriteLog,
+                   RelayStopCompleted>;
 
 } // namespace tamarack
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -214,6 +214,22 @@
         retryOnOtherInstance(state, active, now, out);
 }
 
+void giveUpAttempt(RelayState &state, RelayedRequest &active, const std::string &reason,
+                   MonoTime now, RelayCommands &out)
+{
+    active.mayHaveRun_ = true;
+    active.outputUnknown_ = active.outputStarted_;
+    const bool failed = !active.outputStarted_ && now >= active.deadline_;
+    recordInstanceOutcome(state, active,
+                          failed ? InstanceOutcome::Failed : InstanceOutcome::Neutral, now);
+    if (active.outputStarted_ || active.events_ > 0) {
+        out.emplace_back(AbortResponse {active.request_.id_});
+        finish(state, active, "cut " + reason, now, out);
+        return;
+    }
+    refuse(state, active, statusGatewayTimeout, reason, now, out);
+}
+
 void onTimer(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
     const bool expired = now >= active.deadline_;
@@ -233,17 +249,7 @@
         return;
     }
     if (expired) {
-        active.mayHaveRun_ = true;
-        active.outputUnknown_ = active.outputStarted_;
-        recordInstanceOutcome(
-            state, active,
-            active.outputStarted_ ? InstanceOutcome::Neutral : InstanceOutcome::Failed, now);
-        if (active.outputStarted_ || active.events_ > 0) {
-            out.emplace_back(AbortResponse {active.request_.id_});
-            finish(state, active, "cut timeout", now, out);
-        } else {
-            refuse(state, active, statusGatewayTimeout, "timeout", now, out);
-        }
+        giveUpAttempt(state, active, "timeout", now, out);
         return;
     }
     // The attempt had no output in time. It continues unless a retry is permitted.
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack {
 
@@ -229,6 +230,25 @@
     updateReadiness(state, out);
 }
 
+void onEvent(RelayState &state, const ClientsClosed &, MonoTime, RelayCommands &)
+{
+    state.clientsClosed_ = true;
+}
+
+/// Ends the requests that would outlast the stop, so that their clients get a response.
+void endRemainingRequests(RelayState &state, MonoTime now, RelayCommands &out)
+{
+    logLine(out, LogLevel::Warning, "daemon.ending_requests",
+            {{"active", std::to_string(state.active_.size())}});
+    while (!state.active_.empty()) {
+        RelayedRequest &active = state.active_.begin()->second;
+        if (active.stage_ == RelayStage::Sent)
+            giveUpAttempt(state, active, "stopping", now, out);
+        else
+            failWithoutInstance(state, active, "stopping", std::nullopt, now, out);
+    }
+}
+
 void advanceStop(RelayState &state, MonoTime now, RelayCommands &out)
 {
     if (!state.stopRequestedAt_ || state.stopCompleted_)
@@ -240,13 +260,21 @@
         out.emplace_back(CloseIdleConnections {});
         releaseGrants(state.prepaid_, state.settings_.prepaid_, now);
     }
-    const bool done
+    const bool deadlinePassed = now >= state.stopDeadline_;
+    if (deadlinePassed && !state.active_.empty())
+        endRemainingRequests(state, now, out);
+    const bool idle
         = state.idleConnectionsClosed_ && state.active_.empty() && isPrepaidIdle(state.prepaid_);
-    if (!done && now < state.stopDeadline_)
+    if (!idle && !deadlinePassed)
+        return;
+    // The front end may still be sending the last responses.
+    if (!std::exchange(state.clientsClosing_, true))
+        out.emplace_back(CloseClients {});
+    if (!state.clientsClosed_ && now < state.stopDeadline_ + state.settings_.stopDeliveryTime_)
         return;
     state.stopCompleted_ = true;
-    logLine(out, done ? LogLevel::Info : LogLevel::Warning, "daemon.stopped",
-            {{"cut", std::to_string(state.active_.size())},
+    logLine(out, state.clientsClosed_ ? LogLevel::Info : LogLevel::Warning, "daemon.stopped",
+            {{"clients_closed", state.clientsClosed_ ? "yes" : "no"},
              {"ledger_settled", isPrepaidIdle(state.prepaid_) ? "yes" : "no"}});
     out.emplace_back(RelayStopCompleted {});
 }
@@ -374,7 +402,10 @@
     if (state.stopRequestedAt_ && !state.stopCompleted_) {
         if (!state.idleConnectionsClosed_)
             takeEarlier(next, *state.stopRequestedAt_ + state.settings_.stopAcceptPeriod_);
-        takeEarlier(next, state.stopDeadline_);
+        takeEarlier(next,
+                    state.clientsClosing_ && state.active_.empty()
+                        ? state.stopDeadline_ + state.settings_.stopDeliveryTime_
+                        : state.stopDeadline_);
     }
     return next;
 }
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -85,8 +85,11 @@
     /// How long a stopping daemon still accepts connections, because new connections still reach
     /// it.
     Millis stopAcceptPeriod_ {3000};
-    /// A stopping daemon exits this long before its deadline.
+    /// A stopping daemon ends the requests that still run this long before its deadline.
     Millis stopMargin_ {500};
+    /// How long the responses to these requests may take until they are delivered. The daemon exits
+    /// then.
+    Millis stopDeliveryTime_ {300};
 };
 
 enum class RelayStage {
@@ -179,6 +182,9 @@
     std::optional<MonoTime> stopRequestedAt_;
     MonoTime stopDeadline_ {};
     bool idleConnectionsClosed_ = false;
+    /// All requests have ended, and the front end was told to close the client connections.
+    bool clientsClosing_ = false;
+    bool clientsClosed_ = false;
     bool stopCompleted_ = false;
 };
 
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -160,6 +160,12 @@
 void onAttemptEnded(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
                     MonoTime now, RelayCommands &out);
 
+/// @brief Ends a request whose attempt may still run: cuts a response that has begun, otherwise
+/// responds with 504.
+/// @pre the request is in stage Sent
+void giveUpAttempt(RelayState &state, RelayedRequest &active, const std::string &reason,
+                   MonoTime now, RelayCommands &out);
+
 /// @brief Handles an expired timer of a request.
 void onTimer(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
 
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -164,4 +164,42 @@
     CHECK(response.ends_with("ok"));
 }
 
+TEST_CASE("all client connections are closed after their last response")
+{
+    // The stop ended when the last response was decided, and the process exited before it was sent.
+    Fixture fixture;
+    setUp(fixture);
+    Exchange exchange = startExchange(fixture);
+    StreamSocket accepted = connectClient(fixture);
+    sendText(accepted, getRequest);
+    const RequestRead second = waitForEvent<RequestRead>(fixture);
+    StreamSocket idle = connectClient(fixture);
+    command(fixture, SetKeepAlive {false});
+    command(fixture, CloseClients {});
+    CHECK(readToEnd(idle).empty());
+    CHECK_THROWS_AS(connectClient(fixture), Poco::Net::ConnectionRefusedException);
+    const std::string body(std::size_t {200} << 10U, 'x');
+    sendText(exchange.upstream_,
+             "HTTP/1.1 500 E\r\nX-Request-Id: r1\r\nX-Signature: s\r\nContent-Length: "
+                 + std::to_string(body.size()) + "\r\n\r\n" + body);
+    waitForEvent<RelayAttemptEnded>(fixture);
+    command(fixture, ForwardFailure {exchange.attempt_.id_});
+    command(fixture, RespondToClient {second.request_.id_, 503, Millis {250}, "stopping"});
+    CHECK(readToEnd(exchange.client_).ends_with("\r\n\r\n" + body));
+    exchange.client_.close();
+    CHECK(readToEnd(accepted).starts_with("HTTP/1.1 503 "));
+    accepted.close();
+    waitForEvent<ClientsClosed>(fixture);
+}
+
+TEST_CASE("a response that was decided before the front end stops is sent")
+{
+    Fixture fixture;
+    setUp(fixture);
+    Exchange exchange = startExchange(fixture);
+    command(fixture, RespondToClient {exchange.attempt_.id_, 504, std::nullopt, "timeout"});
+    stopFrontend(*fixture.frontend_);
+    CHECK(readHead(exchange.client_).starts_with("HTTP/1.1 504 "));
+}
+
 } // namespace tamarack
--- a/tests/unit-relay.cpp
+++ b/tests/unit-relay.cpp
@@ -304,10 +304,47 @@
         // A shorter request ends before the stop deadline.
         CHECK(findCommand<SendAttempt>(post(fixture, RequestRead {makeRequest(fixture, "safe")})));
     }
-    SECTION("the stop completes with the last response")
+    SECTION("the stop completes after the last response was delivered, not with its decision")
     {
-        CHECK(findCommand<RelayStopCompleted>(
-            post(fixture, ended(running, AttemptEnd::Delivered, 200))));
+        // The process exited before the front end had sent the upstream's failure.
+        const auto failed = post(fixture, ended(running, AttemptEnd::Failed, 500));
+        CHECK(findCommand<ForwardFailure>(failed));
+        CHECK(!findCommand<RelayStopCompleted>(failed));
+        CHECK(findCommand<CloseClients>(failed));
+        CHECK(findCommand<RelayStopCompleted>(post(fixture, ClientsClosed {})));
+    }
+    SECTION("a request that arrives while the connections are being closed gets a response")
+    {
+        post(fixture, ended(running, AttemptEnd::Delivered, 200));
+        const SendAttempt late = sendFirst(fixture, "safe");
+        CHECK(!findCommand<RelayStopCompleted>(advanceTime(fixture, Millis {100})));
+        post(fixture, ended(late, AttemptEnd::Delivered, 200));
+        CHECK(findCommand<RelayStopCompleted>(post(fixture, ClientsClosed {})));
+    }
+    SECTION("requests that still run at the end get a response before the process exits")
+    {
+        // They were cut without one.
+        const SendAttempt begun = sendFirst(fixture, "safe");
+        post(fixture, OutputStarted {begun.id_, begun.attempt_, fixture.now_});
+        const auto last = advanceTime(fixture, Millis {4500});
+        const auto response = findCommand<RespondToClient>(last);
+        REQUIRE(response);
+        CHECK(response->id_ == running.id_);
+        CHECK(response->status_ == 504);
+        REQUIRE(findCommand<AbortResponse>(last));
+        CHECK(findCommand<AbortResponse>(last)->id_ == begun.id_);
+        CHECK(findCommand<CloseClients>(last));
+        CHECK(!findCommand<RelayStopCompleted>(last));
+        SECTION("at once when they are delivered")
+        {
+            CHECK(findCommand<RelayStopCompleted>(post(fixture, ClientsClosed {})));
+        }
+        SECTION("at the latest before the process is killed")
+        {
+            REQUIRE(nextDueTime(fixture.state_));
+            fixture.now_ = *nextDueTime(fixture.state_);
+            CHECK(findCommand<RelayStopCompleted>(runDueWork(fixture.state_, fixture.now_)));
+        }
     }
 }
 
