Wait at the start until the daemon before has released its addresses

Operators saw a daemon end at once with status 1 when it was started while the one before it on the host still stopped, which takes up to stopS. The host was without a daemon then.

Cause: a listener that can't be bound was final, whatever the reason.

Change: an address in use is an error kind of its own (tamarack.front.102, tamarack.peers.202). The daemon logs daemon.waiting_for_address and tries again every 50 ms, up to 2 s longer than a stop may take, and ends with status 0 if it is told to stop meanwhile. Any other failure is final as before.

Ruled out: SO_REUSEPORT. The kernel would give a share of the new connections to the daemon that stops.

Test: e2e-restart, two processes with the same settings.

--- a/src/adapters/peers/peersocket.cpp
+++ b/src/adapters/peers/peersocket.cpp
@@ -256,6 +256,10 @@
                             static_cast<int>(state.settings_.maxQueuedMessages_));
         state.listener_.bind("tcp://" + state.settings_.address_);
     } catch (const zmq::error_t &error) {
+        if (error.num() == EADDRINUSE)
+            return fail(ErrorKind::AddressInUse, "tamarack.peers.202",
+                        "another process listens on " + state.settings_.address_
+                            + "; stop it, or set peers.address to a free IP:port of this host");
         return fail(ErrorKind::ConnectionFailed, "tamarack.peers.201",
                     "cannot listen for peers on " + state.settings_.address_ + " (" + error.what()
                         + "); set peers.address to a free IP:port of this host");
--- a/src/adapters/peers/peersocket.h
+++ b/src/adapters/peers/peersocket.h
@@ -45,7 +45,8 @@
 
 /// @brief Opens the listener and starts the socket thread. Received messages are posted as
 /// PeerMessageReceived.
-/// @return an error with id tamarack.peers.201 if the listener cannot be opened
+/// @return an error with id tamarack.peers.201 if the listener cannot be opened, or
+/// tamarack.peers.202 if another process listens on its address
 Result<PeerSocket> startPeerSocket(PeerSettings settings, EventPort events, LogPort log);
 
 /// @brief Returns the port that sends messages. After stopPeerSocket() it has no effect.
--- a/src/adapters/relayhttp/frontend.h
+++ b/src/adapters/relayhttp/frontend.h
@@ -71,7 +71,8 @@
 };
 
 /// @brief Opens both listeners and starts the traffic thread.
-/// @return an error with id tamarack.front.101 if an address is invalid or can't be bound
+/// @return an error with id tamarack.front.101 if an address is invalid or can't be bound, or
+/// tamarack.front.102 if another process listens on it
 Result<Frontend> startFrontend(FrontendSettings settings, RelayEventPort events,
                                LocalHandler pages);
 
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -48,7 +48,8 @@
 
 /// @brief Opens a non-blocking listening socket.
 /// @param address "IP:port"
-/// @return an error with id tamarack.front.101 if the address is invalid or can't be bound
+/// @return an error with id tamarack.front.101 if the address is invalid or can't be bound, or
+/// tamarack.front.102 if another process listens on it
 Result<Descriptor> openListener(const std::string &address, int backlog);
 
 /// @brief Starts a non-blocking connect to "IP:port".
--- a/src/adapters/relayhttp/sockets.cpp
+++ b/src/adapters/relayhttp/sockets.cpp
@@ -121,6 +121,11 @@
 Result<Descriptor> openListener(const std::string &address, int backlog)
 {
     const auto problem = [&address](const char *call) {
+        if (errno == EADDRINUSE)
+            return fail(ErrorKind::AddressInUse, "tamarack.front.102",
+                        fmt::format("another process listens on {}; stop it, or change the address "
+                                    "in the settings",
+                                    address));
         return fail(ErrorKind::ConnectionFailed, "tamarack.front.101",
                     fmt::format("can't listen on {}: {}: {}; check the address in the settings",
                                 address, call, std::strerror(errno)));
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -21,6 +21,8 @@
     LedgerInvariant,
     StoreUnavailable,
     ConnectionFailed,
+    /// Another process listens on the address.
+    AddressInUse,
     Internal,
 };
 
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -40,6 +40,10 @@
 constexpr std::size_t maxPeerMessageBytes = std::size_t {4} << 20U;
 /// Clients get half of the descriptors; the rest is for files, listeners and upstreams.
 constexpr std::size_t clientDescriptorDivisor = 2;
+/// Interval between attempts to listen on an address that is in use, and how much longer than a
+/// stop may take they are made.
+constexpr Millis addressRetryInterval {50};
+constexpr Millis addressWaitMargin {2000};
 
 std::optional<RelayDaemonSettings> readSettingsFile(const std::string &path,
                                                     ValidationErrors &errors)
@@ -108,24 +112,52 @@
     };
 }
 
-/// Starts a component. Returns nothing if that fails, and logs the Error as daemon.not_started.
+/// Starts a component.
+/// @param failure receives the error if the component could not be started
 template <typename Value>
-std::optional<Value> startOrLog(const LogPort &log, const std::function<Result<Value>()> &start)
+std::optional<Value> tryStart(const std::function<Result<Value>()> &start, Error &failure)
 {
     return boost::leaf::try_handle_all(
         [&]() -> Result<std::optional<Value>> {
             BOOST_LEAF_AUTO(value, start());
             return std::optional<Value>(std::move(value));
         },
-        [&log](const Error &error) {
-            log.write_(LogEvent {LogLevel::Error,
-                                 "daemon.not_started",
-                                 {{"error", error.id_}, {"problem", error.message_}}});
+        [&failure](const Error &error) {
+            failure = error;
             return std::optional<Value>();
         },
         [] { return std::optional<Value>(); });
 }
 
+/// Starts a component that listens on an address. If the address is in use, waits until the daemon
+/// that ran before on this host has stopped, which takes up to @a stopTimeout. Exits the process if
+/// a stop is requested meanwhile.
+/// @return nothing if the component could not be started; the Error is logged
+template <typename Value>
+std::optional<Value> startListening(const LogPort &log, Millis stopTimeout,
+                                    const std::function<Result<Value>()> &start)
+{
+    const MonoTime deadline = std::chrono::steady_clock::now() + stopTimeout + addressWaitMargin;
+    bool waiting = false;
+    while (true) {
+        Error failure;
+        std::optional<Value> value = tryStart(start, failure);
+        if (value)
+            return value;
+        const bool mayWait = failure.kind_ == ErrorKind::AddressInUse
+            && std::chrono::steady_clock::now() < deadline;
+        const char *name = mayWait ? "daemon.waiting_for_address" : "daemon.not_started";
+        if (!mayWait || !std::exchange(waiting, true))
+            log.write_(LogEvent {mayWait ? LogLevel::Warning : LogLevel::Error,
+                                 name,
+                                 {{"error", failure.id_}, {"problem", failure.message_}}});
+        if (!mayWait)
+            return std::nullopt;
+        if (awaitStopSignalFor(addressRetryInterval))
+            std::_Exit(EXIT_SUCCESS);
+    }
+}
+
 Millis maxContactAge(const RelayDaemonSettings &settings)
 {
     const DocumentSyncSettings sync = relayControlSettings(settings).sync_;
@@ -211,7 +243,7 @@
     const RelayEventPort events {[&relay](RelayEvent event) {
         post(relay.queue_, std::move(event));
     }};
-    relay.frontend_ = startOrLog<Frontend>(relay.log_, [&] {
+    relay.frontend_ = startListening<Frontend>(relay.log_, relay.settings_.stopTimeout_, [&] {
         return startFrontend(frontendSettings(relay.settings_, relay.platform_), events,
                              localHandler(relay.platform_, relay.ready_, relay.registry_));
     });
@@ -226,7 +258,7 @@
     settings.host_ = relay.settings_.host_;
     settings.address_ = relay.settings_.peerAddress_;
     settings.maxMessageBytes_ = maxPeerMessageBytes;
-    relay.peers_ = startOrLog<PeerSocket>(relay.log_, [&] {
+    relay.peers_ = startListening<PeerSocket>(relay.log_, relay.settings_.stopTimeout_, [&] {
         return startPeerSocket(settings, EventPort {[&relay](const Event &event) {
                                    onPeerEvent(relay, event);
                                }},
--- a/src/runtime/gracefulshutdown.cpp
+++ b/src/runtime/gracefulshutdown.cpp
@@ -87,6 +87,12 @@
     }
 }
 
+bool awaitStopSignalFor(Millis time)
+{
+    return awaitSignal(signalSet({SIGTERM, SIGINT}), std::chrono::steady_clock::now() + time)
+        .has_value();
+}
+
 void signalStopped(pthread_t mainThread)
 {
     pthread_kill(mainThread, stoppedSignal);
--- a/src/runtime/gracefulshutdown.h
+++ b/src/runtime/gracefulshutdown.h
@@ -16,6 +16,10 @@
 /// @brief Blocks until SIGTERM or SIGINT arrives. Calls @a onHangup for each SIGHUP.
 void awaitStopSignal(const std::function<void()> &onHangup);
 
+/// @brief Blocks until SIGTERM or SIGINT arrives or @a time has passed. The signal is consumed.
+/// @return true if a signal arrived
+bool awaitStopSignalFor(Millis time);
+
 /// @brief Signals the main thread that a step of the shutdown is complete.
 void signalStopped(pthread_t mainThread);
 
