Resume reading from an upstream after its client has stalled

Cause: updateInterest() took an interest of 0 to mean that the socket is not registered with epoll. A paused upstream has an interest of 0 but stays registered, so the resuming EPOLL_CTL_ADD failed with EEXIST, and the result was ignored.

Change: registration is a flag of its own. A failed epoll_ctl closes the connection by its deadline, and a deadline of an upstream connection with a request ends its attempt.

Ruled out: the client's own flush (its queue was empty and its EPOLLOUT had been delivered).

--- a/src/adapters/relayhttp/frontendstate.h
+++ b/src/adapters/relayhttp/frontendstate.h
@@ -39,7 +39,8 @@
     ConnectionId id_;
     Descriptor socket_;
     OutputBuffer out_;
-    /// Events that epoll reports for the socket; 0 if the socket is not registered.
+    /// The socket is registered with epoll, which reports these events for it.
+    bool registered_ = false;
     std::uint32_t interest_ = 0;
     std::optional<MonoTime> deadline_;
 };
--- a/src/adapters/relayhttp/sockets.cpp
+++ b/src/adapters/relayhttp/sockets.cpp
@@ -60,14 +60,19 @@
 
 void updateInterest(FrontendState &state, SocketChannel &channel, std::uint32_t interest)
 {
-    if (channel.interest_ == interest)
+    if (channel.registered_ && channel.interest_ == interest)
         return;
     epoll_event event {};
     event.events = interest;
     event.data.u64 = channel.id_.value_;
-    const int operation = channel.interest_ == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
-    ::epoll_ctl(state.epoll_.fd_, operation, channel.socket_.fd_, &event);
+    const int operation = channel.registered_ ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
     channel.interest_ = interest;
+    if (::epoll_ctl(state.epoll_.fd_, operation, channel.socket_.fd_, &event) == 0) {
+        channel.registered_ = true;
+        return;
+    }
+    // Without events the connection would stay open unattended, so its deadline closes it.
+    setDeadline(state, channel, std::chrono::steady_clock::now());
 }
 
 void setDeadline(FrontendState &state, SocketChannel &channel, std::optional<MonoTime> deadline)
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -364,10 +364,9 @@
 
 void onUpstreamDeadline(FrontendState &state, UpstreamConnection &upstream)
 {
-    if (upstream.connecting_)
-        onConnectionLost(state, upstream, "connect timed out");
-    else
-        closeUpstream(state, upstream.channel_.id_);
+    onConnectionLost(state, upstream,
+                     upstream.connecting_ ? "connect timed out"
+                                          : "the connection's deadline has passed");
 }
 
 void closeUpstream(FrontendState &state, ConnectionId id)
--- a/tests/contract-relayfaults.cpp
+++ b/tests/contract-relayfaults.cpp
@@ -213,4 +213,26 @@
     CHECK(head.find("Retry-After: 0.250\r\n") != std::string::npos);
 }
 
+TEST_CASE("a response continues after its client has not read for a while")
+{
+    // The upstream was never read again after its reading had been paused.
+    Fixture fixture;
+    setUp(fixture);
+    Exchange exchange = startExchange(fixture);
+    constexpr std::size_t bodyBytes = std::size_t {16} << 20U;
+    std::thread sender([&exchange] {
+        sendText(exchange.upstream_,
+                 responseTo("r1", "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"));
+        const std::string piece(std::size_t {64} << 10U, 'x');
+        for (std::size_t sent = 0; sent < bodyBytes; sent += piece.size())
+            sendText(exchange.upstream_, piece);
+    });
+    // More than the buffers of the kernel and of the relay hold, so the relay has to pause.
+    const std::string response = readUntil(
+        exchange.client_, [](const std::string &text) { return text.ends_with("0\r\n\r\n"); });
+    CHECK(response.size() > bodyBytes);
+    resetConnection(exchange.client_);
+    sender.join();
+}
+
 } // namespace tamarack
