Limit the memory of all connections together

Operators saw processes end by themselves, and with them the requests of all their clients.

Cause: each connection has limits, but nothing limited their sum, and no setting told the daemon its memory. A body was also held twice while it was sent to an upstream.

Change: - limits.memoryMb; 0.4 of it is the budget for requests and responses. Connections and exchanges hold shares of it (bufferbudget.h). - A body above 64 KiB reserves its memory when its head was read, within 0.6 of the budget. If there is none, the client is not read until there is, in order of arrival; after 700 ms the request is refused with 503 and Retry-After, which is true because it was not submitted. Small requests are not affected. - Above three quarters of the budget each connection may queue or hold back 32 KiB of a response instead of 256 KiB. At the limit no connections are accepted. - The body is sent in parts of 64 KiB instead of as a copy. - Freed buffers of 1 MiB and more return to the system. - Metrics tamarack_relay_buffered_bytes, tamarack_relay_buffer_limit_bytes and tamarack_relay_memory_refusals.

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t maxSettingsBytes = 1U << 20U;
 constexpr double maxProcessorCores = 1024.0;
+constexpr double maxMemoryMb = 1e6;
 constexpr IntegerRange timeRange {1, 3'600'000};
 
 /// An instance missing from the store stops getting requests this long before its drain timeout
@@ -77,7 +78,14 @@
                                                    "set it to the number of processor cores"});
     settings.linkMbps_
         = readNumber(limits, "linkMbps", FieldPresence::Optional, 0.0, settings.linkMbps_);
-    rejectUnknownFields(limits, {"drainMs", "stopS", "descriptors", "cores", "linkMbps"});
+    settings.memoryMb_
+        = readNumber(limits, "memoryMb", FieldPresence::Optional, 0.0, settings.memoryMb_);
+    if (settings.memoryMb_ > maxMemoryMb)
+        limits.errors_->push_back(ValidationError {"limits.memoryMb",
+                                                   fmt::format("is above {}", maxMemoryMb),
+                                                   "set it to the memory in megabytes"});
+    rejectUnknownFields(limits,
+                        {"drainMs", "stopS", "descriptors", "cores", "linkMbps", "memoryMb"});
 }
 
 } // namespace
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -39,6 +39,9 @@
     /// Capacity of the network link in each direction, in megabits per second; 0 if unknown. A
     /// daemon whose requests and responses fill the link leaves the rotation.
     double linkMbps_ = 0.0;
+    /// Memory that the process may use, in megabytes; 0 if it is not limited. Requests wait or are
+    /// refused when their buffers would exceed a part of it.
+    double memoryMb_ = 0.0;
     /// An instance that was reported as leaving may get requests for this long.
     Millis drainTimeout_ {2000};
     /// Maximum time from the stop signal to the exit of the process.
--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -178,6 +178,13 @@
                         "Smoothed time that events wait for the control thread");
     auto *link = gauge("tamarack_relay_link_use_ratio",
                        "Smoothed share of the network link that requests and responses take");
+    auto *buffered = gauge("tamarack_relay_buffered_bytes",
+                           "Memory that requests and responses take or have reserved");
+    auto *bufferLimit = gauge("tamarack_relay_buffer_limit_bytes",
+                              "Maximum of tamarack_relay_buffered_bytes; 0 if there is none");
+    auto *memoryRefusals
+        = gauge("tamarack_relay_memory_refusals",
+                "Requests refused since the start because no memory was available for their body");
     RelayMetricsPort port;
     port.event_ = [families](const RelayEvent &event) {
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, event);
@@ -186,7 +193,8 @@
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, command);
     };
     port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
-                            limited, dropped, delay, link](Micros time, const RelayGauges &gauges) {
+                            limited, dropped, delay, link, buffered, bufferLimit,
+                            memoryRefusals](Micros time, const RelayGauges &gauges) {
         handling.Observe(std::chrono::duration<double>(time).count());
         active->Set(static_cast<double>(gauges.active_));
         instances->Set(static_cast<double>(gauges.instances_));
@@ -197,6 +205,9 @@
         dropped->Set(static_cast<double>(gauges.droppedLogLines_));
         delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
         link->Set(gauges.linkUse_);
+        buffered->Set(static_cast<double>(gauges.buffers_.bytes_));
+        bufferLimit->Set(static_cast<double>(gauges.buffers_.limitBytes_));
+        memoryRefusals->Set(static_cast<double>(gauges.buffers_.refusals_));
     };
     return port;
 }
--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -107,6 +107,74 @@
 void execute(FrontendState &, const Other &)
 { }
 
+/// The parts of an exchange, by id because any of them may end while an event is handled.
+struct RelatedIds
+{
+    ConnectionId client_;
+    ConnectionId upstream_;
+    ExchangeId exchange_;
+};
+
+RelatedIds relatedIds(const FrontendState &state, ExchangeId id)
+{
+    RelatedIds related;
+    related.exchange_ = id;
+    const auto exchange = state.exchanges_.find(id);
+    if (exchange == state.exchanges_.end())
+        return related;
+    related.client_ = exchange->second.client_;
+    related.upstream_ = exchange->second.upstream_.value_or(ConnectionId {});
+    return related;
+}
+
+RelatedIds relatedIds(const FrontendState &state, ConnectionId id)
+{
+    RelatedIds related;
+    if (const auto client = state.clients_.find(id); client != state.clients_.end()) {
+        related = relatedIds(state, client->second.exchange_);
+        related.client_ = id;
+    } else if (const auto upstream = state.upstreams_.find(id);
+               upstream != state.upstreams_.end()) {
+        related = relatedIds(state, upstream->second.exchange_);
+        related.upstream_ = id;
+    }
+    return related;
+}
+
+/// Updates the shares of the budget to what is buffered now.
+void countBuffers(FrontendState &state, const RelatedIds &related)
+{
+    if (const auto it = state.clients_.find(related.client_); it != state.clients_.end()) {
+        const ClientConnection &client = it->second;
+        const std::size_t input = bufferedBytes(client.reader_);
+        setShare(state.buffers_, it->second.channel_.buffered_,
+                 client.channel_.out_.bytes_.size() + input - std::min(input, client.body_.bytes_));
+    }
+    if (const auto it = state.upstreams_.find(related.upstream_); it != state.upstreams_.end())
+        setShare(state.buffers_, it->second.channel_.buffered_,
+                 it->second.channel_.out_.bytes_.size() + it->second.input_.size());
+    if (const auto it = state.exchanges_.find(related.exchange_); it != state.exchanges_.end()) {
+        const ClientExchange &exchange = it->second;
+        const std::size_t body = exchange.request_.body_.size();
+        setShare(state.buffers_, it->second.buffered_,
+                 exchange.bufferedBody_.size() + exchange.events_.partial_.size() + body
+                     - std::min(body, exchange.body_.bytes_));
+    }
+}
+
+template <typename Command>
+void executeAndCount(FrontendState &state, const Command &command)
+{
+    if constexpr (requires { relatedIds(state, command.id_); }) {
+        const RelatedIds before = relatedIds(state, command.id_);
+        execute(state, command);
+        countBuffers(state, before);
+        countBuffers(state, relatedIds(state, command.id_));
+    } else {
+        execute(state, command);
+    }
+}
+
 /// @return false if the event loop has to stop
 bool executeCommands(FrontendState &state)
 {
@@ -119,7 +187,7 @@
     }
     // A response may be the last command before the stop.
     for (const RelayCommand &command : commands)
-        std::visit([&state](const auto &concrete) { execute(state, concrete); }, command);
+        std::visit([&state](const auto &concrete) { executeAndCount(state, concrete); }, command);
     return !stopping;
 }
 
@@ -137,12 +205,13 @@
     (void)!::read(state.wakeupEvent_.fd_, &count, sizeof count);
 }
 
-/// Pauses accepting while the limit on client connections is reached.
+/// Pauses accepting while the limit on client connections or on memory is reached.
 void updateAccepting(FrontendState &state)
 {
     if (state.closingAllClients_)
         return;
-    const bool listen = state.clients_.size() < state.settings_.maxClients_;
+    const bool listen = state.clients_.size() < state.settings_.maxClients_
+        && (state.buffers_.limit_ == 0 || state.buffers_.used_ < state.buffers_.limit_);
     if (listen == state.accepting_)
         return;
     state.accepting_ = listen;
@@ -175,10 +244,13 @@
         return;
     }
     const ConnectionId id {number};
+    const RelatedIds before = relatedIds(state, id);
     if (const auto client = state.clients_.find(id); client != state.clients_.end())
         onClientEvent(state, client->second, events);
     else if (const auto upstream = state.upstreams_.find(id); upstream != state.upstreams_.end())
         onUpstreamEvent(state, upstream->second, events);
+    countBuffers(state, before);
+    countBuffers(state, relatedIds(state, id));
 }
 
 void handleDeadlines(FrontendState &state)
@@ -228,6 +300,7 @@
         if (!executeCommands(state))
             return;
         handleDeadlines(state);
+        resumeAwaitingMemory(state);
         updateAccepting(state);
         reportClientsClosed(state);
     }
@@ -254,6 +327,7 @@
     state->events_ = std::move(events);
     state->localHandler_ = std::move(pages);
     state->lastId_ = frontend::firstConnectionId;
+    state->buffers_.limit_ = state->settings_.maxBufferedBytes_;
     BOOST_LEAF_ASSIGN(
         state->clientListener_,
         frontend::openListener(state->settings_.clientAddress_, state->settings_.listenBacklog_));
@@ -277,6 +351,12 @@
     return TrafficTotals {frontend.state_->receivedBytes_, frontend.state_->sentBytes_};
 }
 
+BufferUsage bufferUsage(const Frontend &frontend)
+{
+    const BufferBudget &buffers = frontend.state_->buffers_;
+    return BufferUsage {buffers.used_, buffers.limit_, buffers.refusals_};
+}
+
 RelayFrontendPort frontendPort(const Frontend &frontend)
 {
     return RelayFrontendPort {[state = frontend.state_](RelayCommand command) {
--- a/src/adapters/relayhttp/frontend.h
+++ b/src/adapters/relayhttp/frontend.h
@@ -43,6 +43,15 @@
     std::size_t maxEventBytes_ = 256U << 10U;
     /// Reading from an upstream pauses while this many bytes are queued for its client.
     std::size_t maxClientBufferBytes_ = 256U << 10U;
+    /// Maximum number of bytes that all connections buffer together; 0 if there is no limit.
+    std::size_t maxBufferedBytes_ = 0;
+    /// Bodies up to this size are received without a reservation.
+    std::size_t unreservedBodyBytes_ = 64U << 10U;
+    /// How long a client waits for memory for its body before its request is refused. Clients give
+    /// up a request that isn't read after a second, or a third of their time.
+    Millis memoryWaitTimeout_ {700};
+    /// Retry-After of such a refusal.
+    Millis memoryRetryAfter_ {500};
     /// After the last response, input is read and discarded for this long: closing a socket with
     /// unread input sends a reset, which can destroy a response that the client has not read yet.
     Millis lingerTimeout_ {1000};
@@ -83,6 +92,9 @@
 /// thread.
 TrafficTotals trafficTotals(const Frontend &frontend);
 
+/// @brief Returns the memory that requests and responses take. Safe to call from any thread.
+BufferUsage bufferUsage(const Frontend &frontend);
+
 /// @brief Stops and joins the traffic thread. Connections are closed when the last reference to the
 /// front end's state is released.
 void stopFrontend(Frontend &frontend);
--- a/src/adapters/relayhttp/frontendstate.h
+++ b/src/adapters/relayhttp/frontendstate.h
@@ -3,6 +3,7 @@
 // Internal to the front end.
 #pragma once
 
+#include "adapters/relayhttp/bufferbudget.h"
 #include "adapters/relayhttp/descriptor.h"
 #include "adapters/relayhttp/eventstream.h"
 #include "adapters/relayhttp/frontend.h"
@@ -43,6 +44,8 @@
     bool registered_ = false;
     std::uint32_t interest_ = 0;
     std::optional<MonoTime> deadline_;
+    /// The bytes that the connection holds, without those of request bodies.
+    BufferShare buffered_;
 };
 
 enum class ClientStage {
@@ -63,6 +66,10 @@
     RequestReader reader_;
     /// Time at which the first byte of the current request arrived.
     std::optional<MonoTime> requestStart_;
+    /// Reserved for the body of the current request until it is submitted.
+    BufferShare body_;
+    /// Reading is paused until this reservation is possible; 0 if it is not paused.
+    std::size_t awaitedBytes_ = 0;
     ExchangeId exchange_;
     bool closeAfterResponse_ = false;
     /// The connection is closed at its deadline without a further response.
@@ -80,6 +87,8 @@
     bool connecting_ = false;
     /// At least one byte of the current request was passed to the kernel.
     bool sendStarted_ = false;
+    /// Bytes of the request's body that have not been queued for sending.
+    std::size_t unsentBodyBytes_ = 0;
     /// The connection has served an earlier request.
     bool reused_ = false;
     ResponseReader reader_;
@@ -107,6 +116,10 @@
     ConnectionId client_;
     std::optional<ConnectionId> upstream_;
     HttpRequest request_;
+    /// Reserved for the body of the request.
+    BufferShare body_;
+    /// The bytes of the response that are held back.
+    BufferShare buffered_;
     RequestId requestId_;
     MonoTime arrivedAt_ {};
     std::optional<Millis> clientTimeout_;
@@ -150,6 +163,10 @@
     /// only.
     std::atomic<std::uint64_t> receivedBytes_ = 0;
     std::atomic<std::uint64_t> sentBytes_ = 0;
+    /// Declared before the connections and exchanges, which return their shares on destruction.
+    BufferBudget buffers_;
+    /// Clients whose reading is paused until memory is available, in order of arrival.
+    std::deque<ConnectionId> awaitingMemory_;
 
     ClientLimits limits_;
     std::uint64_t lastId_ = 0;
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -67,6 +67,9 @@
 void closeClient(FrontendState &state, ConnectionId id);
 void closeIdleClients(FrontendState &state);
 
+/// @brief Reads on from clients whose request body now has memory, in order of arrival.
+void resumeAwaitingMemory(FrontendState &state);
+
 /// @brief Queues bytes for a client and sends as many as the socket accepts.
 void sendToClient(FrontendState &state, ClientConnection &client, std::string_view bytes);
 
--- a/src/adapters/relayhttp/message.cpp
+++ b/src/adapters/relayhttp/message.cpp
@@ -218,6 +218,12 @@
         if (error || used == 0)
             break;
     }
+    if (state.headParsed_) {
+        const auto length = state.parser_->content_length();
+        progress.bodySizeKnown_ = static_cast<bool>(length);
+        progress.bodyBytes_
+            = length ? static_cast<std::size_t>(*length) : state.parser_->get().body().size();
+    }
     if (state.parser_->is_done()) {
         progress.parseStatus_ = ParseStatus::Done;
     } else if (state.headParsed_) {
@@ -232,6 +238,13 @@
     return progress;
 }
 
+std::size_t bufferedBytes(const RequestReader &reader)
+{
+    const std::size_t body
+        = reader.state_->parser_ ? reader.state_->parser_->get().body().size() : 0;
+    return reader.pending_.size() + body;
+}
+
 HttpRequest takeRequest(RequestReader &reader)
 {
     auto &message = reader.state_->parser_->get();
--- a/src/adapters/relayhttp/message.h
+++ b/src/adapters/relayhttp/message.h
@@ -82,6 +82,9 @@
 
 struct RequestProgress
 {
+    /// Size of the body if its Content-Length is known, otherwise of what was received of it.
+    std::size_t bodyBytes_ = 0;
+    bool bodySizeKnown_ = false;
     ParseStatus parseStatus_ = ParseStatus::NeedMore;
     /// HTTP status for an invalid request.
     int status_ = 0;
@@ -93,6 +96,9 @@
 /// @brief Parses the reader's pending bytes up to the end of one request.
 RequestProgress readRequest(RequestReader &reader, const RequestLimits &limits);
 
+/// @brief Returns the number of unparsed bytes and of those of the body so far.
+std::size_t bufferedBytes(const RequestReader &reader);
+
 /// @brief Returns the request that readRequest() completed, and resets the reader for the next one.
 /// @pre readRequest() returned Done
 HttpRequest takeRequest(RequestReader &reader);
--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -80,7 +80,8 @@
 {
     sendToClient(state, client, {});
     const OutputBuffer &out = client.channel_.out_;
-    if (out.bytes_.size() - out.sent_ < state.settings_.maxClientBufferBytes_
+    if (out.bytes_.size() - out.sent_
+            < bufferLimit(state.buffers_, state.settings_.maxClientBufferBytes_)
         || !exchange.upstream_)
         return;
     UpstreamConnection &upstream = state.upstreams_.at(*exchange.upstream_);
@@ -285,10 +286,11 @@
         return true;
     }
     exchange.bufferedBody_ += body;
-    if (exchange.bufferedBody_.size() <= state.settings_.maxBufferedResponseBytes_)
+    const std::size_t limit = state.settings_.maxBufferedResponseBytes_;
+    if (exchange.bufferedBody_.size() <= bufferLimit(state.buffers_, limit))
         return true;
     if (exchange.responseClass_ != ResponseClass::Deliver)
-        return false;
+        return exchange.bufferedBody_.size() <= limit;
     startUnsizedResponse(state, exchange, *client);
     appendBody(exchange, *client, std::exchange(exchange.bufferedBody_, {}));
     flushWithBackpressure(state, exchange, *client);
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -35,7 +35,7 @@
     return std::max(remaining, Millis {1});
 }
 
-std::string formatRequest(const FrontendState &state, const ClientExchange &exchange)
+std::string formatRequestHead(const FrontendState &state, const ClientExchange &exchange)
 {
     const HeaderNames &names = state.settings_.headers_;
     const HttpRequest &request = exchange.request_;
@@ -58,8 +58,7 @@
         || request.method_ == "PUT" || request.method_ == "PATCH";
     if (hasBody)
         text += fmt::format("Content-Length: {}\r\n", request.body_.size());
-    text += "\r\n";
-    return text + request.body_;
+    return text + "\r\n";
 }
 
 /// Returns the maximum idle time of a pooled connection that this attempt may use.
@@ -157,11 +156,29 @@
                 upstream.sendStarted_ ? AttemptEnd::ConnectionLost : AttemptEnd::NotSent, detail);
 }
 
+/// Queues the next part of the request's body. A copy of the whole body would double its memory.
+/// @return false if nothing is left
+bool queueBodyPart(const FrontendState &state, UpstreamConnection &upstream)
+{
+    constexpr std::size_t maxPartBytes = std::size_t {64} << 10U;
+    const auto exchange = state.exchanges_.find(upstream.exchange_);
+    if (upstream.unsentBodyBytes_ == 0 || exchange == state.exchanges_.end())
+        return false;
+    const std::string &body = exchange->second.request_.body_;
+    const std::size_t count = std::min(upstream.unsentBodyBytes_, maxPartBytes);
+    upstream.channel_.out_.bytes_ = body.substr(body.size() - upstream.unsentBodyBytes_, count);
+    upstream.unsentBodyBytes_ -= count;
+    return true;
+}
+
 void flushUpstream(FrontendState &state, UpstreamConnection &upstream)
 {
-    const SendStatus sent = flush(state, upstream.channel_);
-    upstream.sendStarted_
-        = upstream.sendStarted_ || upstream.channel_.out_.sent_ > 0 || sent == SendStatus::Sent;
+    SendStatus sent = SendStatus::Sent;
+    do {
+        sent = flush(state, upstream.channel_);
+        upstream.sendStarted_
+            = upstream.sendStarted_ || upstream.channel_.out_.sent_ > 0 || sent == SendStatus::Sent;
+    } while (sent == SendStatus::Sent && queueBodyPart(state, upstream));
     if (sent == SendStatus::Failed) {
         // The upstream may have responded before it closed the connection, so its response is read
         // first.
@@ -181,10 +198,11 @@
     upstream.headParsed_ = false;
     upstream.otherRequest_ = false;
     upstream.skippedBytes_ = 0;
+    upstream.unsentBodyBytes_ = exchange.request_.body_.size();
     upstream.readPaused_ = false;
     exchange.upstream_ = upstream.channel_.id_;
     startResponse(upstream.reader_, exchange.request_.method_);
-    upstream.channel_.out_.bytes_ = formatRequest(state, exchange);
+    upstream.channel_.out_.bytes_ = formatRequestHead(state, exchange);
     if (upstream.connecting_)
         return;
     setDeadline(state, upstream.channel_, std::nullopt);
@@ -195,7 +213,7 @@
 {
     // Bytes after a complete response belong to no request.
     const bool usable = keepAlive && upstream.input_.empty() && !upstream.closeAfterResponse_
-        && upstream.channel_.out_.bytes_.empty();
+        && upstream.channel_.out_.bytes_.empty() && upstream.unsentBodyBytes_ == 0;
     if (!usable) {
         closeUpstream(state, upstream.channel_.id_);
         return;
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -3,6 +3,7 @@
 
 #include "core/relay/relay.h"
 
+#include <cstdint>
 #include <functional>
 
 namespace tamarack {
@@ -20,6 +21,16 @@
     std::function<void(RelayCommand)> submit_;
 };
 
+/// @brief Memory that the front end uses for requests and responses.
+struct BufferUsage
+{
+    std::uint64_t bytes_ = 0;
+    /// 0 if there is no limit.
+    std::uint64_t limitBytes_ = 0;
+    /// Requests refused since the start because no memory was available for their body.
+    std::uint64_t refusals_ = 0;
+};
+
 /// @brief Gauge values of the control state after an event.
 struct RelayGauges
 {
@@ -35,6 +46,7 @@
     PreciseMicros eventDelay_ {};
     /// Smoothed share of the network link that requests and responses take.
     double linkUse_ = 0.0;
+    BufferUsage buffers_;
 };
 
 /// @brief Records the events and commands of the control thread. All functions must be set.
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <sstream>
 
+#include <malloc.h>
 #include <pthread.h>
 
 namespace tamarack {
@@ -40,6 +41,12 @@
 constexpr std::size_t maxPeerMessageBytes = std::size_t {4} << 20U;
 /// Clients get half of the descriptors; the rest is for files, listeners and upstreams.
 constexpr std::size_t clientDescriptorDivisor = 2;
+/// Allocations from this size on are returned to the system when they are freed.
+constexpr int mappedAllocationBytes = 1 << 20;
+constexpr double bytesPerMegabyte = 1024.0 * 1024.0;
+/// Fraction of the process memory for buffers of requests and responses. The rest is for the
+/// program, the documents of the store, and memory that the allocator keeps.
+constexpr double bufferedMemoryFraction = 0.4;
 /// Interval between attempts to listen on an address that is in use, and how much longer than a
 /// stop may take they are made.
 constexpr Millis addressRetryInterval {50};
@@ -72,6 +79,8 @@
     frontend.localAddress_ = settings.localAddress_;
     frontend.headers_ = platform.headers_;
     frontend.maxClients_ = settings.maxFileDescriptors_ / clientDescriptorDivisor;
+    frontend.maxBufferedBytes_
+        = static_cast<std::size_t>(settings.memoryMb_ * bytesPerMegabyte * bufferedMemoryFraction);
     return frontend;
 }
 
@@ -332,6 +341,9 @@
             const std::string &settingsPath)
 {
     blockHandledSignals();
+    // Without this, buffers that were freed once raise the threshold, and later ones stay in the
+    // heap after they are freed.
+    ::mallopt(M_MMAP_THRESHOLD, mappedAllocationBytes);
     const pthread_t mainThread = pthread_self();
     RelayDaemon relay(platform, settings);
     startLogSink(relay.sink_);
@@ -372,6 +384,7 @@
                 peerPort(*relay.peers_).send_(std::move(message));
         },
         [&relay] { return trafficTotals(*relay.frontend_); },
+        [&relay] { return bufferUsage(*relay.frontend_); },
         makeRelayMetricsPort(relay.registry_),
         [&relay] { return droppedLogLines(relay.sink_); },
         [&relay] {
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -48,6 +48,7 @@
     gauges.droppedLogLines_ = loop.droppedLogLines_();
     gauges.eventDelay_ = state.overload_.delay_;
     gauges.linkUse_ = state.overload_.linkUse_;
+    gauges.buffers_ = loop.bufferUsage_();
     return gauges;
 }
 
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -24,6 +24,7 @@
     std::function<void(bool)> setStoreContact_;
     std::function<void(SendPeer)> sendPeer_;
     std::function<TrafficTotals()> trafficTotals_;
+    std::function<BufferUsage()> bufferUsage_;
     RelayMetricsPort metrics_;
     std::function<std::uint64_t()> droppedLogLines_;
     /// Logs the number of store calls; called at intervals.
--- a/tests/relayfrontfixture.h
+++ b/tests/relayfrontfixture.h
@@ -84,9 +84,8 @@
     }
 };
 
-inline void setUp(Fixture &fixture)
+inline void setUp(Fixture &fixture, FrontendSettings settings = {})
 {
-    FrontendSettings settings;
     settings.clientAddress_ = fixture.clients_;
     settings.localAddress_ = freeAddress();
     settings.headers_.reserved_ = {"X-Reserved"};
