Settings: a field without a value has its default, 3000.0 is an integer

Operators saw a daemon end at its start with status 2. The template of a platform renders a field that the platform doesn't have as nothing, which is not JSON ("settleMs": ,), and a platform may write whole numbers with decimals.

Change: a missing value is read as null, so an optional field has its default and a required one is reported by its name. A number without a fraction is an integer however it is written; 3000.5 is still rejected.

Tests: unit-relaysettings, "a field without a value has its default" and "a required field without a value, and text that looks like one, are told apart" (8 checks failed before).

--- a/src/adapters/json/jsonreader.cpp
+++ b/src/adapters/json/jsonreader.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace tamarack {
 
@@ -28,6 +29,19 @@
     return {};
 }
 
+/// Returns true for integers, and for whole numbers that are written with decimals, such as 3000.0.
+bool isWholeNumber(const Var &value)
+{
+    if (value.isInteger())
+        return true;
+    if (!value.isNumeric() || value.isBoolean())
+        return false;
+    /// Above this, not every integer has a representation as a double.
+    constexpr double maxExactInteger = 9'007'199'254'740'992.0;
+    const auto number = value.convert<double>();
+    return std::abs(number) <= maxExactInteger && std::trunc(number) == number;
+}
+
 } // namespace
 
 std::string formatValidationError(const ValidationError &error)
@@ -93,7 +107,7 @@
     const Var value = find(reader, field, presence);
     if (value.isEmpty())
         return fallback;
-    if (!value.isInteger()) {
+    if (!isWholeNumber(value)) {
         addError(reader, field, "is not an integer", "write a whole number without quotes");
         return fallback;
     }
--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cctype>
 
 namespace tamarack {
 
@@ -21,6 +22,34 @@
 /// ends.
 constexpr Millis drainMargin {500};
 
+/// Inserts null where a field has no value: templates of a platform render a field that the
+/// platform doesn't have as nothing.
+std::string fillMissingValues(const std::string &text)
+{
+    std::string filled;
+    filled.reserve(text.size());
+    bool inString = false;
+    bool valueDue = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (inString) {
+            filled += c;
+            if (c == '\\' && i + 1 < text.size())
+                filled += text[++i];
+            else if (c == '"')
+                inString = false;
+            continue;
+        }
+        if (valueDue && (c == ',' || c == '}'))
+            filled += "null";
+        if (!std::isspace(static_cast<unsigned char>(c)))
+            valueDue = c == ':';
+        inString = c == '"';
+        filled += c;
+    }
+    return filled;
+}
+
 void readListen(const JsonReader &root, RelayDaemonSettings &settings)
 {
     const JsonReader listen = readObject(root, "listen", FieldPresence::Required);
@@ -95,7 +124,7 @@
     RelayDaemonSettings settings;
     boost::leaf::try_handle_all(
         [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(object, parseObject(text, maxSettingsBytes));
+            BOOST_LEAF_AUTO(object, parseObject(fillMissingValues(text), maxSettingsBytes));
             const JsonReader root {object, "", &errors};
             settings.host_ = HostId {readString(root, "host", FieldPresence::Required)};
             settings.zone_ = ZoneId {readString(root, "zone", FieldPresence::Required)};
--- a/tests/unit-relaysettings.cpp
+++ b/tests/unit-relaysettings.cpp
@@ -76,6 +76,34 @@
     CHECK(errorsOf(document("", R"({"linkMbps": -1})")).size() == 1);
 }
 
+TEST_CASE("a field without a value has its default")
+{
+    // The platform renders a field that it doesn't have as nothing. The daemon ended at its start.
+    const std::string start = R"({"host": "h", "zone": "z", "listen": {"clients": "127.0.0.1:1",
+        "local": "127.0.0.1:2"}, "store": {"address": "127.0.0.1:3", )";
+    const std::string store
+        = GENERATE(as<std::string> {}, R"("settleMs": , "applyMs": 1500)",
+                   R"("applyMs": 1500, "settleMs":)", R"("applyMs":1500.0,"settleMs": null)");
+    ValidationErrors errors;
+    const RelayDaemonSettings settings = parseRelaySettings(start + store + "}}", errors);
+    CHECK(formatValidationErrors(errors).empty());
+    CHECK(settings.settleTime_ == RelayDaemonSettings {}.settleTime_);
+    CHECK(settings.applyTime_ == Millis {1500});
+}
+
+TEST_CASE("a required field without a value, and text that looks like one, are told apart")
+{
+    ValidationErrors errors;
+    const RelayDaemonSettings settings = parseRelaySettings(
+        R"({"host": "a: , \": }", "zone": , "listen": {"clients": "127.0.0.1:1",
+            "local": "127.0.0.1:2"}, "store": {"address": "127.0.0.1:3", "settleMs": 3000.5}})",
+        errors);
+    CHECK(settings.host_.value_ == "a: , \": }");
+    CHECK(formatValidationErrors(errors)
+          == "zone: is missing; add it\n"
+             "store.settleMs: is not an integer; write a whole number without quotes\n");
+}
+
 TEST_CASE("invalid settings are reported with their field")
 {
     CHECK(errorsOf(document("")).empty());
