Test that a response that ends inside its head is never delivered

Other operators saw a 200 with an empty or short body after an upstream had stopped in the middle of a head. Here it can't happen: a response is forwarded from the end of its head on, and an end of the connection before that is a lost attempt.

--- a/tests/contract-relayfaults.cpp
+++ b/tests/contract-relayfaults.cpp
@@ -235,4 +235,34 @@
     sender.join();
 }
 
+TEST_CASE("a response that ends inside its head is never delivered")
+{
+    // Other relays delivered a 200 with an empty or short body that looked complete.
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nX-Link: a\r\n\r\n";
+    const std::string head
+        = responseTo("r1", "Content-Type: text/plain\r\nConnection: close\r\n\r\n");
+    const bool resets = GENERATE(false, true);
+    for (const bool streaming : {false, true}) {
+        for (const std::string &bytes : {head, interim + head}) {
+            // Each place up to the last byte of the blank line.
+            for (std::size_t size = 1; size < bytes.size(); ++size) {
+                INFO(size << " bytes of " << bytes);
+                Fixture fixture;
+                setUp(fixture);
+                Exchange exchange = startExchange(fixture, RetryPolicy::AtMostOnce, streaming);
+                sendText(exchange.upstream_, bytes.substr(0, size));
+                if (resets)
+                    resetConnection(exchange.upstream_);
+                else
+                    exchange.upstream_.close();
+                const RelayAttemptEnded ended = waitForEvent<RelayAttemptEnded>(fixture);
+                CHECK(ended.end_ == AttemptEnd::ConnectionLost);
+                CHECK(!ended.partiallyDelivered_);
+                command(fixture, RespondToClient {exchange.attempt_.id_, 502, std::nullopt, "x"});
+                CHECK(readHead(exchange.client_).starts_with("HTTP/1.1 502 "));
+            }
+        }
+    }
+}
+
 } // namespace tamarack
