Refuse requests that a stopping daemon might have to interrupt

Other operators saw requests that came late in a planned stop passed on and cut at its end without a response, among them requests that may not be repeated. It happened here too (the users' probes on: 3 of 10 requests with 4.8 s of work, 6 of 6 with 5.8 s, sent in the third second).

Cause: in the first 3 s of a stop every request was taken, whatever its time limit; the check against the end of the stop began after that.

Change: a request that may not be repeated is refused with 503 from the first moment of the stop if its deadline is after the end of the stop. The refusal is true and costs the caller one exchange. Requests that may be repeated are taken as before, because most end long before their deadline, and get a 504 if they don't. Retry-After of a stopping daemon is 50 to 100 ms instead of 250 to 500 ms, because others have room.

Test: unit-relay, "a stopping daemon takes no request that it might have to interrupt" (failed before for both kinds of requests that run once).

--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -48,6 +48,16 @@
         creditRequest(state.retries_[services.front()], retrySettings(state), now);
 }
 
+/// Returns whether the stop of this daemon might interrupt a new request. One that may be repeated
+/// is served during the first part of the stop, because most requests end long before their
+/// deadline.
+bool mayOutlastStop(const RelayState &state, const RelayedRequest &active)
+{
+    if (!state.stopRequestedAt_ || active.deadline_ <= state.stopDeadline_)
+        return false;
+    return state.idleConnectionsClosed_ || active.route_->retryPolicy_ == RetryPolicy::AtMostOnce;
+}
+
 void onEvent(RelayState &state, const RequestRead &event, MonoTime now, RelayCommands &out)
 {
     RelayedRequest &active = state.active_[event.request_.id_];
@@ -67,8 +77,8 @@
     if (active.route_->timeout_ > Millis {})
         active.deadline_
             = std::min(active.deadline_, event.request_.arrivedAt_ + active.route_->timeout_);
-    if (state.idleConnectionsClosed_ && active.deadline_ > state.stopDeadline_) {
-        // The stop would interrupt the request. It has not run, so another daemon can serve it.
+    if (mayOutlastStop(state, active)) {
+        // It has not run, so another daemon can serve it.
         refuse(state, active, statusServiceUnavailable, "stopping", now, out);
         return;
     }
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -76,6 +76,8 @@
     Millis minRetryTime_ {100};
     /// Minimum Retry-After; the value is spread between it and twice as much.
     Millis retryAfter_ {250};
+    /// Minimum Retry-After while this daemon stops: others can take the request at once.
+    Millis retryAfterStopping_ {50};
     /// Minimum Retry-After while the ledger is unavailable; outages last longer.
     Millis retryAfterOutage_ {4000};
     /// Maximum Retry-After as a fraction of the time the client has left.
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -49,7 +49,9 @@
     const RelaySettings &settings = state.settings_;
     const bool outage = active.stage_ == RelayStage::AwaitingTokens
         && isLedgerFailing(state.prepaid_, settings.prepaid_, active.account_);
-    const Millis base = outage ? settings.retryAfterOutage_ : settings.retryAfter_;
+    const Millis base = outage   ? settings.retryAfterOutage_
+        : state.stopRequestedAt_ ? settings.retryAfterStopping_
+                                 : settings.retryAfter_;
     const auto spreadRange = static_cast<std::uint64_t>(base.count()) + 1;
     const Millis delay = base + Millis {hash64(active.request_.request_.value_) % spreadRange};
     if (!active.request_.clientTimeout_)
--- a/tests/unit-relay.cpp
+++ b/tests/unit-relay.cpp
@@ -271,6 +271,49 @@
     CHECK(findCommand<SendAttempt>(post(fixture, ended(first, AttemptEnd::ConnectionLost))));
 }
 
+TEST_CASE("a stopping daemon takes no request that it might have to interrupt")
+{
+    // Such requests were sent to an upstream and cut at the end of the stop, without a response,
+    // although they may not be sent again.
+    struct Case
+    {
+        const char *route_;
+        Seconds clientTimeout_;
+        bool accepted_;
+    };
+    const Case cases[] {
+        {"once", Seconds {6}, true},    {"once", Seconds {9}, false}, {"stream", Seconds {6}, true},
+        {"stream", Seconds {9}, false}, {"safe", Seconds {6}, true},  {"safe", Seconds {9}, true},
+        {"resume", Seconds {9}, true},
+    };
+    for (const Case &c : cases) {
+        INFO(c.route_ << ' ' << c.clientTimeout_.count());
+        RelayFixture fixture;
+        setUp(fixture);
+        auto config = makeConfig(2);
+        for (RelayRoute &route : config->routes_)
+            route.timeout_ = Seconds {20};
+        post(fixture, ConfigReceived {config, ChangeSource::Store});
+        RelayRequest before = makeRequest(fixture, c.route_);
+        before.clientTimeout_ = Seconds {9};
+        CHECK(findCommand<SendAttempt>(post(fixture, RequestRead {before})));
+        post(fixture, RelayStopRequested {fixture.now_ + Seconds {8}});
+        RelayRequest request = makeRequest(fixture, c.route_);
+        request.clientTimeout_ = c.clientTimeout_;
+        const auto commands = post(fixture, RequestRead {request});
+        CHECK(findCommand<SendAttempt>(commands).has_value() == c.accepted_);
+        if (c.accepted_)
+            continue;
+        const auto refusal = findCommand<RespondToClient>(commands);
+        REQUIRE(refusal);
+        CHECK(refusal->status_ == 503);
+        CHECK(refusal->reason_ == "stopping");
+        // Other daemons can take it at once.
+        REQUIRE(refusal->retryAfter_.has_value());
+        CHECK(*refusal->retryAfter_ <= Millis {100});
+    }
+}
+
 TEST_CASE("readiness and graceful shutdown")
 {
     RelayFixture fixture;
