End the attempt of a client that has left at the request's deadline

Cause (by reading): an attempt of a request that may run only once goes on after its client has left, and no command of the control thread ends it. A silent or endless upstream kept its connection, and was read, for good.

Change: the connection gets the deadline that the upstream was told. The upstream stops at it as well, so no work is cut short.

Test: contract-relayfront, "an attempt whose client has left ends at the request's deadline" (timed out before).

--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -287,6 +287,7 @@
         && exchange.attempt_.retryPolicy_ == RetryPolicy::AtMostOnce;
     if (continues) {
         exchange.abandoned_ = true;
+        limitAbandonedAttempt(state, exchange);
         return;
     }
     cancelAttempt(state, exchange);
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -91,6 +91,10 @@
 /// @brief Cancels the current attempt by closing its upstream connection.
 void cancelAttempt(FrontendState &state, ClientExchange &exchange);
 
+/// @brief Ends the attempt of an exchange whose client has left at the request's deadline, at which
+/// the upstream stops as well. No client and no command would end it otherwise.
+void limitAbandonedAttempt(FrontendState &state, const ClientExchange &exchange);
+
 /// @brief Closes all idle upstream connections. Called after a suspension, because the upstreams
 /// may have dropped them meanwhile.
 void closeIdleUpstreams(FrontendState &state);
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -316,6 +316,9 @@
     }
     upstream.connecting_ = false;
     setDeadline(state, upstream.channel_, std::nullopt);
+    const auto exchange = state.exchanges_.find(upstream.exchange_);
+    if (exchange != state.exchanges_.end() && exchange->second.abandoned_)
+        limitAbandonedAttempt(state, exchange->second);
     flushUpstream(state, upstream);
 }
 
@@ -411,6 +414,14 @@
     closeUpstream(state, id);
 }
 
+void limitAbandonedAttempt(FrontendState &state, const ClientExchange &exchange)
+{
+    const auto upstream = state.upstreams_.find(exchange.upstream_.value_or(ConnectionId {}));
+    // A connect has a shorter deadline of its own.
+    if (upstream != state.upstreams_.end() && !upstream->second.connecting_)
+        setDeadline(state, upstream->second.channel_, exchange.attempt_.deadline_);
+}
+
 void closeIdleUpstreams(FrontendState &state)
 {
     std::vector<ConnectionId> all;
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -118,6 +118,25 @@
     CHECK(readToEnd(exchange.upstream_).empty());
 }
 
+TEST_CASE("an attempt whose client has left ends at the request's deadline")
+{
+    // The upstream of a request that may run only once was read without end.
+    Fixture fixture;
+    setUp(fixture);
+    StreamSocket client = connectClient(fixture);
+    sendText(client, getRequest);
+    SendAttempt attempt
+        = attemptFor(fixture, waitForEvent<RequestRead>(fixture), RetryPolicy::AtMostOnce, false);
+    attempt.deadline_ = std::chrono::steady_clock::now() + Millis {50};
+    command(fixture, attempt);
+    StreamSocket upstream = fixture.upstream_.acceptConnection();
+    upstream.setReceiveTimeout(receiveTimeout);
+    readHead(upstream);
+    client.close();
+    waitForEvent<ClientDisconnected>(fixture);
+    CHECK(readToEnd(upstream).empty());
+}
+
 TEST_CASE(
     "an invalid request is rejected without an upstream, and the client receives the response")
 {
