Send the rest of a request while its response waits for the client

Pausing the upstream's response set its epoll interest to 0 and with it EPOLLOUT, which nothing restored: an upstream that responds while it reads a long body never got the rest of the body.

Change: a pause keeps EPOLLOUT.

--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -87,7 +87,9 @@
     UpstreamConnection &upstream = state.upstreams_.at(*exchange.upstream_);
     upstream.readPaused_ = true;
     // Without interest in a half-close, which epoll would report again and again meanwhile.
-    updateInterest(state, upstream.channel_, 0);
+    // The rest of the request is still sent.
+    updateInterest(state, upstream.channel_,
+                   upstream.channel_.interest_ & std::uint32_t {EPOLLOUT});
 }
 
 void reportOutputStarted(FrontendState &state, ClientExchange &exchange)
--- a/tests/contract-relaymemory.cpp
+++ b/tests/contract-relaymemory.cpp
@@ -91,6 +91,47 @@
     CHECK(rest.find("HTTP/1.1") == std::string::npos);
 }
 
+TEST_CASE("a body is sent on while its response waits for the client")
+{
+    // Pausing the response also stopped the request, so an upstream that answers while it reads
+    // never got the rest.
+    Fixture fixture;
+    setUp(fixture);
+    constexpr std::size_t size = std::size_t {24} << 20U;
+    ClientLimits limits;
+    limits.maxBodyBytes_ = size;
+    limits.readTimeout_ = Seconds {20};
+    command(fixture, ApplyLimits {limits});
+    StreamSocket client = connectClient(fixture);
+    client.setReceiveBufferSize(4096);
+    std::thread sender([&client] {
+        sendText(client,
+                 uploadHead("Content-Length: " + std::to_string(size) + "\r\n")
+                     + std::string(size, 'x'));
+    });
+    const RequestRead read = waitForEvent<RequestRead>(fixture);
+    sender.join();
+    fixture.upstream_.setReceiveBufferSize(4096);
+    command(fixture, attemptFor(fixture, read, RetryPolicy::AtMostOnce, false));
+    StreamSocket upstream = fixture.upstream_.acceptConnection();
+    upstream.setReceiveTimeout(receiveTimeout);
+    const std::string head = readHead(upstream);
+    upstream.setSendTimeout(Poco::Timespan(0, 300'000));
+    try {
+        sendText(upstream, responseTo("r1", "\r\n"));
+        // Until the relay doesn't read any more, because the client doesn't.
+        while (true)
+            sendText(upstream, std::string(std::size_t {64} << 10U, 'y'));
+    } catch (const Poco::Exception &) {
+        // The send timed out.
+    }
+    std::size_t received = head.size() - head.find("\r\n\r\n") - 4;
+    received += readUntil(upstream, [&](const std::string &text) {
+                    return received + text.size() >= size;
+                }).size();
+    CHECK(received == size);
+}
+
 TEST_CASE("a large body waits until another one has been served")
 {
     const bool chunked = GENERATE(false, true);
