--- a/tests/contract-relaymemory.cpp
+++ b/tests/contract-relaymemory.cpp
@@ -35,7 +35,7 @@
 
 const std::string lengthField = "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
 
-std::string receiveBody(StreamSocket &upstream, std::string head)
+std::string receiveBody(StreamSocket &upstream, const std::string &head)
 {
     const std::size_t at = head.find("\r\n\r\n") + 4;
     std::string body = head.substr(at);
