--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr int statusRequestTimeout = 408;
-constexpr int statusServiceUnavailable = 503;
 constexpr std::uint32_t readInterest = EPOLLIN | EPOLLRDHUP;
 
 /// Pipelined bytes that are read while a request is being served; reading pauses above this size.
@@ -149,41 +148,6 @@
     sendLocalResponse(state, client, response.status_, response, std::nullopt);
 }
 
-/// Returns how much memory must be reserved to receive the rest of a request; 0 if none.
-std::size_t neededReservation(const FrontendSettings &settings, const RequestProgress &progress)
-{
-    const std::size_t unreserved = settings.unreservedBodyBytes_;
-    if (progress.bodyBytes_ <= unreserved)
-        return 0;
-    // A buffer of unknown size grows by doubling.
-    return progress.bodySizeKnown_ ? progress.bodyBytes_
-                                   : (progress.bodyBytes_ / unreserved + 1) * unreserved * 2;
-}
-
-/// Reserves memory for the rest of the request. Pauses reading if there is none, because the kernel
-/// then stops the client from sending.
-void reserveMemory(FrontendState &state, ClientConnection &client, const RequestProgress &progress)
-{
-    const std::size_t needed = neededReservation(state.settings_, progress);
-    if (extendReservation(state.buffers_, client.body_, needed))
-        return;
-    client.awaitedBytes_ = needed;
-    state.awaitingMemory_.push_back(client.channel_.id_);
-    updateInterest(state, client.channel_, client.channel_.interest_ & ~std::uint32_t {EPOLLIN});
-    setDeadline(state, client.channel_,
-                std::chrono::steady_clock::now() + state.settings_.memoryWaitTimeout_);
-}
-
-/// Frees what was received of a request that will not be served. The connection must be closed
-/// after the response.
-void discardRequest(ClientConnection &client)
-{
-    client.closeAfterResponse_ = true;
-    client.awaitedBytes_ = 0;
-    client.reader_ = RequestReader();
-    client.body_ = BufferShare();
-}
-
 void rejectBadRequest(FrontendState &state, ClientConnection &client, int status,
                       const std::string &problem)
 {
@@ -195,18 +159,6 @@
     sendLocalResponse(state, client, status, response, std::nullopt);
 }
 
-void refuseForMemory(FrontendState &state, ClientConnection &client)
-{
-    discardRequest(client);
-    ++state.buffers_.refusals_;
-    LocalResponse response;
-    response.contentType_ = "application/json";
-    response.body_ = R"({"error":{"code":"no_memory","message":"too many large requests are being )"
-                     R"(received; send the request again later","execution":"not_run"}})";
-    sendLocalResponse(state, client, statusServiceUnavailable, response,
-                      state.settings_.memoryRetryAfter_);
-}
-
 /// Parses the received bytes and handles the request if it is complete.
 void parseRequest(FrontendState &state, ClientConnection &client)
 {
@@ -387,23 +339,6 @@
         closeClient(state, client.channel_.id_);
 }
 
-void resumeAwaitingMemory(FrontendState &state)
-{
-    while (!state.awaitingMemory_.empty()) {
-        const auto it = state.clients_.find(state.awaitingMemory_.front());
-        const bool waits = it != state.clients_.end() && it->second.awaitedBytes_ > 0;
-        if (waits && !extendReservation(state.buffers_, it->second.body_, it->second.awaitedBytes_))
-            return;
-        state.awaitingMemory_.pop_front();
-        if (!waits)
-            continue;
-        ClientConnection &client = it->second;
-        client.awaitedBytes_ = 0;
-        updateInterest(state, client.channel_, client.channel_.interest_ | readInterest);
-        setDeadline(state, client.channel_, *client.requestStart_ + state.limits_.readTimeout_);
-    }
-}
-
 void closeClient(FrontendState &state, ConnectionId id)
 {
     const auto it = state.clients_.find(id);
--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -107,61 +107,6 @@
 void execute(FrontendState &, const Other &)
 { }
 
-/// The parts of an exchange, by id because any of them may end while an event is handled.
-struct RelatedIds
-{
-    ConnectionId client_;
-    ConnectionId upstream_;
-    ExchangeId exchange_;
-};
-
-RelatedIds relatedIds(const FrontendState &state, ExchangeId id)
-{
-    RelatedIds related;
-    related.exchange_ = id;
-    const auto exchange = state.exchanges_.find(id);
-    if (exchange == state.exchanges_.end())
-        return related;
-    related.client_ = exchange->second.client_;
-    related.upstream_ = exchange->second.upstream_.value_or(ConnectionId {});
-    return related;
-}
-
-RelatedIds relatedIds(const FrontendState &state, ConnectionId id)
-{
-    RelatedIds related;
-    if (const auto client = state.clients_.find(id); client != state.clients_.end()) {
-        related = relatedIds(state, client->second.exchange_);
-        related.client_ = id;
-    } else if (const auto upstream = state.upstreams_.find(id);
-               upstream != state.upstreams_.end()) {
-        related = relatedIds(state, upstream->second.exchange_);
-        related.upstream_ = id;
-    }
-    return related;
-}
-
-/// Updates the shares of the budget to what is buffered now.
-void countBuffers(FrontendState &state, const RelatedIds &related)
-{
-    if (const auto it = state.clients_.find(related.client_); it != state.clients_.end()) {
-        const ClientConnection &client = it->second;
-        const std::size_t input = bufferedBytes(client.reader_);
-        setShare(state.buffers_, it->second.channel_.buffered_,
-                 client.channel_.out_.bytes_.size() + input - std::min(input, client.body_.bytes_));
-    }
-    if (const auto it = state.upstreams_.find(related.upstream_); it != state.upstreams_.end())
-        setShare(state.buffers_, it->second.channel_.buffered_,
-                 it->second.channel_.out_.bytes_.size() + it->second.input_.size());
-    if (const auto it = state.exchanges_.find(related.exchange_); it != state.exchanges_.end()) {
-        const ClientExchange &exchange = it->second;
-        const std::size_t body = exchange.request_.body_.size();
-        setShare(state.buffers_, it->second.buffered_,
-                 exchange.bufferedBody_.size() + exchange.events_.partial_.size() + body
-                     - std::min(body, exchange.body_.bytes_));
-    }
-}
-
 template <typename Command>
 void executeAndCount(FrontendState &state, const Command &command)
 {
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -67,9 +67,6 @@
 void closeClient(FrontendState &state, ConnectionId id);
 void closeIdleClients(FrontendState &state);
 
-/// @brief Reads on from clients whose request body now has memory, in order of arrival.
-void resumeAwaitingMemory(FrontendState &state);
-
 /// @brief Queues bytes for a client and sends as many as the socket accepts.
 void sendToClient(FrontendState &state, ClientConnection &client, std::string_view bytes);
 
@@ -81,6 +78,36 @@
 void sendLocalResponse(FrontendState &state, ClientConnection &client, int status,
                        const LocalResponse &response, std::optional<Millis> retryAfter);
 
+// memory.cpp
+
+/// @brief Reserves memory for the rest of a request whose head was read. Pauses reading if there is
+/// none, because the kernel then stops the client from sending.
+void reserveMemory(FrontendState &state, ClientConnection &client, const RequestProgress &progress);
+
+/// @brief Refuses a request that got no memory in time.
+void refuseForMemory(FrontendState &state, ClientConnection &client);
+
+/// @brief Reads on from clients whose request body now has memory, in order of arrival.
+void resumeAwaitingMemory(FrontendState &state);
+
+/// @brief Frees what was received of a request that will not be served. The connection is closed
+/// after the response.
+void discardRequest(ClientConnection &client);
+
+/// @brief The parts of an exchange, by id because any of them may end while an event is handled.
+struct RelatedIds
+{
+    ConnectionId client_;
+    ConnectionId upstream_;
+    ExchangeId exchange_;
+};
+
+RelatedIds relatedIds(const FrontendState &state, ExchangeId id);
+RelatedIds relatedIds(const FrontendState &state, ConnectionId id);
+
+/// @brief Updates the shares of the budget to what is buffered now.
+void countBuffers(FrontendState &state, const RelatedIds &related);
+
 // upstreams.cpp
 
 void sendAttempt(FrontendState &state, ClientExchange &exchange, const SendAttempt &attempt);
