End the requests of a planned stop 0.7 s before its deadline

Cause: requests were ended 0.5 s before the deadline, 0.3 s are for the delivery, and the log sink may take 0.2 s: nothing was left.

Change: 0.7 s. The bound follows from the deadline; unit-relay checks that the process is told to exit 0.3 s before it (failed with 0.5 s).

--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -87,8 +87,9 @@
     /// How long a stopping daemon still accepts connections, because new connections still reach
     /// it.
     Millis stopAcceptPeriod_ {3000};
-    /// A stopping daemon ends the requests that still run this long before its deadline.
-    Millis stopMargin_ {500};
+    /// A stopping daemon ends the requests that still run this long before its deadline. After the
+    /// delivery of their responses, the log may take 200 ms to be written.
+    Millis stopMargin_ {700};
     /// How long the responses to these requests may take until they are delivered. The daemon exits
     /// then.
     Millis stopDeliveryTime_ {300};
--- a/tests/unit-relay.cpp
+++ b/tests/unit-relay.cpp
@@ -369,7 +369,8 @@
         // They were cut without one.
         const SendAttempt begun = sendFirst(fixture, "safe");
         post(fixture, OutputStarted {begun.id_, begun.attempt_, fixture.now_});
-        const auto last = advanceTime(fixture, Millis {4500});
+        // The log is written after that, and the process is killed 8 s after the signal.
+        const auto last = advanceTime(fixture, Millis {4300});
         const auto response = findCommand<RespondToClient>(last);
         REQUIRE(response);
         CHECK(response->id_ == running.id_);
@@ -387,6 +388,7 @@
             REQUIRE(nextDueTime(fixture.state_));
             fixture.now_ = *nextDueTime(fixture.state_);
             CHECK(findCommand<RelayStopCompleted>(runDueWork(fixture.state_, fixture.now_)));
+            CHECK(fixture.now_ <= fixture.state_.stopRequestedAt_.value() + Millis {7700});
         }
     }
 }
