Tests: addresses that no other program can take

Cause: the fixture found a free port by binding and closing it, and the front end bound it later. In between the kernel can give the port to another program, as the source port of a connection or to a listener with port 0; CTest runs four programs side by side.

Change: addresses come from a loopback IP derived from the process id and from ports below the ephemeral range, a new one for each call. contract-peers had the same fault, and its restarted listener could also have met its sender's own connection.

Ruled out: letting the front end bind port 0 and report the address; it leaves the restart in contract-peers and adds an interface that only tests use.

--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -2,6 +2,7 @@
 // message, malformed input that stops the daemon, and a dead peer that blocks the sender or stays
 // unreachable after its restart.
 #include "adapters/peers/peers.h"
+#include "loopback.h"
 
 #include <catch2/catch.hpp>
 #include <zmq.hpp>
@@ -51,15 +52,6 @@
     return recorder.changed_.wait_for(lock, limit, condition);
 }
 
-/// Returns a loopback address whose port was free when it was chosen.
-std::string freeAddress()
-{
-    zmq::context_t context;
-    zmq::socket_t socket(context, zmq::socket_type::router);
-    socket.bind("tcp://127.0.0.1:*");
-    return socket.get(zmq::sockopt::last_endpoint).substr(std::string("tcp://").size());
-}
-
 PeerSettings makeSettings(const std::string &host, const std::string &address)
 {
     PeerSettings settings;
@@ -205,10 +197,10 @@
 TEST_CASE("peer sockets")
 {
     Recorder recorder;
-    const std::string address = freeAddress();
+    const std::string address = reserveAddress();
     PeerSocket receiver = start(makeSettings("b", address), recorder);
     Recorder senderRecorder;
-    PeerSocket sender = start(makeSettings("a", freeAddress()), senderRecorder);
+    PeerSocket sender = start(makeSettings("a", reserveAddress()), senderRecorder);
     const PeerPort port = peerPort(sender);
     const auto send = [&](PeerMessage message) {
         port.send_(SendPeer {HostId {"b"}, address, std::move(message)});
--- a/tests/contract-relayfaults.cpp
+++ b/tests/contract-relayfaults.cpp
@@ -204,7 +204,7 @@
     sendText(client, getRequest);
     SendAttempt attempt
         = attemptFor(fixture, waitForEvent<RequestRead>(fixture), RetryPolicy::AtMostOnce, false);
-    attempt.address_ = freeAddress();
+    attempt.address_ = reserveAddress();
     command(fixture, attempt);
     CHECK(waitForEvent<RelayAttemptEnded>(fixture).end_ == AttemptEnd::NotSent);
     command(fixture, RespondToClient {attempt.id_, 503, Millis {250}, "no_upstream"});
--- a/tests/relayfrontfixture.h
+++ b/tests/relayfrontfixture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "adapters/relayhttp/relayhttp.h"
+#include "loopback.h"
 #include "runtime/runtime.h"
 
 #include <Poco/Net/NetException.h>
@@ -22,12 +23,6 @@
 
 inline const Poco::Timespan receiveTimeout(20, 0);
 
-inline std::string freeAddress()
-{
-    ServerSocket socket(SocketAddress("127.0.0.1:0"));
-    return socket.address().toString();
-}
-
 /// Reads until @a enough returns true or the peer closes or resets the connection.
 inline std::string readUntil(StreamSocket &socket,
                              const std::function<bool(const std::string &)> &enough)
@@ -73,7 +68,7 @@
 {
     ServerSocket upstream_ {SocketAddress("127.0.0.1:0")};
     BlockingQueue<RelayEvent> events_;
-    std::string clients_ = freeAddress();
+    std::string clients_ = reserveAddress();
     std::optional<Frontend> frontend_;
     std::uint32_t attempts_ = 0;
 
@@ -87,7 +82,7 @@
 inline void setUp(Fixture &fixture, FrontendSettings settings = {})
 {
     settings.clientAddress_ = fixture.clients_;
-    settings.localAddress_ = freeAddress();
+    settings.localAddress_ = reserveAddress();
     settings.headers_.reserved_ = {"X-Reserved"};
     fixture.frontend_ = boost::leaf::try_handle_all(
         [&]() -> Result<std::optional<Frontend>> {
