Tokens of a holder that has ended are not granted again after the store's return

The daemon that served it was stopped, then the store came back from a copy of 4.5 s before, and a daemon of another zone granted the same tokens again.

Cause: what a holder had drawn since the copy was known to the store and to that holder only, unless another daemon happened to have read the shard.

Change: each holder reports the totals that the store has confirmed to a daemon of its own zone and to one of another zone (GrantReport, core/relay/grantreports.h). After a return from a copy the receivers join the reports with what the store has, while draws pause.

Failed before: unit-ledgerhistory, "tokens of a holder that has ended since the copy are not granted again" (killed, stopped in the planned way, a report that arrives after the return) and "grants are reported to a daemon of the own zone and one of another zone", shown with the call that sends reports taken out.

Ruled out: a longer pause of draws (the holder has ended), stale reads by every daemon (cost grows with the fleet, and the gap stays), keeping a budget closed (false refusals).

--- a/src/adapters/peers/messagedecoder.cpp
+++ b/src/adapters/peers/messagedecoder.cpp
@@ -105,6 +105,16 @@
     return message;
 }
 
+PeerMessage fromProto(const peer::GrantsCommitted &in)
+{
+    GrantReport message {HolderId {in.holder()}, StoreEra {in.era()}, {}};
+    for (const peer::CommittedGrant &grant : in.grants())
+        message.grants_.push_back(
+            ReportedGrant {BudgetId {grant.budget()}, Tokens {grant.authorized()},
+                           Tokens {grant.settled()}, Tokens {grant.returned()}});
+    return message;
+}
+
 InstanceProcess processFromProto(const std::string &instance, std::int64_t startedMs)
 {
     InstanceProcess process {UpstreamId {instance}, {}};
@@ -248,6 +258,8 @@
         return fromProto(in.permit_asked());
     case peer::Envelope::kPermitAnswered:
         return decodePermitReply(in.permit_answered());
+    case peer::Envelope::kGrantsCommitted:
+        return fromProto(in.grants_committed());
     case peer::Envelope::MESSAGE_NOT_SET:
         break;
     }
--- a/src/adapters/peers/messageencoder.cpp
+++ b/src/adapters/peers/messageencoder.cpp
@@ -169,6 +169,20 @@
     out.set_borrower(message.borrower_.value_);
 }
 
+void encodeInto(peer::Envelope &envelope, const GrantReport &message)
+{
+    peer::GrantsCommitted &out = *envelope.mutable_grants_committed();
+    out.set_holder(message.holder_.value_);
+    out.set_era(message.era_.value_);
+    for (const ReportedGrant &grant : message.grants_) {
+        peer::CommittedGrant &entry = *out.add_grants();
+        entry.set_budget(grant.budget_.value_);
+        entry.set_authorized(grant.authorized_.count_);
+        entry.set_settled(grant.settled_.count_);
+        entry.set_returned(grant.returned_.count_);
+    }
+}
+
 std::int64_t millisSinceEpoch(WallTime time)
 {
     return std::chrono::duration_cast<Millis>(time.time_since_epoch()).count();
--- a/src/core/controlpeers.cpp
+++ b/src/core/controlpeers.cpp
@@ -86,6 +86,7 @@
     void operator()(const DocumentsReply &) const { }
     void operator()(const LoanRequest &) const { }
     void operator()(const LoanReply &) const { }
+    void operator()(const GrantReport &) const { }
     void operator()(const QuarantineReport &) const { }
     void operator()(const PermitRequest &) const { }
     void operator()(const PermitReply &) const { }
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -216,9 +216,27 @@
     HolderId borrower_;
 };
 
+/// @brief Committed totals of one grant, as in Grant.
+struct ReportedGrant
+{
+    BudgetId budget_;
+    Tokens authorized_;
+    Tokens settled_;
+    Tokens returned_;
+};
+
+/// @brief Tells another daemon which of the sender's grants the store has confirmed.
+struct GrantReport
+{
+    HolderId holder_;
+    /// Era of the store in which the totals were confirmed.
+    StoreEra era_;
+    std::vector<ReportedGrant> grants_;
+};
+
 using PeerMessage = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle,
                                  SettleAck, BundleOffer, BundleFetch, BundleParts, ReleaseRequest,
                                  Leaving, DocumentsRequest, DocumentsReply, LoanRequest, LoanReply,
-                                 QuarantineReport, PermitRequest, PermitReply>;
+                                 QuarantineReport, PermitRequest, PermitReply, GrantReport>;
 
 } // namespace tamarack
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -151,6 +151,12 @@
     LoanReply lent_;
 };
 
+/// @brief Another daemon reported its committed grants.
+struct GrantReportReceived
+{
+    GrantReport report_;
+};
+
 /// @brief Another daemon reported crashes of instances.
 struct QuarantineReportReceived
 {
@@ -203,13 +209,12 @@
 struct ClientsClosed
 { };
 
-using RelayEvent
-    = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived,
-                   ClientDisconnected, ConfigReceived, InstancesListed, InstanceChanged,
-                   InstanceRemoved, FleetView, LoanRequestReceived, LoanReplyReceived,
-                   QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
-                   DocumentsRequestReceived, DocumentsReplyReceived, FeedAvailabilityChanged,
-                   StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
+using RelayEvent = std::variant<
+    RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived, ClientDisconnected,
+    ConfigReceived, InstancesListed, InstanceChanged, InstanceRemoved, FleetView,
+    LoanRequestReceived, LoanReplyReceived, GrantReportReceived, QuarantineReportReceived,
+    PermitRequestReceived, PermitReplyReceived, DocumentsRequestReceived, DocumentsReplyReceived,
+    FeedAvailabilityChanged, StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -1,6 +1,7 @@
 // Prepaid balances of a relay daemon.
 #include "core/relay/prepaid.h"
 
+#include "core/relay/grantreports.h"
 #include "core/relay/loans.h"
 #include "core/relay/prepaidinternal.h"
 
@@ -283,6 +284,7 @@
     state.failures_ = 0;
     state.backoffUntil_ = now;
     state.ledgerReadAt_[number] = now;
+    reportCommittedGrants(state, number, committed, now);
     for (const LedgerOp &op : committed) {
         const auto balance = state.balances_.find(AccountId {budgetOf(op).value_});
         if (balance != state.balances_.end() && std::holds_alternative<DrawOp>(op))
@@ -344,6 +346,7 @@
         shard.loaded_ = false;
         scheduleCall(shard, now);
     }
+    restoreReportedGrants(state, settings, now);
 }
 
 void endBackoff(PrepaidState &state, MonoTime now)
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -83,6 +83,9 @@
     /// No tokens are drawn for this long after the store was noticed to have returned from a copy.
     /// All daemons notice it, and write what they hold, within this time.
     Millis returnSettleTime_ {2500};
+    /// Reports of other holders are kept for this long at least, and twice as long at most. The
+    /// copy from which a store returns is some seconds old.
+    Millis reportLifetime_ {60'000};
 };
 
 /// @brief Tokens that another daemon lent to this one.
@@ -174,6 +177,16 @@
     MonoTime lendRateAt_ {};
 };
 
+/// @brief What other holders have reported of one ledger shard (grantreports.h). Decisions must not
+/// rely on it, because the records contain the grants of some holders only.
+struct GrantReports
+{
+    LedgerShard newer_;
+    LedgerShard older_;
+    /// When newer_ was last emptied.
+    MonoTime rotatedAt_ {};
+};
+
 using PrepaidShard = ShardCommit<LedgerShard, LedgerOp>;
 
 /// @brief Balances of all accounts at this daemon.
@@ -183,6 +196,7 @@
     std::map<AccountId, PrepaidBalance> balances_;
     std::map<ShardNumber, PrepaidShard> shards_;
     std::map<ShardNumber, MonoTime> ledgerReadAt_;
+    std::map<ShardNumber, GrantReports> grantReports_;
     std::map<CallId, ShardNumber> calls_;
     std::uint64_t lastCall_ = 0;
     /// Failed store calls since the last one that was answered.
--- a/src/core/relay/prepaidgrants.cpp
+++ b/src/core/relay/prepaidgrants.cpp
@@ -75,7 +75,13 @@
 PrepaidShard &shardFor(PrepaidState &state, const PrepaidSettings &settings,
                        const AccountId &account)
 {
-    const ShardNumber number = ledgerShardOf(BudgetId {account.value_}, settings.shards_);
+    return shardNumbered(state, settings,
+                         ledgerShardOf(BudgetId {account.value_}, settings.shards_));
+}
+
+PrepaidShard &shardNumbered(PrepaidState &state, const PrepaidSettings &settings,
+                            ShardNumber number)
+{
     auto [it, created] = state.shards_.try_emplace(number);
     if (created)
         it->second.key_ = StoreKey {fmt::format("{}/{}", settings.keyPrefix_, number.value_)};
--- a/src/core/relay/prepaidinternal.h
+++ b/src/core/relay/prepaidinternal.h
@@ -9,6 +9,10 @@
 PrepaidShard &shardFor(PrepaidState &state, const PrepaidSettings &settings,
                        const AccountId &account);
 
+/// @brief Returns a ledger shard by its number.
+PrepaidShard &shardNumbered(PrepaidState &state, const PrepaidSettings &settings,
+                            ShardNumber number);
+
 /// @brief Submits the account's total from the configuration.
 void submitFunding(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
                    const PrepaidBalance &balance, MonoTime due);
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -5,6 +5,7 @@
 #include "core/relay/documentsync.h"
 #include "core/relay/events.h"
 #include "core/relay/fleet.h"
+#include "core/relay/grantreports.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instancelimits.h"
 #include "core/relay/instancenotice.h"
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -1,6 +1,7 @@
 // Event dispatch and timers of the relay's state machine.
 #include "core/relay/relaycontrol.h"
 
+#include "core/relay/grantreports.h"
 #include "core/relay/loans.h"
 #include "core/relay/relayinternal.h"
 
@@ -212,6 +213,11 @@
     returnRecalledLoan(state.prepaid_, lent);
 }
 
+void onEvent(RelayState &state, const GrantReportReceived &event, MonoTime now, RelayCommands &)
+{
+    recordGrantReport(state.prepaid_, state.settings_.prepaid_, event.report_, now);
+}
+
 void onEvent(RelayState &state, const StoreReplied &event, MonoTime now, RelayCommands &out)
 {
     if (event.reply_.status_ == StoreStatus::Unknown
--- a/src/core/shardcommit.h
+++ b/src/core/shardcommit.h
@@ -43,6 +43,9 @@
     StoreEra era_ {};
     /// cached_ contains changes that the store has lost and that must be written again.
     bool joinPending_ = false;
+    /// What other daemons reported in earlier eras and the store may have lost. The next reply
+    /// joins it with cached_.
+    Shard reported_;
     std::vector<Op> pending_;
     std::vector<Op> inFlight_;
     std::optional<CallId> call_;
@@ -133,7 +136,9 @@
     }
     if (swapped && reply.status_ == StoreStatus::Ok) {
         shard.cached_ = std::move(shard.proposed_);
-        shard.joinPending_ = false;
+        shard.joinPending_ = joinHistories(shard.cached_, std::exchange(shard.reported_, {}));
+        if (shard.joinPending_)
+            shard.startBy_ = now;
         shard.era_ = std::max(shard.era_, reply.era_);
         return std::exchange(shard.inFlight_, {});
     }
@@ -142,6 +147,7 @@
         Shard current = present ? std::get<Shard>(*reply.current_.value_) : Shard {};
         // Totals never decrease in a store that has lost nothing.
         shard.joinPending_ = shard.era_ != StoreEra {} && joinHistories(current, shard.cached_);
+        shard.joinPending_ |= joinHistories(current, std::exchange(shard.reported_, {}));
         shard.era_ = std::max(shard.era_, reply.era_);
         shard.cached_ = std::move(current);
         if (shard.joinPending_)
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -231,6 +231,8 @@
         post(relay.queue_, RelayEvent {LoanRequestReceived {received->from_, *loanRequest}});
     else if (const auto *loanReply = std::get_if<LoanReply>(&received->message_))
         post(relay.queue_, RelayEvent {LoanReplyReceived {received->from_, *loanReply}});
+    else if (const auto *grantReport = std::get_if<GrantReport>(&received->message_))
+        post(relay.queue_, RelayEvent {GrantReportReceived {*grantReport}});
     else if (const auto *permitRequest = std::get_if<PermitRequest>(&received->message_))
         post(relay.queue_, RelayEvent {PermitRequestReceived {received->from_, *permitRequest}});
     else if (const auto *permitReply = std::get_if<PermitReply>(&received->message_))
--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -135,6 +135,10 @@
                        std::nullopt, Millis {40}},
         PermitReply {InstanceProcess {UpstreamId {"i-1"}, WallTime {Millis {1234}}}, 7,
                      PermitResult::Denied, Millis {210}},
+        GrantReport {entry,
+                     StoreEra {3},
+                     {ReportedGrant {BudgetId {"b"}, Tokens {9}, Tokens {4}, Tokens {2}},
+                      ReportedGrant {BudgetId {"c"}, Tokens {8}, Tokens {1}, Tokens {7}}}},
     };
 }
 
--- a/tests/loanfixture.h
+++ b/tests/loanfixture.h
@@ -113,7 +113,8 @@
             handleLoanReply(state, fleet.settings_, *reply, message.from_, fleet.now_);
             resumeWaiting(fleet, i);
             returnRecalledLoan(state, *reply);
-        }
+        } else if (const auto *report = std::get_if<GrantReport>(&body))
+            recordGrantReport(state, fleet.settings_, *report, fleet.now_);
     }
 }
 
--- a/tests/unit-ledgerhistory.cpp
+++ b/tests/unit-ledgerhistory.cpp
@@ -5,6 +5,8 @@
 
 #include <rapidcheck.h>
 
+#include <set>
+
 namespace tamarack {
 
 namespace {
@@ -159,6 +161,156 @@
     CHECK(outstandingTokens(recordOf(fleet)) >= held);
 }
 
+namespace {
+
+/// A fleet of two zones in which one holder has drawn since the copy was made, and no other daemon
+/// has read the shard.
+struct EndedHolder
+{
+    Fleet fleet_ = makeFleet(4, prepaid, 2);
+    FakeStoreKey copy_;
+    std::size_t holder_ = 0;
+    Reservation reservation_;
+};
+
+void deliverMessages(Fleet &fleet)
+{
+    collect(fleet);
+    while (!fleet.messages_.empty()) {
+        deliver(fleet, fleet.messages_.front());
+        fleet.messages_.pop_front();
+        collect(fleet);
+    }
+}
+
+Reservation drawFor(EndedHolder &ended, std::int64_t amount)
+{
+    reserve(ended.fleet_, ended.holder_, amount);
+    runCalls(ended.fleet_, ended.holder_);
+    const auto reservation = reserve(ended.fleet_, ended.holder_, amount);
+    REQUIRE(reservation);
+    ended.fleet_.now_ += Millis {500};
+    return *reservation;
+}
+
+void drawSinceCopy(EndedHolder &ended)
+{
+    Fleet &fleet = ended.fleet_;
+    fleet.storeKey_.era_ = StoreEra {1};
+    for (Daemon &daemon : fleet.daemons_)
+        noticeStoreEra(daemon.state_, fleet.settings_, StoreEra {1}, fleet.now_);
+    ended.holder_ = lenderIndex(fleet);
+    drawFor(ended, 100);
+    ended.copy_ = fleet.storeKey_;
+    ended.reservation_ = drawFor(ended, 6000);
+    deliverMessages(fleet);
+    for (std::size_t i = 0; i < fleet.daemons_.size(); ++i)
+        REQUIRE((i == ended.holder_ || fleet.daemons_[i].state_.shards_.empty()));
+}
+
+/// Lets another daemon ask for most of the total, also after the pause of draws.
+bool canOverdraw(EndedHolder &ended)
+{
+    Fleet &fleet = ended.fleet_;
+    const std::size_t other = (ended.holder_ + 1) % fleet.daemons_.size();
+    removePeers(fleet, other);
+    for (int i = 0; i < 3; ++i) {
+        if (reserve(fleet, other, 15'000))
+            return true;
+        runCalls(fleet, other);
+        fleet.now_ += fleet.settings_.returnSettleTime_;
+    }
+    return reserve(fleet, other, 15'000).has_value();
+}
+
+} // namespace
+
+TEST_CASE("tokens of a holder that has ended since the copy are not granted again")
+{
+    // The holder could not write its draws again, and no other daemon had read the shard.
+    EndedHolder ended;
+    drawSinceCopy(ended);
+    Fleet &fleet = ended.fleet_;
+    PrepaidState &state = fleet.daemons_[ended.holder_].state_;
+    SECTION("killed")
+    {
+        const Tokens held = balanceOf(fleet, ended.holder_).grant_.authorized_;
+        startDaemon(fleet, ended.holder_, prepaid);
+        restore(fleet, ended.copy_);
+        REQUIRE(outstandingTokens(recordOf(fleet)) < held);
+        noticeByAll(fleet, 0);
+        CHECK(outstandingTokens(recordOf(fleet)) >= held);
+    }
+    SECTION("stopped in the planned way")
+    {
+        settleTokens(state, acme, ended.reservation_, Tokens {5000}, fleet.now_);
+        releaseGrants(state, fleet.settings_, fleet.now_);
+        runCalls(fleet, ended.holder_);
+        REQUIRE(isPrepaidIdle(state));
+        REQUIRE(recordOf(fleet).charged_ == Tokens {5000});
+        deliverMessages(fleet);
+        startDaemon(fleet, ended.holder_, prepaid);
+        restore(fleet, ended.copy_);
+        noticeByAll(fleet, 0);
+        CHECK(recordOf(fleet).charged_ == Tokens {5000});
+    }
+    SECTION("its report arrives after the return was noticed")
+    {
+        // Lost at first, and repeated with the next ledger call.
+        for (Daemon &daemon : fleet.daemons_)
+            daemon.state_.grantReports_.clear();
+        state.ledgerReadAt_.clear();
+        drawFor(ended, 6500);
+        collect(fleet);
+        const Tokens held = balanceOf(fleet, ended.holder_).grant_.authorized_;
+        startDaemon(fleet, ended.holder_, prepaid);
+        restore(fleet, ended.copy_);
+        noticeByAll(fleet, 0);
+        deliverMessages(fleet);
+        for (std::size_t i = 0; i < fleet.daemons_.size(); ++i)
+            runCalls(fleet, i);
+        CHECK(outstandingTokens(recordOf(fleet)) >= held);
+    }
+    CHECK_FALSE(canOverdraw(ended));
+    CHECK(isValid(fleet));
+}
+
+TEST_CASE("grants are reported to a daemon of the own zone and one of another zone")
+{
+    EndedHolder ended;
+    drawSinceCopy(ended);
+    Fleet &fleet = ended.fleet_;
+    std::set<std::size_t> zones;
+    for (std::size_t i = 0; i < fleet.daemons_.size(); ++i) {
+        if (!fleet.daemons_[i].state_.grantReports_.empty())
+            zones.insert(i % fleet.zones_);
+    }
+    CHECK(zones.size() == 2);
+}
+
+TEST_CASE("reports with impossible totals are ignored")
+{
+    // They would violate the invariants of the ledger, which then can't be written.
+    const ReportedGrant cases[] {
+        {BudgetId {"acme"}, Tokens {100}, Tokens {60}, Tokens {60}},
+        {BudgetId {"acme"}, Tokens {100}, Tokens {-1}, Tokens {}},
+        {BudgetId {"acme"}, Tokens {100}, Tokens {}, Tokens {-1}},
+        {BudgetId {"acme"}, Tokens {}, Tokens {}, Tokens {}},
+        {BudgetId {"acme"}, Tokens {std::int64_t {1} << 62U}, Tokens {}, Tokens {}},
+    };
+    for (const ReportedGrant &reported : cases) {
+        Fleet fleet = makeFleetInEra(2);
+        PrepaidState &state = fleet.daemons_[0].state_;
+        noticeStoreEra(state, fleet.settings_, StoreEra {1}, fleet.now_);
+        recordGrantReport(state, fleet.settings_,
+                          GrantReport {HolderId {"h9-1"}, StoreEra {1}, {reported}}, fleet.now_);
+        fleet.storeKey_.era_ = StoreEra {2};
+        noticeStoreEra(state, fleet.settings_, StoreEra {2}, fleet.now_);
+        runCalls(fleet, 0);
+        CHECK(!fleet.storeKey_.value_);
+    }
+}
+
 TEST_CASE("draws go on after the pause, and new funding is kept")
 {
     DrawnTwice drawn;
