--- a/tests/loanfixture.h
+++ b/tests/loanfixture.h
@@ -118,6 +118,18 @@
     }
 }
 
+/// Delivers all messages, and those that are sent in response.
+inline void deliverMessages(Fleet &fleet)
+{
+    collect(fleet);
+    while (!fleet.messages_.empty()) {
+        const Message message = fleet.messages_.front();
+        fleet.messages_.pop_front();
+        deliver(fleet, message);
+        collect(fleet);
+    }
+}
+
 /// Executes all store calls and delivers all messages that are due.
 inline void runCallsAndMessages(Fleet &fleet)
 {
@@ -126,13 +138,7 @@
             runStoreCalls(daemon, fleet.storeKey_, fleet.now_);
             serveBorrowers(daemon.state_, fleet.settings_, fleet.now_);
         }
-        collect(fleet);
-        while (!fleet.messages_.empty()) {
-            const Message message = fleet.messages_.front();
-            fleet.messages_.pop_front();
-            deliver(fleet, message);
-            collect(fleet);
-        }
+        deliverMessages(fleet);
     }
 }
 
--- a/tests/unit-loans.cpp
+++ b/tests/unit-loans.cpp
@@ -269,13 +269,7 @@
     REQUIRE(isLedgerFailing(disconnected, fleet.settings_, acme));
     CHECK(reservableTokens(balanceOf(fleet, lender).grant_) == held);
     CHECK_FALSE(reserve(fleet, borrower, large).has_value());
-    collect(fleet);
-    while (!fleet.messages_.empty()) {
-        const Message message = fleet.messages_.front();
-        fleet.messages_.pop_front();
-        deliver(fleet, message);
-        collect(fleet);
-    }
+    deliverMessages(fleet);
     CHECK(reserve(fleet, borrower, large).has_value());
 }
 
