--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -117,6 +117,42 @@
                         {"drainMs", "stopS", "descriptors", "cores", "linkMbps", "memoryMb"});
 }
 
+void readEvacuation(const JsonReader &root, RelayDaemonSettings &settings)
+{
+    const JsonReader evacuation = readObject(root, "evacuation", FieldPresence::Optional);
+    const Millis applyTime = readMillis(evacuation, "applyMs", FieldPresence::Optional,
+                                        IntegerRange {0, 3'600'000}, Millis {});
+    if (applyTime > Millis {})
+        settings.evacuationTime_ = applyTime;
+    rejectUnknownFields(evacuation, {"applyMs"});
+}
+
+void readCold(const JsonReader &root, RelayDaemonSettings &settings)
+{
+    const JsonReader cold = readObject(root, "cold", FieldPresence::Optional);
+    settings.coldOverrun_
+        = readNumber(cold, "overrun", FieldPresence::Optional, 0.0, settings.coldOverrun_);
+    settings.coldSlack_
+        = readNumber(cold, "slack", FieldPresence::Optional, 0.0, settings.coldSlack_);
+    rejectUnknownFields(cold, {"overrun", "slack"});
+}
+
+void readRegions(const JsonReader &root, RelayDaemonSettings &settings)
+{
+    const JsonReader regions = readObject(root, "regions", FieldPresence::Optional);
+    for (const std::string &zone : regions.object_->getNames())
+        settings.regions_[ZoneId {zone}]
+            = RegionId {readString(regions, zone, FieldPresence::Required)};
+}
+
+void readBalancing(const JsonReader &root, RelayDaemonSettings &settings)
+{
+    const JsonReader balancing = readObject(root, "balancing", FieldPresence::Optional);
+    settings.shareLoadFrom_ = static_cast<std::uint32_t>(readInteger(
+        balancing, "shareLoadFrom", FieldPresence::Optional, IntegerRange {0, 1'000'000}));
+    rejectUnknownFields(balancing, {"shareLoadFrom"});
+}
+
 } // namespace
 
 RelayDaemonSettings parseRelaySettings(const std::string &text, ValidationErrors &errors)
@@ -132,9 +168,14 @@
             readStore(root, settings);
             readRetries(root, settings);
             readLimits(root, settings);
+            readEvacuation(root, settings);
+            readCold(root, settings);
+            readRegions(root, settings);
+            readBalancing(root, settings);
             settings.seeds_ = readStrings(root, "seeds", FieldPresence::Optional);
             rejectUnknownFields(root,
-                                {"host", "zone", "listen", "seeds", "store", "retries", "limits"});
+                                {"host", "zone", "listen", "seeds", "store", "retries", "limits",
+                                 "evacuation", "cold", "regions", "balancing"});
             return {};
         },
         [&errors](const Error &error) {
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -6,6 +6,9 @@
 #include "core/relay/relay.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +50,18 @@
     /// Maximum time from the stop signal to the exit of the process.
     Millis stopTimeout_ {8000};
     SharedRetryLimit retries_;
+    /// Time within which the evacuation of an availability zone takes effect. Evacuations are not
+    /// followed without a value.
+    std::optional<Millis> evacuationTime_ {};
+    /// All daemons together may send a cold instance its rate times coldOverrun_ plus coldSlack_
+    /// requests in any second.
+    double coldOverrun_ = 1.0;
+    double coldSlack_ = 0.0;
+    /// Region of each availability zone.
+    std::map<ZoneId, RegionId> regions_ {};
+    /// Number of live daemons from which on they tell each other the load that they cause at the
+    /// instances; 0 if they never do.
+    std::uint32_t shareLoadFrom_ = 0;
 };
 
 /// @brief Parses and validates a settings document.
--- a/src/adapters/peers/messagedecoder.cpp
+++ b/src/adapters/peers/messagedecoder.cpp
@@ -52,9 +52,30 @@
                         {in.parts().begin(), in.parts().end()}};
 }
 
+/// Larger numbers than any instance has; sums of them can't overflow.
+constexpr std::uint64_t maxLoadTokens = 1'000'000'000'000;
+constexpr std::uint32_t maxLoadRequests = 1'000'000;
+constexpr double maxPrefillPerMs = 1e6;
+
+InstanceLoad loadFromProto(const peer::InstanceLoad &in)
+{
+    const auto tokens = [](std::uint64_t count) {
+        return Tokens {static_cast<std::int64_t>(std::min(count, maxLoadTokens))};
+    };
+    const double speed = in.prefill_per_ms();
+    return InstanceLoad {UpstreamId {in.instance()}, std::min(in.running(), maxLoadRequests),
+                         tokens(in.queued_prefill()), tokens(in.context_tokens()),
+                         std::isfinite(speed) ? std::clamp(speed, 0.0, maxPrefillPerMs) : 0.0};
+}
+
 PeerMessage fromProto(const peer::DocumentsAsked &in)
 {
     DocumentsRequest message {in.reply_address(), {}};
+    if (in.shares_load()) {
+        message.loads_.emplace();
+        for (const peer::InstanceLoad &load : in.loads())
+            message.loads_->push_back(loadFromProto(load));
+    }
     for (const peer::FeedPosition &position : in.positions())
         message.positions_.push_back(FeedPosition {
             position.feed(), {StoreEra {position.era()}, Revision {position.revision()}}});
@@ -88,9 +109,15 @@
         message.changes_.push_back(feedChangesFromProto(changes));
     if (in.has_contact_age_ms() && in.contact_age_ms() <= maxAgeMs)
         message.contactAge_ = Millis {in.contact_age_ms()};
+    for (const peer::InstanceLoad &load : in.loads())
+        message.loads_.push_back(loadFromProto(load));
+    message.loadReporters_ = in.load_reporters();
     return message;
 }
 
+/// Larger than any priority of a configuration.
+constexpr std::uint32_t maxUrgency = 1'000'000;
+
 PeerMessage fromProto(const peer::TokensAsked &in)
 {
     LoanRequest message;
@@ -102,6 +129,7 @@
     message.wanted_ = Tokens {in.wanted()};
     message.spent_ = Tokens {in.spent()};
     message.returned_ = Tokens {in.returned()};
+    message.urgency_ = static_cast<int>(std::min(in.urgency(), maxUrgency));
     return message;
 }
 
--- a/src/adapters/peers/messageencoder.cpp
+++ b/src/adapters/peers/messageencoder.cpp
@@ -110,6 +110,17 @@
     envelope.mutable_leaving()->set_holder(message.holder_.value_);
 }
 
+void encodeLoad(peer::InstanceLoad &out, const InstanceLoad &load)
+{
+    out.set_instance(load.instance_.value_);
+    out.set_running(load.running_);
+    out.set_queued_prefill(
+        static_cast<std::uint64_t>(std::max(load.queuedPrefill_, Tokens {}).count_));
+    out.set_context_tokens(
+        static_cast<std::uint64_t>(std::max(load.contextTokens_, Tokens {}).count_));
+    out.set_prefill_per_ms(load.prefillPerMs_);
+}
+
 void encodeInto(peer::Envelope &envelope, const DocumentsRequest &message)
 {
     peer::DocumentsAsked &out = *envelope.mutable_documents_asked();
@@ -120,6 +131,11 @@
         entry.set_revision(position.position_.revision_.value_);
         entry.set_era(position.position_.era_.value_);
     }
+    out.set_shares_load(message.loads_.has_value());
+    if (message.loads_) {
+        for (const InstanceLoad &load : *message.loads_)
+            encodeLoad(*out.add_loads(), load);
+    }
 }
 
 void encodeInto(peer::Envelope &envelope, const DocumentsReply &message)
@@ -142,6 +158,9 @@
     }
     if (message.contactAge_)
         out.set_contact_age_ms(static_cast<std::uint64_t>(message.contactAge_->count()));
+    for (const InstanceLoad &load : message.loads_)
+        encodeLoad(*out.add_loads(), load);
+    out.set_load_reporters(message.loadReporters_);
 }
 
 void encodeInto(peer::Envelope &envelope, const LoanRequest &message)
@@ -155,6 +174,7 @@
     out.set_wanted(message.wanted_.count_);
     out.set_spent(message.spent_.count_);
     out.set_returned(message.returned_.count_);
+    out.set_urgency(static_cast<std::uint32_t>(std::max(message.urgency_, 0)));
 }
 
 void encodeInto(peer::Envelope &envelope, const LoanReply &message)
--- a/src/adapters/relayhttp/headernames.h
+++ b/src/adapters/relayhttp/headernames.h
@@ -33,6 +33,10 @@
     std::string requestLimit_ = "X-Request-Limit";
     /// "1" if the instance is about to stop.
     std::string leaving_ = "X-Leaving";
+    /// Time in milliseconds for which an instance stays cold.
+    std::string coldRemaining_ = "X-Cold-Ms";
+    /// Urgency of a request at an engine, from 0 (most urgent) to 9, set by the relay.
+    std::string priority_ = "X-Priority";
     /// Further fields that only the relay may set; they are removed from client requests.
     std::vector<std::string> reserved_;
 };
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -16,8 +16,8 @@
 
 bool isSetByRelay(const HeaderNames &names, std::string_view field)
 {
-    const std::array<std::string_view, 4> relayFields {names.account_, names.expectInstance_,
-                                                       names.deadline_, "Authorization"};
+    const std::array<std::string_view, 5> relayFields {
+        names.account_, names.expectInstance_, names.deadline_, names.priority_, "Authorization"};
     const auto same = [field](std::string_view name) {
         return equalsIgnoreCase(name, field);
     };
@@ -52,6 +52,8 @@
     text += fmt::format("{}: {}\r\n", names.expectInstance_, exchange.attempt_.instance_.value_);
     if (!exchange.attempt_.account_.isEmpty())
         text += fmt::format("{}: {}\r\n", names.account_, exchange.attempt_.account_.value_);
+    if (exchange.attempt_.priority_)
+        text += fmt::format("{}: {}\r\n", names.priority_, *exchange.attempt_.priority_);
     text += fmt::format("{}: {}\r\n", names.deadline_,
                         remainingTime(exchange, std::chrono::steady_clock::now()).count());
     const bool hasBody = !request.body_.empty() || request.method_ == "POST"
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -38,6 +38,8 @@
 
 using HostId = Id<struct HostTag>;
 using ZoneId = Id<struct ZoneTag>;
+/// A group of availability zones.
+using RegionId = Id<struct RegionTag>;
 using AccountId = Id<struct AccountTag>;
 using BudgetId = Id<struct BudgetTag>;
 using UpstreamId = Id<struct UpstreamTag>;
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/instanceload.h"
 #include "core/permitmessage.h"
 #include "core/quarantinereport.h"
 #include "core/refusal.h"
@@ -148,6 +149,8 @@
     /// "IP:port" that the response is sent to.
     std::string replyAddress_;
     std::vector<FeedPosition> positions_;
+    /// Load that the sender causes, if it shares its load.
+    std::optional<std::vector<InstanceLoad>> loads_ {};
 };
 
 /// @brief The documents of a feed that changed after a position. All positions have the same era.
@@ -167,6 +170,9 @@
     std::vector<FeedChanges> changes_;
     /// Time since the sender's last contact to the store; std::nullopt if it has none.
     std::optional<Millis> contactAge_;
+    /// Load that other daemons than the receiver cause, and the number of these daemons.
+    std::vector<InstanceLoad> loads_ {};
+    std::uint32_t loadReporters_ = 0;
 };
 
 /// @brief Requests a loan of an account's tokens and reports the use of earlier loans. Totals are
@@ -186,6 +192,8 @@
     Tokens wanted_;
     Tokens spent_;
     Tokens returned_;
+    /// Urgency of the request that waits for the loan; 0 is the most urgent.
+    int urgency_ = 0;
 };
 
 /// @brief Why a lender does not lend the needed amount.
--- a/src/core/relay/config.h
+++ b/src/core/relay/config.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -60,6 +61,8 @@
     int priority_ = 0;
     /// Requests need no API key.
     bool public_ = false;
+    /// Regions whose instances may run the requests; all if it is empty.
+    std::set<RegionId> allowedRegions_ {};
 };
 
 /// @brief Capacity of the model engines of a service.
@@ -78,6 +81,11 @@
     /// Maximum number of connections that one instance accepts from all daemons together.
     std::uint32_t maxConnections_ = 0;
     std::optional<EngineSpec> engine_;
+    /// How long an instance is cold after its process has started.
+    Millis coldStart_ {};
+    /// Requests per second that a cold instance accepts from all daemons together; 0 if there is no
+    /// limit.
+    double coldPerSecond_ = 0.0;
 };
 
 /// @brief Limits on client input.
@@ -97,6 +105,8 @@
     std::optional<int> priority_;
     /// Cumulative prepaid tokens; an account without a value is not limited.
     std::optional<Tokens> prepaid_;
+    /// Regions whose instances may run the requests; all if it is empty.
+    std::set<RegionId> allowedRegions_ {};
 };
 
 /// @brief One version of the configuration.
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -232,6 +232,8 @@
     /// Maximum number of connections to this instance.
     std::uint32_t maxConnections_ = 1;
     Millis connectTimeout_ {};
+    /// Urgency at the engine from 0 to 9, where 0 is the most urgent; not stated if there is none.
+    std::optional<int> priority_ {};
 };
 
 /// @brief Sends a response that this daemon generates.
--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -40,7 +40,8 @@
 {
     if (known.instance_.service_ != query.service_->id_
         || known.instance_.state_ != InstanceState::Ready
-        || query.excluded_.contains(known.instance_.id_))
+        || query.excluded_.contains(known.instance_.id_)
+        || query.excludedZones_.contains(known.instance_.zone_))
         return false;
     if (!record)
         return true;
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -128,6 +128,8 @@
     std::set<UpstreamId> excluded_;
     /// Engines with a full queue may be chosen.
     bool acceptsLongWait_ = false;
+    /// Availability zones whose instances must not be chosen.
+    std::set<ZoneId> excludedZones_ {};
 };
 
 /// @brief The chosen instance and the prediction for it.
--- a/src/core/relay/instances.h
+++ b/src/core/relay/instances.h
@@ -31,6 +31,8 @@
     InstanceState state_ = InstanceState::Ready;
     /// Start time of the process. An instance may restart under the same id.
     WallTime startedAt_ {};
+    /// How long the instance stays cold, counted from the write of the entry.
+    Millis coldRemaining_ {};
 };
 
 /// @brief Returns the process that an entry describes.
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -4,6 +4,7 @@
 #include "core/relay/grantreports.h"
 #include "core/relay/loans.h"
 #include "core/relay/relayinternal.h"
+#include "core/relay/urgency.h"
 
 #include <fmt/format.h>
 
@@ -75,6 +76,9 @@
                out);
         return;
     }
+    const auto account = active.config_->accounts_.find(active.account_);
+    active.urgency_ = urgencyOf(
+        *active.route_, account == active.config_->accounts_.end() ? nullptr : &account->second);
     if (active.route_->timeout_ > Millis {})
         active.deadline_
             = std::min(active.deadline_, event.request_.arrivedAt_ + active.route_->timeout_);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -123,6 +123,8 @@
     std::shared_ptr<const RelayConfig> config_;
     const RelayRoute *route_ = nullptr;
     AccountId account_;
+    /// 0 is the most urgent; see urgencyOf().
+    int urgency_ = 0;
     RelayStage stage_ = RelayStage::AwaitingTokens;
     std::optional<Reservation> reserved_;
     std::uint32_t attempts_ = 0;
