Lenders draw a first grant of each account before any request

A lender drew its first tokens of an account when the first request asked for them. The store's reply takes up to 200 ms and the borrower gives up after 150 ms, so the first seconds of traffic had refusals with budget_unconfirmed although the daemons had run for 14 s.

A lender now reads each of its shards once the configuration and the fleet are known and its view of the fleet has settled, and draws up to 2% of the unallocated tokens of each account in one write for the shard. The draws are spread by a hash of host and shard, wait for the backoff of failed calls, and join a call that starts for another reason. Unused first grants cause no regular reads.

unit-firstgrants: 12 daemons in 3 zones, 24 accounts and 4 shards; with an outage from the start, a lost reply of each shard's first write, an account that is added later, and an unknown fleet.

--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -109,6 +109,12 @@
     return std::nullopt;
 }
 
+/// Returns true if the account is in use, or this daemon holds tokens of it.
+bool needsReconciliation(const PrepaidBalance &balance)
+{
+    return balance.firstUsedAt_ || balance.grant_.authorized_ > Tokens {};
+}
+
 /// Returns true if the ledger must be read for this balance: it holds tokens that may have to be
 /// returned, and no other call has read the shard recently.
 bool needsLedgerRead(const PrepaidState &state, const PrepaidSettings &settings,
@@ -246,6 +252,8 @@
         const std::optional<MonoTime> due = nextCallTime(shard);
         if (due && *due <= now && hasDraw(shard))
             submitJoiningDraws(state, settings, number, now);
+        if (due && *due <= now && !state.stopping_)
+            joinFirstGrants(state, settings, number, now);
         const CallId id {state.lastCall_ + 1};
         std::optional<StoreCall> call = startCall(shard, id, now);
         if (!call)
@@ -301,15 +309,17 @@
 
 void reconcileBalances(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
 {
+    drawDueFirstGrants(state, settings, now);
     for (auto &[account, balance] : state.balances_) {
-        if (!balance.firstUsedAt_ || now < balance.nextReconcileAt_)
+        if (!needsReconciliation(balance) || now < balance.nextReconcileAt_)
             continue;
         balance.nextReconcileAt_ = now + settings.reconcileInterval_;
         if (!balance.grant_.drawPending_)
             reconcileBalance(state, settings, account, balance, now);
         returnScarceTokens(state, settings, account, balance, now);
         returnIdleLoansAndReport(state, account, balance, settings.loanIdleTimeout_, now);
-        if (needsLedgerRead(state, settings, account, balance, now))
+        // An unused first grant alone is not worth regular store calls.
+        if (balance.firstUsedAt_ && needsLedgerRead(state, settings, account, balance, now))
             scheduleCall(shardFor(state, settings, account), now + settings.drawDelay_);
     }
 }
@@ -369,6 +379,8 @@
     };
     if (state.drawsPausedUntil_)
         takeEarlier(*state.drawsPausedUntil_);
+    if (!state.stopping_)
+        takeEarlier(nextFirstGrantTime(state));
     const bool waitsForReply = state.failures_ > 0 && !state.calls_.empty();
     for (const auto &[number, shard] : state.shards_) {
         const std::optional<MonoTime> call = nextCallTime(shard);
@@ -376,7 +388,7 @@
             takeEarlier(state.failures_ > 0 ? std::max(*call, state.backoffUntil_) : *call);
     }
     for (const auto &[account, balance] : state.balances_) {
-        if (balance.firstUsedAt_ && !state.stopping_)
+        if (needsReconciliation(balance) && !state.stopping_)
             takeEarlier(balance.nextReconcileAt_);
         if (balance.pendingRequest_)
             takeEarlier(balance.pendingRequest_->expiresAt_);
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -9,6 +9,7 @@
 #include "core/ledger.h"
 #include "core/peermessage.h"
 #include "core/relay/config.h"
+#include "core/relay/firstgrants.h"
 #include "core/relay/lenders.h"
 #include "core/shardcommit.h"
 #include "core/time.h"
@@ -67,6 +68,16 @@
     Millis maxBackoff_ {200};
     Millis backoffPerDaemon_ {20};
     LenderSettings lenders_;
+    /// Maximum first grant of an account as a fraction of its unallocated tokens.
+    double firstGrantShare_ = 0.02;
+    /// First grants are drawn this long after the lenders of the zone last changed. The daemons of
+    /// a fleet that starts learn of each other within about this time.
+    Millis firstGrantDelay_ {1000};
+    /// First grants are spread over this time, because lenders of different zones that write the
+    /// same key at the same time cause conflicts, which are charged store calls.
+    Millis firstGrantSpread_ {2000};
+    /// Interval after which first grants are drawn again that have not been confirmed.
+    Millis firstGrantRetryInterval_ {3000};
     /// A borrower requests this much in advance, as time at its consumption rate. Less than
     /// grantHorizon_, because lenders keep replying during a store outage.
     Millis loanHorizon_ {1500};
@@ -197,6 +208,7 @@
     std::map<ShardNumber, PrepaidShard> shards_;
     std::map<ShardNumber, MonoTime> ledgerReadAt_;
     std::map<ShardNumber, GrantReports> grantReports_;
+    FirstGrants firstGrants_;
     std::map<CallId, ShardNumber> calls_;
     std::uint64_t lastCall_ = 0;
     /// Failed store calls since the last one that was answered.
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -4,6 +4,7 @@
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
 #include "core/relay/events.h"
+#include "core/relay/firstgrants.h"
 #include "core/relay/fleet.h"
 #include "core/relay/grantreports.h"
 #include "core/relay/instancechoice.h"
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -176,6 +176,7 @@
     updateLenders(state.prepaid_.lenders_, self, event.peers_);
     state.fleet_ = event;
     state.prepaid_.daemons_ = event.daemons_;
+    scheduleFirstGrants(state.prepaid_, state.settings_.prepaid_, now);
     updateQuarantinePeers(state.quarantine_, self, event.peers_, now);
     updateLimitPeers(state.limits_, state.settings_.limits_, self, event.peers_, now);
     if (changed)
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -94,6 +94,7 @@
         return;
     state.config_ = event.config_;
     applyFunding(state.prepaid_, state.settings_.prepaid_, *state.config_, now);
+    scheduleFirstGrants(state.prepaid_, state.settings_.prepaid_, now);
     out.emplace_back(ApplyLimits {state.config_->limits_});
     logLine(out, LogLevel::Info, "config.applied",
             {{"version", std::to_string(state.config_->version_.value_)},
