Engines are told the urgency of requests

Engines serve their queue in the order of a header if it is set. Nothing set it, so an urgent request waited at an engine behind the others.

SendAttempt::priority_ is set for engines if the routes and accounts of the configuration have more than one priority.

--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -18,3 +18,4 @@
 #include "core/relay/relaycontrol.h"
 #include "core/relay/request.h"
 #include "core/relay/responseclass.h"
+#include "core/relay/urgency.h"
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -164,6 +164,8 @@
 {
     RelaySettings settings_;
     std::shared_ptr<const RelayConfig> config_;
+    /// Distinct priorities of the configuration.
+    std::set<int> priorities_;
     InstanceDirectory directory_;
     bool instancesListed_ = false;
     StoreEra storeEra_;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -1,5 +1,6 @@
 // Documents of the store: where they come from, and how the relay applies them.
 #include "core/relay/relayinternal.h"
+#include "core/relay/urgency.h"
 
 #include <utility>
 
@@ -93,6 +94,7 @@
     if (state.config_ && event.config_->version_ <= state.config_->version_)
         return;
     state.config_ = event.config_;
+    state.priorities_ = prioritiesOf(*state.config_);
     applyFunding(state.prepaid_, state.settings_.prepaid_, *state.config_, now);
     out.emplace_back(ApplyLimits {state.config_->limits_});
     logLine(out, LogLevel::Info, "config.applied",
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -2,6 +2,7 @@
 #include "core/hash.h"
 #include "core/relay/loans.h"
 #include "core/relay/relayinternal.h"
+#include "core/relay/urgency.h"
 
 #include <fmt/format.h>
 
@@ -243,10 +244,14 @@
     fields.push_back({"uncached", std::to_string(choice.uncached_.count_)});
     fields.push_back({"same_zone", choice.sameZone_ ? "yes" : "no"});
     logLine(out, LogLevel::Info, "request.dispatch", std::move(fields));
-    out.emplace_back(SendAttempt {
-        active.request_.id_, active.attempts_, choice.instance_, choice.address_, active.account_,
-        active.deadline_, active.route_->retryPolicy_, active.route_->streaming_,
-        connectionsPerInstance(state, *placement.service_), state.settings_.connectTimeout_});
+    const std::optional<int> priority = placement.service_->engine_
+        ? enginePriority(state.priorities_, active.urgency_)
+        : std::nullopt;
+    out.emplace_back(SendAttempt {active.request_.id_, active.attempts_, choice.instance_,
+                                  choice.address_, active.account_, active.deadline_,
+                                  active.route_->retryPolicy_, active.route_->streaming_,
+                                  connectionsPerInstance(state, *placement.service_),
+                                  state.settings_.connectTimeout_, priority});
 }
 
 Millis engineObjective(const RelayedRequest &active)
