The prediction learns how fast each engine reads prompts

One constant, 40 tokens a millisecond, stood for all engines, and the correction by observed delays is forgotten in 3 s. An engine that reads 22 or 90 tokens a millisecond was predicted wrongly again and again.

The speed of each engine process is learned from prompts and times to the first output of requests that found little queue, and kept for minutes. The mean of the service's engines is the initial value. It is used where the daemons share their load (balancing.shareLoadFrom, which now reaches RelaySettings); elsewhere the prediction is as before.

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -206,6 +206,7 @@
     control.choice_.leavingRetention_ = control.missingRetention_;
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
     control.prepaid_.shards_ = settings.ledgerShards_;
+    control.shareLoadFrom_ = settings.shareLoadFrom_;
     return control;
 }
 
--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -1,18 +1,16 @@
 // Chooses an upstream instance by predicted time to first output.
-#include "core/relay/instancechoice.h"
-
 #include "core/hash.h"
-
-#include <fmt/format.h>
+#include "core/relay/instancechoiceinternal.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 
 namespace tamarack {
 
 namespace {
 
+using choicedetail::learnedDelay;
+using choicedetail::prefillTime;
+
 const InstanceStats *findStats(const ChoiceState &state, const KnownInstance &known)
 {
     const auto it = state.instanceStats_.find(known.instance_.id_);
@@ -105,38 +103,59 @@
     return std::max(uncached, Tokens {});
 }
 
-PreciseMicros learnedDelay(const InstanceStats &record, const ChoiceSettings &settings,
-                           MonoTime now)
+/// Prediction for an instance.
+struct Estimate
 {
-    const PreciseMicros age = now - record.observedAt_;
-    return record.extraDelay_ * std::exp(-age / PreciseMicros {settings.delayLifetime_});
-}
+    PreciseMicros predicted_ {};
+    /// Prompt tokens of earlier requests that an engine has still to process.
+    Tokens queued_;
+    /// Part of the prediction that the running requests cause.
+    PreciseMicros runningDelay_ {};
+};
 
-PreciseMicros prefillTime(const ChoiceSettings &settings, Tokens tokens)
+Estimate engineEstimate(const InstanceStats *record, Tokens uncached, double tokensPerMs,
+                        const ChoiceSettings &settings, const ChoiceQuery &query)
 {
-    return PreciseMicros {Millis {1}} / settings.prefillTokensPerMs_
-        * static_cast<double>(tokens.count_);
+    Estimate estimate;
+    if (record) {
+        // Assumes that the other daemons of the zone send as much as this one.
+        estimate.queued_ = Tokens {record->queuedPrefill_.count_ * query.zoneDaemons_};
+        estimate.runningDelay_ = settings.delayPerRequest_
+            * (static_cast<double>(record->running_) * query.zoneDaemons_);
+    }
+    estimate.predicted_
+        = prefillTime(tokensPerMs, uncached + estimate.queued_) + estimate.runningDelay_;
+    return estimate;
 }
 
-PreciseMicros engineDelay(const InstanceStats *record, Tokens uncached,
-                          const ChoiceSettings &settings, const ChoiceQuery &query)
+/// Returns the mean of the learned speeds of a service's engines, which is the initial value of an
+/// engine without samples.
+double meanSpeed(const ChoiceState &state, const ChoiceSettings &settings,
+                 const InstanceDirectory &directory, const ChoiceQuery &query)
 {
-    Tokens ahead = uncached;
-    double running = 0.0;
-    if (record) {
-        // Assumes that the other daemons of the zone send as much as this one.
-        ahead += Tokens {record->queuedPrefill_.count_ * query.zoneDaemons_};
-        running = static_cast<double>(record->running_) * query.zoneDaemons_;
+    double sum = 0.0;
+    int engines = 0;
+    for (const auto &[id, known] : directory.known_) {
+        if (known.instance_.service_ != query.service_->id_)
+            continue;
+        const InstanceStats *record = findStats(state, known);
+        const double sampled = record ? sampledPerMs(record->speed_) : 0.0;
+        if (sampled <= 0.0)
+            continue;
+        sum += sampled;
+        ++engines;
     }
-    return prefillTime(settings, ahead) + settings.delayPerRequest_ * running;
+    return engines > 0 ? sum / engines : settings.prefillTokensPerMs_;
 }
 
-PreciseMicros serviceDelay(const InstanceStats *record, std::uint32_t slots,
-                           const ChoiceSettings &settings, const ChoiceQuery &query)
+Estimate serviceEstimate(const InstanceStats *record, std::uint32_t slots,
+                         const ChoiceSettings &settings, const ChoiceQuery &query)
 {
     const double running
         = record ? static_cast<double>(record->running_) * query.zoneDaemons_ : 0.0;
-    return settings.serviceTime_ * (1.0 + running / std::max(slots, 1U));
+    Estimate estimate;
+    estimate.predicted_ = settings.serviceTime_ * (1.0 + running / std::max(slots, 1U));
+    return estimate;
 }
 
 PreciseMicros otherZonePenalty(const Instance &instance, const ChoiceSettings &settings,
@@ -156,45 +175,6 @@
     return isLastResort ? PreciseMicros {Seconds {60}} : PreciseMicros {};
 }
 
-void recordFailure(InstanceStats &record, const ChoiceSettings &settings, bool ejects, MonoTime now)
-{
-    ++record.consecutiveFailures_;
-    if (!ejects && record.consecutiveFailures_ < settings.ejectAfterFailures_)
-        return;
-    const std::uint32_t doublings = std::min(record.consecutiveFailures_ - 1, 6U);
-    record.ejectedUntil_
-        = now + std::min(settings.baseEjectionTime_ * (1 << doublings), settings.maxEjectionTime_);
-}
-
-/// Adapts the limit on waiting requests to the time that one of them has waited.
-void adaptWaitingLimit(InstanceStats &record, const ChoiceSettings &settings, const Choice &choice,
-                       PreciseMicros waited, Millis latencyObjective, MonoTime now)
-{
-    if (latencyObjective <= Millis {})
-        return;
-    const PreciseMicros inQueue = waited - prefillTime(settings, choice.uncached_);
-    if (inQueue <= PreciseMicros {latencyObjective} * settings.maxWaitShare_) {
-        record.maxWaiting_
-            = std::min(record.maxWaiting_ + 1.0 / record.maxWaiting_, settings.maxWaiting_);
-        return;
-    }
-    // Requests that were sent before the last reduction say nothing about its effect.
-    if (PreciseMicros {now - record.maxWaitingReducedAt_} < waited)
-        return;
-    const double waiting = std::min(record.maxWaiting_, static_cast<double>(record.waiting_));
-    record.maxWaiting_ = std::max(waiting * settings.waitingDecrease_, 1.0);
-    record.maxWaitingReducedAt_ = now;
-}
-
-void evictOldParts(InstanceStats &record, const ChoiceSettings &settings, MonoTime now)
-{
-    if (record.cachedParts_.size() < settings.maxCachedParts_)
-        return;
-    std::erase_if(record.cachedParts_, [&](const auto &item) {
-        return now - item.second > settings.cacheLifetime_ / 2;
-    });
-}
-
 } // namespace
 
 std::optional<Choice> chooseInstance(const ChoiceState &state, const ChoiceSettings &settings,
@@ -202,6 +182,9 @@
                                      MonoTime now)
 {
     const PromptPart *part = query.service_->engine_ ? affinityPart(*query.request_) : nullptr;
+    const bool usesLearnedSpeed = query.service_->engine_ && query.usesLearnedSpeed_;
+    const double mean = usesLearnedSpeed ? meanSpeed(state, settings, directory, query)
+                                         : settings.prefillTokensPerMs_;
     const UpstreamId preferred = part ? preferredInstance(directory, query, *part) : UpstreamId {};
     std::optional<Choice> best;
     PreciseMicros bestScore {};
@@ -214,158 +197,34 @@
             continue;
         const Tokens uncached
             = uncachedTokens(*query.request_, record, id == preferred, settings, now);
-        PreciseMicros predicted = query.service_->engine_
-            ? engineDelay(record, uncached, settings, query)
-            : serviceDelay(record, known.instance_.slots_, settings, query);
+        const double tokensPerMs = usesLearnedSpeed && record
+            ? learnedPerMs(record->speed_, settings.speed_, mean, now)
+            : mean;
+        Estimate estimate = query.service_->engine_
+            ? engineEstimate(record, uncached, tokensPerMs, settings, query)
+            : serviceEstimate(record, known.instance_.slots_, settings, query);
         if (record)
-            predicted += learnedDelay(*record, settings, now);
-        PreciseMicros score = predicted + otherZonePenalty(known.instance_, settings, query)
+            estimate.predicted_ += learnedDelay(*record, settings, now);
+        PreciseMicros score = estimate.predicted_
+            + otherZonePenalty(known.instance_, settings, query)
             + lastResortPenalty(known, withdrawal);
         if (record)
             score += settings.failurePenalty_ * record->failureRate_;
         const std::uint64_t tie = rendezvousWeight(query.request_->request_.value_, id.value_);
         if (best && (score > bestScore || (score == bestScore && tie < bestTie)))
             continue;
-        best = Choice {id, known.instance_.address_, predicted, uncached,
-                       known.instance_.zone_ == query.zone_};
+        best = Choice {id,
+                       known.instance_.address_,
+                       estimate.predicted_,
+                       uncached,
+                       known.instance_.zone_ == query.zone_,
+                       tokensPerMs,
+                       estimate.queued_,
+                       estimate.runningDelay_};
         bestScore = score;
         bestTie = tie;
     }
     return best;
 }
 
-void recordNotice(ChoiceState &state, const ChoiceSettings &settings,
-                  const InstanceProcess &process, const InstanceNotice &notice, MonoTime now)
-{
-    if (!notice.leaving_ && !notice.retryAfter_)
-        return;
-    std::erase_if(state.withdrawals_, [&](const auto &entry) {
-        return now >= std::max(entry.second.statedAt_, entry.second.closedUntil_)
-            + settings.withdrawalLifetime_;
-    });
-    Withdrawal &withdrawal = state.withdrawals_[process];
-    withdrawal.statedAt_ = now;
-    if (notice.leaving_ && !withdrawal.leavingSince_)
-        withdrawal.leavingSince_ = now;
-    if (notice.retryAfter_)
-        withdrawal.closedUntil_ = std::max(withdrawal.closedUntil_, now + *notice.retryAfter_);
-}
-
-std::optional<MonoTime> closedUntil(const ChoiceState &state, const InstanceProcess &process,
-                                    MonoTime now)
-{
-    const auto it = state.withdrawals_.find(process);
-    if (it == state.withdrawals_.end() || it->second.closedUntil_ <= now)
-        return std::nullopt;
-    return it->second.closedUntil_;
-}
-
-bool isLeaving(const ChoiceState &state, const InstanceProcess &process)
-{
-    const auto it = state.withdrawals_.find(process);
-    return it != state.withdrawals_.end() && it->second.leavingSince_.has_value();
-}
-
-void recordSent(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
-                const RelayRequest &request, WallTime startedAt, MonoTime now)
-{
-    InstanceStats &record = state.instanceStats_[choice.instance_];
-    if (record.startedAt_ != startedAt) {
-        // Requests sent before the restart have not ended yet and are still counted.
-        const std::uint32_t running = record.running_;
-        const std::uint32_t waiting = record.waiting_;
-        const Tokens ahead = record.queuedPrefill_;
-        record = InstanceStats {};
-        record.running_ = running;
-        record.waiting_ = waiting;
-        record.queuedPrefill_ = ahead;
-        record.maxWaiting_ = settings.maxWaiting_;
-        record.startedAt_ = startedAt;
-    }
-    ++record.running_;
-    ++record.waiting_;
-    record.queuedPrefill_ += choice.uncached_;
-    if (!request.usage_)
-        return;
-    evictOldParts(record, settings, now);
-    for (const PromptPart &part : request.usage_->parts_)
-        record.cachedParts_[part.id_] = now;
-}
-
-void recordFirstOutput(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
-                       PreciseMicros observed, Millis latencyObjective, MonoTime now)
-{
-    InstanceStats &record = state.instanceStats_[choice.instance_];
-    adaptWaitingLimit(record, settings, choice, observed, latencyObjective, now);
-    record.waiting_ -= std::min(record.waiting_, 1U);
-    record.queuedPrefill_ = std::max(record.queuedPrefill_ - choice.uncached_, Tokens {});
-    const PreciseMicros previous = learnedDelay(record, settings, now);
-    const PreciseMicros extra
-        = std::max(observed - (choice.predicted_ - previous), PreciseMicros {});
-    record.extraDelay_ = previous + (extra - previous) * settings.learningRate_;
-    record.observedAt_ = now;
-}
-
-void recordEnded(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
-                 InstanceOutcome outcome, bool hadOutput, MonoTime now)
-{
-    InstanceStats &record = state.instanceStats_[choice.instance_];
-    record.running_ -= std::min(record.running_, 1U);
-    if (!hadOutput) {
-        record.queuedPrefill_ = std::max(record.queuedPrefill_ - choice.uncached_, Tokens {});
-        record.waiting_ -= std::min(record.waiting_, 1U);
-    }
-    const auto learn = [&](double failed) {
-        record.failureRate_ += (failed - record.failureRate_) * settings.learningRate_;
-    };
-    switch (outcome) {
-    case InstanceOutcome::Success:
-        learn(0.0);
-        record.consecutiveFailures_ = 0;
-        break;
-    case InstanceOutcome::Failed:
-        learn(1.0);
-        recordFailure(record, settings, false, now);
-        break;
-    case InstanceOutcome::Unreachable:
-        learn(1.0);
-        record.cachedParts_.clear();
-        recordFailure(record, settings, true, now);
-        break;
-    case InstanceOutcome::Refused:
-        record.ejectedUntil_ = std::max(record.ejectedUntil_, now + settings.baseEjectionTime_);
-        break;
-    case InstanceOutcome::Replaced:
-        record.replaced_ = true;
-        break;
-    case InstanceOutcome::Neutral:
-        break;
-    }
-}
-
-void recordNoOutput(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
-                    PreciseMicros waited, Millis latencyObjective, MonoTime now)
-{
-    const PreciseMicros inQueue = waited - prefillTime(settings, choice.uncached_);
-    // How long the request would have waited is unknown, but it was longer than that.
-    if (inQueue > PreciseMicros {latencyObjective} * settings.maxWaitShare_)
-        adaptWaitingLimit(state.instanceStats_[choice.instance_], settings, choice, waited,
-                          latencyObjective, now);
-}
-
-Result<void> checkInvariants(const ChoiceState &state)
-{
-    for (const auto &[id, record] : state.instanceStats_) {
-        if (record.queuedPrefill_ < Tokens {} || record.failureRate_ < 0.0
-            || record.failureRate_ > 1.0 || record.maxWaiting_ < 1.0)
-            return fail(ErrorKind::Internal, "tamarack.choice.101",
-                        fmt::format("instance {}: queued prefill {}, failure rate {} or waiting "
-                                    "limit {} is out of range; restart this daemon and report the "
-                                    "error",
-                                    id.value_, record.queuedPrefill_.count_, record.failureRate_,
-                                    record.maxWaiting_));
-    }
-    return {};
-}
-
 } // namespace tamarack
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -11,6 +11,7 @@
 #include "core/relay/config.h"
 #include "core/relay/instancenotice.h"
 #include "core/relay/instances.h"
+#include "core/relay/prefillspeed.h"
 #include "core/relay/request.h"
 #include "core/time.h"
 
@@ -25,8 +26,8 @@
 
 struct ChoiceSettings
 {
-    /// Prompt tokens that an engine is assumed to process per millisecond, until observations of
-    /// the instance correct the prediction.
+    /// Prompt tokens that an engine is assumed to process per millisecond where no speed is
+    /// learned, until observations of the instance correct the prediction.
     double prefillTokensPerMs_ = 40.0;
     /// Delay that each running request adds to the first output of the next one.
     PreciseMicros delayPerRequest_ {Millis {2}};
@@ -64,6 +65,7 @@
     double learningRate_ = 0.2;
     /// Time constant of the exponential decay of the extra delay of an unused instance.
     Millis delayLifetime_ {Seconds {3}};
+    PrefillSpeedSettings speed_;
 };
 
 /// @brief Statistics of an instance, collected from this daemon's requests.
@@ -86,6 +88,8 @@
     /// Moving average of the observed minus the predicted time to first output.
     PreciseMicros extraDelay_ {};
     MonoTime observedAt_ {};
+    /// Learned from requests that found little queue. Unlike extraDelay_, it is kept for minutes.
+    PrefillSpeed speed_;
     double failureRate_ = 0.0;
     std::uint32_t consecutiveFailures_ = 0;
     MonoTime ejectedUntil_ {};
@@ -130,6 +134,8 @@
     bool acceptsLongWait_ = false;
     /// Availability zones whose instances must not be chosen.
     std::set<ZoneId> excludedZones_ {};
+    /// The learned speeds of the engines are used instead of ChoiceSettings::prefillTokensPerMs_.
+    bool usesLearnedSpeed_ = false;
 };
 
 /// @brief The chosen instance and the prediction for it.
@@ -142,6 +148,12 @@
     /// Prompt tokens that are expected not to be cached.
     Tokens uncached_;
     bool sameZone_ = true;
+    /// Prompt tokens per millisecond that the prediction is based on; 0 if it is not known.
+    double prefillPerMs_ = 0.0;
+    /// Prompt tokens of other requests that the engine was expected to process first.
+    Tokens queued_ {};
+    /// Part of the prediction that the running requests cause.
+    PreciseMicros runningDelay_ {};
 };
 
 /// @brief Chooses an instance of a service that is ready and not ejected.
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -13,6 +13,7 @@
 #include "core/relay/lenders.h"
 #include "core/relay/loans.h"
 #include "core/relay/overload.h"
+#include "core/relay/prefillspeed.h"
 #include "core/relay/prepaid.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/relaycontrol.h"
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -48,6 +48,9 @@
     OverloadSettings overload_;
     QuarantineSettings quarantine_;
     RequestLimitSettings limits_;
+    /// Number of live daemons from which on they tell each other the load that they cause at the
+    /// instances, and balance by it; 0 if they never do.
+    std::uint32_t shareLoadFrom_ = 0;
     /// Permits that are requested from other daemons for one request. After that, it uses only
     /// instances without a limit.
     std::uint32_t maxPermitRequests_ = 3;
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -50,6 +50,9 @@
 /// @brief Returns this daemon's part of the shared retry limit.
 RetrySettings retrySettings(const RelayState &state);
 
+/// @brief Returns true if the daemons tell each other the load that they cause.
+bool sharesLoad(const RelayState &state);
+
 /// @brief A chosen instance and its service.
 struct Placement
 {
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -77,8 +77,9 @@
         const RelayService *service = serviceOf(active, id);
         if (!service)
             continue;
-        const ChoiceQuery query {&active.request_,          service,  state.settings_.zone_,
-                                 state.fleet_.zoneDaemons_, excluded, acceptsLongWait};
+        const ChoiceQuery query {
+            &active.request_, service, state.settings_.zone_, state.fleet_.zoneDaemons_, excluded,
+            acceptsLongWait,  {},      sharesLoad(state)};
         std::optional<Choice> choice
             = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, query, now);
         if (choice)
@@ -203,6 +204,12 @@
 
 } // namespace
 
+bool sharesLoad(const RelayState &state)
+{
+    return state.settings_.shareLoadFrom_ > 0
+        && state.fleet_.daemons_ >= state.settings_.shareLoadFrom_;
+}
+
 const RelayService *serviceOf(const RelayedRequest &active, const ServiceId &id)
 {
     const auto it = active.config_->services_.find(id);
