--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -103,6 +103,12 @@
     return std::max(uncached, Tokens {});
 }
 
+/// Returns the tokens of engine memory that a request may take.
+Tokens contextTokens(const RelayRequest &request)
+{
+    return request.usage_ ? request.usage_->prompt_ + request.usage_->maxOutput_ : Tokens {};
+}
+
 /// Prediction for an instance.
 struct Estimate
 {
@@ -220,7 +226,8 @@
                        known.instance_.zone_ == query.zone_,
                        tokensPerMs,
                        estimate.queued_,
-                       estimate.runningDelay_};
+                       estimate.runningDelay_,
+                       contextTokens(*query.request_)};
         bestScore = score;
         bestTie = tie;
     }
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -77,6 +77,8 @@
     std::uint32_t running_ = 0;
     /// Uncached prompt tokens of this daemon's requests that have no output yet.
     Tokens queuedPrefill_;
+    /// Prompt tokens, and output tokens at most, of this daemon's running requests.
+    Tokens contextTokens_;
     /// Requests of this daemon that have no output yet.
     std::uint32_t waiting_ = 0;
     /// Limit on waiting_ for an engine. It grows while requests get their first output in time and
@@ -154,6 +156,8 @@
     Tokens queued_ {};
     /// Part of the prediction that the running requests cause.
     PreciseMicros runningDelay_ {};
+    /// Prompt tokens of the request, and its output tokens at most.
+    Tokens contextTokens_ {};
 };
 
 /// @brief Chooses an instance of a service that is ready and not ejected.
--- a/src/core/relay/instancestats.cpp
+++ b/src/core/relay/instancestats.cpp
@@ -115,16 +115,19 @@
         const std::uint32_t running = record.running_;
         const std::uint32_t waiting = record.waiting_;
         const Tokens ahead = record.queuedPrefill_;
+        const Tokens context = record.contextTokens_;
         record = InstanceStats {};
         record.running_ = running;
         record.waiting_ = waiting;
         record.queuedPrefill_ = ahead;
+        record.contextTokens_ = context;
         record.maxWaiting_ = settings.maxWaiting_;
         record.startedAt_ = startedAt;
     }
     ++record.running_;
     ++record.waiting_;
     record.queuedPrefill_ += choice.uncached_;
+    record.contextTokens_ += choice.contextTokens_;
     if (!request.usage_)
         return;
     evictOldParts(record, settings, now);
@@ -153,6 +156,7 @@
 {
     InstanceStats &record = state.instanceStats_[choice.instance_];
     record.running_ -= std::min(record.running_, 1U);
+    record.contextTokens_ = std::max(record.contextTokens_ - choice.contextTokens_, Tokens {});
     if (!hadOutput) {
         record.queuedPrefill_ = std::max(record.queuedPrefill_ - choice.uncached_, Tokens {});
         record.waiting_ -= std::min(record.waiting_, 1U);
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -8,6 +8,7 @@
 #include "core/relay/grantreports.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instancelimits.h"
+#include "core/relay/instanceload.h"
 #include "core/relay/instancenotice.h"
 #include "core/relay/instances.h"
 #include "core/relay/lenders.h"
--- a/tests/unit-prefillspeed.cpp
+++ b/tests/unit-prefillspeed.cpp
@@ -33,8 +33,8 @@
         = findCommand<SendAttempt>(post(fixture, RequestRead {engineRequest(fixture, prompt)}));
     REQUIRE(attempt);
     const double perMs = attempt->instance_ == UpstreamId {"e1"} ? fastPerMs : slowPerMs;
-    const auto time
-        = std::chrono::duration_cast<Micros>(PreciseMicros {Millis {1}} * (prompt.count_ / perMs));
+    const auto time = std::chrono::duration_cast<Micros>(
+        PreciseMicros {Millis {1}} * (static_cast<double>(prompt.count_) / perMs));
     fixture.now_ += time;
     post(fixture, OutputStarted {attempt->id_, attempt->attempt_, fixture.now_});
     post(fixture, ended(*attempt, AttemptEnd::Delivered, 200));
