--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -2,6 +2,7 @@
 #include "core/hash.h"
 #include "core/relay/loans.h"
 #include "core/relay/relayinternal.h"
+#include "core/relay/urgency.h"
 
 #include <fmt/format.h>
 
@@ -77,8 +78,9 @@
         const RelayService *service = serviceOf(active, id);
         if (!service)
             continue;
-        const ChoiceQuery query {&active.request_,          service,  state.settings_.zone_,
-                                 state.fleet_.zoneDaemons_, excluded, acceptsLongWait};
+        const ChoiceQuery query {
+            &active.request_, service, state.settings_.zone_, state.fleet_.zoneDaemons_, excluded,
+            acceptsLongWait,  {},      sharesLoad(state)};
         std::optional<Choice> choice
             = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, query, now);
         if (choice)
@@ -203,6 +205,12 @@
 
 } // namespace
 
+bool sharesLoad(const RelayState &state)
+{
+    return state.settings_.shareLoadFrom_ > 0
+        && state.fleet_.daemons_ >= state.settings_.shareLoadFrom_;
+}
+
 const RelayService *serviceOf(const RelayedRequest &active, const ServiceId &id)
 {
     const auto it = active.config_->services_.find(id);
@@ -244,10 +252,14 @@
     fields.push_back({"uncached", std::to_string(choice.uncached_.count_)});
     fields.push_back({"same_zone", choice.sameZone_ ? "yes" : "no"});
     logLine(out, LogLevel::Info, "request.dispatch", std::move(fields));
-    out.emplace_back(SendAttempt {
-        active.request_.id_, active.attempts_, choice.instance_, choice.address_, active.account_,
-        active.deadline_, active.route_->retryPolicy_, active.route_->streaming_,
-        connectionsPerInstance(state, *placement.service_), state.settings_.connectTimeout_});
+    const std::optional<int> priority = placement.service_->engine_
+        ? enginePriority(state.priorities_, active.urgency_)
+        : std::nullopt;
+    out.emplace_back(SendAttempt {active.request_.id_, active.attempts_, choice.instance_,
+                                  choice.address_, active.account_, active.deadline_,
+                                  active.route_->retryPolicy_, active.route_->streaming_,
+                                  connectionsPerInstance(state, *placement.service_),
+                                  state.settings_.connectTimeout_, priority});
 }
 
 Millis engineObjective(const RelayedRequest &active)
