Keep requests away from evacuated zones and from regions that are not allowed

An operator must be able to take an availability zone out of use, and routes and accounts may name the regions whose instances run their requests. The control state now holds the evacuations with their position in the store, and one function returns the zones that a request must not be sent to.

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -197,8 +197,12 @@
     control.capacity_ = static_cast<std::uint32_t>(
         std::clamp(settings.processorCores_, 0.0, maxProcessorCores) * thousandths);
     // Requests also stop going to a leaving instance within the drain timeout.
-    control.sync_ = documentSyncSettings(std::min(settings.applyTime_, settings.drainTimeout_),
-                                         settings.settleTime_);
+    const Millis evacuationTime = settings.evacuationTime_.value_or(settings.applyTime_);
+    control.sync_ = documentSyncSettings(
+        std::min({settings.applyTime_, settings.drainTimeout_, evacuationTime}),
+        settings.settleTime_);
+    control.evacuationSettleTime_ = settings.settleTime_;
+    control.regions_ = settings.regions_;
     constexpr double bytesPerMegabit = 125'000.0;
     control.overload_.linkBytesPerSecond_ = settings.linkMbps_ * bytesPerMegabit;
     control.retries_ = settings.retries_;
--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -173,6 +173,13 @@
         = gauge("tamarack_relay_tokens_available", "Granted tokens that can still be reserved");
     auto *limited = gauge("tamarack_relay_limited_instances",
                           "Upstream instances that state a request limit");
+    auto *evacuated = gauge("tamarack_relay_evacuated_zones",
+                            "Availability zones that an operator has evacuated");
+    auto *skips = &BuildCounter()
+                       .Name("tamarack_relay_evacuation_skips_total")
+                       .Help("Requests whose best instance was in an evacuated zone")
+                       .Register(*registry)
+                       .Add({});
     auto *dropped = gauge("tamarack_relay_log_lines_dropped", "Log lines dropped since the start");
     auto *delay = gauge("tamarack_relay_event_delay_seconds",
                         "Smoothed time that events wait for the control thread");
@@ -193,7 +200,7 @@
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, command);
     };
     port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
-                            limited, dropped, delay, link, buffered, bufferLimit,
+                            limited, evacuated, skips, dropped, delay, link, buffered, bufferLimit,
                             memoryRefusals](Micros time, const RelayGauges &gauges) {
         handling.Observe(std::chrono::duration<double>(time).count());
         active->Set(static_cast<double>(gauges.active_));
@@ -202,6 +209,8 @@
         daemons->Set(gauges.daemons_);
         available->Set(static_cast<double>(gauges.tokensAvailable_.count_));
         limited->Set(static_cast<double>(gauges.limitedInstances_));
+        evacuated->Set(static_cast<double>(gauges.evacuatedZones_));
+        skips->Increment(static_cast<double>(gauges.evacuationSkips_) - skips->Value());
         dropped->Set(static_cast<double>(gauges.droppedLogLines_));
         delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
         link->Set(gauges.linkUse_);
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -9,6 +9,7 @@
 #include "core/quarantinereport.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
+#include "core/relay/evacuation.h"
 #include "core/relay/fleet.h"
 #include "core/relay/instancenotice.h"
 #include "core/relay/instances.h"
@@ -130,6 +131,28 @@
     ChangeSource source_ = ChangeSource::Store;
 };
 
+/// @brief All evacuations of availability zones at a position of the store.
+struct EvacuationsListed
+{
+    std::vector<ListedEvacuation> evacuations_;
+    StorePosition position_;
+    ChangeSource source_ = ChangeSource::Store;
+};
+
+/// @brief An operator requested the evacuation of an availability zone.
+struct EvacuationChanged
+{
+    ListedEvacuation listed_;
+    ChangeSource source_ = ChangeSource::Store;
+};
+
+/// @brief An operator ended the evacuation of an availability zone.
+struct EvacuationRemoved
+{
+    ListedEvacuation listed_;
+    ChangeSource source_ = ChangeSource::Store;
+};
+
 /// @brief A reply of the store, or of a peer, showed a new era of the store: it has returned from a
 /// copy since the last one. The first event of a daemon tells the era in which it started.
 struct StoreEraNoticed
@@ -209,12 +232,14 @@
 struct ClientsClosed
 { };
 
-using RelayEvent = std::variant<
-    RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived, ClientDisconnected,
-    ConfigReceived, InstancesListed, InstanceChanged, InstanceRemoved, FleetView,
-    LoanRequestReceived, LoanReplyReceived, GrantReportReceived, QuarantineReportReceived,
-    PermitRequestReceived, PermitReplyReceived, DocumentsRequestReceived, DocumentsReplyReceived,
-    FeedAvailabilityChanged, StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
+using RelayEvent
+    = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived,
+                   ClientDisconnected, ConfigReceived, InstancesListed, InstanceChanged,
+                   InstanceRemoved, EvacuationsListed, EvacuationChanged, EvacuationRemoved,
+                   FleetView, LoanRequestReceived, LoanReplyReceived, GrantReportReceived,
+                   QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
+                   DocumentsRequestReceived, DocumentsReplyReceived, FeedAvailabilityChanged,
+                   StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -59,7 +59,16 @@
     return parts.size() > 1 ? &parts[parts.size() - 2] : &parts.front();
 }
 
-/// Returns the instance of the zone that rendezvous hashing assigns to a prompt part.
+/// Returns true if an instance is in a zone from which the preferred instances are chosen: the
+/// daemon's own, or all that are not excluded if the own one is.
+bool mayBePreferred(const Instance &instance, const ChoiceQuery &query)
+{
+    if (query.excludedZones_.contains(query.zone_))
+        return !query.excludedZones_.contains(instance.zone_);
+    return instance.zone_ == query.zone_;
+}
+
+/// Returns the instance that rendezvous hashing assigns to a prompt part.
 UpstreamId preferredInstance(const InstanceDirectory &directory, const ChoiceQuery &query,
                              const PromptPart &part)
 {
@@ -68,7 +77,7 @@
     for (const auto &[id, known] : directory.known_) {
         const Instance &instance = known.instance_;
         if (instance.service_ != query.service_->id_ || instance.state_ != InstanceState::Ready
-            || known.missingSince_ || instance.zone_ != query.zone_)
+            || known.missingSince_ || !mayBePreferred(instance, query))
             continue;
         const std::uint64_t weight = rendezvousWeight(part.id_, id.value_);
         if (best.isEmpty() || weight > bestWeight) {
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -3,9 +3,11 @@
 
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
+#include "core/relay/evacuation.h"
 #include "core/relay/events.h"
 #include "core/relay/fleet.h"
 #include "core/relay/grantreports.h"
+#include "core/relay/homes.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instancelimits.h"
 #include "core/relay/instancenotice.h"
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -2,6 +2,7 @@
 #include "core/relay/relaycontrol.h"
 
 #include "core/relay/grantreports.h"
+#include "core/relay/homes.h"
 #include "core/relay/loans.h"
 #include "core/relay/relayinternal.h"
 #include "core/relay/urgency.h"
@@ -77,8 +78,10 @@
         return;
     }
     const auto account = active.config_->accounts_.find(active.account_);
-    active.urgency_ = urgencyOf(
-        *active.route_, account == active.config_->accounts_.end() ? nullptr : &account->second);
+    const RelayAccount *known
+        = account == active.config_->accounts_.end() ? nullptr : &account->second;
+    active.urgency_ = urgencyOf(*active.route_, known);
+    active.allowedRegions_ = allowedRegions(*active.route_, known);
     if (active.route_->timeout_ > Millis {})
         active.deadline_
             = std::min(active.deadline_, event.request_.arrivedAt_ + active.route_->timeout_);
@@ -373,6 +376,7 @@
 {
     RelayCommands out;
     updateReadiness(state, out);
+    endLostEvacuations(state, now, out);
     while (!state.timers_.empty() && state.timers_.begin()->first <= now) {
         const ExchangeId id = state.timers_.begin()->second;
         RelayedRequest &active = state.active_.at(id);
@@ -419,6 +423,7 @@
     takeEarlier(next, nextPrepaidTime(state.prepaid_));
     takeEarlier(next, nextSyncTime(state.sync_, state.settings_.sync_));
     takeEarlier(next, nextQuarantineTime(state));
+    takeEarlier(next, nextEvacuationTime(state.evacuations_));
     if (state.stopRequestedAt_ && !state.stopCompleted_) {
         if (!state.idleConnectionsClosed_)
             takeEarlier(next, *state.stopRequestedAt_ + state.settings_.stopAcceptPeriod_);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
+#include "core/relay/evacuation.h"
 #include "core/relay/events.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instancelimits.h"
@@ -63,6 +64,14 @@
     /// Entries may have expired during a store outage of this duration. They expire after three
     /// missed renewals, about 3.6 s.
     Millis minOutage_ {3000};
+    /// An evacuation that the store has lost with its return from a copy ends after this time
+    /// unless it is written again.
+    Millis evacuationSettleTime_ {4000};
+    /// How long a daemon that doesn't know of an evacuation asks for no permit for an instance of
+    /// the zone after a denial.
+    Millis evacuationDenial_ {500};
+    /// Region of each availability zone.
+    std::map<ZoneId, RegionId> regions_;
     Millis connectTimeout_ {300};
     /// Fraction of the latency objective for which a request waits for tokens while the ledger is
     /// available.
@@ -129,6 +138,10 @@
     std::optional<Reservation> reserved_;
     std::uint32_t attempts_ = 0;
     std::set<UpstreamId> tried_;
+    /// Regions that the route and the account allow; nothing if all are allowed.
+    std::optional<std::set<RegionId>> allowedRegions_;
+    /// The request was counted in RelayState::evacuationSkips_, or need not be.
+    bool evacuationSkipChecked_ = false;
     std::optional<Choice> choice_;
     /// The last attempt has not ended.
     bool attemptRunning_ = false;
@@ -172,6 +185,9 @@
     std::map<ServiceId, RetryBudget> retries_;
     Quarantine quarantine_;
     InstanceLimits limits_;
+    Evacuations evacuations_;
+    /// Requests since the start whose best instance was in an evacuated zone.
+    std::uint64_t evacuationSkips_ = 0;
     /// The parts whose quarantine was logged as begun.
     std::set<PromptPartId> quarantinedParts_;
     std::map<ExchangeId, RelayedRequest> active_;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -16,11 +16,6 @@
     return std::to_string(std::chrono::duration_cast<Millis>(now - *sync.freshAt_).count());
 }
 
-std::string sourceName(ChangeSource source)
-{
-    return source == ChangeSource::Store ? "store" : "peer";
-}
-
 void logInstance(RelayCommands &out, const Instance &instance, StorePosition position,
                  ChangeSource source)
 {
@@ -37,6 +32,11 @@
 
 } // namespace
 
+std::string sourceName(ChangeSource source)
+{
+    return source == ChangeSource::Store ? "store" : "peer";
+}
+
 MonoTime earliestRemoval(const RelayState &state, ChangeSource source, MonoTime now)
 {
     const RelaySettings &settings = state.settings_;
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -57,6 +57,12 @@
     const RelayService *service_ = nullptr;
 };
 
+/// @brief Chooses an instance of the request's services.
+/// @param zones availability zones to which the request must not be sent
+std::optional<Placement> chooseAcrossServices(const RelayState &state, const RelayedRequest &active,
+                                              const std::set<ZoneId> &zones, bool acceptsLongWait,
+                                              MonoTime now);
+
 /// @brief Sends a request to the chosen instance.
 void send(RelayState &state, RelayedRequest &active, const Placement &placement, MonoTime now,
           RelayCommands &out);
@@ -68,6 +74,27 @@
 /// 0.
 Millis engineObjective(const RelayedRequest &active);
 
+/// @brief Returns the availability zones to which a request must not be sent: the evacuated ones,
+/// and those outside the regions that its route and its account allow.
+/// @note O(1) without an evacuation and a list of regions, otherwise O(instances)
+std::set<ZoneId> excludedZones(const RelayState &state, const RelayedRequest &active);
+
+/// @brief Refuses a request if all zones that have instances of its services are evacuated, or no
+/// zone is in a region that it allows.
+/// @return false if there may be an instance
+bool refuseWithoutZone(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
+
+/// @brief Counts a request if it would be sent to an evacuated zone without the evacuation. Each
+/// request is counted once.
+void countEvacuationSkip(RelayState &state, RelayedRequest &active, MonoTime now);
+
+/// @brief Dispatches again the requests that wait for an instance, and those that wait for a permit
+/// for an instance to which they must not be sent any more.
+void recheckWaiting(RelayState &state, MonoTime now, RelayCommands &out);
+
+/// @brief Ends the evacuations that were not confirmed in a new era of the store.
+void endLostEvacuations(RelayState &state, MonoTime now, RelayCommands &out);
+
 enum class PermitStatus {
     /// The request may be sent now.
     Granted,
@@ -127,6 +154,14 @@
              RelayCommands &out);
 void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime now, RelayCommands &out);
 
+// Handlers of the events about evacuations, in relayevacuation.cpp.
+void onEvent(RelayState &state, const EvacuationsListed &event, MonoTime now, RelayCommands &out);
+void onEvent(RelayState &state, const EvacuationChanged &event, MonoTime now, RelayCommands &out);
+void onEvent(RelayState &state, const EvacuationRemoved &event, MonoTime now, RelayCommands &out);
+
+/// @brief Returns the name of a source for the log.
+std::string sourceName(ChangeSource source);
+
 /// @brief Handles the reply of a peer to a request for documents.
 void recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now);
 
--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -64,6 +64,7 @@
     const bool usable = service && known != state.directory_.known_.end()
         && processOf(known->second.instance_) == permit.process_
         && known->second.instance_.state_ == InstanceState::Ready
+        && !excludedZones(state, active).contains(known->second.instance_.zone_)
         && !isLeaving(state.choice_, permit.process_)
         && !closedUntil(state.choice_, permit.process_, now);
     if (!usable) {
@@ -94,12 +95,14 @@
 std::optional<MonoTime> nextAcceptingTime(const RelayState &state, const RelayedRequest &active,
                                           MonoTime now)
 {
+    const std::set<ZoneId> zones = excludedZones(state, active);
     std::optional<MonoTime> next;
     for (const auto &[id, known] : state.directory_.known_) {
         const Instance &instance = known.instance_;
         const InstanceProcess process = processOf(instance);
         if (instance.state_ != InstanceState::Ready || active.tried_.contains(id)
-            || !usesService(active, instance.service_) || isLeaving(state.choice_, process))
+            || zones.contains(instance.zone_) || !usesService(active, instance.service_)
+            || isLeaving(state.choice_, process))
             continue;
         // The later of the two, if there are both.
         const std::optional<MonoTime> until = std::max(deniedUntil(state.limits_, process, now),
@@ -151,9 +154,16 @@
                      RelayCommands &out)
 {
     const PermitRequest &request = event.request_;
+    const ZoneId zone = zoneOf(state, request.process_.instance_);
+    if (request.limit_ && isEvacuated(state.evacuations_, zone)) {
+        out.emplace_back(
+            SendPeer {event.from_, request.replyAddress_,
+                      PermitReply {request.process_, request.number_, PermitResult::Denied,
+                                   state.settings_.evacuationDenial_}});
+        return;
+    }
     std::optional<PermitReply> reply
-        = handlePermitRequest(state.limits_, state.settings_.limits_, request,
-                              zoneOf(state, request.process_.instance_), now);
+        = handlePermitRequest(state.limits_, state.settings_.limits_, request, zone, now);
     if (reply)
         out.emplace_back(SendPeer {event.from_, request.replyAddress_, std::move(*reply)});
 }
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -68,16 +68,20 @@
     return std::max(static_cast<std::uint32_t>(share), 1U);
 }
 
+} // namespace
+
 std::optional<Placement> chooseAcrossServices(const RelayState &state, const RelayedRequest &active,
-                                              bool acceptsLongWait, MonoTime now)
+                                              const std::set<ZoneId> &zones, bool acceptsLongWait,
+                                              MonoTime now)
 {
     const std::set<UpstreamId> excluded = excludedInstances(state, active, now);
     for (const ServiceId &id : servicesInOrder(*active.route_, active.request_.request_)) {
         const RelayService *service = serviceOf(active, id);
         if (!service)
             continue;
-        const ChoiceQuery query {&active.request_,          service,  state.settings_.zone_,
-                                 state.fleet_.zoneDaemons_, excluded, acceptsLongWait};
+        const ChoiceQuery query {
+            &active.request_, service, state.settings_.zone_, state.fleet_.zoneDaemons_, excluded,
+            acceptsLongWait,  zones};
         std::optional<Choice> choice
             = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, query, now);
         if (choice)
@@ -86,6 +90,8 @@
     return std::nullopt;
 }
 
+namespace {
+
 void refuseForShortage(RelayState &state, RelayedRequest &active, bool exhausted, MonoTime now,
                        RelayCommands &out)
 {
@@ -156,10 +162,12 @@
         rescheduleTimer(state, active);
         return;
     }
+    if (refuseWithoutZone(state, active, now, out))
+        return;
     const PreciseMicros wait
         = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
     const MonoTime waitEnd = active.request_.arrivedAt_ + std::chrono::duration_cast<Micros>(wait);
-    if (chooseAcrossServices(state, active, true, now)) {
+    if (chooseAcrossServices(state, active, excludedZones(state, active), true, now)) {
         failWithoutInstance(state, active, "upstreams_overloaded", std::nullopt, now, out);
         return;
     }
@@ -336,9 +344,11 @@
     active.awaitedPermit_.reset();
     // Work was already done for a request that is sent again.
     const bool acceptsLongWait = active.attempts_ > 0;
+    const std::set<ZoneId> zones = excludedZones(state, active);
+    countEvacuationSkip(state, active, now);
     while (true) {
         const std::optional<Placement> placement
-            = chooseAcrossServices(state, active, acceptsLongWait, now);
+            = chooseAcrossServices(state, active, zones, acceptsLongWait, now);
         if (!placement)
             break;
         const PermitStatus permit = obtainPermit(state, active, *placement, now, out);
@@ -353,7 +363,7 @@
 void admit(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
     // Before it waits for tokens.
-    if (refuseIfQuarantined(state, active, now, out))
+    if (refuseIfQuarantined(state, active, now, out) || refuseWithoutZone(state, active, now, out))
         return;
     if (isPrepaid(active))
         reserveOrWait(state, active, now, out);
