Deliver evacuations of zones in the feed of the configuration

Hosts have to learn of an evacuation within its time limit, also without the store, and an additional watch would be charged. With the evacuation setting, the feed's prefix covers all documents of the operator; keys below the evacuation prefix become events, from the store and from peers, and other keys are ignored. A listing without the configuration ends no evacuation, and one of a newer era keeps the lost evacuations until the settle time is over, so that peers that start meanwhile get them.

--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -32,39 +32,6 @@
         });
 }
 
-/// Stores a document in the cache.
-/// @return false if the cache has this or a newer version
-bool storeIfNewer(DocumentReader &reader, const PeerDocument &document)
-{
-    const std::lock_guard lock(reader.cache_.mutex_);
-    const auto [known, inserted] = reader.cache_.documents_.try_emplace(document.key_, document);
-    if (inserted)
-        return true;
-    if (known->second.position_ >= document.position_)
-        return false;
-    known->second = document;
-    return true;
-}
-
-/// Records a configuration that could be decoded.
-/// @return false if a newer version is known; the cache then keeps that one, so that peers without
-/// a configuration get it
-bool recordConfigVersion(DocumentReader &reader, const PeerDocument &document,
-                         ConfigVersion version)
-{
-    const std::lock_guard lock(reader.cache_.mutex_);
-    DocumentCache &cache = reader.cache_;
-    if (version >= cache.newestConfigVersion_) {
-        cache.newestConfigVersion_ = version;
-        cache.newestConfig_ = document.value_;
-        return true;
-    }
-    const auto cached = cache.documents_.find(document.key_);
-    if (cached != cache.documents_.end() && cached->second.position_ == document.position_)
-        cached->second.value_ = cache.newestConfig_;
-    return false;
-}
-
 void readConfig(DocumentReader &reader, const PeerDocument &document, ChangeSource source)
 {
     if (!document.value_)
@@ -74,7 +41,7 @@
     });
     if (!config)
         return;
-    if (recordConfigVersion(reader, document, config->version_))
+    if (recordConfigVersion(reader.cache_, document, config->version_))
         post(reader.queue_,
              RelayEvent {
                  ConfigReceived {std::make_shared<const RelayConfig>(std::move(*config)), source}});
@@ -105,11 +72,38 @@
                  document.position_, source}});
 }
 
+bool isEvacuation(const RelayDocuments &formats, const StoreKey &key)
+{
+    const std::string &prefix = formats.evacuationPrefix_;
+    return !prefix.empty() && key.value_.size() > prefix.size() && key.value_.starts_with(prefix);
+}
+
+ListedEvacuation listedEvacuation(const DocumentReader &reader, const PeerDocument &document)
+{
+    const std::size_t prefix = reader.formats_.evacuationPrefix_.size();
+    return ListedEvacuation {ZoneId {document.key_.value_.substr(prefix)}, document.position_};
+}
+
+void readEvacuation(DocumentReader &reader, const PeerDocument &document, ChangeSource source)
+{
+    const ListedEvacuation listed = listedEvacuation(reader, document);
+    if (document.value_)
+        post(reader.queue_, RelayEvent {EvacuationChanged {listed, source}});
+    else
+        post(reader.queue_, RelayEvent {EvacuationRemoved {listed, source}});
+}
+
 void readDocument(DocumentReader &reader, const PeerDocument &document, ChangeSource source)
 {
-    if (!storeIfNewer(reader, document))
+    const bool evacuates = isEvacuation(reader.formats_, document.key_);
+    // A feed may deliver other keys of its prefix.
+    const bool known = evacuates || document.key_.value_ == reader.formats_.configKey_
+        || document.key_.value_.starts_with(reader.formats_.instancePrefix_);
+    if (!known || !storeIfNewer(reader.cache_, document))
         return;
-    if (document.key_.value_ == reader.formats_.configKey_)
+    if (evacuates)
+        readEvacuation(reader, document, source);
+    else if (document.key_.value_ == reader.formats_.configKey_)
         readConfig(reader, document, source);
     else if (document.key_.value_.starts_with(reader.formats_.instancePrefix_))
         readInstance(reader, document, source);
@@ -120,6 +114,15 @@
     return PeerDocument {entry.key_, {era, entry.revision_}, entry.value_};
 }
 
+std::vector<PeerDocument> toDocuments(const std::vector<FeedEntry> &entries, StoreEra era)
+{
+    std::vector<PeerDocument> documents;
+    documents.reserve(entries.size());
+    for (const FeedEntry &entry : entries)
+        documents.push_back(toDocument(entry, era));
+    return documents;
+}
+
 /// Posts the era of the store if it is newer than the known one.
 void noteEra(DocumentReader &reader, StoreEra era)
 {
@@ -132,20 +135,6 @@
     post(reader.queue_, RelayEvent {StoreEraNoticed {era}});
 }
 
-/// Marks cached documents of a prefix as removed if a listing at @a position doesn't contain them.
-/// Documents that changed after the listing are kept.
-void markUnlistedRemoved(DocumentReader &reader, const std::string &prefix,
-                         const std::set<StoreKey> &listed, StorePosition position)
-{
-    const std::lock_guard lock(reader.cache_.mutex_);
-    for (auto &[key, document] : reader.cache_.documents_) {
-        const bool removed = key.value_.starts_with(prefix) && !listed.contains(key)
-            && document.value_ && document.position_ <= position;
-        if (removed)
-            document = PeerDocument {key, position, std::nullopt};
-    }
-}
-
 void readInstanceListing(DocumentReader &reader, const std::vector<PeerDocument> &documents,
                          StorePosition position, ChangeSource source)
 {
@@ -157,14 +146,60 @@
         if (!document.key_.value_.starts_with(reader.formats_.instancePrefix_))
             continue;
         listed.insert(document.key_);
-        storeIfNewer(reader, document);
+        storeIfNewer(reader.cache_, document);
         if (std::optional<ListedInstance> instance = decodeInstance(reader, document))
             listing.instances_.push_back(std::move(*instance));
     }
-    markUnlistedRemoved(reader, reader.formats_.instancePrefix_, listed, position);
+    markUnlistedRemoved(reader.cache_, reader.formats_.instancePrefix_, listed, position);
     post(reader.queue_, RelayEvent {std::move(listing)});
 }
 
+/// Returns true if a listing contains the configuration, or none is known. The operator never
+/// removes it, so a listing without it is not complete.
+bool containsConfig(DocumentReader &reader, const std::vector<PeerDocument> &documents)
+{
+    for (const PeerDocument &document : documents) {
+        if (document.key_.value_ == reader.formats_.configKey_ && document.value_)
+            return true;
+    }
+    const std::lock_guard lock(reader.cache_.mutex_);
+    return !reader.cache_.newestConfig_;
+}
+
+/// Reads the evacuations of a listing of the operator's documents.
+void readEvacuationListing(DocumentReader &reader, const std::vector<PeerDocument> &documents,
+                           StorePosition position, ChangeSource source)
+{
+    EvacuationsListed listing {{}, position, source};
+    std::set<StoreKey> listed;
+    for (const PeerDocument &document : documents) {
+        if (!isEvacuation(reader.formats_, document.key_) || !document.value_)
+            continue;
+        listed.insert(document.key_);
+        storeIfNewer(reader.cache_, document);
+        listing.evacuations_.push_back(listedEvacuation(reader, document));
+    }
+    if (!containsConfig(reader, documents)) {
+        for (ListedEvacuation &evacuation : listing.evacuations_)
+            post(reader.queue_, RelayEvent {EvacuationChanged {std::move(evacuation), source}});
+        return;
+    }
+    markUnlistedUnconfirmed(reader.cache_, reader.formats_.evacuationPrefix_, listed, position,
+                            std::chrono::steady_clock::now() + reader.settleTime_);
+    post(reader.queue_, RelayEvent {std::move(listing)});
+}
+
+/// Reads a listing of the feed of the configuration. The evacuations come first: with the
+/// configuration, the daemon may become ready.
+void readConfigListing(DocumentReader &reader, const std::vector<PeerDocument> &documents,
+                       StorePosition position, ChangeSource source)
+{
+    if (!reader.formats_.evacuationPrefix_.empty())
+        readEvacuationListing(reader, documents, position, source);
+    for (const PeerDocument &document : documents)
+        readDocument(reader, document, source);
+}
+
 constexpr const char *configFeed = "store.config";
 constexpr const char *instanceFeed = "store.instances";
 
@@ -247,6 +282,8 @@
     }
     if (complete && changes.feed_ == instanceFeed) {
         readInstanceListing(reader, changes.documents_, changes.at_, ChangeSource::Peer);
+    } else if (complete) {
+        readConfigListing(reader, changes.documents_, changes.at_, ChangeSource::Peer);
     } else {
         for (const PeerDocument &document : changes.documents_)
             readDocument(reader, document, ChangeSource::Peer);
@@ -259,23 +296,6 @@
     advancePosition(reader.cache_.feeds_.at(changes.feed_), changes.at_);
 }
 
-/// Returns the time since the last contact of any feed to the store, or nothing if a feed is
-/// unavailable. A watch without a reply says nothing until it ends, but it would have replied to a
-/// change as long as the store answers the other feeds. The caller holds the mutex of the cache.
-std::optional<Millis> contactAge(const DocumentCache &cache, Millis maxAge, MonoTime now)
-{
-    std::optional<Millis> newest;
-    for (const auto &[name, feed] : cache.feeds_) {
-        if (!feed.contactAt_)
-            return std::nullopt;
-        const auto age = std::chrono::duration_cast<Millis>(now - *feed.contactAt_);
-        if (age > maxAge)
-            return std::nullopt;
-        newest = std::min(newest.value_or(age), age);
-    }
-    return newest;
-}
-
 } // namespace
 
 DocumentReader::DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue,
@@ -285,17 +305,22 @@
     , log_(std::move(log))
     , maxContactAge_(maxContactAge)
 {
-    cache_.feeds_[configFeed].prefix_ = formats.configKey_;
+    cache_.feeds_[configFeed].prefix_ = configFeedPrefix(formats);
     cache_.feeds_[instanceFeed].prefix_ = formats.instancePrefix_;
 }
 
+const std::string &configFeedPrefix(const RelayDocuments &formats)
+{
+    return formats.evacuationPrefix_.empty() ? formats.configKey_ : formats.operatorPrefix_;
+}
+
 FollowerHandlers configHandlers(DocumentReader &reader)
 {
     FollowerHandlers handlers = commonHandlers(reader, configFeed);
     handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, StorePosition position) {
         noteEra(reader, position.era_);
-        for (const FeedEntry &entry : entries)
-            readDocument(reader, toDocument(entry, position.era_), ChangeSource::Store);
+        readConfigListing(reader, toDocuments(entries, position.era_), position,
+                          ChangeSource::Store);
         recordListing(reader, configFeed, position);
     };
     return handlers;
@@ -306,11 +331,8 @@
     FollowerHandlers handlers = commonHandlers(reader, instanceFeed);
     handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, StorePosition position) {
         noteEra(reader, position.era_);
-        std::vector<PeerDocument> documents;
-        documents.reserve(entries.size());
-        for (const FeedEntry &entry : entries)
-            documents.push_back(toDocument(entry, position.era_));
-        readInstanceListing(reader, documents, position, ChangeSource::Store);
+        readInstanceListing(reader, toDocuments(entries, position.era_), position,
+                            ChangeSource::Store);
         recordListing(reader, instanceFeed, position);
     };
     return handlers;
@@ -329,6 +351,7 @@
                                   MonoTime now)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
+    removeUnconfirmed(reader.cache_, now);
     DocumentsReply reply;
     reply.contactAge_ = contactAge(reader.cache_, reader.maxContactAge_, now);
     for (const FeedPosition &position : request.positions_) {
--- a/src/relayd/documents.h
+++ b/src/relayd/documents.h
@@ -7,49 +7,15 @@
 #include "core/relay/relay.h"
 #include "ports/feed.h"
 #include "ports/ports.h"
+#include "relayd/documentcache.h"
 #include "relayd/follower.h"
 #include "relayd/relayd.h"
 #include "runtime/runtime.h"
 
-#include <map>
-#include <mutex>
-#include <optional>
 #include <string>
 
 namespace tamarack {
 
-/// @brief What is known of the documents of one feed.
-///
-/// Invariants: listedAt_ <= position_; contactAt_ is set only while the store delivers the
-/// feed to this daemon.
-struct FeedState
-{
-    std::string prefix_;
-    /// Position up to which all changes are known, from the store or from peers.
-    StorePosition position_;
-    /// Position of the last full listing. Removals before it may be unknown, so a peer at an older
-    /// position gets all documents. The first position that is known of an era is a listing.
-    StorePosition listedAt_;
-    /// Last reply of the store.
-    std::optional<MonoTime> contactAt_;
-};
-
-/// @brief The newest known version of each document. The mutex guards all members after it.
-///
-/// Invariant: no document is replaced by one with a lower position.
-struct DocumentCache
-{
-    std::mutex mutex_;
-    std::map<StoreKey, PeerDocument> documents_;
-    std::map<std::string, FeedState> feeds_;
-    /// Newest era of the store, from its replies or from peers.
-    StoreEra era_;
-    /// The newest configuration that could be decoded, and its version. The copy from which a store
-    /// returns may contain an older one.
-    std::optional<std::string> newestConfig_;
-    ConfigVersion newestConfigVersion_;
-};
-
 /// @brief Data for converting documents to events of the control thread.
 struct DocumentReader
 {
@@ -58,12 +24,19 @@
     LogPort log_;
     /// A feed without contact to the store for longer than this is taken for unavailable.
     Millis maxContactAge_;
+    /// Time after which an evacuation that the store has lost with its return from a copy is no
+    /// longer told to peers.
+    Millis settleTime_ {4000};
     DocumentCache cache_;
 
     DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue, LogPort log,
                    Millis maxContactAge);
 };
 
+/// @brief Returns the prefix of the feed of the configuration, which also delivers the evacuations
+/// of availability zones if they are followed.
+const std::string &configFeedPrefix(const RelayDocuments &formats);
+
 /// @brief Returns the handlers for the follower of the configuration.
 FollowerHandlers configHandlers(DocumentReader &reader);
 
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -173,11 +173,21 @@
     return sync.watchTimeout_ + sync.maxContactDelay_;
 }
 
+/// Returns the documents that a daemon follows.
+RelayDocuments followedDocuments(const RelayPlatform &platform, const RelayDaemonSettings &settings)
+{
+    RelayDocuments formats = platform.documents_;
+    if (!settings.evacuationTime_)
+        formats.evacuationPrefix_.clear();
+    return formats;
+}
+
 /// The components of a running daemon. They hold references to each other, so it must not be moved.
 struct RelayDaemon
 {
     const RelayPlatform &platform_;
     const RelayDaemonSettings &settings_;
+    RelayDocuments formats_;
     HolderId holder_;
     RelayQueue queue_;
     std::atomic<bool> ready_ = false;
@@ -198,15 +208,18 @@
     RelayDaemon(const RelayPlatform &platform, const RelayDaemonSettings &settings)
         : platform_(platform)
         , settings_(settings)
+        , formats_(followedDocuments(platform, settings))
         , holder_(settings.host_.value_ + '-' + randomHex(holderIdBytes))
         , log_(logPort(sink_))
         , registry_(std::make_shared<prometheus::Registry>())
         , usage_(makeStoreUsage(*registry_))
         , store_(countStoreCalls(platform.makeStore_(settings.storeAddress_), usage_))
         , feed_(countFeedCalls(platform.makeFeed_(settings.storeAddress_), usage_))
-        , documents_(std::make_unique<DocumentReader>(platform.documents_, queue_, log_,
-                                                      maxContactAge(settings)))
-    { }
+        , documents_(
+              std::make_unique<DocumentReader>(formats_, queue_, log_, maxContactAge(settings)))
+    {
+        documents_->settleTime_ = settings.settleTime_;
+    }
 };
 
 /// Handles messages from other daemons.
@@ -307,7 +320,7 @@
     const RelaySettings control = relayControlSettings(relay.settings_);
     const DocumentSyncSettings &sync = control.sync_;
     FollowerSettings config;
-    config.prefix_ = relay.platform_.documents_.configKey_;
+    config.prefix_ = configFeedPrefix(relay.formats_);
     config.watchTimeout_ = sync.contactInterval_;
     config.changeBatchDelay_ = configBatchDelay;
     follow(config, configHandlers(*relay.documents_));
--- a/src/relayd/relayd.h
+++ b/src/relayd/relayd.h
@@ -21,6 +21,11 @@
     std::string instancePrefix_;
     std::function<Result<RelayConfig>(const std::string &text)> decodeConfig_;
     std::function<Result<Instance>(const std::string &id, const std::string &text)> decodeInstance_;
+    /// Prefix of all documents that the operator writes, the configuration among them.
+    std::string operatorPrefix_ {};
+    /// Prefix of the requests to evacuate an availability zone, followed by the zone. Begins with
+    /// operatorPrefix_; empty if evacuations are not followed.
+    std::string evacuationPrefix_ {};
 };
 
 /// @brief Ports and names that the platform supplies.
