While tokens are short, a request leaves those that more urgent requests need

Route urgency had no effect on tokens: during an outage the requests of 9,200 tokens used up the grants, and those of 900 tokens of the most urgent route were refused with them.

While the ledger fails or the account is scarce, a daemon that has tokens reserves or lends some only if what is left covers the expected use by more urgent requests until the end of the shortage, at most for the time of a grant. The others are refused at once. A borrower decides about what it holds only after its lenders have refused or have none; before that its lender decides for the zone, by the urgency that the loan request names. A lender's refusal doesn't apply to more urgent requests. Requests are refused at once too when all lenders have said that they have no tokens, and Retry-After is that of an outage, with less urgent requests last. Nothing changes for accounts whose requests all have one urgency, except the immediate refusal.

The token half of relayrequests.cpp moves to relaytokens.cpp, and the shortage functions of prepaid.cpp to prepaidshortage.cpp.

--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -243,6 +243,8 @@
     int status_ = 503;
     std::optional<Millis> retryAfter_;
     std::string reason_;
+    /// Urgency of the request, for the metrics.
+    int urgency_ = 0;
 };
 
 /// @brief Forwards the upstream's failure response that was held back.
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -140,10 +140,20 @@
         sendUnavailable(state, settings, account, issuedLoan);
         return;
     }
+    const std::optional<UrgentShare> share
+        = findUrgentShare(state, settings, account, issuedLoan.urgency_, now);
+    if (share && needed > Tokens {} && isReservedForUrgent(*share, needed)) {
+        state.reservedForUrgent_.push_back(ReservedForUrgent {account, issuedLoan.borrowerHost_,
+                                                              needed, issuedLoan.urgency_, *share});
+        sendRefusal(state, settings, account, issuedLoan, needed);
+        return;
+    }
     if (reservableTokens(grant) >= needed) {
         Tokens amount = needed;
         if (!isRecalling(state, settings, account)) {
-            const double spare = static_cast<double>((reservableTokens(grant) - needed).count_);
+            const Tokens kept = share ? share->expected_ : Tokens {};
+            const double spare = static_cast<double>(
+                std::max(reservableTokens(grant) - needed - kept, Tokens {}).count_);
             const Tokens ahead = std::max(issuedLoan.wanted_ - issuedLoan.lent_, needed) - needed;
             amount += std::min(ahead,
                                Tokens {static_cast<std::int64_t>(spare * settings.maxLoanShare_)});
@@ -174,7 +184,8 @@
 } // namespace
 
 void requestLoan(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                 PrepaidBalance &balance, const PeerAddress &lender, Tokens amount, MonoTime now)
+                 PrepaidBalance &balance, const PeerAddress &lender, Tokens amount, int urgency,
+                 MonoTime now)
 {
     if (balance.pendingRequest_)
         return;
@@ -191,10 +202,11 @@
     LoanRequest request = makeReport(state, account, lenderProcess, *loan);
     request.needed_ = usedOf(loan->grant_) + amount;
     request.wanted_ = request.needed_ + loanHorizonTokens(settings, balance, now);
+    request.urgency_ = urgency;
     markReported(*loan);
     balance.loanRequestedAt_ = now;
     balance.pendingRequest_
-        = PendingLoanRequest {lender.host_, amount, now + settings.loanTimeout_};
+        = PendingLoanRequest {lender.host_, amount, now + settings.loanTimeout_, urgency};
     state.unansweredSince_.emplace(lender.host_, now);
     state.outbox_.push_back(SendPeer {lender.host_, lender.address_, std::move(request)});
 }
@@ -216,7 +228,8 @@
         return;
     const LenderChoice choice = lenderForAccount(state, settings, account, now);
     if (choice.source_ == TokenSource::Lender)
-        requestLoan(state, settings, account, balance, choice.lender_, Tokens {}, now);
+        requestLoan(state, settings, account, balance, choice.lender_, Tokens {},
+                    leastUrgent(balance.shares_), now);
 }
 
 void returnIdleLoansAndReport(PrepaidState &state, const AccountId &account,
@@ -257,6 +270,10 @@
     const bool isReport = request.wanted_ == Tokens {};
     if (isReport)
         return;
+    // A repeated request is not counted again.
+    if (request.needed_ > std::max(issuedLoan.lent_, issuedLoan.needed_))
+        recordDemand(balance.shares_, request.urgency_, request.needed_ - issuedLoan.lent_, now);
+    issuedLoan.urgency_ = request.urgency_;
     issuedLoan.needed_ = request.needed_;
     issuedLoan.wanted_ = request.wanted_;
     issuedLoan.replyPending_ = true;
@@ -294,7 +311,8 @@
     if (balance.pendingRequest_ && balance.pendingRequest_->host_ == from) {
         if (reply.refusal_ != LoanRefusal::None)
             balance.refusal_
-                = LenderRefusal {from, reply.refusal_, balance.pendingRequest_->amount_, now};
+                = LenderRefusal {from, reply.refusal_, balance.pendingRequest_->amount_, now,
+                                 balance.pendingRequest_->urgency_};
         balance.pendingRequest_.reset();
     }
     if (reply.unavailable_)
--- a/src/core/relay/loans.h
+++ b/src/core/relay/loans.h
@@ -13,8 +13,10 @@
 
 /// @brief Requests a loan that covers @a amount and the expected use during the loan horizon. Does
 /// nothing while a loan request for the account is pending.
+/// @param urgency urgency of the request that waits for the loan
 void requestLoan(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                 PrepaidBalance &balance, const PeerAddress &lender, Tokens amount, MonoTime now);
+                 PrepaidBalance &balance, const PeerAddress &lender, Tokens amount, int urgency,
+                 MonoTime now);
 
 /// @brief Requests a loan in advance if the tokens held for an account run low.
 void refillLoans(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -129,26 +129,6 @@
 
 } // namespace
 
-ShortageDetails shortageDetails(const PrepaidState &state, const PrepaidSettings &settings,
-                                const AccountId &account, MonoTime now)
-{
-    ShortageDetails details;
-    if (const BudgetRecord *record = findBudgetRecord(state, settings, account)) {
-        details.funded_ = record->funded_;
-        details.charged_ = record->charged_;
-        details.outstanding_ = outstandingTokens(*record);
-        details.unallocated_ = unallocatedTokens(*record);
-    }
-    const auto balance = state.balances_.find(account);
-    if (balance != state.balances_.end())
-        details.available_ = reservableTokens(balance->second.grant_);
-    const auto copied
-        = state.ledgerReadAt_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
-    if (copied != state.ledgerReadAt_.end())
-        details.age_ = std::chrono::duration_cast<Millis>(now - copied->second);
-    return details;
-}
-
 void applyFunding(PrepaidState &state, const PrepaidSettings &settings, const RelayConfig &config,
                   MonoTime now)
 {
@@ -178,11 +158,16 @@
 }
 
 std::optional<Reservation> reserveTokens(PrepaidState &state, const PrepaidSettings &settings,
-                                         const AccountId &account, Tokens amount, MonoTime now)
+                                         const AccountId &account, Tokens amount, MonoTime now,
+                                         int urgency)
 {
     PrepaidBalance &balance = state.balances_[account];
     recordFirstUse(balance, static_cast<double>(amount.count_) * initialRequestsPerSecond, now);
     balance.lastUsedAt_ = now;
+    const std::optional<UrgentShare> share
+        = findUrgentShare(state, settings, account, urgency, now);
+    if (share && isReservedForUrgent(*share, amount))
+        return std::nullopt;
     std::optional<Reservation> reservation = reserveHeld(state, balance, amount, now);
     if (reservation) {
         if (!balance.grant_.drawPending_)
@@ -191,8 +176,8 @@
     }
     const LenderChoice choice = lenderForAccount(state, settings, account, now);
     if (choice.source_ == TokenSource::Lender) {
-        if (!recentLenderRefusal(state, settings, account, amount, now))
-            requestLoan(state, settings, account, balance, choice.lender_, amount, now);
+        if (!recentLenderRefusal(state, settings, account, amount, now, urgency))
+            requestLoan(state, settings, account, balance, choice.lender_, amount, urgency, now);
     } else if (choice.source_ == TokenSource::Ledger
                && !isShortageKnown(state, settings, account, amount, now)) {
         submitDraw(state, settings, account, balance, amount, now, now);
@@ -209,35 +194,6 @@
     spendReserved(grant, reservation.amount_, std::min(spent, reservation.amount_), now);
 }
 
-std::optional<LenderRefusal> recentLenderRefusal(const PrepaidState &state,
-                                                 const PrepaidSettings &settings,
-                                                 const AccountId &account, Tokens amount,
-                                                 MonoTime now)
-{
-    const auto balance = state.balances_.find(account);
-    if (balance == state.balances_.end() || !balance->second.refusal_)
-        return std::nullopt;
-    const LenderRefusal &refusal = *balance->second.refusal_;
-    const bool applies
-        = amount >= refusal.amount_ && now - refusal.at_ <= settings.refusalLifetime_;
-    return applies ? balance->second.refusal_ : std::nullopt;
-}
-
-Shortage classifyShortage(const PrepaidState &state, const PrepaidSettings &settings,
-                          const AccountId &account, Tokens amount)
-{
-    const BudgetRecord *record = findBudgetRecord(state, settings, account);
-    const auto balance = state.balances_.find(account);
-    if (!record || balance == state.balances_.end() || !balance->second.fundingCommitted_)
-        return Shortage::Unknown;
-    const HeldGrant &own = balance->second.grant_;
-    if (unallocatedTokens(*record) + reservableTokens(own) >= amount)
-        return Shortage::None;
-    // Unsettled tokens of other daemons count as unspent, because their settlements arrive late.
-    const Tokens left = record->funded_ - record->charged_ - (own.spent_ - own.settled_);
-    return left < amount ? Shortage::Exhausted : Shortage::HeldElsewhere;
-}
-
 std::vector<SubmitStoreCall> startPrepaidCalls(PrepaidState &state, const PrepaidSettings &settings,
                                                MonoTime now)
 {
@@ -287,9 +243,12 @@
         const Millis backoff = settings.minBackoff_ * (1U << std::min(state.failures_, 10U));
         state.backoffUntil_ = now + std::min(backoff, maxStoreBackoff(state, settings));
         ++state.failures_;
+        if (!state.failingSince_)
+            state.failingSince_ = now;
         return changed;
     }
     state.failures_ = 0;
+    state.failingSince_.reset();
     state.backoffUntil_ = now;
     state.ledgerReadAt_[number] = now;
     reportCommittedGrants(state, number, committed, now);
@@ -333,15 +292,6 @@
     }
 }
 
-bool isLedgerFailing(const PrepaidState &state, const PrepaidSettings &settings,
-                     const AccountId &account)
-{
-    const auto shard
-        = state.shards_.find(ledgerShardOf(BudgetId {account.value_}, settings.shards_));
-    return state.failures_ > 0 || state.drawsPausedUntil_
-        || (shard != state.shards_.end() && shard->second.failures_ > 0);
-}
-
 void noticeStoreEra(PrepaidState &state, const PrepaidSettings &settings, StoreEra era,
                     MonoTime now)
 {
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -11,6 +11,7 @@
 #include "core/relay/config.h"
 #include "core/relay/firstgrants.h"
 #include "core/relay/lenders.h"
+#include "core/relay/tokenshares.h"
 #include "core/shardcommit.h"
 #include "core/time.h"
 #include "core/tokens.h"
@@ -118,6 +119,7 @@
     /// Amount needed by the waiting request; 0 for a loan request in advance.
     Tokens amount_;
     MonoTime expiresAt_ {};
+    int urgency_ = 0;
 };
 
 /// @brief A lender's refusal to lend an amount.
@@ -127,6 +129,8 @@
     LoanRefusal refusal_ = LoanRefusal::None;
     Tokens amount_;
     MonoTime at_ {};
+    /// Urgency of the refused request; more urgent ones may still get tokens.
+    int urgency_ = 0;
 };
 
 /// @brief Tokens that this daemon lent to one process of another daemon. The outstanding part,
@@ -144,6 +148,8 @@
     /// Totals of the last loan request that has no reply yet.
     Tokens needed_;
     Tokens wanted_;
+    /// Urgency of the last loan request.
+    int urgency_ = 0;
     bool replyPending_ = false;
 };
 
@@ -186,6 +192,8 @@
     /// arrive too late to size the grant.
     double lendRate_ = 0.0;
     MonoTime lendRateAt_ {};
+    /// Demand of this daemon's requests and of those for which loans are requested.
+    TokenShares shares_;
 };
 
 /// @brief What other holders have reported of one ledger shard (grantreports.h). Decisions must not
@@ -200,6 +208,28 @@
 
 using PrepaidShard = ShardCommit<LedgerShard, LedgerOp>;
 
+/// @brief Tokens that are left while they are short, and what more urgent requests need of them.
+struct UrgentShare
+{
+    /// Unreserved tokens that this daemon holds, and its zone's part of the unallocated ones if
+    /// the ledger can be drawn on.
+    Tokens left_;
+    /// Expected use by more urgent requests until the end of the shortage.
+    Tokens expected_;
+    /// Expected rest of the shortage.
+    Millis rest_ {};
+};
+
+/// @brief A loan that was refused because more urgent requests need the tokens.
+struct ReservedForUrgent
+{
+    AccountId account_;
+    HostId borrower_;
+    Tokens amount_;
+    int urgency_ = 0;
+    UrgentShare share_;
+};
+
 /// @brief Balances of all accounts at this daemon.
 struct PrepaidState
 {
@@ -213,6 +243,10 @@
     std::uint64_t lastCall_ = 0;
     /// Failed store calls since the last one that was answered.
     std::uint32_t failures_ = 0;
+    /// False if neither this daemon nor the peers that it asks for documents reach the store.
+    bool storeContact_ = true;
+    /// Since when store calls have failed or the store was known to be out of reach.
+    std::optional<MonoTime> failingSince_;
     /// No call starts before this time.
     MonoTime backoffUntil_ {};
     /// Newest known era of the store; 0 if it is unknown or the store does not count eras.
@@ -234,6 +268,8 @@
     std::map<HostId, MonoTime> unansweredSince_;
     /// Messages to other daemons that have not been sent yet.
     std::vector<SendPeer> outbox_;
+    /// Refused loans that have not been logged yet.
+    std::vector<ReservedForUrgent> reservedForUrgent_;
     /// This daemon is stopping and no longer lends.
     bool stopping_ = false;
 };
@@ -245,10 +281,12 @@
 /// @brief Reserves the maximum cost of a request.
 ///
 /// Submits no draw while a fresh copy of the ledger shows that it can't succeed.
+/// @param urgency while tokens are short, those that more urgent requests need are not reserved
 /// @return std::nullopt if neither the grant nor a loan covers the amount; in that case, a draw is
-/// submitted or a loan is requested
+/// submitted or a loan is requested, unless the tokens are kept for more urgent requests
 std::optional<Reservation> reserveTokens(PrepaidState &state, const PrepaidSettings &settings,
-                                         const AccountId &account, Tokens amount, MonoTime now);
+                                         const AccountId &account, Tokens amount, MonoTime now,
+                                         int urgency = 0);
 
 /// @brief Settles a reservation and releases the unspent tokens.
 /// @param spent tokens that the request used; at most the reserved amount
@@ -288,7 +326,7 @@
 std::optional<LenderRefusal> recentLenderRefusal(const PrepaidState &state,
                                                  const PrepaidSettings &settings,
                                                  const AccountId &account, Tokens amount,
-                                                 MonoTime now);
+                                                 MonoTime now, int urgency = 0);
 
 /// @brief Returns why an amount can't be reserved, according to this daemon's copy of the ledger.
 Shortage classifyShortage(const PrepaidState &state, const PrepaidSettings &settings,
@@ -315,6 +353,27 @@
 bool isLedgerFailing(const PrepaidState &state, const PrepaidSettings &settings,
                      const AccountId &account);
 
+/// @brief Returns true if isLedgerFailing(), or if all lenders have said that they have no tokens.
+bool isTokenSupplyFailing(const PrepaidState &state, const PrepaidSettings &settings,
+                          const AccountId &account, MonoTime now);
+
+/// @brief Returns the expected time until the ledger can be drawn on, or the time that a grant
+/// covers if nothing fails.
+Millis expectedShortageRest(const PrepaidState &state, const PrepaidSettings &settings,
+                            MonoTime now);
+
+/// @brief Returns what is left for requests of an urgency, or nothing if tokens are not short, the
+/// account is used with one urgency only, or a lender decides.
+std::optional<UrgentShare> findUrgentShare(const PrepaidState &state,
+                                           const PrepaidSettings &settings,
+                                           const AccountId &account, int urgency, MonoTime now);
+
+/// @brief Returns true if the tokens would cover @a amount, but more urgent requests need them.
+bool isReservedForUrgent(const UrgentShare &share, Tokens amount);
+
+/// @brief Records whether the store can be reached. If it can, the backoff after failed calls ends.
+void noticeStoreContact(PrepaidState &state, bool contact, MonoTime now);
+
 /// @brief Records the era of the store. After a return from a copy, the shards are read again, what
 /// this daemon knows in addition is written, and draws are paused.
 void noticeStoreEra(PrepaidState &state, const PrepaidSettings &settings, StoreEra era,
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -19,3 +19,4 @@
 #include "core/relay/relaycontrol.h"
 #include "core/relay/request.h"
 #include "core/relay/responseclass.h"
+#include "core/relay/tokenshares.h"
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -78,8 +78,7 @@
     const bool contact = hasStoreContact(state.sync_, state.settings_.sync_, now);
     if (contact != state.storeContact_) {
         state.storeContact_ = contact;
-        if (contact)
-            endBackoff(state.prepaid_, now);
+        noticeStoreContact(state.prepaid_, contact, now);
         logLine(out, contact ? LogLevel::Info : LogLevel::Warning,
                 contact ? "store.contact_regained" : "store.contact_lost",
                 {{"follows_store", follows ? "yes" : "no"},
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -40,6 +40,23 @@
 /// @brief Reserves tokens for a new request and dispatches it.
 void admit(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
 
+/// @brief Returns the maximum tokens that a request may use.
+Tokens worstCase(const PromptUsage &usage);
+
+/// @brief Appends the figures behind a refusal in favour of more urgent requests.
+void addShareFields(std::vector<LogField> &fields, const UrgentShare &share);
+
+/// @brief Returns true if no tokens can be drawn for the request's account for some time.
+bool isTokenOutage(const RelayState &state, const RelayedRequest &active, MonoTime now);
+
+/// @brief Returns true if requests of more than one urgency use the account's tokens.
+bool isUsedWithSeveralUrgencies(const RelayState &state, const AccountId &account);
+
+/// @brief Returns the position, from 0 to 1, at which a request that was refused for a lack of
+/// tokens should return: urgent ones first.
+/// @param spread position among the requests of the same urgency, from 0 to 1
+double returnOrder(const RelayState &state, const RelayedRequest &active, double spread);
+
 /// @brief Retries the reservations of requests that wait for tokens of an account, in the order of
 /// urgency, then deadline.
 void resumeWaitingForTokens(RelayState &state, const AccountId &account, MonoTime now,
--- a/src/core/relay/relayloans.cpp
+++ b/src/core/relay/relayloans.cpp
@@ -51,6 +51,14 @@
 
 void sendLoanMessages(RelayState &state, RelayCommands &out)
 {
+    for (const ReservedForUrgent &refused : std::exchange(state.prepaid_.reservedForUrgent_, {})) {
+        std::vector<LogField> fields {{"account", refused.account_.value_},
+                                      {"borrower", refused.borrower_.value_},
+                                      {"urgency", std::to_string(refused.urgency_)},
+                                      {"amount", std::to_string(refused.amount_.count_)}};
+        addShareFields(fields, refused.share_);
+        logLine(out, LogLevel::Info, "budget.reserved_for_urgent", std::move(fields));
+    }
     for (SendPeer &message : std::exchange(state.prepaid_.outbox_, {})) {
         if (const auto *request = std::get_if<LoanRequest>(&message.message_)) {
             if (request->wanted_ > Tokens {})
--- a/src/core/relay/relayquarantine.cpp
+++ b/src/core/relay/relayquarantine.cpp
@@ -50,7 +50,8 @@
     const int status = active.mayHaveRun_ ? statusBadGateway : statusServiceUnavailable;
     const std::optional<Millis> retryAfter
         = active.mayHaveRun_ ? std::nullopt : std::optional(check.remaining_);
-    out.emplace_back(RespondToClient {active.request_.id_, status, retryAfter, reason});
+    out.emplace_back(
+        RespondToClient {active.request_.id_, status, retryAfter, reason, active.urgency_});
     finish(state, active, fmt::format("{} {}", status, reason), now, out);
 }
 
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -1,32 +1,23 @@
 // Admission and dispatch of requests.
 #include "core/hash.h"
-#include "core/relay/loans.h"
 #include "core/relay/relayinternal.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <tuple>
 
 namespace tamarack::relaydetail {
 
 namespace {
 
-constexpr int statusPaymentRequired = 402;
 constexpr int statusBadGateway = 502;
 constexpr int statusServiceUnavailable = 503;
 
-Tokens worstCase(const PromptUsage &usage)
-{
-    return usage.prompt_ + usage.maxOutput_;
-}
+/// Prefix of the reasons for refusals for a lack of tokens.
+constexpr const char *tokenReasonPrefix = "budget_";
 
-bool isPrepaid(const RelayedRequest &active)
-{
-    const auto account = active.config_->accounts_.find(active.account_);
-    return active.request_.usage_ && account != active.config_->accounts_.end()
-        && account->second.prepaid_.has_value();
-}
+/// Part of the time for which clients wait that is used to spread the return of requests.
+constexpr double returnOrderShare = 0.3;
 
 /// Returns the tokens to charge: the prompt once, and the output that was sent to the client.
 Tokens usedTokens(const RelayedRequest &active)
@@ -45,21 +36,31 @@
 
 /// Returns the Retry-After value. It is spread by a hash of the request id, which is random, so no
 /// random generator is needed.
-Millis retryAfterDelay(const RelayState &state, const RelayedRequest &active, MonoTime now)
+/// @param forTokens the request was refused for a lack of tokens
+Millis retryAfterDelay(const RelayState &state, const RelayedRequest &active, bool forTokens,
+                       MonoTime now)
 {
     const RelaySettings &settings = state.settings_;
-    const bool outage = active.stage_ == RelayStage::AwaitingTokens
-        && isLedgerFailing(state.prepaid_, settings.prepaid_, active.account_);
+    const bool outage = forTokens && isTokenOutage(state, active, now);
     const Millis base = outage   ? settings.retryAfterOutage_
         : state.stopRequestedAt_ ? settings.retryAfterStopping_
                                  : settings.retryAfter_;
-    const auto spreadRange = static_cast<std::uint64_t>(base.count()) + 1;
-    const Millis delay = base + Millis {hash64(active.request_.request_.value_) % spreadRange};
+    constexpr std::uint64_t steps = 1000;
+    const auto spread = static_cast<double>(hash64(active.request_.request_.value_) % (steps + 1))
+        / static_cast<double>(steps);
+    const auto part = [](Millis time, double fraction) {
+        return std::chrono::duration_cast<Millis>(time * fraction);
+    };
+    const Millis delay = base + part(base, outage ? returnOrder(state, active, spread) : spread);
     if (!active.request_.clientTimeout_)
         return delay;
     const PreciseMicros left = active.request_.arrivedAt_ + *active.request_.clientTimeout_ - now;
     const auto maxDelay = std::chrono::duration_cast<Millis>(left * settings.retryAfterShare_);
-    return std::clamp(maxDelay, Millis {0}, delay);
+    if (maxDelay >= delay || !outage || !isUsedWithSeveralUrgencies(state, active.account_))
+        return std::clamp(maxDelay, Millis {0}, delay);
+    // Within the time for which clients wait, less urgent requests still return last.
+    const double share = returnOrderShare * (1.0 - returnOrder(state, active, spread));
+    return std::max(part(maxDelay, 1.0 - share), Millis {0});
 }
 
 std::uint32_t connectionsPerInstance(const RelayState &state, const RelayService &service)
@@ -87,66 +88,6 @@
     return std::nullopt;
 }
 
-void refuseForShortage(RelayState &state, RelayedRequest &active, bool exhausted, MonoTime now,
-                       RelayCommands &out)
-{
-    if (exhausted)
-        refuse(state, active, statusPaymentRequired, "budget_exhausted", now, out);
-    else
-        refuse(state, active, statusServiceUnavailable, "budget_held_elsewhere", now, out);
-}
-
-/// Refuses a request if a lender recently refused to lend the amount.
-/// @return false if there is no such refusal
-bool refuseByLender(RelayState &state, RelayedRequest &active, Tokens amount, MonoTime now,
-                    RelayCommands &out)
-{
-    const std::optional<LenderRefusal> refusal = recentLenderRefusal(
-        state.prepaid_, state.settings_.prepaid_, active.account_, amount, now);
-    if (!refusal)
-        return false;
-    std::vector<LogField> fields = requestFields(active);
-    fields.push_back({"account", active.account_.value_});
-    fields.push_back({"amount", std::to_string(amount.count_)});
-    fields.push_back({"lender", refusal->host_.value_});
-    fields.push_back({"refused_amount", std::to_string(refusal->amount_.count_)});
-    const auto age = std::chrono::duration_cast<Millis>(now - refusal->at_);
-    fields.push_back({"answer_age_ms", std::to_string(age.count())});
-    logLine(out, LogLevel::Info, "budget.refused_by_lender", std::move(fields));
-    refuseForShortage(state, active, refusal->refusal_ == LoanRefusal::Exhausted, now, out);
-    return true;
-}
-
-/// Refuses a request if a fresh ledger copy shows that the tokens are not available.
-/// @return false if a draw can still succeed
-bool refuseIfLedgerShort(RelayState &state, RelayedRequest &active, Tokens amount, MonoTime now,
-                         RelayCommands &out)
-{
-    const PrepaidSettings &settings = state.settings_.prepaid_;
-    if (refuseByLender(state, active, amount, now, out))
-        return true;
-    const ShortageDetails details = shortageDetails(state.prepaid_, settings, active.account_, now);
-    const Shortage shortage = classifyShortage(state.prepaid_, settings, active.account_, amount);
-    // Tokens held by other daemons may still be obtained from a lender.
-    const bool isShort = shortage == Shortage::Exhausted
-        || (shortage == Shortage::HeldElsewhere
-            && !isLoanRequestPending(state.prepaid_, active.account_));
-    if (!isShort || details.age_ > settings.shortageLifetime_)
-        return false;
-    std::vector<LogField> fields = requestFields(active);
-    fields.push_back({"account", active.account_.value_});
-    fields.push_back({"amount", std::to_string(amount.count_)});
-    fields.push_back({"funded", std::to_string(details.funded_.count_)});
-    fields.push_back({"charged", std::to_string(details.charged_.count_)});
-    fields.push_back({"outstanding", std::to_string(details.outstanding_.count_)});
-    fields.push_back({"unallocated", std::to_string(details.unallocated_.count_)});
-    fields.push_back({"available", std::to_string(details.available_.count_)});
-    fields.push_back({"ledger_age_ms", std::to_string(details.age_.count())});
-    logLine(out, LogLevel::Info, "budget.shortage", std::move(fields));
-    refuseForShortage(state, active, shortage == Shortage::Exhausted, now, out);
-    return true;
-}
-
 /// Waits for an instance, or refuses the request if none can take it in time. An attempt that is
 /// only silent goes on instead.
 void awaitInstance(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
@@ -177,32 +118,13 @@
     rescheduleTimer(state, active);
 }
 
-void reserveOrWait(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
+} // namespace
+
+Tokens worstCase(const PromptUsage &usage)
 {
-    const Tokens amount = worstCase(*active.request_.usage_);
-    PrepaidState &prepaid = state.prepaid_;
-    active.reserved_
-        = reserveTokens(prepaid, state.settings_.prepaid_, active.account_, amount, now);
-    if (active.reserved_) {
-        dispatch(state, active, now, out);
-        return;
-    }
-    if (refuseIfLedgerShort(state, active, amount, now, out))
-        return;
-    if (active.stage_ != RelayStage::AwaitingTokens || !active.stageDeadline_) {
-        active.stage_ = RelayStage::AwaitingTokens;
-        // Waiting is pointless while the ledger is unavailable and no loan request is pending.
-        const bool failing = isLedgerFailing(prepaid, state.settings_.prepaid_, active.account_)
-            && !isLoanRequestPending(prepaid, active.account_);
-        const PreciseMicros wait = PreciseMicros {active.route_->latencyObjective_}
-            * (failing ? 0.0 : state.settings_.tokenWaitShare_);
-        active.stageDeadline_ = now + std::chrono::duration_cast<Micros>(wait);
-        rescheduleTimer(state, active);
-    }
+    return usage.prompt_ + usage.maxOutput_;
 }
 
-} // namespace
-
 const RelayService *serviceOf(const RelayedRequest &active, const ServiceId &id)
 {
     const auto it = active.config_->services_.find(id);
@@ -283,8 +205,11 @@
 {
     std::optional<Millis> retryAfter;
     if (status == statusServiceUnavailable)
-        retryAfter = std::max(retryAfterDelay(state, active, now), notBefore.value_or(Millis {}));
-    out.emplace_back(RespondToClient {active.request_.id_, status, retryAfter, reason});
+        retryAfter
+            = std::max(retryAfterDelay(state, active, reason.starts_with(tokenReasonPrefix), now),
+                       notBefore.value_or(Millis {}));
+    out.emplace_back(
+        RespondToClient {active.request_.id_, status, retryAfter, reason, active.urgency_});
     finish(state, active, fmt::format("{} {}", status, reason), now, out);
 }
 
@@ -351,35 +276,6 @@
     awaitInstance(state, active, now, out);
 }
 
-void admit(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
-{
-    // Before it waits for tokens.
-    if (refuseIfQuarantined(state, active, now, out))
-        return;
-    if (isPrepaid(active))
-        reserveOrWait(state, active, now, out);
-    else
-        dispatch(state, active, now, out);
-}
-
-void resumeWaitingForTokens(RelayState &state, const AccountId &account, MonoTime now,
-                            RelayCommands &out)
-{
-    // Urgent requests are first in line for the tokens, then those with the least time left.
-    std::vector<std::tuple<int, MonoTime, ExchangeId>> waiting;
-    for (const auto &[id, active] : state.active_) {
-        if (active.stage_ == RelayStage::AwaitingTokens && active.account_ == account)
-            waiting.emplace_back(active.urgency_, active.deadline_, id);
-    }
-    std::sort(waiting.begin(), waiting.end());
-    for (const auto &[urgency, deadline, id] : waiting) {
-        // The request may have been refused or sent meanwhile.
-        const auto it = state.active_.find(id);
-        if (it != state.active_.end())
-            reserveOrWait(state, it->second, now, out);
-    }
-}
-
 void resumeWaitingForInstance(RelayState &state, MonoTime now, RelayCommands &out)
 {
     std::vector<ExchangeId> waiting;
