--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -23,4 +23,5 @@
 #include "core/relay/relaycontrol.h"
 #include "core/relay/request.h"
 #include "core/relay/responseclass.h"
+#include "core/relay/tokenshares.h"
 #include "core/relay/urgency.h"
