--- a/tests/unit-relayevacuation.cpp
+++ b/tests/unit-relayevacuation.cpp
@@ -300,10 +300,13 @@
 {
     // Each daemon computes the same preferred engine of all other zones.
     std::set<UpstreamId> engines;
-    for (const char *own : {"near", "far"}) {
+    std::uint64_t daemons = 0;
+    for (const char *own : {"near", "far", "near", "far"}) {
         RelayFixture fixture;
         setUp(fixture);
         fixture.state_.settings_.zone_ = ZoneId {own};
+        // The daemons get different requests.
+        fixture.lastExchange_ = ++daemons * 100;
         auto config = makeConfig(2);
         config->accounts_.at(AccountId {"acme"}).prepaid_.reset();
         post(fixture, ConfigReceived {config, ChangeSource::Store});
--- a/tests/unit-relaysettings.cpp
+++ b/tests/unit-relaysettings.cpp
@@ -76,6 +76,25 @@
     CHECK(errorsOf(document("", R"({"linkMbps": -1})")).size() == 1);
 }
 
+TEST_CASE("evacuations and regions are read, and evacuations are off without their time")
+{
+    const std::string start = R"({"host": "h", "zone": "z", "listen": {"clients": "127.0.0.1:1",
+        "local": "127.0.0.1:2"}, "store": {"address": "127.0.0.1:3", "settleMs": 4500}, )";
+    ValidationErrors errors;
+    const RelayDaemonSettings settings = parseRelaySettings(
+        start + R"("evacuation": {"applyMs": 5000}, "regions": {"z": "north"}})", errors);
+    CHECK(formatValidationErrors(errors).empty());
+    CHECK(settings.evacuationTime_ == Millis {5000});
+    const RelaySettings control = relayControlSettings(settings);
+    CHECK(control.evacuationSettleTime_ == Millis {4500});
+    CHECK(control.regions_.at(ZoneId {"z"}) == RegionId {"north"});
+    const std::string off = GENERATE(as<std::string> {}, R"("evacuation": {"applyMs": } })",
+                                     R"("evacuation": {"applyMs": null}, "regions": null})",
+                                     R"("evacuation": null})", R"("regions": })");
+    CHECK(!parseRelaySettings(start + off, errors).evacuationTime_);
+    CHECK(formatValidationErrors(errors).empty());
+}
+
 TEST_CASE("a field without a value has its default")
 {
     // The platform renders a field that it doesn't have as nothing. The daemon ended at its start.
