Cold instances: which instances are cold, and permits whose sum stays inside the bound

Instances that have just started crash under full load, and the permits for stated limits add up to more than the bound of ColdPerS x overrun + slack: each of 84 daemons that reach no coordinator holds at least one permit. coldinstances.* decides which instances are cold and until when; coldpermits.* divides the bound between the first in rank and four others that grant one permit a second. PermitRequest carries the cold rate and the zone. unit-coldinstances and unit-coldlimits pass.

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -202,6 +202,10 @@
     constexpr double bytesPerMegabit = 125'000.0;
     control.overload_.linkBytesPerSecond_ = settings.linkMbps_ * bytesPerMegabit;
     control.retries_ = settings.retries_;
+    control.cold_.overrun_ = settings.coldOverrun_;
+    control.cold_.slack_ = settings.coldSlack_;
+    // A permit is used after its reply and the connection to the instance.
+    control.cold_.useWithin_ = control.limits_.replyTimeout_ + control.connectTimeout_;
     control.missingRetention_ = std::max(settings.drainTimeout_ - drainMargin, Millis {0});
     control.choice_.leavingRetention_ = control.missingRetention_;
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -173,6 +173,8 @@
         = gauge("tamarack_relay_tokens_available", "Granted tokens that can still be reserved");
     auto *limited = gauge("tamarack_relay_limited_instances",
                           "Upstream instances that state a request limit");
+    auto *cold = gauge("tamarack_relay_cold_instances",
+                       "Upstream instances that get fewer requests because they may be cold");
     auto *dropped = gauge("tamarack_relay_log_lines_dropped", "Log lines dropped since the start");
     auto *delay = gauge("tamarack_relay_event_delay_seconds",
                         "Smoothed time that events wait for the control thread");
@@ -193,7 +195,7 @@
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, command);
     };
     port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
-                            limited, dropped, delay, link, buffered, bufferLimit,
+                            limited, cold, dropped, delay, link, buffered, bufferLimit,
                             memoryRefusals](Micros time, const RelayGauges &gauges) {
         handling.Observe(std::chrono::duration<double>(time).count());
         active->Set(static_cast<double>(gauges.active_));
@@ -202,6 +204,7 @@
         daemons->Set(gauges.daemons_);
         available->Set(static_cast<double>(gauges.tokensAvailable_.count_));
         limited->Set(static_cast<double>(gauges.limitedInstances_));
+        cold->Set(static_cast<double>(gauges.coldInstances_));
         dropped->Set(static_cast<double>(gauges.droppedLogLines_));
         delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
         link->Set(gauges.linkUse_);
--- a/src/adapters/peers/messagedecoder.cpp
+++ b/src/adapters/peers/messagedecoder.cpp
@@ -159,6 +159,10 @@
     if (in.has_limit())
         message.limit_ = std::isfinite(in.limit()) ? std::max(in.limit(), 0.0) : 0.0;
     message.statedAge_ = Millis {std::min(in.stated_age_ms(), maxAgeMs)};
+    if (in.has_cold_limit())
+        message.coldPerSecond_
+            = std::isfinite(in.cold_limit()) ? std::max(in.cold_limit(), 0.0) : 0.0;
+    message.zone_ = ZoneId {in.zone()};
     return message;
 }
 
--- a/src/adapters/peers/messageencoder.cpp
+++ b/src/adapters/peers/messageencoder.cpp
@@ -219,6 +219,9 @@
         out.set_limit(*message.limit_);
     out.set_stated_age_ms(
         static_cast<std::uint64_t>(std::max(message.statedAge_, Millis {}).count()));
+    if (message.coldPerSecond_)
+        out.set_cold_limit(*message.coldPerSecond_);
+    out.set_zone(message.zone_.value_);
 }
 
 void encodeInto(peer::Envelope &envelope, const PermitReply &message)
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -146,8 +146,9 @@
 void onResponseEnd(FrontendState &state, ClientExchange &exchange);
 
 /// @brief Reports a failed attempt to the control thread.
+/// @param connectionsUsed no connection was tried, because this daemon has as many as it may
 void reportAttemptEnd(FrontendState &state, ClientExchange &exchange, AttemptEnd end,
-                      std::string detail);
+                      std::string detail, bool connectionsUsed = false);
 
 /// @brief Ends a response as the control thread has decided. The decision may have been made before
 /// the response began to be sent: its remainder is cut off then, so that the client detects the
--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -118,9 +118,14 @@
     constexpr int statusServiceUnavailable = 503;
     /// Longer times could overflow the clock's type.
     constexpr double maxRetryAfterSeconds = 86'400.0;
+    constexpr double maxColdMs = 86'400'000.0;
     InstanceNotice notice;
     notice.requestLimit_ = decimalField(head, names.requestLimit_);
     notice.leaving_ = findField(head.headers_, names.leaving_) == "1";
+    const double coldMs = decimalField(head, names.coldRemaining_).value_or(0.0);
+    if (coldMs > 0.0)
+        notice.coldRemaining_ = std::chrono::ceil<Millis>(
+            std::chrono::duration<double, std::milli>(std::min(coldMs, maxColdMs)));
     if (head.status_ != statusServiceUnavailable)
         return notice;
     if (const std::optional<double> seconds = decimalField(head, "Retry-After"))
@@ -330,7 +335,7 @@
 }
 
 void reportAttemptEnd(FrontendState &state, ClientExchange &exchange, AttemptEnd end,
-                      std::string detail)
+                      std::string detail, bool connectionsUsed)
 {
     if (exchange.abandoned_) {
         state.exchanges_.erase(exchange.id_);
@@ -343,6 +348,7 @@
     ended.status_ = end == AttemptEnd::Failed ? exchange.head_.status_ : 0;
     ended.events_ = exchange.eventCount_;
     ended.partiallyDelivered_ = exchange.headSent_;
+    ended.connectionsUsed_ = connectionsUsed;
     ended.detail_ = std::move(detail);
     state.events_.post_(std::move(ended));
 }
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -338,8 +338,12 @@
     if (!id)
         id = openConnection(state, attempt);
     if (!id) {
+        const bool connectionsUsed
+            = state.connectionCounts_[attempt.address_] >= attempt.maxConnections_;
         reportAttemptEnd(state, exchange, AttemptEnd::NotSent,
-                         "no connection: connect failed or connection limit reached");
+                         connectionsUsed ? "no connection: connection limit reached"
+                                         : "no connection: connect failed",
+                         connectionsUsed);
         return;
     }
     startRequest(state, state.upstreams_.at(*id), exchange);
--- a/src/core/permitmessage.h
+++ b/src/core/permitmessage.h
@@ -24,6 +24,11 @@
     std::optional<double> limit_;
     /// Time since the instance stated this. A duration, because the clocks of hosts differ.
     Millis statedAge_ {};
+    /// Set if the instance is cold: requests per second that it accepts from all daemons together
+    /// meanwhile. limit_ is the smaller of the two limits then.
+    std::optional<double> coldPerSecond_ {};
+    /// Availability zone of a cold instance, whose entry the receiver may not have yet.
+    ZoneId zone_ {};
 };
 
 enum class PermitResult {
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -78,6 +78,8 @@
     std::uint64_t events_ = 0;
     /// Part of the response was sent to the client.
     bool partiallyDelivered_ = false;
+    /// No connection was tried, because this daemon has as many to the upstream as it may.
+    bool connectionsUsed_ = false;
     /// Error description for the log.
     std::string detail_;
 };
--- a/src/core/relay/instancelimits.cpp
+++ b/src/core/relay/instancelimits.cpp
@@ -1,11 +1,7 @@
 // Request limits of instances: who coordinates them, and the permits that a coordinator grants.
 #include "core/relay/instancelimits.h"
 
-#include "core/hash.h"
-
 #include <algorithm>
-#include <cmath>
-#include <limits>
 
 namespace tamarack {
 
@@ -13,41 +9,6 @@
 
 using FractionalSeconds = std::chrono::duration<double>;
 
-/// Returns the rank of a daemon for an instance; the smallest is first. Larger hosts are first for
-/// more instances (weighted rendezvous hashing).
-double rankOf(const PeerAddress &daemon, const InstanceProcess &process)
-{
-    constexpr double hashValues = 18'446'744'073'709'551'616.0;
-    const std::uint64_t hash = rendezvousWeight(process.instance_.value_, daemon.host_.value_);
-    const double uniform = (static_cast<double>(hash) + 0.5) / hashValues;
-    return -std::log(std::min(uniform, 1.0 - 1e-12)) / std::max(daemon.capacity_, 1U);
-}
-
-/// Sorts daemons by rank, those of the instance's availability zone first.
-void sortForInstance(std::vector<PeerAddress> &daemons, const InstanceProcess &process,
-                     const ZoneId &zone, std::size_t count)
-{
-    struct Ranked
-    {
-        bool otherZone_;
-        double rank_;
-        PeerAddress daemon_;
-    };
-    std::vector<Ranked> ranked;
-    ranked.reserve(daemons.size());
-    for (PeerAddress &daemon : daemons)
-        ranked.push_back({daemon.zone_ != zone, rankOf(daemon, process), std::move(daemon)});
-    const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
-    std::partial_sort(ranked.begin(), last, ranked.end(), [](const Ranked &a, const Ranked &b) {
-        if (a.otherZone_ != b.otherZone_)
-            return b.otherZone_;
-        return a.rank_ != b.rank_ ? a.rank_ < b.rank_ : a.daemon_.host_ < b.daemon_.host_;
-    });
-    daemons.clear();
-    for (auto it = ranked.begin(); it != last; ++it)
-        daemons.push_back(std::move(it->daemon_));
-}
-
 /// Returns true if no other daemon grants at the full rate for the instance: this one is first in
 /// rank, and was already before daemons may have disagreed about the fleet.
 bool mayGrantAtFullRate(const InstanceLimits &limits, const RequestLimitSettings &settings,
@@ -60,7 +21,7 @@
         if (now < since + settings.fullRateAfter_)
             candidates.push_back(daemon);
     }
-    sortForInstance(candidates, process, zone, 1);
+    sortForInstance(candidates, process.instance_, zone, 1);
     return candidates.front().host_ == limits.self_;
 }
 
@@ -71,7 +32,7 @@
                                              MonoTime now)
 {
     std::vector<PeerAddress> candidates = limits.daemons_;
-    sortForInstance(candidates, process, zone, settings.coordinators_);
+    sortForInstance(candidates, process.instance_, zone, settings.coordinators_);
     for (PeerAddress &candidate : candidates) {
         if (!isExcluded(limits.unresponsive_, candidate.host_, now))
             return std::move(candidate);
@@ -86,20 +47,7 @@
 {
     const double rate = std::max(perSecond, settings.minRate_);
     const double capacity = 1.0 + rate * FractionalSeconds {settings.burst_}.count();
-    const double elapsed = FractionalSeconds {now - bucket.refilledAt_}.count();
-    bucket.available_ = std::min(bucket.available_ + elapsed * rate, capacity);
-    bucket.refilledAt_ = now;
-    if (bucket.available_ >= 1.0) {
-        bucket.available_ -= 1.0;
-        return std::nullopt;
-    }
-    const auto timeFor = [rate](double permits) {
-        return std::chrono::duration_cast<MonoTime::duration>(FractionalSeconds {permits / rate});
-    };
-    const MonoTime retryAt = std::max(bucket.nextRetryAt_, now + timeFor(1.0 - bucket.available_));
-    const MonoTime latest = now + settings.maxRetryAfter_;
-    bucket.nextRetryAt_ = std::min(retryAt + timeFor(1.0), latest);
-    return std::max(std::chrono::ceil<Millis>(std::min(retryAt, latest) - now), Millis {1});
+    return takePermit(bucket.tokens_, {rate, capacity}, settings.maxRetryAfter_, now);
 }
 
 PermitBucket &bucketFor(InstanceLimits &limits, const RequestLimitSettings &settings,
@@ -107,8 +55,8 @@
 {
     const auto [bucket, added] = limits.buckets_.try_emplace(process);
     if (added) {
-        bucket->second.refilledAt_ = now;
-        bucket->second.available_
+        bucket->second.tokens_.refilledAt_ = now;
+        bucket->second.tokens_.available_
             = mayGrantAtFullRate(limits, settings, process, zone, now) ? 1.0 : 0.0;
     }
     return bucket->second;
@@ -149,14 +97,14 @@
     return mayGrantAtFullRate(limits, settings, process, zone, now) ? 1.0 : settings.partialShare_;
 }
 
+} // namespace
+
 void recordDenial(InstanceLimits &limits, const InstanceProcess &process, MonoTime until)
 {
     MonoTime &denied = limits.deniedUntil_[process];
     denied = std::max(denied, until);
 }
 
-} // namespace
-
 std::string_view permitResultCode(PermitResult result)
 {
     switch (result) {
@@ -195,7 +143,7 @@
         return now >= entry.second.statedAt_ + settings.lifetime_;
     });
     std::erase_if(limits.buckets_, [&](const auto &entry) {
-        return now >= entry.second.refilledAt_ + settings.lifetime_;
+        return now >= entry.second.tokens_.refilledAt_ + settings.lifetime_;
     });
 }
 
--- a/src/core/relay/instancelimits.h
+++ b/src/core/relay/instancelimits.h
@@ -7,6 +7,7 @@
 
 #include "core/permitmessage.h"
 #include "core/relay/peerranking.h"
+#include "core/relay/permitbucket.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -55,17 +56,14 @@
 
 /// @brief The permits that this daemon may grant for an instance.
 ///
-/// Invariant: available_ is at most one more than the permits of RequestLimitSettings::burst_.
+/// Invariant: tokens_ holds at most one more than the permits of RequestLimitSettings::burst_.
 struct PermitBucket
 {
     /// The newest statement known here.
     StatedLimit limit_;
     /// When the instance was last known to state no limit.
     std::optional<MonoTime> endedAt_;
-    double available_ = 0.0;
-    MonoTime refilledAt_ {};
-    /// When the next daemon that is denied a permit is told to come back.
-    MonoTime nextRetryAt_ {};
+    TokenBucket tokens_;
 };
 
 /// @brief What one daemon knows of request limits.
@@ -113,6 +111,9 @@
 std::optional<MonoTime> deniedUntil(const InstanceLimits &limits, const InstanceProcess &process,
                                     MonoTime now);
 
+/// @brief Records that no permit is requested for an instance until @a until.
+void recordDenial(InstanceLimits &limits, const InstanceProcess &process, MonoTime until);
+
 /// @brief Outcome of askForPermit().
 struct PermitAnswer
 {
--- a/src/core/relay/instancenotice.h
+++ b/src/core/relay/instancenotice.h
@@ -16,6 +16,8 @@
     bool leaving_ = false;
     /// The instance accepts no request from this daemon for this long.
     std::optional<Millis> retryAfter_;
+    /// The instance stays cold for this long.
+    std::optional<Millis> coldRemaining_ {};
 
     bool operator==(const InstanceNotice &) const = default;
 };
--- a/src/core/relay/peerranking.cpp
+++ b/src/core/relay/peerranking.cpp
@@ -4,9 +4,25 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace tamarack {
 
+namespace {
+
+/// Returns the rank of a daemon for an instance; the smallest is first. Larger hosts are first for
+/// more instances (weighted rendezvous hashing).
+double rankOf(const PeerAddress &daemon, const UpstreamId &instance)
+{
+    constexpr double hashValues = 18'446'744'073'709'551'616.0;
+    const std::uint64_t hash = rendezvousWeight(instance.value_, daemon.host_.value_);
+    const double uniform = (static_cast<double>(hash) + 0.5) / hashValues;
+    return -std::log(std::min(uniform, 1.0 - 1e-12)) / std::max(daemon.capacity_, 1U);
+}
+
+} // namespace
+
 bool isExcluded(const ExcludedPeers &excluded, const HostId &host, MonoTime now)
 {
     const auto entry = excluded.find(host);
@@ -24,6 +40,30 @@
     });
 }
 
+void sortForInstance(std::vector<PeerAddress> &daemons, const UpstreamId &instance,
+                     const ZoneId &zone, std::size_t count)
+{
+    struct Ranked
+    {
+        bool otherZone_;
+        double rank_;
+        PeerAddress daemon_;
+    };
+    std::vector<Ranked> ranked;
+    ranked.reserve(daemons.size());
+    for (PeerAddress &daemon : daemons)
+        ranked.push_back({daemon.zone_ != zone, rankOf(daemon, instance), std::move(daemon)});
+    const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
+    std::partial_sort(ranked.begin(), last, ranked.end(), [](const Ranked &a, const Ranked &b) {
+        if (a.otherZone_ != b.otherZone_)
+            return b.otherZone_;
+        return a.rank_ != b.rank_ ? a.rank_ < b.rank_ : a.daemon_.host_ < b.daemon_.host_;
+    });
+    daemons.clear();
+    for (auto it = ranked.begin(); it != last; ++it)
+        daemons.push_back(std::move(it->daemon_));
+}
+
 void removeUnknown(std::map<HostId, MonoTime> &entries, const std::vector<PeerAddress> &peers)
 {
     std::erase_if(entries, [&peers](const auto &entry) {
--- a/src/core/relay/peerranking.h
+++ b/src/core/relay/peerranking.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -35,6 +36,13 @@
 /// @note O(daemons x log daemons)
 void sortByRank(std::vector<PeerAddress> &daemons, const std::string &purpose);
 
+/// @brief Sorts daemons by their rank for an instance, those of its availability zone first, and
+/// keeps the first @a count. Larger hosts are first for more instances (weighted rendezvous
+/// hashing).
+/// @note O(daemons x log count)
+void sortForInstance(std::vector<PeerAddress> &daemons, const UpstreamId &instance,
+                     const ZoneId &zone, std::size_t count);
+
 /// @brief Removes the entries of daemons that are not in @a peers.
 void removeUnknown(std::map<HostId, MonoTime> &entries, const std::vector<PeerAddress> &peers);
 
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -1,6 +1,8 @@
 // Public header of the relay core, which decides about requests that are forwarded unchanged.
 #pragma once
 
+#include "core/relay/coldinstances.h"
+#include "core/relay/coldpermits.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
 #include "core/relay/events.h"
@@ -13,6 +15,8 @@
 #include "core/relay/lenders.h"
 #include "core/relay/loans.h"
 #include "core/relay/overload.h"
+#include "core/relay/peerranking.h"
+#include "core/relay/permitbucket.h"
 #include "core/relay/prepaid.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/relaycontrol.h"
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -187,6 +187,7 @@
     if (!provesNotExecuted(ended.end_))
         active.mayHaveRun_ = true;
     recordInstanceOutcome(state, active, outcomeOf(ended.end_), now);
+    recordAttemptForCold(state, active, ended, now);
     const bool mayCrash = recordAttemptForQuarantine(state, active, ended, now, out);
     if (ended.end_ == AttemptEnd::Delivered) {
         finish(state, active, fmt::format("delivered {}", ended.status_), now, out);
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -108,6 +108,7 @@
     rescheduleTimer(state, active);
     recordFirstOutput(state.choice_, state.settings_.choice_, *active.choice_,
                       event.at_ - active.sentAt_, engineObjective(active), now);
+    recordResponse(state.cold_, active.choice_->instance_, active.sentAt_, now);
     recordOutputForQuarantine(state, active, now, out);
 }
 
@@ -353,6 +354,7 @@
 RelayCommands handleRelayEvent(RelayState &state, const RelayEvent &event, MonoTime now)
 {
     RelayCommands out;
+    noteColdTime(state, now);
     std::visit([&](const auto &concrete) { onEvent(state, concrete, now, out); }, event);
     RelayCommands dueCommands = runDueWork(state, now);
     std::move(dueCommands.begin(), dueCommands.end(), std::back_inserter(out));
@@ -403,6 +405,7 @@
         resumeWaitingForTokens(state, account, now, out);
     }
     runQuarantine(state, now, out);
+    runColdInstances(state, now, out);
     advanceStop(state, now, out);
     startCalls(state, now, out);
     sendLoanMessages(state, out);
@@ -419,6 +422,7 @@
     takeEarlier(next, nextPrepaidTime(state.prepaid_));
     takeEarlier(next, nextSyncTime(state.sync_, state.settings_.sync_));
     takeEarlier(next, nextQuarantineTime(state));
+    takeEarlier(next, nextColdTime(state));
     if (state.stopRequestedAt_ && !state.stopCompleted_) {
         if (!state.idleConnectionsClosed_)
             takeEarlier(next, *state.stopRequestedAt_ + state.settings_.stopAcceptPeriod_);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "core/error.h"
+#include "core/relay/coldinstances.h"
+#include "core/relay/coldpermits.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
 #include "core/relay/events.h"
@@ -48,6 +50,7 @@
     OverloadSettings overload_;
     QuarantineSettings quarantine_;
     RequestLimitSettings limits_;
+    ColdPermitSettings cold_;
     /// Permits that are requested from other daemons for one request. After that, it uses only
     /// instances without a limit.
     std::uint32_t maxPermitRequests_ = 3;
@@ -113,6 +116,8 @@
     Choice choice_;
     ServiceId service_;
     MonoTime requestedAt_ {};
+    /// The permit was requested because the instance is cold.
+    bool isCold_ = false;
 };
 
 /// @brief A request whose response has not ended.
@@ -172,6 +177,8 @@
     std::map<ServiceId, RetryBudget> retries_;
     Quarantine quarantine_;
     InstanceLimits limits_;
+    ColdInstances cold_;
+    ColdPermits coldPermits_;
     /// The parts whose quarantine was logged as begun.
     std::set<PromptPartId> quarantinedParts_;
     std::map<ExchangeId, RelayedRequest> active_;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -108,6 +108,8 @@
     const std::vector<UpstreamId> missing
         = applyListing(state.directory_, event.instances_, event.position_,
                        earliestRemoval(state, event.source_, now));
+    for (const ListedInstance &listed : event.instances_)
+        recordEntry(state.cold_, listed, !state.instancesListed_, now);
     state.instancesListed_ = true;
     logLine(out, LogLevel::Info, "instances.listed",
             {{"count", std::to_string(event.instances_.size())},
@@ -123,6 +125,7 @@
 {
     if (!upsertInstance(state.directory_, event.listed_))
         return;
+    recordEntry(state.cold_, event.listed_, false, now);
     logInstance(out, event.listed_.instance_, event.listed_.position_, event.source_);
     resumeWaitingForInstance(state, now, out);
 }
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -105,6 +105,23 @@
 void onInstanceNotice(RelayState &state, const InstanceNoticeReceived &event, MonoTime now,
                       RelayCommands &out);
 
+/// @brief Returns how many requests per second an instance accepts because it is cold, or nothing
+/// if it is warm or its service has no such limit.
+std::optional<double> coldRate(const RelayState &state, const Instance &instance, MonoTime now);
+
+/// @brief Records what the end of an attempt shows about a possible restart of the instance.
+void recordAttemptForCold(RelayState &state, const RelayedRequest &active,
+                          const RelayAttemptEnded &ended, MonoTime now);
+
+/// @brief Records that events are handled. A daemon that was suspended grants less.
+void noteColdTime(RelayState &state, MonoTime now);
+
+/// @brief Logs the instances that became cold or warm.
+void runColdInstances(RelayState &state, MonoTime now, RelayCommands &out);
+
+/// @brief Returns when runColdInstances() has work to do next.
+std::optional<MonoTime> nextColdTime(const RelayState &state);
+
 /// @brief Logs the reply of a lender before it is handled, with the time that it took.
 void logLoanReply(const RelayState &state, const LoanReplyReceived &reply, MonoTime now,
                   RelayCommands &out);
--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -17,6 +17,22 @@
     return known == state.directory_.known_.end() ? ZoneId {} : known->second.instance_.zone_;
 }
 
+/// Returns the cold instance for which a daemon requests a permit; nothing if neither that daemon
+/// nor this one knows that it is cold, or the message only reports the end of a stated limit.
+std::optional<ColdTarget> coldTarget(const RelayState &state, const PermitRequest &request,
+                                     MonoTime now)
+{
+    if (request.coldPerSecond_)
+        return ColdTarget {request.process_, request.zone_, *request.coldPerSecond_};
+    const auto known = state.directory_.known_.find(request.process_.instance_);
+    if (!request.limit_ || known == state.directory_.known_.end())
+        return std::nullopt;
+    const Instance &instance = known->second.instance_;
+    const std::optional<double> rate = coldRate(state, instance, now);
+    return rate ? std::optional(ColdTarget {request.process_, instance.zone_, *rate})
+                : std::nullopt;
+}
+
 void logPermit(const RelayedRequest &active, const InstanceProcess &process,
                const HostId &coordinator, std::string_view result, Millis wait, RelayCommands &out)
 {
@@ -55,6 +71,16 @@
     return nullptr;
 }
 
+/// Returns whether a permit can still be used: the instance is not cold unless the permit is for a
+/// cold one, and a suspension of this daemon has not delayed the reply. A permit that is used late
+/// would add up with those of the next second.
+bool isValid(const RelayState &state, const AwaitedPermit &permit, const Instance &instance,
+             MonoTime now)
+{
+    return now <= permit.requestedAt_ + state.settings_.limits_.replyTimeout_
+        && (permit.isCold_ || !coldRate(state, instance, now));
+}
+
 /// Sends a request for which a permit was granted, if the instance still takes requests.
 void sendWithPermit(RelayState &state, RelayedRequest &active, const AwaitedPermit &permit,
                     MonoTime now, RelayCommands &out)
@@ -65,7 +91,8 @@
         && processOf(known->second.instance_) == permit.process_
         && known->second.instance_.state_ == InstanceState::Ready
         && !isLeaving(state.choice_, permit.process_)
-        && !closedUntil(state.choice_, permit.process_, now);
+        && !closedUntil(state.choice_, permit.process_, now)
+        && isValid(state, permit, known->second.instance_, now);
     if (!usable) {
         dispatch(state, active, now, out);
         return;
@@ -84,8 +111,16 @@
         if (until > now)
             excluded.insert(process.instance_);
     }
+    for (const auto &[id, until] : state.coldPermits_.awaited_) {
+        if (until > now)
+            excluded.insert(id);
+    }
     if (active.permitRequests_ < state.settings_.maxPermitRequests_)
         return excluded;
+    for (const auto &[id, record] : state.cold_.records_) {
+        if (record.reported_)
+            excluded.insert(id);
+    }
     for (const auto &[process, statement] : state.limits_.stated_)
         excluded.insert(process.instance_);
     return excluded;
@@ -116,9 +151,13 @@
     const RequestLimitSettings &settings = state.settings_.limits_;
     const Instance &instance = state.directory_.known_.at(placement.choice_.instance_).instance_;
     const InstanceProcess process = processOf(instance);
-    if (!needsPermit(state.limits_, process))
+    const std::optional<double> cold = coldRate(state, instance, now);
+    if (!cold && !needsPermit(state.limits_, process))
         return PermitStatus::Granted;
-    PermitAnswer answer = askForPermit(state.limits_, settings, process, instance.zone_, now);
+    PermitAnswer answer = cold
+        ? askForColdPermit(state.coldPermits_, state.limits_, state.settings_.cold_, settings,
+                           ColdTarget {process, instance.zone_, *cold}, now)
+        : askForPermit(state.limits_, settings, process, instance.zone_, now);
     if (answer.result_) {
         logPermit(active, process, answer.coordinator_.host_, permitResultCode(*answer.result_),
                   waitFor(state, process, now), out);
@@ -128,7 +167,8 @@
     active.stage_ = RelayStage::AwaitingPermit;
     active.awaitedPermit_
         = AwaitedPermit {answer.request_.number_, answer.coordinator_.host_, process,
-                         placement.choice_,       placement.service_->id_,   now};
+                         placement.choice_,       placement.service_->id_,   now,
+                         cold.has_value()};
     ++active.permitRequests_;
     active.stageDeadline_ = now + settings.replyTimeout_;
     rescheduleTimer(state, active);
@@ -144,6 +184,7 @@
                              permit.coordinator_, now);
     logPermit(active, permit.process_, permit.coordinator_, "unanswered",
               waitFor(state, permit.process_, now), out);
+    state.coldPermits_.awaited_.erase(permit.process_.instance_);
     dispatch(state, active, now, out);
 }
 
@@ -151,9 +192,14 @@
                      RelayCommands &out)
 {
     const PermitRequest &request = event.request_;
-    std::optional<PermitReply> reply
-        = handlePermitRequest(state.limits_, state.settings_.limits_, request,
-                              zoneOf(state, request.process_.instance_), now);
+    const std::optional<ColdTarget> cold = coldTarget(state, request, now);
+    std::optional<PermitReply> reply;
+    if (cold)
+        reply = handleColdPermitRequest(state.coldPermits_, state.limits_, state.settings_.cold_,
+                                        state.settings_.limits_, request, *cold, now);
+    else
+        reply = handlePermitRequest(state.limits_, state.settings_.limits_, request,
+                                    zoneOf(state, request.process_.instance_), now);
     if (reply)
         out.emplace_back(SendPeer {event.from_, request.replyAddress_, std::move(*reply)});
 }
@@ -167,12 +213,16 @@
                       permit.requestedAt_, now);
     if (!active)
         return;
+    state.coldPermits_.awaited_.erase(permit.process_.instance_);
     logPermit(*active, permit.process_, event.from_, permitResultCode(event.reply_.result_),
               event.reply_.retryAfter_, out);
     if (event.reply_.result_ == PermitResult::Granted)
         sendWithPermit(state, *active, permit, now, out);
     else
         dispatch(state, *active, now, out);
+    // They did not ask as well while the reply was awaited.
+    if (permit.isCold_)
+        resumeWaitingForInstance(state, now, out);
 }
 
 void onInstanceNotice(RelayState &state, const InstanceNoticeReceived &event, MonoTime now,
@@ -183,7 +233,10 @@
     if (known == state.directory_.known_.end() || stats == state.choice_.instanceStats_.end())
         return;
     const InstanceNotice &notice = event.notice_;
-    if (stats->second.notice_ != notice)
+    InstanceNotice logged = notice;
+    // Differs in each response; instance.cold is logged instead.
+    logged.coldRemaining_.reset();
+    if (stats->second.notice_ != logged)
         logLine(out, LogLevel::Info, "instance.notice",
                 {{"upstream", event.instance_.value_},
                  {"request_limit",
@@ -191,7 +244,9 @@
                  {"leaving", notice.leaving_ ? "yes" : "no"},
                  {"retry_after_ms",
                   notice.retryAfter_ ? std::to_string(notice.retryAfter_->count()) : "none"}});
-    stats->second.notice_ = notice;
+    stats->second.notice_ = logged;
+    if (notice.coldRemaining_)
+        recordColdResponse(state.cold_, event.instance_, *notice.coldRemaining_, now);
     const Instance &instance = known->second.instance_;
     recordNotice(state.choice_, state.settings_.choice_, processOf(instance), notice, now);
     const bool ended = recordStatedLimit(state.limits_, state.settings_.limits_,
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -41,6 +41,7 @@
     Tokens tokensAvailable_;
     /// Instances that state a request limit.
     std::size_t limitedInstances_ = 0;
+    std::size_t coldInstances_ = 0;
     std::uint64_t droppedLogLines_ = 0;
     /// Smoothed time that events wait for the control thread.
     PreciseMicros eventDelay_ {};
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -45,6 +45,7 @@
     for (const auto &[account, balance] : state.prepaid_.balances_)
         gauges.tokensAvailable_ += reservableTokens(balance.grant_);
     gauges.limitedInstances_ = state.limits_.stated_.size();
+    gauges.coldInstances_ = coldCount(state.cold_);
     gauges.droppedLogLines_ = loop.droppedLogLines_();
     gauges.eventDelay_ = state.overload_.delay_;
     gauges.linkUse_ = state.overload_.linkUse_;
