--- a/tests/unit-coldlimits.cpp
+++ b/tests/unit-coldlimits.cpp
@@ -23,6 +23,7 @@
 constexpr double slack = 5.0;
 constexpr Millis step {5};
 constexpr Millis messageDelay {5};
+constexpr Millis connectTimeout {300};
 
 struct Message
 {
@@ -119,9 +120,8 @@
 /// Records a request. A quarter of them wait for a connection as long as they may.
 void recordSent(Fleet &fleet, const ColdTarget &target)
 {
-    const Millis connect = fleet.settings_.useWithin_ - fleet.limitSettings_.replyTimeout_;
     const bool late = std::bernoulli_distribution(0.25)(fleet.random_);
-    fleet.arrivals_[target.process_.instance_].push_back(fleet.now_ + (late ? connect : Millis {}));
+    fleet.arrivals_[target.process_.instance_].push_back(fleet.now_ + (late ? connectTimeout : Millis {}));
 }
 
 /// @return false if the message is lost
