--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -182,6 +182,8 @@
                        .Help("Requests whose best instance was in an evacuated zone")
                        .Register(*registry)
                        .Add({});
+    auto *cold = gauge("tamarack_relay_cold_instances",
+                       "Upstream instances that get fewer requests because they may be cold");
     auto *dropped = gauge("tamarack_relay_log_lines_dropped", "Log lines dropped since the start");
     auto *delay = gauge("tamarack_relay_event_delay_seconds",
                         "Smoothed time that events wait for the control thread");
@@ -202,8 +204,8 @@
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, command);
     };
     port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
-                            limited, evacuated, skips, dropped, delay, link, buffered, bufferLimit,
-                            memoryRefusals](Micros time, const RelayGauges &gauges) {
+                            limited, evacuated, skips, cold, dropped, delay, link, buffered,
+                            bufferLimit, memoryRefusals](Micros time, const RelayGauges &gauges) {
         handling.Observe(std::chrono::duration<double>(time).count());
         active->Set(static_cast<double>(gauges.active_));
         instances->Set(static_cast<double>(gauges.instances_));
@@ -213,6 +215,7 @@
         limited->Set(static_cast<double>(gauges.limitedInstances_));
         evacuated->Set(static_cast<double>(gauges.evacuatedZones_));
         skips->Increment(static_cast<double>(gauges.evacuationSkips_) - skips->Value());
+        cold->Set(static_cast<double>(gauges.coldInstances_));
         dropped->Set(static_cast<double>(gauges.droppedLogLines_));
         delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
         link->Set(gauges.linkUse_);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "core/error.h"
+#include "core/relay/coldinstances.h"
+#include "core/relay/coldpermits.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
 #include "core/relay/evacuation.h"
@@ -52,6 +54,7 @@
     /// Number of live daemons from which on they tell each other the load that they cause at the
     /// instances, and balance by it; 0 if they never do.
     std::uint32_t shareLoadFrom_ = 0;
+    ColdPermitSettings cold_;
     /// Permits that are requested from other daemons for one request. After that, it uses only
     /// instances without a limit.
     std::uint32_t maxPermitRequests_ = 3;
@@ -125,6 +128,8 @@
     Choice choice_;
     ServiceId service_;
     MonoTime requestedAt_ {};
+    /// The permit was requested because the instance is cold.
+    bool isCold_ = false;
 };
 
 /// @brief A request whose response has not ended.
@@ -193,6 +198,8 @@
     Evacuations evacuations_;
     /// Requests since the start whose best instance was in an evacuated zone.
     std::uint64_t evacuationSkips_ = 0;
+    ColdInstances cold_;
+    ColdPermits coldPermits_;
     /// The parts whose quarantine was logged as begun.
     std::set<PromptPartId> quarantinedParts_;
     std::map<ExchangeId, RelayedRequest> active_;
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -47,6 +47,7 @@
     gauges.limitedInstances_ = state.limits_.stated_.size();
     gauges.evacuatedZones_ = state.evacuations_.zones_.size();
     gauges.evacuationSkips_ = state.evacuationSkips_;
+    gauges.coldInstances_ = coldCount(state.cold_);
     gauges.droppedLogLines_ = loop.droppedLogLines_();
     gauges.eventDelay_ = state.overload_.delay_;
     gauges.linkUse_ = state.overload_.linkUse_;
