--- a/src/core/relay/relayevacuation.cpp
+++ b/src/core/relay/relayevacuation.cpp
@@ -22,6 +22,14 @@
              {"source", source}});
 }
 
+/// Handles the end of a zone's evacuation. Its instances may have become cold meanwhile.
+void onZoneReturned(RelayState &state, const ZoneId &zone, StorePosition position,
+                    const std::string &source, MonoTime now, RelayCommands &out)
+{
+    logZone(out, "zone.returned", zone, position, source);
+    markZoneCold(state.cold_, state.directory_, zone, now);
+}
+
 bool isHome(const RelayState &state, const RelayedRequest &active, const ZoneId &zone)
 {
     return !active.allowedRegions_
@@ -121,8 +129,8 @@
         return;
     const std::vector<ZoneId> ended = endUnconfirmedEvacuations(state.evacuations_, now);
     for (const ZoneId &zone : ended)
-        logZone(out, "zone.returned", zone, state.evacuations_.ended_.at(zone).position_,
-                "unconfirmed");
+        onZoneReturned(state, zone, state.evacuations_.ended_.at(zone).position_, "unconfirmed",
+                       now, out);
     if (!ended.empty())
         recheckWaiting(state, now, out);
 }
@@ -136,7 +144,7 @@
         logZone(out, "zone.evacuated", zone, state.evacuations_.zones_.at(zone).position_,
                 sourceName(event.source_));
     for (const ZoneId &zone : changes.ended_)
-        logZone(out, "zone.returned", zone, event.position_, sourceName(event.source_));
+        onZoneReturned(state, zone, event.position_, sourceName(event.source_), now, out);
     if (!changes.began_.empty() || !changes.ended_.empty())
         recheckWaiting(state, now, out);
 }
@@ -155,7 +163,7 @@
     const ListedEvacuation &listed = event.listed_;
     if (!removeEvacuation(state.evacuations_, listed.zone_, listed.position_, now))
         return;
-    logZone(out, "zone.returned", listed.zone_, listed.position_, sourceName(event.source_));
+    onZoneReturned(state, listed.zone_, listed.position_, sourceName(event.source_), now, out);
     recheckWaiting(state, now, out);
 }
 
