--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -197,15 +197,24 @@
     control.capacity_ = static_cast<std::uint32_t>(
         std::clamp(settings.processorCores_, 0.0, maxProcessorCores) * thousandths);
     // Requests also stop going to a leaving instance within the drain timeout.
-    control.sync_ = documentSyncSettings(std::min(settings.applyTime_, settings.drainTimeout_),
-                                         settings.settleTime_);
+    const Millis evacuationTime = settings.evacuationTime_.value_or(settings.applyTime_);
+    control.sync_ = documentSyncSettings(
+        std::min({settings.applyTime_, settings.drainTimeout_, evacuationTime}),
+        settings.settleTime_);
+    control.evacuationSettleTime_ = settings.settleTime_;
+    control.regions_ = settings.regions_;
     constexpr double bytesPerMegabit = 125'000.0;
     control.overload_.linkBytesPerSecond_ = settings.linkMbps_ * bytesPerMegabit;
     control.retries_ = settings.retries_;
+    control.cold_.overrun_ = settings.coldOverrun_;
+    control.cold_.slack_ = settings.coldSlack_;
+    // A permit is used after its reply and the connection to the instance.
+    control.cold_.useWithin_ = control.limits_.replyTimeout_ + control.connectTimeout_;
     control.missingRetention_ = std::max(settings.drainTimeout_ - drainMargin, Millis {0});
     control.choice_.leavingRetention_ = control.missingRetention_;
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
     control.prepaid_.shards_ = settings.ledgerShards_;
+    control.shareLoadFrom_ = settings.shareLoadFrom_;
     return control;
 }
 
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -9,6 +9,7 @@
 #include "core/quarantinereport.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
+#include "core/relay/evacuation.h"
 #include "core/relay/fleet.h"
 #include "core/relay/instancenotice.h"
 #include "core/relay/instances.h"
@@ -78,6 +79,8 @@
     std::uint64_t events_ = 0;
     /// Part of the response was sent to the client.
     bool partiallyDelivered_ = false;
+    /// No connection was tried, because this daemon has as many to the upstream as it may.
+    bool connectionsUsed_ = false;
     /// Error description for the log.
     std::string detail_;
 };
@@ -130,6 +133,28 @@
     ChangeSource source_ = ChangeSource::Store;
 };
 
+/// @brief All evacuations of availability zones at a position of the store.
+struct EvacuationsListed
+{
+    std::vector<ListedEvacuation> evacuations_;
+    StorePosition position_;
+    ChangeSource source_ = ChangeSource::Store;
+};
+
+/// @brief An operator requested the evacuation of an availability zone.
+struct EvacuationChanged
+{
+    ListedEvacuation listed_;
+    ChangeSource source_ = ChangeSource::Store;
+};
+
+/// @brief An operator ended the evacuation of an availability zone.
+struct EvacuationRemoved
+{
+    ListedEvacuation listed_;
+    ChangeSource source_ = ChangeSource::Store;
+};
+
 /// @brief A reply of the store, or of a peer, showed a new era of the store: it has returned from a
 /// copy since the last one. The first event of a daemon tells the era in which it started.
 struct StoreEraNoticed
@@ -209,12 +234,14 @@
 struct ClientsClosed
 { };
 
-using RelayEvent = std::variant<
-    RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived, ClientDisconnected,
-    ConfigReceived, InstancesListed, InstanceChanged, InstanceRemoved, FleetView,
-    LoanRequestReceived, LoanReplyReceived, GrantReportReceived, QuarantineReportReceived,
-    PermitRequestReceived, PermitReplyReceived, DocumentsRequestReceived, DocumentsReplyReceived,
-    FeedAvailabilityChanged, StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
+using RelayEvent
+    = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived,
+                   ClientDisconnected, ConfigReceived, InstancesListed, InstanceChanged,
+                   InstanceRemoved, EvacuationsListed, EvacuationChanged, EvacuationRemoved,
+                   FleetView, LoanRequestReceived, LoanReplyReceived, GrantReportReceived,
+                   QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
+                   DocumentsRequestReceived, DocumentsReplyReceived, FeedAvailabilityChanged,
+                   StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
@@ -243,6 +270,8 @@
     int status_ = 503;
     std::optional<Millis> retryAfter_;
     std::string reason_;
+    /// Urgency of the request, for the metrics.
+    int urgency_ = 0;
 };
 
 /// @brief Forwards the upstream's failure response that was held back.
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include "core/error.h"
+#include "core/relay/coldinstances.h"
+#include "core/relay/coldpermits.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
+#include "core/relay/evacuation.h"
 #include "core/relay/events.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instancelimits.h"
@@ -48,6 +51,10 @@
     OverloadSettings overload_;
     QuarantineSettings quarantine_;
     RequestLimitSettings limits_;
+    /// Number of live daemons from which on they tell each other the load that they cause at the
+    /// instances, and balance by it; 0 if they never do.
+    std::uint32_t shareLoadFrom_ = 0;
+    ColdPermitSettings cold_;
     /// Permits that are requested from other daemons for one request. After that, it uses only
     /// instances without a limit.
     std::uint32_t maxPermitRequests_ = 3;
@@ -63,6 +70,14 @@
     /// Entries may have expired during a store outage of this duration. They expire after three
     /// missed renewals, about 3.6 s.
     Millis minOutage_ {3000};
+    /// An evacuation that the store has lost with its return from a copy ends after this time
+    /// unless it is written again.
+    Millis evacuationSettleTime_ {4000};
+    /// How long a daemon that doesn't know of an evacuation asks for no permit for an instance of
+    /// the zone after a denial.
+    Millis evacuationDenial_ {500};
+    /// Region of each availability zone.
+    std::map<ZoneId, RegionId> regions_;
     Millis connectTimeout_ {300};
     /// Fraction of the latency objective for which a request waits for tokens while the ledger is
     /// available.
@@ -113,6 +128,8 @@
     Choice choice_;
     ServiceId service_;
     MonoTime requestedAt_ {};
+    /// The permit was requested because the instance is cold.
+    bool isCold_ = false;
 };
 
 /// @brief A request whose response has not ended.
@@ -129,6 +146,10 @@
     std::optional<Reservation> reserved_;
     std::uint32_t attempts_ = 0;
     std::set<UpstreamId> tried_;
+    /// Regions that the route and the account allow; nothing if all are allowed.
+    std::optional<std::set<RegionId>> allowedRegions_;
+    /// The request was counted in RelayState::evacuationSkips_, or need not be.
+    bool evacuationSkipChecked_ = false;
     std::optional<Choice> choice_;
     /// The last attempt has not ended.
     bool attemptRunning_ = false;
@@ -164,6 +185,8 @@
 {
     RelaySettings settings_;
     std::shared_ptr<const RelayConfig> config_;
+    /// Distinct priorities of the configuration.
+    std::set<int> priorities_;
     InstanceDirectory directory_;
     bool instancesListed_ = false;
     StoreEra storeEra_;
@@ -172,6 +195,11 @@
     std::map<ServiceId, RetryBudget> retries_;
     Quarantine quarantine_;
     InstanceLimits limits_;
+    Evacuations evacuations_;
+    /// Requests since the start whose best instance was in an evacuated zone.
+    std::uint64_t evacuationSkips_ = 0;
+    ColdInstances cold_;
+    ColdPermits coldPermits_;
     /// The parts whose quarantine was logged as begun.
     std::set<PromptPartId> quarantinedParts_;
     std::map<ExchangeId, RelayedRequest> active_;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -1,5 +1,6 @@
 // Documents of the store: where they come from, and how the relay applies them.
 #include "core/relay/relayinternal.h"
+#include "core/relay/urgency.h"
 
 #include <utility>
 
@@ -16,11 +17,6 @@
     return std::to_string(std::chrono::duration_cast<Millis>(now - *sync.freshAt_).count());
 }
 
-std::string sourceName(ChangeSource source)
-{
-    return source == ChangeSource::Store ? "store" : "peer";
-}
-
 void logInstance(RelayCommands &out, const Instance &instance, StorePosition position,
                  ChangeSource source)
 {
@@ -37,6 +33,11 @@
 
 } // namespace
 
+std::string sourceName(ChangeSource source)
+{
+    return source == ChangeSource::Store ? "store" : "peer";
+}
+
 MonoTime earliestRemoval(const RelayState &state, ChangeSource source, MonoTime now)
 {
     const RelaySettings &settings = state.settings_;
@@ -78,8 +79,7 @@
     const bool contact = hasStoreContact(state.sync_, state.settings_.sync_, now);
     if (contact != state.storeContact_) {
         state.storeContact_ = contact;
-        if (contact)
-            endBackoff(state.prepaid_, now);
+        noticeStoreContact(state.prepaid_, contact, now);
         logLine(out, contact ? LogLevel::Info : LogLevel::Warning,
                 contact ? "store.contact_regained" : "store.contact_lost",
                 {{"follows_store", follows ? "yes" : "no"},
@@ -93,6 +93,7 @@
     if (state.config_ && event.config_->version_ <= state.config_->version_)
         return;
     state.config_ = event.config_;
+    state.priorities_ = prioritiesOf(*state.config_);
     applyFunding(state.prepaid_, state.settings_.prepaid_, *state.config_, now);
     scheduleFirstGrants(state.prepaid_, state.settings_.prepaid_, now);
     out.emplace_back(ApplyLimits {state.config_->limits_});
@@ -109,6 +110,8 @@
     const std::vector<UpstreamId> missing
         = applyListing(state.directory_, event.instances_, event.position_,
                        earliestRemoval(state, event.source_, now));
+    for (const ListedInstance &listed : event.instances_)
+        recordEntry(state.cold_, listed, !state.instancesListed_, now);
     state.instancesListed_ = true;
     logLine(out, LogLevel::Info, "instances.listed",
             {{"count", std::to_string(event.instances_.size())},
@@ -124,6 +127,7 @@
 {
     if (!upsertInstance(state.directory_, event.listed_))
         return;
+    recordEntry(state.cold_, event.listed_, false, now);
     logInstance(out, event.listed_.instance_, event.listed_.position_, event.source_);
     resumeWaitingForInstance(state, now, out);
 }
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -40,6 +40,23 @@
 /// @brief Reserves tokens for a new request and dispatches it.
 void admit(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
 
+/// @brief Returns the maximum tokens that a request may use.
+Tokens worstCase(const PromptUsage &usage);
+
+/// @brief Appends the figures behind a refusal in favour of more urgent requests.
+void addShareFields(std::vector<LogField> &fields, const UrgentShare &share);
+
+/// @brief Returns true if no tokens can be drawn for the request's account for some time.
+bool isTokenOutage(const RelayState &state, const RelayedRequest &active, MonoTime now);
+
+/// @brief Returns true if requests of more than one urgency use the account's tokens.
+bool isUsedWithSeveralUrgencies(const RelayState &state, const AccountId &account);
+
+/// @brief Returns the position, from 0 to 1, at which a request that was refused for a lack of
+/// tokens should return: urgent ones first.
+/// @param spread position among the requests of the same urgency, from 0 to 1
+double returnOrder(const RelayState &state, const RelayedRequest &active, double spread);
+
 /// @brief Retries the reservations of requests that wait for tokens of an account, in the order of
 /// urgency, then deadline.
 void resumeWaitingForTokens(RelayState &state, const AccountId &account, MonoTime now,
@@ -51,6 +68,9 @@
 /// @brief Returns this daemon's part of the shared retry limit.
 RetrySettings retrySettings(const RelayState &state);
 
+/// @brief Returns true if the daemons tell each other the load that they cause.
+bool sharesLoad(const RelayState &state);
+
 /// @brief A chosen instance and its service.
 struct Placement
 {
@@ -58,6 +78,12 @@
     const RelayService *service_ = nullptr;
 };
 
+/// @brief Chooses an instance of the request's services.
+/// @param zones availability zones to which the request must not be sent
+std::optional<Placement> chooseAcrossServices(const RelayState &state, const RelayedRequest &active,
+                                              const std::set<ZoneId> &zones, bool acceptsLongWait,
+                                              MonoTime now);
+
 /// @brief Sends a request to the chosen instance.
 void send(RelayState &state, RelayedRequest &active, const Placement &placement, MonoTime now,
           RelayCommands &out);
@@ -69,6 +95,27 @@
 /// 0.
 Millis engineObjective(const RelayedRequest &active);
 
+/// @brief Returns the availability zones to which a request must not be sent: the evacuated ones,
+/// and those outside the regions that its route and its account allow.
+/// @note O(1) without an evacuation and a list of regions, otherwise O(instances)
+std::set<ZoneId> excludedZones(const RelayState &state, const RelayedRequest &active);
+
+/// @brief Refuses a request if all zones that have instances of its services are evacuated, or no
+/// zone is in a region that it allows.
+/// @return false if there may be an instance
+bool refuseWithoutZone(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
+
+/// @brief Counts a request if it would be sent to an evacuated zone without the evacuation. Each
+/// request is counted once.
+void countEvacuationSkip(RelayState &state, RelayedRequest &active, MonoTime now);
+
+/// @brief Dispatches again the requests that wait for an instance, and those that wait for a permit
+/// for an instance to which they must not be sent any more.
+void recheckWaiting(RelayState &state, MonoTime now, RelayCommands &out);
+
+/// @brief Ends the evacuations that were not confirmed in a new era of the store.
+void endLostEvacuations(RelayState &state, MonoTime now, RelayCommands &out);
+
 enum class PermitStatus {
     /// The request may be sent now.
     Granted,
@@ -106,6 +153,23 @@
 void onInstanceNotice(RelayState &state, const InstanceNoticeReceived &event, MonoTime now,
                       RelayCommands &out);
 
+/// @brief Returns how many requests per second an instance accepts because it is cold, or nothing
+/// if it is warm or its service has no such limit.
+std::optional<double> coldRate(const RelayState &state, const Instance &instance, MonoTime now);
+
+/// @brief Records what the end of an attempt shows about a possible restart of the instance.
+void recordAttemptForCold(RelayState &state, const RelayedRequest &active,
+                          const RelayAttemptEnded &ended, MonoTime now);
+
+/// @brief Records that events are handled. A daemon that was suspended grants less.
+void noteColdTime(RelayState &state, MonoTime now);
+
+/// @brief Logs the instances that became cold or warm.
+void runColdInstances(RelayState &state, MonoTime now, RelayCommands &out);
+
+/// @brief Returns when runColdInstances() has work to do next.
+std::optional<MonoTime> nextColdTime(const RelayState &state);
+
 /// @brief Logs the reply of a lender before it is handled, with the time that it took.
 void logLoanReply(const RelayState &state, const LoanReplyReceived &reply, MonoTime now,
                   RelayCommands &out);
@@ -128,6 +192,14 @@
              RelayCommands &out);
 void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime now, RelayCommands &out);
 
+// Handlers of the events about evacuations, in relayevacuation.cpp.
+void onEvent(RelayState &state, const EvacuationsListed &event, MonoTime now, RelayCommands &out);
+void onEvent(RelayState &state, const EvacuationChanged &event, MonoTime now, RelayCommands &out);
+void onEvent(RelayState &state, const EvacuationRemoved &event, MonoTime now, RelayCommands &out);
+
+/// @brief Returns the name of a source for the log.
+std::string sourceName(ChangeSource source);
+
 /// @brief Handles the reply of a peer to a request for documents.
 void recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now);
 
