Connections of this daemon that are all in use are no failure of the instance

Instances without a free connection are not chosen, and the most urgent waiting request is dispatched when a connection becomes free. unit-connectionlimit fails before in all but its second and last case.

--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -45,7 +45,8 @@
         return true;
     const bool hasFullQueue = query.service_->engine_ && !query.acceptsLongWait_
         && record->waiting_ >= static_cast<std::uint32_t>(record->maxWaiting_);
-    return !record->replaced_ && record->ejectedUntil_ <= now && !hasFullQueue;
+    return !record->replaced_ && record->ejectedUntil_ <= now && !hasFullQueue
+        && record->running_ < query.maxConnections_;
 }
 
 /// Returns the prompt part used for cache affinity: the longest shared prefix ends with it.
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -16,6 +16,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -136,6 +137,8 @@
     bool acceptsLongWait_ = false;
     /// Availability zones whose instances must not be chosen.
     std::set<ZoneId> excludedZones_ {};
+    /// Connections that this daemon may open to one instance; each carries one request at a time.
+    std::uint32_t maxConnections_ = std::numeric_limits<std::uint32_t>::max();
     /// The learned speeds of the engines are used instead of ChoiceSettings::prefillTokensPerMs_.
     bool usesLearnedSpeed_ = false;
 };
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -45,9 +45,12 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-InstanceOutcome outcomeOf(AttemptEnd end)
+InstanceOutcome outcomeOf(const RelayAttemptEnded &ended)
 {
-    switch (end) {
+    // A limit of this daemon says nothing about the instance.
+    if (ended.connectionsUsed_)
+        return InstanceOutcome::Neutral;
+    switch (ended.end_) {
     case AttemptEnd::Delivered:
         return InstanceOutcome::Success;
     case AttemptEnd::NotSent:
@@ -186,7 +189,7 @@
     active.events_ = std::max(active.events_, ended.events_);
     if (!provesNotExecuted(ended.end_))
         active.mayHaveRun_ = true;
-    recordInstanceOutcome(state, active, outcomeOf(ended.end_), now);
+    recordInstanceOutcome(state, active, outcomeOf(ended), now);
     recordAttemptForCold(state, active, ended, now);
     const bool mayCrash = recordAttemptForQuarantine(state, active, ended, now, out);
     if (ended.end_ == AttemptEnd::Delivered) {
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -129,7 +129,9 @@
             it->second.attemptRunning_ = false;
         return;
     }
+    const ServiceId service = it->second.service_;
     onAttemptEnded(state, it->second, event, now, out);
+    resumeForFreeConnection(state, service, now, out);
 }
 
 void onEvent(RelayState &state, const InstanceNoticeReceived &event, MonoTime now,
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -65,6 +65,15 @@
 /// @brief Retries the dispatch of requests that wait for an instance.
 void resumeWaitingForInstance(RelayState &state, MonoTime now, RelayCommands &out);
 
+/// @brief Dispatches the most urgent request that waits for an instance of a service, after a
+/// connection to one has become free. One connection serves one request.
+/// @note O(active requests)
+void resumeForFreeConnection(RelayState &state, const ServiceId &service, MonoTime now,
+                             RelayCommands &out);
+
+/// @brief Returns true if a request may be sent to a service.
+bool usesService(const RelayedRequest &active, const ServiceId &service);
+
 /// @brief Returns this daemon's part of the shared retry limit.
 RetrySettings retrySettings(const RelayState &state);
 
--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -50,14 +50,6 @@
     return until ? std::chrono::ceil<Millis>(*until - now) : Millis {};
 }
 
-bool usesService(const RelayedRequest &active, const ServiceId &service)
-{
-    const std::vector<RelayTarget> &targets = active.route_->targets_;
-    return std::any_of(targets.begin(), targets.end(), [&service](const RelayTarget &target) {
-        return target.service_ == service;
-    });
-}
-
 /// Finds the request that waits for a reply to a permit request.
 RelayedRequest *findAwaiting(RelayState &state, const PermitReplyReceived &event)
 {
@@ -104,6 +96,14 @@
 
 } // namespace
 
+bool usesService(const RelayedRequest &active, const ServiceId &service)
+{
+    const std::vector<RelayTarget> &targets = active.route_->targets_;
+    return std::any_of(targets.begin(), targets.end(), [&service](const RelayTarget &target) {
+        return target.service_ == service;
+    });
+}
+
 std::set<UpstreamId> excludedInstances(const RelayState &state, const RelayedRequest &active,
                                        MonoTime now)
 {
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack::relaydetail {
 
@@ -82,9 +83,16 @@
         const RelayService *service = serviceOf(active, id);
         if (!service)
             continue;
-        const ChoiceQuery query {
-            &active.request_, service, state.settings_.zone_, state.fleet_.zoneDaemons_, excluded,
-            acceptsLongWait,  zones,   sharesLoad(state)};
+        ChoiceQuery query;
+        query.request_ = &active.request_;
+        query.service_ = service;
+        query.zone_ = state.settings_.zone_;
+        query.zoneDaemons_ = state.fleet_.zoneDaemons_;
+        query.excluded_ = excluded;
+        query.acceptsLongWait_ = acceptsLongWait;
+        query.excludedZones_ = zones;
+        query.maxConnections_ = connectionsPerInstance(state, *service);
+        query.usesLearnedSpeed_ = sharesLoad(state);
         std::optional<Choice> choice
             = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, query, now);
         if (choice)
@@ -297,6 +305,22 @@
     awaitInstance(state, active, now, out);
 }
 
+void resumeForFreeConnection(RelayState &state, const ServiceId &service, MonoTime now,
+                             RelayCommands &out)
+{
+    RelayedRequest *first = nullptr;
+    for (auto &[id, active] : state.active_) {
+        if (active.stage_ != RelayStage::AwaitingInstance || !usesService(active, service))
+            continue;
+        if (!first
+            || std::pair(active.urgency_, active.deadline_)
+                < std::pair(first->urgency_, first->deadline_))
+            first = &active;
+    }
+    if (first)
+        dispatch(state, *first, now, out);
+}
+
 void resumeWaitingForInstance(RelayState &state, MonoTime now, RelayCommands &out)
 {
     std::vector<ExchangeId> waiting;
