A lender that is stopped while the ledger fails hands its tokens over to its zone

It could not return them, and its borrowers even sent back what they had, because its stop recalled all loans. What it held was lost to the zone until the ledger responded, and to the account for good.

It now lends its unreserved tokens to the borrowers of its zone in proportion to what each has borrowed lately, without those that its own requests need while it still accepts connections, and the rest when it releases its grants. Parts too small for a request that a borrower has waited for go to larger borrowers. The tokens stay reserved in its grant, and the totals that are sent are the cumulative ones of the loans, so that lost, doubled and late messages change nothing; all are repeated once at the end. Loans are not recalled then, and a borrower does not return loans that were handed over when they are idle. If the ledger responds after all, they are charged as before.

--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -1,32 +1,17 @@
 // Loans of tokens between daemons.
 #include "core/relay/loans.h"
 
+#include "core/relay/granthandover.h"
 #include "core/relay/prepaidinternal.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace tamarack {
 
-namespace {
-
-using namespace prepaiddetail;
-
-Tokens usedOf(const HeldGrant &grant)
-{
-    return grant.returned_ + grant.spent_ + grant.reserved_;
-}
+namespace prepaiddetail {
 
-Tokens outstandingOf(const IssuedLoan &issuedLoan)
-{
-    return issuedLoan.lent_ - issuedLoan.spent_ - issuedLoan.returned_;
-}
-
-Tokens loanHorizonTokens(const PrepaidSettings &settings, const PrepaidBalance &balance,
-                         MonoTime now)
-{
-    const std::chrono::duration<double> horizon = settings.loanHorizon_;
-    return Tokens {static_cast<std::int64_t>(consumptionRate(balance, now) * horizon.count())};
-}
+namespace {
 
 /// Returns a message with the totals of a loan. It is a usage report unless wanted_ is set.
 LoanRequest makeReport(const PrepaidState &state, const AccountId &account,
@@ -48,6 +33,49 @@
     loan.reportedReturned_ = loan.grant_.returned_;
 }
 
+bool isRecalling(const PrepaidState &state, const PrepaidSettings &settings,
+                 const AccountId &account)
+{
+    // Tokens that came back could not be returned to the ledger.
+    if (isHandingOver(state, settings, account))
+        return false;
+    const BudgetRecord *record = findBudgetRecord(state, settings, account);
+    return state.stopping_ || (record && isScarce(settings, *record));
+}
+
+/// Returns a reply with the current total, which lends no additional tokens.
+LoanReply makeLoanReply(const PrepaidState &state, const PrepaidSettings &settings,
+                        const AccountId &account, const IssuedLoan &issuedLoan)
+{
+    LoanReply reply;
+    reply.lender_ = state.holder_;
+    reply.borrower_ = issuedLoan.borrower_;
+    reply.account_ = account;
+    reply.lent_ = issuedLoan.lent_;
+    reply.recalled_ = isRecalling(state, settings, account);
+    return reply;
+}
+
+void send(PrepaidState &state, IssuedLoan &issuedLoan, LoanReply reply)
+{
+    issuedLoan.replyPending_ = false;
+    state.outbox_.push_back(
+        SendPeer {issuedLoan.borrowerHost_, issuedLoan.borrowerAddress_, std::move(reply)});
+}
+
+} // namespace
+
+double borrowingRate(const IssuedLoan &issuedLoan, MonoTime now)
+{
+    const std::chrono::duration<double> gap = now - issuedLoan.lentRateAt_;
+    return issuedLoan.lentRate_ * std::exp(-gap / consumptionRateWindow);
+}
+
+Tokens outstandingOf(const IssuedLoan &issuedLoan)
+{
+    return issuedLoan.lent_ - issuedLoan.spent_ - issuedLoan.returned_;
+}
+
 void sendReport(PrepaidState &state, const AccountId &account, const HolderId &lenderId,
                 ReceivedLoan &loan)
 {
@@ -60,7 +88,6 @@
                                       makeReport(state, account, lenderId, loan)});
 }
 
-/// Applies a borrower's report. Totals never decrease and never exceed the lent amount.
 void settleIssuedLoan(PrepaidBalance &balance, IssuedLoan &issuedLoan, Tokens spent,
                       Tokens returned, MonoTime now)
 {
@@ -77,47 +104,38 @@
     recordLent(balance, Tokens {} - newlyReturned, now);
 }
 
-/// Returns the tokens per second that a borrower expects to use, from the amount it requests in
-/// advance.
-double requestedConsumptionRate(const PrepaidSettings &settings, const LoanRequest &request)
+void sendUnavailable(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                     IssuedLoan &issuedLoan)
 {
-    const std::chrono::duration<double> horizon = settings.loanHorizon_;
-    return static_cast<double>((request.wanted_ - request.needed_).count_) / horizon.count();
+    LoanReply reply = makeLoanReply(state, settings, account, issuedLoan);
+    reply.unavailable_ = true;
+    send(state, issuedLoan, std::move(reply));
 }
 
-bool isRecalling(const PrepaidState &state, const PrepaidSettings &settings,
-                 const AccountId &account)
-{
-    const BudgetRecord *record = findBudgetRecord(state, settings, account);
-    return state.stopping_ || (record && isScarce(settings, *record));
-}
+} // namespace prepaiddetail
 
-/// Returns a reply with the current total, which lends no additional tokens.
-LoanReply makeLoanReply(const PrepaidState &state, const PrepaidSettings &settings,
-                        const AccountId &account, const IssuedLoan &issuedLoan)
+namespace {
+
+using namespace prepaiddetail;
+
+Tokens usedOf(const HeldGrant &grant)
 {
-    LoanReply reply;
-    reply.lender_ = state.holder_;
-    reply.borrower_ = issuedLoan.borrower_;
-    reply.account_ = account;
-    reply.lent_ = issuedLoan.lent_;
-    reply.recalled_ = isRecalling(state, settings, account);
-    return reply;
+    return grant.returned_ + grant.spent_ + grant.reserved_;
 }
 
-void send(PrepaidState &state, IssuedLoan &issuedLoan, LoanReply reply)
+Tokens loanHorizonTokens(const PrepaidSettings &settings, const PrepaidBalance &balance,
+                         MonoTime now)
 {
-    issuedLoan.replyPending_ = false;
-    state.outbox_.push_back(
-        SendPeer {issuedLoan.borrowerHost_, issuedLoan.borrowerAddress_, std::move(reply)});
+    const std::chrono::duration<double> horizon = settings.loanHorizon_;
+    return Tokens {static_cast<std::int64_t>(consumptionRate(balance, now) * horizon.count())};
 }
 
-void sendUnavailable(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
-                     IssuedLoan &issuedLoan)
+/// Returns the tokens per second that a borrower expects to use, from the amount it requests in
+/// advance.
+double requestedConsumptionRate(const PrepaidSettings &settings, const LoanRequest &request)
 {
-    LoanReply reply = makeLoanReply(state, settings, account, issuedLoan);
-    reply.unavailable_ = true;
-    send(state, issuedLoan, std::move(reply));
+    const std::chrono::duration<double> horizon = settings.loanHorizon_;
+    return static_cast<double>((request.wanted_ - request.needed_).count_) / horizon.count();
 }
 
 void sendRefusal(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
@@ -160,6 +178,9 @@
         }
         grant.reserved_ += amount;
         issuedLoan.lent_ += amount;
+        issuedLoan.lentRate_ = borrowingRate(issuedLoan, now)
+            + static_cast<double>(amount.count_) / consumptionRateWindow.count();
+        issuedLoan.lentRateAt_ = now;
         recordLent(balance, amount, now);
         send(state, issuedLoan, makeLoanReply(state, settings, account, issuedLoan));
         if (!grant.drawPending_)
@@ -236,7 +257,8 @@
                               PrepaidBalance &balance, Millis idleTime, MonoTime now)
 {
     for (auto &[lenderId, loan] : balance.receivedLoans_) {
-        if (now - loan.lastUsedAt_ > idleTime)
+        // The lender of a handed-over loan has ended or is about to.
+        if (now - loan.lastUsedAt_ > idleTime && !loan.handedOver_)
             loan.grant_.returned_ += reservableTokens(loan.grant_);
         sendReport(state, account, lenderId, loan);
     }
@@ -273,6 +295,7 @@
     // A repeated request is not counted again.
     if (request.needed_ > std::max(issuedLoan.lent_, issuedLoan.needed_))
         recordDemand(balance.shares_, request.urgency_, request.needed_ - issuedLoan.lent_, now);
+    issuedLoan.largestNeed_ = std::max(issuedLoan.largestNeed_, request.needed_ - issuedLoan.lent_);
     issuedLoan.urgency_ = request.urgency_;
     issuedLoan.needed_ = request.needed_;
     issuedLoan.wanted_ = request.wanted_;
@@ -306,6 +329,8 @@
                 loan.lenderAddress_ = lender->address_;
         }
     }
+    const bool increased = reply.lent_ > loan.grant_.authorized_;
+    loan.handedOver_ = reply.unavailable_ && !reply.recalled_ && (increased || loan.handedOver_);
     // Replies may be reordered; an older total must not reduce the loan.
     loan.grant_.authorized_ = std::max(loan.grant_.authorized_, reply.lent_);
     if (balance.pendingRequest_ && balance.pendingRequest_->host_ == from) {
@@ -375,30 +400,4 @@
     return balance != state.balances_.end() && balance->second.pendingRequest_.has_value();
 }
 
-void stopLending(PrepaidState &state, const PrepaidSettings &settings)
-{
-    state.stopping_ = true;
-    for (auto &[account, balance] : state.balances_) {
-        for (auto &[borrower, issuedLoan] : balance.issuedLoans_) {
-            if (outstandingOf(issuedLoan) > Tokens {} || issuedLoan.replyPending_)
-                sendUnavailable(state, settings, account, issuedLoan);
-        }
-    }
-}
-
-void closeLoans(PrepaidState &state, const AccountId &account, PrepaidBalance &balance,
-                MonoTime now)
-{
-    for (auto &[lenderId, loan] : balance.receivedLoans_) {
-        loan.grant_.returned_ += reservableTokens(loan.grant_);
-        sendReport(state, account, lenderId, loan);
-    }
-    for (auto &[borrower, issuedLoan] : balance.issuedLoans_) {
-        // Borrowers may still spend outstanding tokens after this daemon has stopped, so they are
-        // charged now.
-        settleIssuedLoan(balance, issuedLoan, issuedLoan.lent_ - issuedLoan.returned_,
-                         issuedLoan.returned_, now);
-    }
-}
-
 } // namespace tamarack
--- a/src/core/relay/loans.h
+++ b/src/core/relay/loans.h
@@ -52,7 +52,7 @@
 bool isLoanRequestPending(const PrepaidState &state, const AccountId &account);
 
 /// @brief Recalls all issued loans and stops lending.
-void stopLending(PrepaidState &state, const PrepaidSettings &settings);
+void stopLending(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
 
 /// @brief Returns the unreserved tokens of all received loans and charges the outstanding tokens of
 /// all issued loans as spent.
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -286,6 +286,10 @@
 void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
 {
     for (auto &[account, balance] : state.balances_) {
+        if (isHandingOver(state, settings, account)) {
+            handOver(state, settings, account, balance, Tokens {}, now);
+            repeatHandover(state, settings, account, balance);
+        }
         closeLoans(state, account, balance, now);
         if (balance.grant_.authorized_ > Tokens {})
             submitReturn(state, settings, account, balance, reservableTokens(balance.grant_), now);
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -10,6 +10,7 @@
 #include "core/peermessage.h"
 #include "core/relay/config.h"
 #include "core/relay/firstgrants.h"
+#include "core/relay/granthandover.h"
 #include "core/relay/lenders.h"
 #include "core/relay/tokenshares.h"
 #include "core/shardcommit.h"
@@ -92,6 +93,9 @@
     Millis loanRequestInterval_ {400};
     /// Loans that have been unused for this long are returned.
     Millis loanIdleTimeout_ {1500};
+    /// A lender that hands over its tokens when its stop begins keeps those that its own requests
+    /// use while it still accepts connections.
+    Millis handoverKeepTime_ {3000};
     /// No tokens are drawn for this long after the store was noticed to have returned from a copy.
     /// All daemons notice it, and write what they hold, within this time.
     Millis returnSettleTime_ {2500};
@@ -110,6 +114,8 @@
     /// Part of grant_.returned_ that was reported to the lender.
     Tokens reportedReturned_;
     MonoTime lastUsedAt_ {};
+    /// The lender has handed over tokens before its end, so they are kept until they are used.
+    bool handedOver_ = false;
 };
 
 /// @brief A loan request without a reply.
@@ -150,6 +156,11 @@
     Tokens wanted_;
     /// Urgency of the last loan request.
     int urgency_ = 0;
+    /// Largest amount that a request of the borrower waited for.
+    Tokens largestNeed_;
+    /// Smoothed rate of tokens lent, per second.
+    double lentRate_ = 0.0;
+    MonoTime lentRateAt_ {};
     bool replyPending_ = false;
 };
 
@@ -270,6 +281,8 @@
     std::vector<SendPeer> outbox_;
     /// Refused loans that have not been logged yet.
     std::vector<ReservedForUrgent> reservedForUrgent_;
+    /// Handovers that have not been logged yet.
+    std::vector<Handover> handovers_;
     /// This daemon is stopping and no longer lends.
     bool stopping_ = false;
 };
@@ -344,8 +357,8 @@
 /// @brief Submits the draws, returns and reads that are due, and refills or returns loans.
 void reconcileBalances(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
 
-/// @brief Returns the unreserved tokens of all grants and received loans. Outstanding issued loans
-/// are charged.
+/// @brief Returns the unreserved tokens of all grants and received loans, or hands them over to
+/// borrowers if the ledger fails. Outstanding issued loans are charged.
 void releaseGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now);
 
 /// @brief Returns true if the last store call failed, or the last one for the account's ledger
--- a/src/core/relay/prepaidinternal.h
+++ b/src/core/relay/prepaidinternal.h
@@ -68,4 +68,22 @@
 LenderChoice lenderForAccount(const PrepaidState &state, const PrepaidSettings &settings,
                               const AccountId &account, MonoTime now);
 
+/// @brief Returns what a borrower has borrowed lately, in tokens per second.
+double borrowingRate(const IssuedLoan &issuedLoan, MonoTime now);
+
+/// @brief Returns the lent tokens that the borrower has neither spent nor returned.
+Tokens outstandingOf(const IssuedLoan &issuedLoan);
+
+/// @brief Applies a borrower's report. Totals never decrease and never exceed the lent amount.
+void settleIssuedLoan(PrepaidBalance &balance, IssuedLoan &issuedLoan, Tokens spent,
+                      Tokens returned, MonoTime now);
+
+/// @brief Reports the spent and returned tokens of a loan to its lender, if they have changed.
+void sendReport(PrepaidState &state, const AccountId &account, const HolderId &lenderId,
+                ReceivedLoan &loan);
+
+/// @brief Tells a borrower the total lent so far, and that this daemon lends no more for now.
+void sendUnavailable(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
+                     IssuedLoan &issuedLoan);
+
 } // namespace tamarack::prepaiddetail
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -6,6 +6,7 @@
 #include "core/relay/events.h"
 #include "core/relay/firstgrants.h"
 #include "core/relay/fleet.h"
+#include "core/relay/granthandover.h"
 #include "core/relay/grantreports.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instancelimits.h"
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -246,7 +246,7 @@
     state.stopDeadline_ = event.deadline_ - state.settings_.stopMargin_;
     logLine(out, LogLevel::Info, "daemon.stopping",
             {{"active", std::to_string(state.active_.size())}});
-    stopLending(state.prepaid_, state.settings_.prepaid_);
+    stopLending(state.prepaid_, state.settings_.prepaid_, now);
     state.limits_.stopping_ = true;
     updateReadiness(state, out);
 }
--- a/src/core/relay/relayloans.cpp
+++ b/src/core/relay/relayloans.cpp
@@ -51,6 +51,11 @@
 
 void sendLoanMessages(RelayState &state, RelayCommands &out)
 {
+    for (const Handover &handover : std::exchange(state.prepaid_.handovers_, {}))
+        logLine(out, LogLevel::Info, "loan.handover",
+                {{"account", handover.account_.value_},
+                 {"borrower", handover.borrower_.value_},
+                 {"tokens", std::to_string(handover.tokens_.count_)}});
     for (const ReservedForUrgent &refused : std::exchange(state.prepaid_.reservedForUrgent_, {})) {
         std::vector<LogField> fields {{"account", refused.account_.value_},
                                       {"borrower", refused.borrower_.value_},
--- a/tests/unit-loans.cpp
+++ b/tests/unit-loans.cpp
@@ -197,7 +197,7 @@
     SECTION("at the lender's graceful shutdown, through a recall")
     {
         PrepaidState &stopping = fleet.daemons_[lender].state_;
-        stopLending(stopping, fleet.settings_);
+        stopLending(stopping, fleet.settings_, fleet.now_);
         runCallsAndMessages(fleet);
         CHECK(balanceOf(fleet, lender).grant_.reserved_ == Tokens {});
         releaseGrants(stopping, fleet.settings_, fleet.now_);
@@ -383,7 +383,7 @@
     runCallsAndMessages(fleet);
     REQUIRE(reserve(fleet, borrower, 5000));
     startDaemon(fleet, borrower, 1'000'000);
-    stopLending(fleet.daemons_[lender].state_, fleet.settings_);
+    stopLending(fleet.daemons_[lender].state_, fleet.settings_, fleet.now_);
     fleet.waiting_ = {{borrower, Tokens {1000}}};
     collect(fleet);
     while (!fleet.messages_.empty()) {
@@ -435,8 +435,13 @@
         Tokens spent;
         std::vector<std::pair<std::size_t, Reservation>> open;
         std::vector<Message> delayed;
+        const auto scheduleFirst = [&fleet](PrepaidState &state) {
+            scheduleFirstGrants(state, fleet.settings_, fleet.now_);
+        };
+        for (Daemon &daemon : fleet.daemons_)
+            scheduleFirst(daemon.state_);
         const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-            150, rc::gen::pair(rc::gen::inRange(0, 16), rc::gen::inRange(1, 1500)));
+            180, rc::gen::pair(rc::gen::inRange(0, 19), rc::gen::inRange(1, 1500)));
         for (const auto &[action, amount] : steps) {
             const std::size_t index = static_cast<std::size_t>(amount) % fleet.daemons_.size();
             PrepaidState &state = fleet.daemons_[index].state_;
@@ -444,7 +449,10 @@
             expireLoanRequests(state, fleet.settings_, fleet.now_);
             reconcileBalances(state, fleet.settings_, fleet.now_);
             if (action < 7) {
-                if (const auto reservation = reserve(fleet, index, amount))
+                const int urgency = amount % 3;
+                recordDemand(state.balances_[acme].shares_, urgency, Tokens {amount}, fleet.now_);
+                if (const auto reservation = reserveTokens(state, fleet.settings_, acme,
+                                                           Tokens {amount}, fleet.now_, urgency))
                     open.emplace_back(index, *reservation);
                 runStoreCalls(fleet.daemons_[index], fleet.storeKey_, fleet.now_);
                 serveBorrowers(state, fleet.settings_, fleet.now_);
@@ -470,7 +478,7 @@
             } else if (action == 12 && !delayed.empty()) {
                 deliver(fleet, delayed[static_cast<std::size_t>(amount) % delayed.size()]);
             } else if (action == 13) {
-                stopLending(state, fleet.settings_);
+                stopLending(state, fleet.settings_, fleet.now_);
                 releaseGrants(state, fleet.settings_, fleet.now_);
             } else if (action == 14) {
                 // The tokens reserved for its open requests count as spent, because their responses
@@ -479,6 +487,22 @@
                     spent += owner == index ? reservation.amount_ : Tokens {};
                 std::erase_if(open, [&](const auto &entry) { return entry.first == index; });
                 startDaemon(fleet, index, prepaid);
+                scheduleFirst(fleet.daemons_[index].state_);
+            } else if (action == 15) {
+                // The store does not reply, whether or not it has applied the call.
+                for (const SubmitStoreCall &call :
+                     startPrepaidCalls(state, fleet.settings_, fleet.now_)) {
+                    if (amount % 2 == 0)
+                        applyStoreCall(fleet.storeKey_, call);
+                    finishPrepaidCall(state, fleet.settings_,
+                                      StoreReply {call.id_, StoreStatus::Unknown, {}}, fleet.now_);
+                }
+            } else if (action == 16) {
+                // A handover: the daemon stops while it can't reach the store, and ends later.
+                noticeStoreContact(state, false, fleet.now_);
+                stopLending(state, fleet.settings_, fleet.now_);
+            } else if (action == 17) {
+                noticeStoreContact(state, amount % 2 == 0, fleet.now_);
             }
             Tokens reserved;
             for (const auto &[owner, reservation] : open)
