A request is refused at once when every lender has said that it has no tokens

A request that asked one lender after the other kept the wait of 250 ms that began with the first question, although no tokens could arrive after the last refusal. It is now refused with the reply of the last lender, with the Retry-After of an outage, spread so that urgent requests return first.

unit-relaytokens; the test of the immediate refusal failed before the change, because the request was still waiting after the last lender's reply.

--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -112,15 +112,17 @@
         return;
     if (refuseIfLedgerShort(state, active, amount, now, out))
         return;
+    // Waiting is pointless while the ledger is unavailable or no lender has tokens, unless a loan
+    // request is pending.
+    if (isTokenSupplyFailing(prepaid, state.settings_.prepaid_, active.account_, now)
+        && !isLoanRequestPending(prepaid, active.account_)) {
+        refuse(state, active, statusServiceUnavailable, "budget_unconfirmed", now, out);
+        return;
+    }
     if (active.stage_ != RelayStage::AwaitingTokens || !active.stageDeadline_) {
         active.stage_ = RelayStage::AwaitingTokens;
-        // Waiting is pointless while the ledger is unavailable or no lender has tokens, unless a
-        // loan request is pending.
-        const bool failing
-            = isTokenSupplyFailing(prepaid, state.settings_.prepaid_, active.account_, now)
-            && !isLoanRequestPending(prepaid, active.account_);
-        const PreciseMicros wait = PreciseMicros {active.route_->latencyObjective_}
-            * (failing ? 0.0 : state.settings_.tokenWaitShare_);
+        const PreciseMicros wait
+            = PreciseMicros {active.route_->latencyObjective_} * state.settings_.tokenWaitShare_;
         active.stageDeadline_ = now + std::chrono::duration_cast<Micros>(wait);
         rescheduleTimer(state, active);
     }
--- a/tests/unit-relaytokens.cpp
+++ b/tests/unit-relaytokens.cpp
@@ -60,6 +60,54 @@
     return sent;
 }
 
+/// Adds four larger daemons of the zone, so that this daemon is no lender.
+void addLenders(RelayFixture &fixture)
+{
+    fixture.state_.prepaid_.peerAddress_ = "10.0.0.9:1";
+    FleetView view {5, 5, {}};
+    for (int i = 0; i < 4; ++i) {
+        const std::string host = "lender-" + std::to_string(i);
+        view.peers_.push_back(PeerAddress {HostId {host}, ZoneId {"near"}, host + ":1", 1000});
+    }
+    post(fixture, view);
+}
+
+/// Returns the loan request among @a commands that asks for tokens, and the lender.
+std::optional<std::pair<HostId, LoanRequest>> findLoanRequest(const RelayCommands &commands)
+{
+    for (const RelayCommand &command : commands) {
+        const auto *message = std::get_if<SendPeer>(&command);
+        const auto *request = message ? std::get_if<LoanRequest>(&message->message_) : nullptr;
+        if (request && request->wanted_ > Tokens {})
+            return std::pair {message->host_, *request};
+    }
+    return std::nullopt;
+}
+
+RelayCommands replyToLoan(RelayFixture &fixture, const HostId &lender, Tokens lent,
+                          bool unavailable)
+{
+    LoanReply reply;
+    reply.lender_ = HolderId {lender.value_ + "-1"};
+    reply.borrower_ = fixture.state_.prepaid_.holder_;
+    reply.account_ = acme;
+    reply.lent_ = lent;
+    reply.unavailable_ = unavailable;
+    return post(fixture, LoanReplyReceived {lender, reply});
+}
+
+/// Replies to a loan request and those that follow that no lender has tokens.
+RelayCommands refuseByAllLenders(RelayFixture &fixture, RelayCommands out)
+{
+    std::size_t asked = 0;
+    while (const auto request = findLoanRequest(out)) {
+        ++asked;
+        out = replyToLoan(fixture, request->first, Tokens {}, true);
+    }
+    CHECK(asked == 4);
+    return out;
+}
+
 } // namespace
 
 TEST_CASE("waiting requests get tokens in the order of urgency, then deadline")
@@ -78,4 +126,98 @@
     CHECK(findCommand<RespondToClient>(results)->id_ == ExchangeId {1});
 }
 
+TEST_CASE("a request is refused at once when every lender has said that it has no tokens")
+{
+    // It waited 250 ms although no tokens could arrive.
+    RelayFixture fixture;
+    setUpPriorities(fixture);
+    addLenders(fixture);
+    const RelayCommands out = refuseByAllLenders(
+        fixture, post(fixture, RequestRead {makeTokenRequest(fixture, "once", 400)}));
+    const auto refusal = findCommand<RespondToClient>(out);
+    REQUIRE(refusal);
+    CHECK(refusal->status_ == 503);
+    CHECK(refusal->retryAfter_ > Millis {0});
+    SECTION("as are the next ones, without a message")
+    {
+        const RelayCommands next
+            = post(fixture, RequestRead {makeTokenRequest(fixture, "once", 400)});
+        CHECK(findCommand<RespondToClient>(next));
+        CHECK_FALSE(findLoanRequest(next));
+    }
+    SECTION("a lender is asked again after a while")
+    {
+        advanceTime(fixture, fixture.state_.settings_.prepaid_.lenders_.noTokensExclusion_);
+        CHECK(findLoanRequest(post(fixture, RequestRead {makeTokenRequest(fixture, "once", 400)})));
+    }
+}
+
+TEST_CASE("urgent requests that were refused return first")
+{
+    RelayFixture fixture;
+    setUpPriorities(fixture);
+    addLenders(fixture);
+    Millis latestUrgent {};
+    Millis earliestOther {Seconds {3600}};
+    const auto refuse = [&](const std::string &route) {
+        return findCommand<RespondToClient>(
+                   post(fixture, RequestRead {makeTokenRequest(fixture, route, 400)}))
+            .value()
+            .retryAfter_.value();
+    };
+    refuseByAllLenders(fixture,
+                       post(fixture, RequestRead {makeTokenRequest(fixture, "once", 400)}));
+    refuse("safe");
+    for (int i = 0; i < 50; ++i) {
+        latestUrgent = std::max(latestUrgent, refuse("once"));
+        earliestOther = std::min(earliestOther, refuse("safe"));
+    }
+    CHECK(latestUrgent <= earliestOther);
+    // Clients wait up to a third of their time.
+    CHECK(earliestOther <= Millis {2000 / 3});
+}
+
+TEST_CASE("a borrower whose lenders have no tokens keeps what it holds for urgent requests")
+{
+    RelayFixture fixture;
+    setUpPriorities(fixture);
+    addLenders(fixture);
+    // Urgent requests use 200 tokens a second.
+    const auto first
+        = findLoanRequest(post(fixture, RequestRead {makeTokenRequest(fixture, "once", 100)}));
+    REQUIRE(first);
+    CHECK(first->second.urgency_ == 0);
+    replyToLoan(fixture, first->first, Tokens {20'000}, false);
+    for (int i = 0; i < 60; ++i) {
+        advanceTime(fixture, Millis {500});
+        const auto sent = findCommand<SendAttempt>(
+            post(fixture, RequestRead {makeTokenRequest(fixture, "once", 100)}));
+        REQUIRE(sent);
+        post(fixture, ended(*sent, AttemptEnd::Delivered, 200));
+    }
+    // A large request that the loan does not cover finds the lenders without tokens.
+    const Tokens left = reservableTokens(
+        fixture.state_.prepaid_.balances_.at(acme).receivedLoans_.begin()->second.grant_);
+    RelayCommands out
+        = post(fixture, RequestRead {makeTokenRequest(fixture, "safe", left.count_ + 1)});
+    std::optional<RespondToClient> refusal;
+    while (const auto request = findLoanRequest(out)) {
+        CHECK(request->second.urgency_ == 2);
+        out = replyToLoan(fixture, request->first,
+                          request->first == first->first ? Tokens {20'000} : Tokens {}, true);
+    }
+    refusal = findCommand<RespondToClient>(out);
+    REQUIRE(refusal);
+    CHECK(refusal->reason_ == "budget_unconfirmed");
+    const RelayCommands large
+        = post(fixture, RequestRead {makeTokenRequest(fixture, "safe", left.count_ - 200)});
+    refusal = findCommand<RespondToClient>(large);
+    REQUIRE(refusal);
+    CHECK(refusal->reason_ == "budget_reserved_for_urgent");
+    CHECK(refusal->urgency_ == 2);
+    CHECK_FALSE(findLoanRequest(large));
+    CHECK(findCommand<SendAttempt>(
+        post(fixture, RequestRead {makeTokenRequest(fixture, "once", left.count_ - 200)})));
+}
+
 } // namespace tamarack
