--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -9,6 +9,7 @@
 #include "core/relay/events.h"
 #include "core/relay/firstgrants.h"
 #include "core/relay/fleet.h"
+#include "core/relay/granthandover.h"
 #include "core/relay/grantreports.h"
 #include "core/relay/homes.h"
 #include "core/relay/instancechoice.h"
