Daemons tell each other the load that they cause

The table of the other daemons' load was not filled.

From balancing.shareLoadFrom live daemons on, a daemon adds its own load to the requests for documents that it sends to observers anyway. With fewer daemons, the messages are as before.

--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -178,6 +178,10 @@
                         "Smoothed time that events wait for the control thread");
     auto *link = gauge("tamarack_relay_link_use_ratio",
                        "Smoothed share of the network link that requests and responses take");
+    auto *loadReports = gauge("tamarack_relay_load_reports",
+                              "Other daemons whose load at the upstream instances is known");
+    auto *loadAge = gauge("tamarack_relay_load_age_seconds",
+                          "Age of what is known of the load of other daemons; 0 if nothing is");
     auto *buffered = gauge("tamarack_relay_buffered_bytes",
                            "Memory that requests and responses take or have reserved");
     auto *bufferLimit = gauge("tamarack_relay_buffer_limit_bytes",
@@ -193,8 +197,8 @@
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, command);
     };
     port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
-                            limited, dropped, delay, link, buffered, bufferLimit,
-                            memoryRefusals](Micros time, const RelayGauges &gauges) {
+                            limited, dropped, delay, link, loadReports, loadAge, buffered,
+                            bufferLimit, memoryRefusals](Micros time, const RelayGauges &gauges) {
         handling.Observe(std::chrono::duration<double>(time).count());
         active->Set(static_cast<double>(gauges.active_));
         instances->Set(static_cast<double>(gauges.instances_));
@@ -205,6 +209,8 @@
         dropped->Set(static_cast<double>(gauges.droppedLogLines_));
         delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
         link->Set(gauges.linkUse_);
+        loadReports->Set(gauges.loadReports_);
+        loadAge->Set(std::chrono::duration<double>(gauges.loadAge_).count());
         buffered->Set(static_cast<double>(gauges.buffers_.bytes_));
         bufferLimit->Set(static_cast<double>(gauges.buffers_.limitBytes_));
         memoryRefusals->Set(static_cast<double>(gauges.buffers_.refusals_));
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -10,6 +10,7 @@
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
 #include "core/relay/fleet.h"
+#include "core/relay/instanceload.h"
 #include "core/relay/instancenotice.h"
 #include "core/relay/instances.h"
 #include "core/relay/prepaid.h"
@@ -180,7 +181,11 @@
 
 /// @brief Another daemon requested documents from this one.
 struct DocumentsRequestReceived
-{ };
+{
+    HostId from_ {};
+    /// Load that the daemon causes; nullptr if it does not share it.
+    LoadList loads_ {};
+};
 
 /// @brief A peer replied to a request for documents. The documents are separate events.
 struct DocumentsReplyReceived
@@ -188,6 +193,9 @@
     HostId from_;
     /// Time since the peer's last contact to the store; std::nullopt if it has none.
     std::optional<Millis> contactAge_;
+    /// Load that other daemons cause, and the number of these daemons; 0 if it is not known.
+    std::vector<InstanceLoad> loads_ {};
+    std::uint32_t loadReporters_ = 0;
 };
 
 /// @brief A feed of documents became available or unavailable.
@@ -268,6 +276,14 @@
 struct RequestPeerDocuments
 {
     std::vector<PeerAddress> peers_;
+    /// Load that this daemon causes, if it shares it.
+    std::optional<std::vector<InstanceLoad>> loads_ {};
+};
+
+/// @brief Replaces the load that replies to other daemons tell; nothing is told without an offer.
+struct PublishLoads
+{
+    std::shared_ptr<const LoadOffer> offer_;
 };
 
 /// @brief Starts or stops following the documents of the store.
@@ -308,8 +324,8 @@
 
 using RelayCommand
     = std::variant<SendAttempt, RespondToClient, ForwardFailure, AbortResponse, ApplyLimits,
-                   RequestPeerDocuments, SetFollowsStore, SetStoreContact, SetReady, SetKeepAlive,
-                   CloseIdleConnections, CloseClients, SendPeer, SubmitStoreCall, WriteLog,
-                   RelayStopCompleted>;
+                   RequestPeerDocuments, PublishLoads, SetFollowsStore, SetStoreContact, SetReady,
+                   SetKeepAlive, CloseIdleConnections, CloseClients, SendPeer, SubmitStoreCall,
+                   WriteLog, RelayStopCompleted>;
 
 } // namespace tamarack
--- a/src/core/relay/instanceload.cpp
+++ b/src/core/relay/instanceload.cpp
@@ -197,11 +197,23 @@
     return true;
 }
 
+void forgetLoads(InstanceLoads &loads)
+{
+    loads.reports_.clear();
+    loads.received_.reset();
+    loads.others_.clear();
+    loads.weight_ = 0.0;
+    loads.daemons_ = 0;
+    loads.knownAt_.reset();
+    loads.refreshedAt_.reset();
+}
+
 LoadOffer makeLoadOffer(const InstanceLoads &loads, const LoadSettings &settings,
                         const std::vector<InstanceLoad> &own, MonoTime now)
 {
     ScaledSums reported = sumReports(loads, settings, now);
     LoadOffer offer;
+    offer.maxEntries_ = settings.maxEntries_;
     offer.sums_ = std::move(reported.sums_);
     for (const InstanceLoad &load : own)
         addLoad(offer.sums_[load.instance_], load, 1.0);
@@ -216,8 +228,7 @@
     return offer;
 }
 
-OfferedLoads offeredLoads(const LoadOffer &offer, const LoadSettings &settings,
-                          const HostId &receiver)
+OfferedLoads offeredLoads(const LoadOffer &offer, const HostId &receiver)
 {
     OfferedLoads offered;
     const auto own = offer.included_.find(receiver);
@@ -235,7 +246,7 @@
         if (load.running_ > 0)
             offered.loads_.push_back(load);
     }
-    limitEntries(offered.loads_, settings.maxEntries_);
+    limitEntries(offered.loads_, offer.maxEntries_);
     offered.daemons_ = rounded<std::uint32_t>(offer.daemons_ - ownWeight);
     return offered;
 }
--- a/src/core/relay/instanceload.h
+++ b/src/core/relay/instanceload.h
@@ -120,11 +120,15 @@
 /// @note O(reports x instances)
 bool refreshLoads(InstanceLoads &loads, const LoadSettings &settings, MonoTime now);
 
+/// @brief Forgets all reports and sums.
+void forgetLoads(InstanceLoads &loads);
+
 /// @brief Sums for replies to other daemons, with what is needed to leave out the receiver.
 struct LoadOffer
 {
     LoadSums sums_;
     double daemons_ = 0.0;
+    std::size_t maxEntries_ = 0;
     /// Reports that the sums contain, with their weights.
     std::map<HostId, std::pair<double, LoadList>> included_;
 };
@@ -143,7 +147,6 @@
 
 /// @brief Returns the sums without the load of the receiver.
 /// @note O(instances)
-OfferedLoads offeredLoads(const LoadOffer &offer, const LoadSettings &settings,
-                          const HostId &receiver);
+OfferedLoads offeredLoads(const LoadOffer &offer, const HostId &receiver);
 
 } // namespace tamarack
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -177,6 +177,7 @@
     state.fleet_ = event;
     state.prepaid_.daemons_ = event.daemons_;
     updateQuarantinePeers(state.quarantine_, self, event.peers_, now);
+    updateLoadPeers(state.loads_, self, event.peers_);
     updateLimitPeers(state.limits_, state.settings_.limits_, self, event.peers_, now);
     if (changed)
         logLine(out, LogLevel::Info, "fleet.counted",
@@ -184,9 +185,11 @@
                  {"zone_daemons", std::to_string(event.zoneDaemons_)}});
 }
 
-void onEvent(RelayState &state, const DocumentsRequestReceived &, MonoTime now, RelayCommands &)
+void onEvent(RelayState &state, const DocumentsRequestReceived &event, MonoTime now,
+             RelayCommands &)
 {
     recordDocumentsRequest(state.sync_, now);
+    recordLoadReport(state.loads_, state.settings_.load_, event.from_, event.loads_, now);
 }
 
 void onEvent(RelayState &state, const DocumentsReplyReceived &event, MonoTime now, RelayCommands &)
@@ -394,6 +397,7 @@
     if (state.directory_.tombstones_.size() > maxTombstones)
         state.directory_.tombstones_.clear();
     requestDocuments(state, now, out);
+    updateLoads(state, now, out);
     updateStoreUse(state, now, out);
     if (!state.stopRequestedAt_)
         reconcileBalances(state.prepaid_, state.settings_.prepaid_, now);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -7,6 +7,7 @@
 #include "core/relay/events.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instancelimits.h"
+#include "core/relay/instanceload.h"
 #include "core/relay/instances.h"
 #include "core/relay/overload.h"
 #include "core/relay/prepaid.h"
@@ -48,6 +49,7 @@
     OverloadSettings overload_;
     QuarantineSettings quarantine_;
     RequestLimitSettings limits_;
+    LoadSettings load_;
     /// Number of live daemons from which on they tell each other the load that they cause at the
     /// instances, and balance by it; 0 if they never do.
     std::uint32_t shareLoadFrom_ = 0;
@@ -177,6 +179,11 @@
     std::map<ServiceId, RetryBudget> retries_;
     Quarantine quarantine_;
     InstanceLimits limits_;
+    InstanceLoads loads_;
+    /// This daemon shares its load, as it was last logged.
+    bool sharesLoad_ = false;
+    /// Replies to other daemons tell the load of this daemon and of those that reported theirs.
+    bool loadsPublished_ = false;
     /// The parts whose quarantine was logged as begun.
     std::set<PromptPartId> quarantinedParts_;
     std::map<ExchangeId, RelayedRequest> active_;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -53,13 +53,19 @@
 void recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now)
 {
     recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_, now);
+    recordReceivedLoads(state.loads_, state.settings_.load_, event.from_, event.loads_,
+                        event.loadReporters_, now);
 }
 
 void requestDocuments(RelayState &state, MonoTime now, RelayCommands &out)
 {
     std::vector<PeerAddress> peers = nextSyncPeers(state.sync_, state.settings_.sync_, now);
-    if (!peers.empty())
-        out.emplace_back(RequestPeerDocuments {std::move(peers)});
+    if (peers.empty())
+        return;
+    RequestPeerDocuments request {std::move(peers)};
+    if (sharesLoad(state))
+        request.loads_ = ownLoads(state.choice_, state.settings_.load_);
+    out.emplace_back(std::move(request));
 }
 
 void updateStoreUse(RelayState &state, MonoTime now, RelayCommands &out)
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -53,6 +53,13 @@
 /// @brief Returns true if the daemons tell each other the load that they cause.
 bool sharesLoad(const RelayState &state);
 
+/// @brief Returns the load of other daemons for the choice of an instance, or nullptr if the
+/// daemons don't share it.
+const InstanceLoads *loadsForChoice(const RelayState &state);
+
+/// @brief Renews what is known of the load of other daemons, and what they are told.
+void updateLoads(RelayState &state, MonoTime now, RelayCommands &out);
+
 /// @brief A chosen instance and its service.
 struct Placement
 {
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -204,12 +204,6 @@
 
 } // namespace
 
-bool sharesLoad(const RelayState &state)
-{
-    return state.settings_.shareLoadFrom_ > 0
-        && state.fleet_.daemons_ >= state.settings_.shareLoadFrom_;
-}
-
 const RelayService *serviceOf(const RelayedRequest &active, const ServiceId &id)
 {
     const auto it = active.config_->services_.find(id);
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -46,6 +46,9 @@
     PreciseMicros eventDelay_ {};
     /// Smoothed share of the network link that requests and responses take.
     double linkUse_ = 0.0;
+    /// Daemons whose load at the instances is known, and the age of that knowledge.
+    std::uint32_t loadReports_ = 0;
+    PreciseMicros loadAge_ {};
     BufferUsage buffers_;
 };
 
--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -316,10 +316,11 @@
     return handlers;
 }
 
-DocumentsRequest makeDocumentsRequest(DocumentReader &reader, const std::string &replyAddress)
+DocumentsRequest makeDocumentsRequest(DocumentReader &reader, const std::string &replyAddress,
+                                      std::optional<std::vector<InstanceLoad>> loads)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
-    DocumentsRequest request {replyAddress, {}};
+    DocumentsRequest request {replyAddress, {}, std::move(loads)};
     for (const auto &[name, feed] : reader.cache_.feeds_)
         request.positions_.push_back(FeedPosition {name, feed.position_});
     return request;
@@ -342,6 +343,29 @@
     return reply;
 }
 
+void publishLoads(DocumentReader &reader, std::shared_ptr<const LoadOffer> offer)
+{
+    const std::lock_guard lock(reader.cache_.mutex_);
+    reader.cache_.loads_ = std::move(offer);
+}
+
+void addLoads(DocumentReader &reader, const HostId &receiver, const DocumentsRequest &request,
+              DocumentsReply &reply)
+{
+    if (!request.loads_)
+        return;
+    std::shared_ptr<const LoadOffer> offer;
+    {
+        const std::lock_guard lock(reader.cache_.mutex_);
+        offer = reader.cache_.loads_;
+    }
+    if (!offer)
+        return;
+    OfferedLoads offered = offeredLoads(*offer, receiver);
+    reply.loads_ = std::move(offered.loads_);
+    reply.loadReporters_ = offered.daemons_;
+}
+
 void applyDocumentsReply(DocumentReader &reader, const DocumentsReply &reply)
 {
     for (FeedChanges changes : reply.changes_) {
--- a/src/relayd/documents.h
+++ b/src/relayd/documents.h
@@ -12,6 +12,7 @@
 #include "runtime/runtime.h"
 
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -48,6 +49,8 @@
     /// returns may contain an older one.
     std::optional<std::string> newestConfig_;
     ConfigVersion newestConfigVersion_;
+    /// Load that replies to other daemons tell; nullptr if this daemon tells none.
+    std::shared_ptr<const LoadOffer> loads_;
 };
 
 /// @brief Data for converting documents to events of the control thread.
@@ -72,12 +75,22 @@
 
 /// @brief Returns a request for the documents that changed after the known positions.
 /// @param replyAddress address to which the peer sends its reply
-DocumentsRequest makeDocumentsRequest(DocumentReader &reader, const std::string &replyAddress);
+/// @param loads load that this daemon causes, if it shares it
+DocumentsRequest makeDocumentsRequest(DocumentReader &reader, const std::string &replyAddress,
+                                      std::optional<std::vector<InstanceLoad>> loads = {});
 
 /// @brief Returns the cached documents that changed after the positions in @a request.
 DocumentsReply makeDocumentsReply(DocumentReader &reader, const DocumentsRequest &request,
                                   MonoTime now);
 
+/// @brief Replaces the load that replies to other daemons tell.
+void publishLoads(DocumentReader &reader, std::shared_ptr<const LoadOffer> offer);
+
+/// @brief Adds the load that other daemons than the receiver cause to a reply, if the receiver
+/// shares its own.
+void addLoads(DocumentReader &reader, const HostId &receiver, const DocumentsRequest &request,
+              DocumentsReply &reply);
+
 /// @brief Stores the documents in a peer's reply and posts their changes.
 void applyDocumentsReply(DocumentReader &reader, const DocumentsReply &reply);
 
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -209,6 +209,18 @@
     { }
 };
 
+void onDocumentsRequest(RelayDaemon &relay, const HostId &from, const DocumentsRequest &request)
+{
+    DocumentsReply reply
+        = makeDocumentsReply(*relay.documents_, request, std::chrono::steady_clock::now());
+    addLoads(*relay.documents_, from, request, reply);
+    peerPort(*relay.peers_).send_(SendPeer {from, request.replyAddress_, std::move(reply)});
+    LoadList loads;
+    if (request.loads_)
+        loads = std::make_shared<const std::vector<InstanceLoad>>(*request.loads_);
+    post(relay.queue_, RelayEvent {DocumentsRequestReceived {from, std::move(loads)}});
+}
+
 /// Handles messages from other daemons.
 void onPeerEvent(RelayDaemon &relay, const Event &event)
 {
@@ -216,15 +228,13 @@
     if (!received)
         return;
     if (const auto *documentsRequest = std::get_if<DocumentsRequest>(&received->message_)) {
-        peerPort(*relay.peers_)
-            .send_(SendPeer {received->from_, documentsRequest->replyAddress_,
-                             makeDocumentsReply(*relay.documents_, *documentsRequest,
-                                                std::chrono::steady_clock::now())});
-        post(relay.queue_, RelayEvent {DocumentsRequestReceived {}});
+        onDocumentsRequest(relay, received->from_, *documentsRequest);
     } else if (const auto *documentsReply = std::get_if<DocumentsReply>(&received->message_)) {
         applyDocumentsReply(*relay.documents_, *documentsReply);
         post(relay.queue_,
-             RelayEvent {DocumentsReplyReceived {received->from_, documentsReply->contactAge_}});
+             RelayEvent {DocumentsReplyReceived {received->from_, documentsReply->contactAge_,
+                                                 documentsReply->loads_,
+                                                 documentsReply->loadReporters_}});
     } else if (const auto *report = std::get_if<QuarantineReport>(&received->message_)) {
         post(relay.queue_, RelayEvent {QuarantineReportReceived {received->from_, *report}});
     } else if (const auto *loanRequest = std::get_if<LoanRequest>(&received->message_))
@@ -239,13 +249,13 @@
         post(relay.queue_, RelayEvent {PermitReplyReceived {received->from_, *permitReply}});
 }
 
-void requestPeerDocuments(RelayDaemon &relay, const std::vector<PeerAddress> &peers)
+void requestPeerDocuments(RelayDaemon &relay, RequestPeerDocuments command)
 {
     if (!relay.peers_)
         return;
-    const DocumentsRequest request
-        = makeDocumentsRequest(*relay.documents_, relay.settings_.peerAddress_);
-    for (const PeerAddress &peer : peers)
+    const DocumentsRequest request = makeDocumentsRequest(
+        *relay.documents_, relay.settings_.peerAddress_, std::move(command.loads_));
+    for (const PeerAddress &peer : command.peers_)
         peerPort(*relay.peers_).send_(SendPeer {peer.host_, peer.address_, request});
 }
 
@@ -374,7 +384,10 @@
         frontendPort(*relay.frontend_),
         relay.log_,
         relay.ready_,
-        [&relay](const auto &peers) { requestPeerDocuments(relay, peers); },
+        [&relay](RequestPeerDocuments command) { requestPeerDocuments(relay, std::move(command)); },
+        [&relay](std::shared_ptr<const LoadOffer> offer) {
+            publishLoads(*relay.documents_, std::move(offer));
+        },
         [&relay](bool follows) {
             if (!follows)
                 clearStoreContact(*relay.documents_);
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -21,8 +21,9 @@
     void operator()(SendPeer &command) const { loop_.sendPeer_(std::move(command)); }
     void operator()(RequestPeerDocuments &command) const
     {
-        loop_.requestPeerDocuments_(command.peers_);
+        loop_.requestPeerDocuments_(std::move(command));
     }
+    void operator()(PublishLoads &command) const { loop_.publishLoads_(command.offer_); }
     void operator()(SetFollowsStore &command) const { loop_.setFollowsStore_(command.follows_); }
     void operator()(SetStoreContact &command) const { loop_.setStoreContact_(command.contact_); }
     void operator()(RelayStopCompleted &) const { running_ = false; }
@@ -48,6 +49,9 @@
     gauges.droppedLogLines_ = loop.droppedLogLines_();
     gauges.eventDelay_ = state.overload_.delay_;
     gauges.linkUse_ = state.overload_.linkUse_;
+    gauges.loadReports_ = state.loads_.daemons_;
+    if (state.loads_.knownAt_)
+        gauges.loadAge_ = std::chrono::steady_clock::now() - *state.loads_.knownAt_;
     gauges.buffers_ = loop.bufferUsage_();
     return gauges;
 }
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 
 namespace tamarack {
 
@@ -19,7 +20,9 @@
     RelayFrontendPort frontend_;
     LogPort log_;
     std::atomic<bool> &ready_;
-    std::function<void(const std::vector<PeerAddress> &)> requestPeerDocuments_;
+    std::function<void(RequestPeerDocuments)> requestPeerDocuments_;
+    /// Replaces the load that replies to other daemons tell.
+    std::function<void(std::shared_ptr<const LoadOffer>)> publishLoads_;
     std::function<void(bool)> setFollowsStore_;
     std::function<void(bool)> setStoreContact_;
     std::function<void(SendPeer)> sendPeer_;
--- a/tests/unit-instanceload.cpp
+++ b/tests/unit-instanceload.cpp
@@ -125,14 +125,14 @@
     record(loads, "c", 7, start);
     const std::vector<InstanceLoad> own {InstanceLoad {engine, 2, Tokens {20}, Tokens {200}, 0.0}};
     const LoadOffer offer = makeLoadOffer(loads, LoadSettings {}, own, start);
-    const OfferedLoads toA = offeredLoads(offer, LoadSettings {}, HostId {"a"});
+    const OfferedLoads toA = offeredLoads(offer, HostId {"a"});
     REQUIRE(toA.loads_.size() == 1);
     CHECK(toA.loads_[0].running_ == 14);
     CHECK(toA.loads_[0].queuedPrefill_ == Tokens {1220});
     CHECK(toA.loads_[0].contextTokens_ == Tokens {12'200});
     CHECK(toA.daemons_ == 3);
     // A daemon that has not reported yet gets everything.
-    const OfferedLoads toNew = offeredLoads(offer, LoadSettings {}, HostId {"new"});
+    const OfferedLoads toNew = offeredLoads(offer, HostId {"new"});
     CHECK(toNew.loads_[0].running_ == 17);
     CHECK(toNew.daemons_ == 4);
 }
