--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -184,6 +184,7 @@
     state.prepaid_.daemons_ = event.daemons_;
     scheduleFirstGrants(state.prepaid_, state.settings_.prepaid_, now);
     updateQuarantinePeers(state.quarantine_, self, event.peers_, now);
+    updateLoadPeers(state.loads_, self, event.peers_);
     updateLimitPeers(state.limits_, state.settings_.limits_, self, event.peers_, now);
     if (changed)
         logLine(out, LogLevel::Info, "fleet.counted",
@@ -191,9 +192,11 @@
                  {"zone_daemons", std::to_string(event.zoneDaemons_)}});
 }
 
-void onEvent(RelayState &state, const DocumentsRequestReceived &, MonoTime now, RelayCommands &)
+void onEvent(RelayState &state, const DocumentsRequestReceived &event, MonoTime now,
+             RelayCommands &)
 {
     recordDocumentsRequest(state.sync_, now);
+    recordLoadReport(state.loads_, state.settings_.load_, event.from_, event.loads_, now);
 }
 
 void onEvent(RelayState &state, const DocumentsReplyReceived &event, MonoTime now, RelayCommands &)
@@ -403,6 +406,7 @@
     if (state.directory_.tombstones_.size() > maxTombstones)
         state.directory_.tombstones_.clear();
     requestDocuments(state, now, out);
+    updateLoads(state, now, out);
     updateStoreUse(state, now, out);
     if (!state.stopRequestedAt_)
         reconcileBalances(state.prepaid_, state.settings_.prepaid_, now);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -10,6 +10,7 @@
 #include "core/relay/events.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instancelimits.h"
+#include "core/relay/instanceload.h"
 #include "core/relay/instances.h"
 #include "core/relay/overload.h"
 #include "core/relay/prepaid.h"
@@ -51,6 +52,7 @@
     OverloadSettings overload_;
     QuarantineSettings quarantine_;
     RequestLimitSettings limits_;
+    LoadSettings load_;
     /// Number of live daemons from which on they tell each other the load that they cause at the
     /// instances, and balance by it; 0 if they never do.
     std::uint32_t shareLoadFrom_ = 0;
@@ -200,6 +202,11 @@
     std::uint64_t evacuationSkips_ = 0;
     ColdInstances cold_;
     ColdPermits coldPermits_;
+    InstanceLoads loads_;
+    /// This daemon shares its load, as it was last logged.
+    bool sharesLoad_ = false;
+    /// Replies to other daemons tell the load of this daemon and of those that reported theirs.
+    bool loadsPublished_ = false;
     /// The parts whose quarantine was logged as begun.
     std::set<PromptPartId> quarantinedParts_;
     std::map<ExchangeId, RelayedRequest> active_;
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -137,12 +137,6 @@
 
 } // namespace
 
-bool sharesLoad(const RelayState &state)
-{
-    return state.settings_.shareLoadFrom_ > 0
-        && state.fleet_.daemons_ >= state.settings_.shareLoadFrom_;
-}
-
 Tokens worstCase(const PromptUsage &usage)
 {
     return usage.prompt_ + usage.maxOutput_;
--- a/src/relayd/documentcache.h
+++ b/src/relayd/documentcache.h
@@ -5,6 +5,7 @@
 #include "core/relay/relay.h"
 
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
