Log: a bound on the bytes that wait for output

Change: queued lines and the batch being written share LogSinkSettings::maxBytes_ (4 MB). A line is freed once it is copied into the batch.

--- a/src/adapters/logging/logsink.cpp
+++ b/src/adapters/logging/logsink.cpp
@@ -65,11 +65,13 @@
     sink.linesQueued_.wait_for(lock, sink.settings_.batchDelay_,
                                [&sink] { return sink.stopping_; });
     std::string text;
-    for (const LogSink::Line &line : sink.lines_) {
-        text += line.text_;
+    text.reserve(sink.bytes_);
+    // Each line is freed once it is copied, so that no batch exists twice.
+    for (; !sink.lines_.empty(); sink.lines_.pop_front()) {
+        text += sink.lines_.front().text_;
         text += '\n';
     }
-    sink.lines_.clear();
+    sink.writing_ = std::exchange(sink.bytes_, 0);
     if (const std::uint64_t dropped = std::exchange(sink.dropped_, 0)) {
         const LogEvent event {
             LogLevel::Warning, "log.dropped", {{"lines", std::to_string(dropped)}}};
@@ -84,6 +86,7 @@
         const std::string text = takeBatch(sink);
         const bool written = writeAll(sink, text);
         const std::lock_guard lock(sink.mutex_);
+        sink.writing_ = 0;
         if (sink.stopping_ && (sink.lines_.empty() || !written))
             return;
     }
@@ -95,6 +98,11 @@
     ++sink.droppedTotal_;
 }
 
+std::size_t memoryOf(const LogSink::Line &line)
+{
+    return sizeof(LogSink::Line) + line.text_.capacity();
+}
+
 /// Removes the oldest info line to make room for a warning or an error.
 /// @return false if no info line is queued
 bool evictOldestInfo(LogSink &sink)
@@ -103,10 +111,17 @@
                                    [](const auto &line) { return line.level_ == LogLevel::Info; });
     if (info == sink.lines_.end())
         return false;
+    sink.bytes_ -= memoryOf(*info);
     sink.lines_.erase(info);
     return true;
 }
 
+bool hasRoom(const LogSink &sink, std::size_t bytes)
+{
+    return sink.lines_.size() < sink.settings_.maxLines_
+        && sink.writing_ + sink.bytes_ + bytes <= sink.settings_.maxBytes_;
+}
+
 bool exceedsInfoRate(LogSink &sink, MonoTime now)
 {
     if (now - sink.windowStart_ >= Seconds {1}) {
@@ -126,6 +141,8 @@
 void queueLogLine(LogSink &sink, const LogEvent &event)
 {
     LogSink::Line line {event.level_, formatLogLine(event, std::chrono::system_clock::now())};
+    line.text_.shrink_to_fit();
+    const std::size_t bytes = memoryOf(line);
     const bool info = event.level_ == LogLevel::Info;
     bool wake = false;
     {
@@ -134,18 +151,25 @@
             countDropped(sink);
             return;
         }
-        if (sink.lines_.size() >= sink.settings_.maxLines_) {
+        while (!hasRoom(sink, bytes)) {
             countDropped(sink);
             if (info || !evictOldestInfo(sink))
                 return;
         }
         wake = sink.lines_.empty();
+        sink.bytes_ += bytes;
         sink.lines_.push_back(std::move(line));
     }
     if (wake)
         sink.linesQueued_.notify_one();
 }
 
+std::uint64_t queuedLogBytes(LogSink &sink)
+{
+    const std::lock_guard lock(sink.mutex_);
+    return sink.bytes_ + sink.writing_;
+}
+
 std::uint64_t droppedLogLines(LogSink &sink)
 {
     const std::lock_guard lock(sink.mutex_);
--- a/src/adapters/logging/logsink.h
+++ b/src/adapters/logging/logsink.h
@@ -18,8 +18,11 @@
 struct LogSinkSettings
 {
     /// Maximum number of queued lines. If the queue is full, a warning or an error replaces the
-    /// oldest info line.
+    /// oldest info lines.
     std::size_t maxLines_ = 4000;
+    /// Maximum number of bytes of queued lines and of those being written. Lines carry ids that
+    /// clients choose, up to the size of a head each.
+    std::size_t maxBytes_ = 4U << 20U;
     /// Maximum number of info lines per second; the lines of requests would fill the log under
     /// load.
     std::uint32_t infoPerSecond_ = 400;
@@ -31,7 +34,7 @@
 
 /// @brief The queue and its writer thread. The mutex guards all members after it except thread_.
 ///
-/// Invariant: lines_.size() <= settings_.maxLines_.
+/// Invariant: lines_.size() <= settings_.maxLines_ and bytes_ + writing_ <= settings_.maxBytes_.
 struct LogSink
 {
     LogSinkSettings settings_;
@@ -43,6 +46,9 @@
         std::string text_;
     };
     std::deque<Line> lines_;
+    /// Bytes of lines_, and of the batch that is being written.
+    std::size_t bytes_ = 0;
+    std::size_t writing_ = 0;
     std::uint64_t dropped_ = 0;
     std::uint64_t droppedTotal_ = 0;
     MonoTime windowStart_ {};
@@ -57,6 +63,9 @@
 /// @brief Queues a line. Drops it if the queue is full or the rate of info lines exceeds its limit.
 void queueLogLine(LogSink &sink, const LogEvent &event);
 
+/// @brief Returns the memory of the lines that wait for output.
+std::uint64_t queuedLogBytes(LogSink &sink);
+
 /// @brief Returns the number of lines dropped since the start.
 std::uint64_t droppedLogLines(LogSink &sink);
 
