One budget for connections, requests, responses and events; idle and unread clients give way

Change: bufferbudget.h counts by kind (tamarack_relay_memory_bytes); nothing is read from clients above 0.9 of the budget, and a request that waits 0.7 s for memory is refused with 503 as not run; accepting.cpp closes the longest idle connection for a new one at the limit, and cuts off a client that reads nothing for 3 s while its memory is needed, or for 10 s while its upstream has to wait; all upstream connections together have a limit, at which idle ones and attempts without a client give way.

--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -184,7 +184,25 @@
                               "Maximum of tamarack_relay_buffered_bytes; 0 if there is none");
     auto *memoryRefusals
         = gauge("tamarack_relay_memory_refusals",
-                "Requests refused since the start because no memory was available for their body");
+                "Requests refused since the start because no memory was available for them");
+    auto &memory = BuildGauge()
+                       .Name("tamarack_relay_memory_bytes")
+                       .Help("Memory held for clients, by what it is held for")
+                       .Register(*registry);
+    const auto memoryKind = [&memory](const char *kind) {
+        return &memory.Add({{"kind", kind}});
+    };
+    auto *connections = memoryKind("connections");
+    auto *requests = memoryKind("requests");
+    auto *responses = memoryKind("responses");
+    auto *events = memoryKind("events");
+    auto *log = memoryKind("log");
+    auto *idleClosed
+        = gauge("tamarack_relay_idle_connections_closed",
+                "Idle client connections closed since the start to make room for new ones");
+    auto *unreadClosed
+        = gauge("tamarack_relay_unread_connections_closed",
+                "Client connections closed since the start because responses were not read");
     RelayMetricsPort port;
     port.event_ = [families](const RelayEvent &event) {
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, event);
@@ -192,23 +210,31 @@
     port.command_ = [families](const RelayCommand &command) {
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, command);
     };
-    port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
-                            limited, dropped, delay, link, buffered, bufferLimit,
-                            memoryRefusals](Micros time, const RelayGauges &gauges) {
-        handling.Observe(std::chrono::duration<double>(time).count());
-        active->Set(static_cast<double>(gauges.active_));
-        instances->Set(static_cast<double>(gauges.instances_));
-        version->Set(static_cast<double>(gauges.config_.value_));
-        daemons->Set(gauges.daemons_);
-        available->Set(static_cast<double>(gauges.tokensAvailable_.count_));
-        limited->Set(static_cast<double>(gauges.limitedInstances_));
-        dropped->Set(static_cast<double>(gauges.droppedLogLines_));
-        delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
-        link->Set(gauges.linkUse_);
-        buffered->Set(static_cast<double>(gauges.buffers_.bytes_));
-        bufferLimit->Set(static_cast<double>(gauges.buffers_.limitBytes_));
-        memoryRefusals->Set(static_cast<double>(gauges.buffers_.refusals_));
-    };
+    port.onEventHandled_
+        = [families, &handling, active, instances, version, daemons, available, limited, dropped,
+           delay, link, buffered, bufferLimit, memoryRefusals, connections, requests, responses,
+           events, log, idleClosed, unreadClosed](Micros time, const RelayGauges &gauges) {
+              handling.Observe(std::chrono::duration<double>(time).count());
+              active->Set(static_cast<double>(gauges.active_));
+              instances->Set(static_cast<double>(gauges.instances_));
+              version->Set(static_cast<double>(gauges.config_.value_));
+              daemons->Set(gauges.daemons_);
+              available->Set(static_cast<double>(gauges.tokensAvailable_.count_));
+              limited->Set(static_cast<double>(gauges.limitedInstances_));
+              dropped->Set(static_cast<double>(gauges.droppedLogLines_));
+              delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
+              link->Set(gauges.linkUse_);
+              buffered->Set(static_cast<double>(gauges.buffers_.bytes_));
+              bufferLimit->Set(static_cast<double>(gauges.buffers_.limitBytes_));
+              memoryRefusals->Set(static_cast<double>(gauges.buffers_.refusals_));
+              connections->Set(static_cast<double>(gauges.buffers_.connectionBytes_));
+              requests->Set(static_cast<double>(gauges.buffers_.requestBytes_));
+              responses->Set(static_cast<double>(gauges.buffers_.responseBytes_));
+              events->Set(static_cast<double>(gauges.eventBytes_));
+              log->Set(static_cast<double>(gauges.logBytes_));
+              idleClosed->Set(static_cast<double>(gauges.buffers_.idleClosed_));
+              unreadClosed->Set(static_cast<double>(gauges.buffers_.unreadClosed_));
+          };
     return port;
 }
 
--- a/src/adapters/relayhttp/bufferbudget.h
+++ b/src/adapters/relayhttp/bufferbudget.h
@@ -1,9 +1,10 @@
-// A limit on the bytes that all connections of the front end hold together. Limits for each
+// A limit on the memory that all connections of the front end hold together. Limits for each
 // connection don't bound the process: a few hundred clients within them exceed its memory.
 // Internal to the front end.
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -11,6 +12,14 @@
 
 namespace tamarack {
 
+/// @brief What memory is held for.
+enum class MemoryKind {
+    Connections,
+    Requests,
+    Responses,
+};
+inline constexpr std::size_t memoryKinds = 3;
+
 /// @brief The bytes that may be buffered and those that are. Written by the traffic thread only;
 /// the totals are read by others.
 struct BufferBudget
@@ -19,17 +28,31 @@
     std::size_t limit_ = 0;
     /// Sum of all shares.
     std::atomic<std::uint64_t> used_ = 0;
+    /// The same by kind.
+    std::array<std::atomic<std::uint64_t>, memoryKinds> usedByKind_ {};
     /// Sum of the shares that were reserved for request bodies; part of used_.
     std::uint64_t reserved_ = 0;
     /// Requests that were refused because no memory was available for their body.
     std::atomic<std::uint64_t> refusals_ = 0;
+    /// Idle connections that were closed to make room for new ones.
+    std::atomic<std::uint64_t> idleClosed_ = 0;
+    /// Connections that were closed because the client did not read its response.
+    std::atomic<std::uint64_t> unreadClosed_ = 0;
 };
 
+/// @brief Adds a number of bytes, which may be negative.
+inline void changeUse(BufferBudget &budget, MemoryKind kind, std::int64_t bytes)
+{
+    budget.used_ += static_cast<std::uint64_t>(bytes);
+    budget.usedByKind_[static_cast<std::size_t>(kind)] += static_cast<std::uint64_t>(bytes);
+}
+
 /// @brief Part of a budget that belongs to one connection or exchange; returned on destruction.
 struct BufferShare
 {
     BufferBudget *budget_ = nullptr;
     std::size_t bytes_ = 0;
+    MemoryKind kind_ = MemoryKind::Requests;
     /// Counts in BufferBudget::reserved_ too.
     bool reserved_ = false;
 
@@ -37,12 +60,14 @@
     BufferShare(BufferShare &&other) noexcept
         : budget_(std::exchange(other.budget_, nullptr))
         , bytes_(std::exchange(other.bytes_, 0))
+        , kind_(other.kind_)
         , reserved_(std::exchange(other.reserved_, false))
     { }
     BufferShare &operator=(BufferShare &&other) noexcept
     {
         std::swap(budget_, other.budget_);
         std::swap(bytes_, other.bytes_);
+        std::swap(kind_, other.kind_);
         std::swap(reserved_, other.reserved_);
         return *this;
     }
@@ -52,18 +77,19 @@
     {
         if (!budget_)
             return;
-        budget_->used_ -= bytes_;
+        changeUse(*budget_, kind_, -static_cast<std::int64_t>(bytes_));
         if (reserved_)
             budget_->reserved_ -= bytes_;
     }
 };
 
-/// @brief Sets the size of a share that follows the bytes of a buffer.
-inline void setShare(BufferBudget &budget, BufferShare &share, std::size_t bytes)
+/// @brief Sets the size of a share that follows the bytes of a buffer. A share keeps its kind.
+inline void setShare(BufferBudget &budget, BufferShare &share, MemoryKind kind, std::size_t bytes)
 {
     share.budget_ = &budget;
-    budget.used_ += bytes;
-    budget.used_ -= share.bytes_;
+    share.kind_ = kind;
+    changeUse(budget, kind,
+              static_cast<std::int64_t>(bytes) - static_cast<std::int64_t>(share.bytes_));
     share.bytes_ = bytes;
 }
 
@@ -72,6 +98,16 @@
 inline constexpr double reservableFraction = 0.6;
 /// Above this fraction of the budget the buffers of single connections are kept short.
 inline constexpr double shortageFraction = 0.75;
+/// Above this fraction of the budget nothing more is read from clients until memory is free again.
+/// The rest is for what is read before the use is counted again.
+inline constexpr double fullFraction = 0.9;
+
+/// @brief Returns whether more than a fraction of the budget is used.
+inline bool usesMoreThan(const BufferBudget &budget, double fraction)
+{
+    return budget.limit_ > 0
+        && static_cast<double>(budget.used_) > static_cast<double>(budget.limit_) * fraction;
+}
 
 /// @brief Extends a reservation to @a bytes. One reservation is always granted, so that a body that
 /// exceeds a small budget is not refused forever.
@@ -87,7 +123,7 @@
         return false;
     share.reserved_ = true;
     budget.reserved_ = others + bytes;
-    setShare(budget, share, bytes);
+    setShare(budget, share, MemoryKind::Requests, bytes);
     return true;
 }
 
@@ -95,10 +131,10 @@
 inline std::size_t bufferLimit(const BufferBudget &budget, std::size_t limit)
 {
     constexpr std::size_t limitInShortage = std::size_t {32} << 10U;
-    const bool isShort = budget.limit_ > 0
-        && static_cast<double>(budget.used_)
-            > static_cast<double>(budget.limit_) * shortageFraction;
-    return isShort ? std::min(limit, limitInShortage) : limit;
+    constexpr std::size_t limitWhenFull = std::size_t {4} << 10U;
+    if (usesMoreThan(budget, fullFraction))
+        return std::min(limit, limitWhenFull);
+    return usesMoreThan(budget, shortageFraction) ? std::min(limit, limitInShortage) : limit;
 }
 
 } // namespace tamarack
--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -1,6 +1,8 @@
 // Client connections. A request is read completely before it is submitted to the control thread.
 #include "adapters/relayhttp/internal.h"
 
+#include "core/relay/requestmemory.h"
+
 #include <fmt/format.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -130,6 +132,10 @@
     client.exchange_ = exchange.id_;
     exchange.request_ = std::move(request);
     exchange.body_ = std::move(client.body_);
+    // The control thread keeps a copy, and another one waits in its queue.
+    exchange.headBytes_ = sizeof(ClientExchange) + memoryOf(exchange.request_.headers_)
+        + memoryOf(exchange.request_.target_) + memoryOf(exchange.request_.host_)
+        + memoryOf(exchange.requestId_.value_) + 2 * memoryOf(relayed);
     state.exchanges_.emplace(exchange.id_, std::move(exchange));
     state.events_.post_(RequestRead {std::move(relayed)});
 }
@@ -165,6 +171,7 @@
     if (client.reader_.pending_.empty() && !client.requestStart_)
         return;
     const MonoTime now = std::chrono::steady_clock::now();
+    unmarkIdle(state, client);
     if (!client.requestStart_) {
         client.requestStart_ = now;
         setDeadline(state, client.channel_, now + state.limits_.readTimeout_);
@@ -179,6 +186,10 @@
         rejectBadRequest(state, client, progress.status_, progress.error_);
     else if (progress.parseStatus_ == ParseStatus::HeadDone)
         reserveMemory(state, client, progress);
+    // Reading may have been paused behind pipelined requests, all of which are parsed now.
+    if (client.stage_ == ClientStage::Reading && client.awaitedBytes_ == 0
+        && !client.closeScheduled_)
+        updateInterest(state, client.channel_, client.channel_.interest_ | std::uint32_t {EPOLLIN});
 }
 
 /// Closes a connection from the event loop, because functions up the call stack still refer to it.
@@ -189,26 +200,44 @@
     setDeadline(state, client.channel_, std::chrono::steady_clock::now());
 }
 
+bool hasPipelinedEnough(const FrontendState &state, const ClientConnection &client)
+{
+    return client.reader_.pending_.size() > bufferLimit(state.buffers_, maxPipelinedRequestBytes);
+}
+
+void pauseReading(FrontendState &state, ClientConnection &client)
+{
+    updateInterest(state, client.channel_, client.channel_.interest_ & ~std::uint32_t {EPOLLIN});
+}
+
 void waitForRequest(FrontendState &state, ClientConnection &client)
 {
     client.stage_ = ClientStage::Reading;
     client.body_ = BufferShare();
     client.exchange_ = {};
     client.requestStart_.reset();
-    updateInterest(state, client.channel_, readInterest);
     if (state.closingIdleClients_ && client.reader_.pending_.empty()) {
         scheduleClose(state, client);
         return;
     }
     setDeadline(state, client.channel_,
                 std::chrono::steady_clock::now() + state.limits_.idleTimeout_);
-    parseRequest(state, client);
+    // What was pipelined is parsed before more is read. Otherwise each request would let in more
+    // bytes than it uses up, without a bound.
+    updateInterest(state, client.channel_,
+                   hasPipelinedEnough(state, client) ? std::uint32_t {EPOLLRDHUP} : readInterest);
+    if (client.reader_.pending_.empty())
+        markIdle(state, client);
+    else if (!client.local_ && isMemoryFull(state))
+        awaitMemory(state, client, 1);
+    else
+        parseRequest(state, client);
 }
 
 void closeGracefully(FrontendState &state, ClientConnection &client)
 {
     client.stage_ = ClientStage::Lingering;
-    client.reader_.pending_.clear();
+    std::string().swap(client.reader_.pending_);
     ::shutdown(client.channel_.socket_.fd_, SHUT_WR);
     updateInterest(state, client.channel_, readInterest);
     setDeadline(state, client.channel_,
@@ -254,6 +283,7 @@
         return;
     case SendStatus::Blocked:
         updateInterest(state, client.channel_, client.channel_.interest_ | EPOLLOUT);
+        awaitReader(state, client);
         return;
     case SendStatus::Sent:
         break;
@@ -261,6 +291,7 @@
     updateInterest(state, client.channel_, client.channel_.interest_ & ~std::uint32_t {EPOLLOUT});
     if (client.stage_ != ClientStage::Busy)
         return;
+    setDeadline(state, client.channel_, std::nullopt);
     const auto it = state.exchanges_.find(client.exchange_);
     if (it == state.exchanges_.end())
         onResponseSent(state, client);
@@ -268,9 +299,21 @@
         resumeReading(state, it->second);
 }
 
-/// @return false if the connection was closed
+} // namespace
+
 bool receiveFromClient(FrontendState &state, ClientConnection &client)
 {
+    if (!client.local_ && isMemoryFull(state)) {
+        if (client.stage_ == ClientStage::Reading && client.awaitedBytes_ == 0
+            && !client.closeScheduled_) {
+            awaitMemory(state, client, 1);
+            return true;
+        }
+        if (client.stage_ == ClientStage::Busy) {
+            pauseReading(state, client);
+            return true;
+        }
+    }
     switch (receive(state, client.channel_, client.reader_.pending_)) {
     case ReceiveStatus::Received:
         break;
@@ -282,34 +325,19 @@
         return false;
     }
     if (client.stage_ == ClientStage::Lingering)
-        client.reader_.pending_.clear();
+        std::string().swap(client.reader_.pending_);
     else if (client.stage_ == ClientStage::Reading)
         parseRequest(state, client);
-    else if (client.reader_.pending_.size() > bufferLimit(state.buffers_, maxPipelinedRequestBytes))
-        updateInterest(state, client.channel_,
-                       client.channel_.interest_ & ~std::uint32_t {EPOLLIN});
+    else if (hasPipelinedEnough(state, client))
+        pauseReading(state, client);
     return true;
 }
 
-} // namespace
-
-void acceptClients(FrontendState &state, bool local)
+void resumeRequest(FrontendState &state, ClientConnection &client)
 {
-    const int listener = local ? state.localListener_.fd_ : state.clientListener_.fd_;
-    while (local || state.clients_.size() < state.settings_.maxClients_) {
-        Descriptor socket(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (socket.fd_ < 0)
-            return;
-        setTcpOptions(socket.fd_, state.settings_.tcpUserTimeout_);
-        const ConnectionId id {++state.lastId_};
-        ClientConnection &client = state.clients_[id];
-        client.channel_.id_ = id;
-        client.channel_.socket_ = std::move(socket);
-        client.local_ = local;
-        updateInterest(state, client.channel_, readInterest);
-        setDeadline(state, client.channel_,
-                    std::chrono::steady_clock::now() + state.limits_.idleTimeout_);
-    }
+    updateInterest(state, client.channel_, client.channel_.interest_ | std::uint32_t {EPOLLIN});
+    setDeadline(state, client.channel_, *client.requestStart_ + state.limits_.readTimeout_);
+    parseRequest(state, client);
 }
 
 void onClientEvent(FrontendState &state, ClientConnection &client, std::uint32_t events)
@@ -331,6 +359,8 @@
     setDeadline(state, client.channel_, std::nullopt);
     if (client.awaitedBytes_ > 0)
         refuseForMemory(state, client);
+    else if (client.stage_ == ClientStage::Busy && !client.closeScheduled_)
+        onReaderDeadline(state, client);
     else if (client.stage_ == ClientStage::Reading && client.requestStart_
              && !client.closeScheduled_)
         rejectBadRequest(state, client, statusRequestTimeout,
@@ -352,26 +382,13 @@
         };
         ::setsockopt(it->second.channel_.socket_.fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
     }
+    unmarkIdle(state, it->second);
     setDeadline(state, it->second.channel_, std::nullopt);
+    if (it->second.local_)
+        --state.localClients_;
     state.clients_.erase(it);
 }
 
-void closeIdleClients(FrontendState &state)
-{
-    std::vector<ConnectionId> idle;
-    for (const auto &[id, client] : state.clients_) {
-        if (client.stage_ == ClientStage::Reading && !client.requestStart_ && !client.local_)
-            idle.push_back(id);
-    }
-    for (const ConnectionId id : idle) {
-        ClientConnection &client = state.clients_.at(id);
-        // Serves a request that has arrived but was not read yet.
-        if (receiveFromClient(state, client) && state.clients_.contains(id)
-            && client.stage_ == ClientStage::Reading && !client.requestStart_)
-            closeClient(state, id);
-    }
-}
-
 void sendToClient(FrontendState &state, ClientConnection &client, std::string_view bytes)
 {
     client.channel_.out_.bytes_ += bytes;
--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <limits>
 
 namespace tamarack {
 
@@ -95,7 +96,7 @@
 void execute(FrontendState &state, const CloseClients &)
 {
     // Connections that the kernel has accepted may hold a request.
-    acceptClients(state, false);
+    acceptClients(state, false, std::numeric_limits<std::size_t>::max());
     state.clientListener_ = Descriptor();
     state.closingAllClients_ = true;
     state.closingIdleClients_ = true;
@@ -150,22 +151,6 @@
     (void)!::read(state.wakeupEvent_.fd_, &count, sizeof count);
 }
 
-/// Pauses accepting while the limit on client connections or on memory is reached.
-void updateAccepting(FrontendState &state)
-{
-    if (state.closingAllClients_)
-        return;
-    const bool listen = state.clients_.size() < state.settings_.maxClients_
-        && (state.buffers_.limit_ == 0 || state.buffers_.used_ < state.buffers_.limit_);
-    if (listen == state.accepting_)
-        return;
-    state.accepting_ = listen;
-    epoll_event event {};
-    event.events = listen ? std::uint32_t {EPOLLIN} : 0U;
-    event.data.u64 = clientListenerEventId;
-    ::epoll_ctl(state.epoll_.fd_, EPOLL_CTL_MOD, state.clientListener_.fd_, &event);
-}
-
 void reportClientsClosed(FrontendState &state)
 {
     if (!state.closingAllClients_ || state.clientsClosedReported_)
@@ -185,7 +170,10 @@
         return;
     }
     if (number == clientListenerEventId || number == localListenerEventId) {
-        acceptClients(state, number == localListenerEventId);
+        // Requests are read between the connections of a burst, so that none is taken for idle
+        // before its request was read.
+        constexpr std::size_t maxAccepted = 64;
+        acceptClients(state, number == localListenerEventId, maxAccepted);
         return;
     }
     const ConnectionId id {number};
@@ -203,6 +191,7 @@
     const MonoTime now = std::chrono::steady_clock::now();
     while (!state.deadlines_.empty() && state.deadlines_.begin()->first <= now) {
         const ConnectionId id = state.deadlines_.begin()->second;
+        const RelatedIds related = relatedIds(state, id);
         if (const auto client = state.clients_.find(id); client != state.clients_.end())
             onClientDeadline(state, client->second);
         else if (const auto upstream = state.upstreams_.find(id);
@@ -210,6 +199,7 @@
             onUpstreamDeadline(state, upstream->second);
         else
             state.deadlines_.erase(state.deadlines_.begin());
+        countBuffers(state, related);
     }
 }
 
@@ -299,7 +289,17 @@
 BufferUsage bufferUsage(const Frontend &frontend)
 {
     const BufferBudget &buffers = frontend.state_->buffers_;
-    return BufferUsage {buffers.used_, buffers.limit_, buffers.refusals_};
+    const auto kind = [&buffers](MemoryKind wanted) -> std::uint64_t {
+        return buffers.usedByKind_[static_cast<std::size_t>(wanted)];
+    };
+    return BufferUsage {buffers.used_,
+                        buffers.limit_,
+                        buffers.refusals_,
+                        kind(MemoryKind::Connections),
+                        kind(MemoryKind::Requests),
+                        kind(MemoryKind::Responses),
+                        buffers.idleClosed_,
+                        buffers.unreadClosed_};
 }
 
 RelayFrontendPort frontendPort(const Frontend &frontend)
--- a/src/adapters/relayhttp/frontend.h
+++ b/src/adapters/relayhttp/frontend.h
@@ -31,8 +31,14 @@
     /// "IP:port" of the local listener, which serves readiness and metrics.
     std::string localAddress_;
     HeaderNames headers_;
-    /// Client connections above this number stay in the listen queue.
+    /// Client connections above this number stay in the listen queue, unless an idle one can be
+    /// closed.
     std::size_t maxClients_ = 1500;
+    /// Maximum number of connections to all upstreams together. An attempt that would need another
+    /// one is not sent.
+    std::size_t maxUpstreams_ = 1500;
+    /// Maximum number of connections of the local listener; others are closed at once.
+    std::size_t maxLocalClients_ = 32;
     /// Backlog of each listening socket.
     int listenBacklog_ = 512;
     /// A response that is not a stream is buffered up to this size, so that the request can be
@@ -52,6 +58,11 @@
     Millis memoryWaitTimeout_ {700};
     /// Retry-After of such a refusal.
     Millis memoryRetryAfter_ {500};
+    /// A client that has read nothing of its response for this long is cut off while memory is
+    /// short or the limit on connections is reached.
+    Millis unreadTimeoutInShortage_ {3000};
+    /// The same while its upstream is kept from sending the rest of the response.
+    Millis unreadTimeout_ {10'000};
     /// After the last response, input is read and discarded for this long: closing a socket with
     /// unread input sends a reset, which can destroy a response that the client has not read yet.
     Millis lingerTimeout_ {1000};
--- a/src/adapters/relayhttp/frontendstate.h
+++ b/src/adapters/relayhttp/frontendstate.h
@@ -44,8 +44,11 @@
     bool registered_ = false;
     std::uint32_t interest_ = 0;
     std::optional<MonoTime> deadline_;
-    /// The bytes that the connection holds, without those of request bodies.
-    BufferShare buffered_;
+    /// Memory of the connection itself, of the bytes queued for sending, and of those that were
+    /// received, without what is reserved for request bodies.
+    BufferShare self_;
+    BufferShare output_;
+    BufferShare input_;
 };
 
 enum class ClientStage {
@@ -70,6 +73,12 @@
     BufferShare body_;
     /// Reading is paused until this reservation is possible; 0 if it is not paused.
     std::size_t awaitedBytes_ = 0;
+    /// Set while the connection is idle; it is in FrontendState::idleClients_ then.
+    std::optional<MonoTime> idleSince_;
+    /// When the client last read, as far as known, while bytes wait for it, and what its host had
+    /// acknowledged of them.
+    MonoTime waitsForReaderSince_ {};
+    std::size_t acknowledgedBefore_ = 0;
     ExchangeId exchange_;
     bool closeAfterResponse_ = false;
     /// The connection is closed at its deadline without a further response.
@@ -93,6 +102,8 @@
     bool reused_ = false;
     ResponseReader reader_;
     std::string input_;
+    /// Memory of the head of the response being read.
+    std::size_t headBytes_ = 0;
     bool headParsed_ = false;
     /// The response being read belongs to another request.
     bool otherRequest_ = false;
@@ -118,6 +129,11 @@
     HttpRequest request_;
     /// Reserved for the body of the request.
     BufferShare body_;
+    /// Memory of the request's head, also at the control thread, and of the body if it is not
+    /// reserved.
+    BufferShare headMemory_;
+    /// Memory of the request's head, here and at the control thread.
+    std::size_t headBytes_ = 0;
     /// The bytes of the response that are held back.
     BufferShare buffered_;
     RequestId requestId_;
@@ -179,6 +195,9 @@
     /// Instances whose last response stated a notice.
     std::set<UpstreamId> noticeStated_;
     std::set<std::pair<MonoTime, ConnectionId>> deadlines_;
+    /// Idle connections of the client listener, the longest idle first.
+    std::set<std::pair<MonoTime, ConnectionId>> idleClients_;
+    std::size_t localClients_ = 0;
     bool accepting_ = true;
     /// Every response carries "Connection: close".
     bool keepAliveDisabled_ = false;
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -61,12 +61,16 @@
 
 // clients.cpp
 
-void acceptClients(FrontendState &state, bool local);
+/// @brief Resumes reading a request that waited for memory.
+void resumeRequest(FrontendState &state, ClientConnection &client);
+
+/// @brief Receives what a client has sent and parses it.
+/// @return false if the connection was closed
+bool receiveFromClient(FrontendState &state, ClientConnection &client);
+
 void onClientEvent(FrontendState &state, ClientConnection &client, std::uint32_t events);
 void onClientDeadline(FrontendState &state, ClientConnection &client);
 void closeClient(FrontendState &state, ConnectionId id);
-void closeIdleClients(FrontendState &state);
-
 /// @brief Queues bytes for a client and sends as many as the socket accepts.
 void sendToClient(FrontendState &state, ClientConnection &client, std::string_view bytes);
 
@@ -78,12 +82,45 @@
 void sendLocalResponse(FrontendState &state, ClientConnection &client, int status,
                        const LocalResponse &response, std::optional<Millis> retryAfter);
 
+// accepting.cpp
+
+/// @brief Accepts connections. If the limit on client connections is reached, closes the longest
+/// idle one for each.
+/// @param maxCount maximum number of connections to accept
+void acceptClients(FrontendState &state, bool local, std::size_t maxCount);
+
+/// @brief Pauses accepting while memory is used up, or the limit on client connections is reached
+/// and none is idle.
+void updateAccepting(FrontendState &state);
+
+/// @brief Records that a connection has become idle, or isn't idle any more.
+void markIdle(FrontendState &state, ClientConnection &client);
+void unmarkIdle(FrontendState &state, ClientConnection &client);
+
+/// @brief Closes all idle connections of the client listener.
+void closeIdleClients(FrontendState &state);
+
+/// @brief Notes that the socket of a client accepts no more bytes now. A client that goes on to
+/// read nothing is cut off at its deadline.
+void awaitReader(FrontendState &state, ClientConnection &client);
+
+/// @brief Cuts off a client that has read nothing since awaitReader(), if its memory is needed or
+/// it keeps an upstream from sending.
+void onReaderDeadline(FrontendState &state, ClientConnection &client);
+
 // memory.cpp
 
 /// @brief Reserves memory for the rest of a request whose head was read. Pauses reading if there is
 /// none, because the kernel then stops the client from sending.
 void reserveMemory(FrontendState &state, ClientConnection &client, const RequestProgress &progress);
 
+/// @brief Pauses reading from a client until @a needed bytes can be reserved for its request.
+void awaitMemory(FrontendState &state, ClientConnection &client, std::size_t needed);
+
+/// @brief Returns whether nothing more may be read from clients, because requests and responses or
+/// the events for the control thread take too much memory.
+bool isMemoryFull(const FrontendState &state);
+
 /// @brief Refuses a request that got no memory in time.
 void refuseForMemory(FrontendState &state, ClientConnection &client);
 
@@ -119,8 +156,9 @@
 void cancelAttempt(FrontendState &state, ClientExchange &exchange);
 
 /// @brief Ends the attempt of an exchange whose client has left at the request's deadline, at which
-/// the upstream stops as well. No client and no command would end it otherwise.
-void limitAbandonedAttempt(FrontendState &state, const ClientExchange &exchange);
+/// the upstream stops as well, and frees its body once it was sent. No client and no command would
+/// end it otherwise.
+void limitAbandonedAttempt(FrontendState &state, ClientExchange &exchange);
 
 /// @brief Closes all idle upstream connections. Called after a suspension, because the upstreams
 /// may have dropped them meanwhile.
--- a/src/adapters/relayhttp/memory.cpp
+++ b/src/adapters/relayhttp/memory.cpp
@@ -1,6 +1,8 @@
 // Memory of the front end: reservations for request bodies, and what each connection buffers.
 #include "adapters/relayhttp/internal.h"
 
+#include "core/relay/requestmemory.h"
+
 #include <sys/epoll.h>
 
 #include <algorithm>
@@ -11,6 +13,13 @@
 
 constexpr int statusServiceUnavailable = 503;
 
+/// Memory of a connection without what it buffers: its state, the parser, and its entries in maps.
+constexpr std::size_t clientConnectionBytes = 2048;
+constexpr std::size_t upstreamConnectionBytes = 2048;
+
+/// Share of the budget that events may take while they wait for the control thread.
+constexpr double queuedEventsFraction = 0.1;
+
 /// Returns how much memory must be reserved to receive the rest of a request; 0 if none.
 std::size_t neededReservation(const FrontendSettings &settings, const RequestProgress &progress)
 {
@@ -29,11 +38,32 @@
     const std::size_t needed = neededReservation(state.settings_, progress);
     if (extendReservation(state.buffers_, client.body_, needed))
         return;
+    awaitMemory(state, client, needed);
+}
+
+void awaitMemory(FrontendState &state, ClientConnection &client, std::size_t needed)
+{
+    const MonoTime now = std::chrono::steady_clock::now();
+    if (!client.requestStart_)
+        client.requestStart_ = now;
+    unmarkIdle(state, client);
     client.awaitedBytes_ = needed;
     state.awaitingMemory_.push_back(client.channel_.id_);
     updateInterest(state, client.channel_, client.channel_.interest_ & ~std::uint32_t {EPOLLIN});
+    // A request that waits again and again must not outlast the time to receive it.
     setDeadline(state, client.channel_,
-                std::chrono::steady_clock::now() + state.settings_.memoryWaitTimeout_);
+                std::min(now + state.settings_.memoryWaitTimeout_,
+                         *client.requestStart_ + state.limits_.readTimeout_));
+}
+
+bool isMemoryFull(const FrontendState &state)
+{
+    const BufferBudget &budget = state.buffers_;
+    if (usesMoreThan(budget, fullFraction))
+        return true;
+    return budget.limit_ > 0 && state.events_.queuedBytes_
+        && static_cast<double>(state.events_.queuedBytes_())
+        > static_cast<double>(budget.limit_) * queuedEventsFraction;
 }
 
 void discardRequest(ClientConnection &client)
@@ -59,17 +89,19 @@
 void resumeAwaitingMemory(FrontendState &state)
 {
     while (!state.awaitingMemory_.empty()) {
-        const auto it = state.clients_.find(state.awaitingMemory_.front());
+        const ConnectionId id = state.awaitingMemory_.front();
+        const auto it = state.clients_.find(id);
         const bool waits = it != state.clients_.end() && it->second.awaitedBytes_ > 0;
+        if (waits && isMemoryFull(state))
+            return;
         if (waits && !extendReservation(state.buffers_, it->second.body_, it->second.awaitedBytes_))
             return;
         state.awaitingMemory_.pop_front();
         if (!waits)
             continue;
-        ClientConnection &client = it->second;
-        client.awaitedBytes_ = 0;
-        updateInterest(state, client.channel_, client.channel_.interest_ | std::uint32_t {EPOLLIN});
-        setDeadline(state, client.channel_, *client.requestStart_ + state.limits_.readTimeout_);
+        it->second.awaitedBytes_ = 0;
+        resumeRequest(state, it->second);
+        countBuffers(state, relatedIds(state, id));
     }
 }
 
@@ -101,21 +133,31 @@
 
 void countBuffers(FrontendState &state, const RelatedIds &related)
 {
+    BufferBudget &budget = state.buffers_;
     if (const auto it = state.clients_.find(related.client_); it != state.clients_.end()) {
-        const ClientConnection &client = it->second;
+        ClientConnection &client = it->second;
         const std::size_t input = bufferedBytes(client.reader_);
-        setShare(state.buffers_, it->second.channel_.buffered_,
-                 client.channel_.out_.bytes_.size() + input - std::min(input, client.body_.bytes_));
+        setShare(budget, client.channel_.self_, MemoryKind::Connections, clientConnectionBytes);
+        setShare(budget, client.channel_.input_, MemoryKind::Requests,
+                 input - std::min(input, client.body_.bytes_));
+        setShare(budget, client.channel_.output_, MemoryKind::Responses,
+                 memoryOf(client.channel_.out_.bytes_));
+    }
+    if (const auto it = state.upstreams_.find(related.upstream_); it != state.upstreams_.end()) {
+        UpstreamConnection &upstream = it->second;
+        setShare(budget, upstream.channel_.self_, MemoryKind::Connections, upstreamConnectionBytes);
+        setShare(budget, upstream.channel_.input_, MemoryKind::Responses,
+                 memoryOf(upstream.input_) + upstream.headBytes_);
+        setShare(budget, upstream.channel_.output_, MemoryKind::Requests,
+                 memoryOf(upstream.channel_.out_.bytes_));
     }
-    if (const auto it = state.upstreams_.find(related.upstream_); it != state.upstreams_.end())
-        setShare(state.buffers_, it->second.channel_.buffered_,
-                 it->second.channel_.out_.bytes_.size() + it->second.input_.size());
     if (const auto it = state.exchanges_.find(related.exchange_); it != state.exchanges_.end()) {
-        const ClientExchange &exchange = it->second;
-        const std::size_t body = exchange.request_.body_.size();
-        setShare(state.buffers_, it->second.buffered_,
-                 exchange.bufferedBody_.size() + exchange.events_.partial_.size() + body
-                     - std::min(body, exchange.body_.bytes_));
+        ClientExchange &exchange = it->second;
+        const std::size_t body = memoryOf(exchange.request_.body_);
+        setShare(budget, exchange.headMemory_, MemoryKind::Requests,
+                 exchange.headBytes_ + body - std::min(body, exchange.body_.bytes_));
+        setShare(budget, exchange.buffered_, MemoryKind::Responses,
+                 memoryOf(exchange.bufferedBody_) + memoryOf(exchange.events_.partial_));
     }
 }
 
--- a/src/adapters/relayhttp/message.cpp
+++ b/src/adapters/relayhttp/message.cpp
@@ -1,6 +1,8 @@
 // Incremental parsers for HTTP/1.1 messages, based on Boost.Beast.
 #include "adapters/relayhttp/message.h"
 
+#include "core/relay/requestmemory.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -27,6 +29,9 @@
 /// only when they are complete and doesn't limit them.
 constexpr std::size_t maxChunkFramingBytes = 16U << 10U;
 
+/// Memory that the parser takes for a field beside its bytes.
+constexpr std::size_t parsedFieldBytes = 112;
+
 constexpr int statusBadRequest = 400;
 constexpr int statusContentTooLarge = 413;
 constexpr int statusHeaderFieldsTooLarge = 431;
@@ -39,24 +44,27 @@
     return std::string(view.data(), view.size());
 }
 
-bool isListed(const std::vector<std::string> &names, std::string_view name)
+std::string toLower(std::string text)
 {
-    return std::any_of(names.begin(), names.end(), [name](const std::string &listed) {
-        return equalsIgnoreCase(listed, name);
+    std::transform(text.begin(), text.end(), text.begin(), [](char c) {
+        return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
     });
+    return text;
 }
 
-/// Returns the names of the hop-by-hop fields (RFC 9110 section 7.6.1) and the framing fields.
+/// Returns the names of the hop-by-hop fields (RFC 9110 section 7.6.1) and the framing fields, in
+/// lower case and sorted: a head may have thousands of both.
 std::vector<std::string> hopByHopFields(const http::fields &fields)
 {
     std::vector<std::string> names {
-        "Connection",        "Keep-Alive", "Proxy-Connection", "TE",     "Trailer",
-        "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect", "Proxy-Authenticate"};
+        "connection",        "keep-alive", "proxy-connection", "te",     "trailer",
+        "transfer-encoding", "upgrade",    "content-length",   "expect", "proxy-authenticate"};
     const auto range = fields.equal_range(http::field::connection);
     for (auto it = range.first; it != range.second; ++it) {
         for (const auto &token : http::token_list(it->value()))
-            names.push_back(toString(token));
+            names.push_back(toLower(toString(token)));
     }
+    std::sort(names.begin(), names.end());
     return names;
 }
 
@@ -66,7 +74,7 @@
     std::vector<HeaderField> passed;
     for (const auto &field : fields) {
         std::string name = toString(field.name_string());
-        if (!isListed(dropped, name))
+        if (!std::binary_search(dropped.begin(), dropped.end(), toLower(name)))
             passed.push_back(HeaderField {std::move(name), toString(field.value())});
     }
     return passed;
@@ -130,6 +138,9 @@
 {
     std::optional<RequestParser> parser_;
     bool headParsed_ = false;
+    /// Bytes and lines of the head so far.
+    std::size_t headBytes_ = 0;
+    std::size_t headLines_ = 0;
 };
 
 struct ResponseReaderState
@@ -194,13 +205,24 @@
         state.parser_->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes_));
         state.parser_->body_limit(limits.maxBodyBytes_);
         state.headParsed_ = false;
+        state.headBytes_ = 0;
+        state.headLines_ = 0;
     }
     RequestProgress progress;
     while (!state.parser_->is_done() && !reader.pending_.empty()) {
         error_code error;
         const std::size_t used = state.parser_->put(
             boost::asio::const_buffer(reader.pending_.data(), reader.pending_.size()), error);
+        if (!state.headParsed_) {
+            const std::size_t end = std::min(reader.pending_.find("\r\n\r\n"), used);
+            state.headBytes_ += end;
+            state.headLines_ += static_cast<std::size_t>(
+                std::count(reader.pending_.begin(),
+                           reader.pending_.begin() + static_cast<std::ptrdiff_t>(end), '\n'));
+        }
         reader.pending_.erase(0, used);
+        if (reader.pending_.empty())
+            std::string().swap(reader.pending_);
         if (state.parser_->is_header_done() && !state.headParsed_) {
             state.headParsed_ = true;
             progress.error_ = requestHeadError(state.parser_->get());
@@ -240,9 +262,19 @@
 
 std::size_t bufferedBytes(const RequestReader &reader)
 {
-    const std::size_t body
-        = reader.state_->parser_ ? reader.state_->parser_->get().body().size() : 0;
-    return reader.pending_.size() + body;
+    const RequestReaderState &state = *reader.state_;
+    if (!state.parser_)
+        return memoryOf(reader.pending_);
+    return memoryOf(reader.pending_) + memoryOf(state.parser_->get().body()) + state.headBytes_
+        + state.headLines_ * parsedFieldBytes;
+}
+
+std::size_t memoryOf(const std::vector<HeaderField> &fields)
+{
+    std::size_t bytes = fields.capacity() * sizeof(HeaderField);
+    for (const HeaderField &field : fields)
+        bytes += memoryOf(field.name_) + memoryOf(field.value_);
+    return bytes;
 }
 
 HttpRequest takeRequest(RequestReader &reader)
@@ -319,6 +351,15 @@
     return head;
 }
 
+std::size_t parsedHeadBytes(const ResponseReader &reader)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : reader.state_->parser_->get().base())
+        bytes += parsedFieldBytes + field.name_string().size() + field.value().size();
+    // The exchange keeps a copy of the end-to-end fields.
+    return bytes * 2;
+}
+
 std::string takeBody(ResponseReader &reader)
 {
     std::string &body = reader.state_->parser_->get().body();
--- a/src/adapters/relayhttp/message.h
+++ b/src/adapters/relayhttp/message.h
@@ -96,9 +96,12 @@
 /// @brief Parses the reader's pending bytes up to the end of one request.
 RequestProgress readRequest(RequestReader &reader, const RequestLimits &limits);
 
-/// @brief Returns the number of unparsed bytes and of those of the body so far.
+/// @brief Returns the memory of the unparsed bytes, of the head's fields and of the body so far.
 std::size_t bufferedBytes(const RequestReader &reader);
 
+/// @brief Returns the memory of header fields. Linear in the number of fields.
+std::size_t memoryOf(const std::vector<HeaderField> &fields);
+
 /// @brief Returns the request that readRequest() completed, and resets the reader for the next one.
 /// @pre readRequest() returned Done
 HttpRequest takeRequest(RequestReader &reader);
@@ -131,6 +134,9 @@
 /// @pre readResponse() returned HeadDone or Done
 HttpResponseHead responseHead(const ResponseReader &reader);
 
+/// @brief Returns the memory of the response's fields.
+std::size_t parsedHeadBytes(const ResponseReader &reader);
+
 /// @brief Returns the body bytes parsed since the last call.
 std::string takeBody(ResponseReader &reader);
 
--- a/src/adapters/relayhttp/sockets.cpp
+++ b/src/adapters/relayhttp/sockets.cpp
@@ -98,7 +98,8 @@
         out.sent_ += static_cast<std::size_t>(sent);
         state.sentBytes_ += static_cast<std::uint64_t>(sent);
     }
-    out.bytes_.clear();
+    // Keeps no capacity: thousands of idle connections would hold that of their largest response.
+    std::string().swap(out.bytes_);
     out.sent_ = 0;
     return SendStatus::Sent;
 }
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -102,6 +102,28 @@
     return std::nullopt;
 }
 
+/// Closes an idle connection to any upstream, or else the longest running attempt whose client has
+/// left.
+/// @return false if there is neither
+bool makeRoomForUpstream(FrontendState &state)
+{
+    const auto idle = std::find_if(state.idleConnections_.begin(), state.idleConnections_.end(),
+                                   [](const auto &entry) { return !entry.second.empty(); });
+    if (idle != state.idleConnections_.end()) {
+        closeUpstream(state, idle->second.front());
+        return true;
+    }
+    const auto abandoned
+        = std::find_if(state.exchanges_.begin(), state.exchanges_.end(), [](const auto &entry) {
+              return entry.second.abandoned_ && entry.second.upstream_;
+          });
+    if (abandoned == state.exchanges_.end())
+        return false;
+    cancelAttempt(state, abandoned->second);
+    state.exchanges_.erase(abandoned);
+    return true;
+}
+
 std::optional<ConnectionId> openConnection(FrontendState &state, const SendAttempt &attempt)
 {
     std::vector<ConnectionId> &idle = state.idleConnections_[attempt.address_];
@@ -109,6 +131,8 @@
         closeUpstream(state, idle.front());
     if (state.connectionCounts_[attempt.address_] >= attempt.maxConnections_)
         return std::nullopt;
+    if (state.upstreams_.size() >= state.settings_.maxUpstreams_ && !makeRoomForUpstream(state))
+        return std::nullopt;
     Descriptor socket = startConnect(attempt.address_, state.settings_.tcpUserTimeout_);
     if (socket.fd_ < 0)
         return std::nullopt;
@@ -221,6 +245,8 @@
         return;
     }
     upstream.reused_ = true;
+    upstream.headBytes_ = 0;
+    upstream.reader_ = ResponseReader();
     upstream.idleSince_ = bootTime();
     state.idleConnections_[upstream.address_].push_back(upstream.channel_.id_);
     const std::chrono::duration<double> keepAliveTimeout = upstream.keepAliveTimeout_.value_or(
@@ -270,6 +296,7 @@
             return;
         if (!upstream.headParsed_) {
             upstream.headParsed_ = true;
+            upstream.headBytes_ = parsedHeadBytes(upstream.reader_);
             upstream.otherRequest_ = !onResponseHead(state, upstream, exchange);
         }
         const std::string body = takeBody(upstream.reader_);
@@ -416,9 +443,15 @@
     closeUpstream(state, id);
 }
 
-void limitAbandonedAttempt(FrontendState &state, const ClientExchange &exchange)
+void limitAbandonedAttempt(FrontendState &state, ClientExchange &exchange)
 {
     const auto upstream = state.upstreams_.find(exchange.upstream_.value_or(ConnectionId {}));
+    // Such an attempt is not repeated, so what was sent of its body is not needed any more.
+    if (upstream != state.upstreams_.end() && upstream->second.sendStarted_
+        && upstream->second.unsentBodyBytes_ == 0) {
+        std::string().swap(exchange.request_.body_);
+        exchange.body_ = BufferShare();
+    }
     // A connect has a shorter deadline of its own.
     if (upstream != state.upstreams_.end() && !upstream->second.connecting_)
         setDeadline(state, upstream->second.channel_, exchange.attempt_.deadline_);
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -12,6 +12,9 @@
 struct RelayEventPort
 {
     std::function<void(RelayEvent)> post_;
+    /// Returns the memory of the posted events that the control thread has not handled yet. May be
+    /// empty.
+    std::function<std::uint64_t()> queuedBytes_ = {};
 };
 
 /// @brief Submits commands to the traffic thread of the front end. Safe to call from any thread;
@@ -27,8 +30,16 @@
     std::uint64_t bytes_ = 0;
     /// 0 if there is no limit.
     std::uint64_t limitBytes_ = 0;
-    /// Requests refused since the start because no memory was available for their body.
+    /// Requests refused since the start because no memory was available for them.
     std::uint64_t refusals_ = 0;
+    /// Parts of bytes_.
+    std::uint64_t connectionBytes_ = 0;
+    std::uint64_t requestBytes_ = 0;
+    std::uint64_t responseBytes_ = 0;
+    /// Idle connections closed since the start to make room for new ones.
+    std::uint64_t idleClosed_ = 0;
+    /// Connections closed since the start because the client did not read its response.
+    std::uint64_t unreadClosed_ = 0;
 };
 
 /// @brief Gauge values of the control state after an event.
@@ -47,6 +58,10 @@
     /// Smoothed share of the network link that requests and responses take.
     double linkUse_ = 0.0;
     BufferUsage buffers_;
+    /// Memory of the events that wait for the control thread.
+    std::uint64_t eventBytes_ = 0;
+    /// Memory of the log lines that wait for output.
+    std::uint64_t logBytes_ = 0;
 };
 
 /// @brief Records the events and commands of the control thread. All functions must be set.
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -39,8 +39,12 @@
 constexpr Millis configBatchDelay {150};
 /// A message to a peer may carry the largest value of the store and all other documents.
 constexpr std::size_t maxPeerMessageBytes = std::size_t {4} << 20U;
-/// Clients get half of the descriptors; the rest is for files, listeners and upstreams.
+/// Clients get half of the descriptors; the rest is for upstreams.
 constexpr std::size_t clientDescriptorDivisor = 2;
+/// Descriptors for files, listeners, the local listener's connections, the store and other daemons.
+constexpr std::size_t reservedDescriptors = 96;
+/// Fraction of the process memory for log lines that wait for a slow reader.
+constexpr double logMemoryFraction = 0.03;
 /// Allocations from this size on are returned to the system when they are freed.
 constexpr int mappedAllocationBytes = 1 << 20;
 constexpr double bytesPerMegabyte = 1024.0 * 1024.0;
@@ -79,6 +83,7 @@
     frontend.localAddress_ = settings.localAddress_;
     frontend.headers_ = platform.headers_;
     frontend.maxClients_ = settings.maxFileDescriptors_ / clientDescriptorDivisor;
+    frontend.maxUpstreams_ = frontend.maxClients_ - reservedDescriptors;
     frontend.maxBufferedBytes_
         = static_cast<std::size_t>(settings.memoryMb_ * bytesPerMegabyte * bufferedMemoryFraction);
     return frontend;
@@ -180,6 +185,7 @@
     const RelayDaemonSettings &settings_;
     HolderId holder_;
     RelayQueue queue_;
+    EventMemory eventMemory_;
     std::atomic<bool> ready_ = false;
     FollowGate gate_;
     LogSink sink_;
@@ -252,8 +258,12 @@
 bool startHttpFrontend(RelayDaemon &relay)
 {
     const RelayEventPort events {[&relay](RelayEvent event) {
-        post(relay.queue_, std::move(event));
-    }};
+                                     countPosted(relay.eventMemory_, event);
+                                     post(relay.queue_, std::move(event));
+                                 },
+                                 [&relay] {
+                                     return relay.eventMemory_.bytes_.load();
+                                 }};
     relay.frontend_ = startListening<Frontend>(relay.log_, relay.settings_.stopTimeout_, [&] {
         return startFrontend(frontendSettings(relay.settings_, relay.platform_), events,
                              localHandler(relay.platform_, relay.ready_, relay.registry_));
@@ -348,6 +358,9 @@
     ::mallopt(M_MMAP_THRESHOLD, mappedAllocationBytes);
     const pthread_t mainThread = pthread_self();
     RelayDaemon relay(platform, settings);
+    if (settings.memoryMb_ > 0.0)
+        relay.sink_.settings_.maxBytes_
+            = static_cast<std::size_t>(settings.memoryMb_ * bytesPerMegabyte * logMemoryFraction);
     startLogSink(relay.sink_);
     relay.log_.write_(LogEvent {LogLevel::Info,
                                 "daemon.started",
@@ -387,6 +400,8 @@
         },
         [&relay] { return trafficTotals(*relay.frontend_); },
         [&relay] { return bufferUsage(*relay.frontend_); },
+        relay.eventMemory_,
+        [&relay] { return queuedLogBytes(relay.sink_); },
         makeRelayMetricsPort(relay.registry_),
         [&relay] { return droppedLogLines(relay.sink_); },
         [&relay] {
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -49,6 +49,8 @@
     gauges.eventDelay_ = state.overload_.delay_;
     gauges.linkUse_ = state.overload_.linkUse_;
     gauges.buffers_ = loop.bufferUsage_();
+    gauges.eventBytes_ = loop.eventMemory_.bytes_;
+    gauges.logBytes_ = loop.logBytes_();
     return gauges;
 }
 
@@ -60,6 +62,8 @@
     MonoTime usageLoggedAt = std::chrono::steady_clock::now();
     while (running) {
         const auto posted = takePosted(loop.queue_, nextDueTime(state));
+        if (posted)
+            countTaken(loop.eventMemory_, posted->item_);
         const MonoTime now = std::chrono::steady_clock::now();
         recordEventDelay(state, posted ? now - posted->postedAt_ : PreciseMicros {}, now);
         recordTraffic(state, loop.trafficTotals_(), now);
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -4,6 +4,7 @@
 #include "core/relay/relay.h"
 #include "ports/ports.h"
 #include "ports/relay.h"
+#include "relayd/eventmemory.h"
 #include "runtime/runtime.h"
 
 #include <atomic>
@@ -25,6 +26,8 @@
     std::function<void(SendPeer)> sendPeer_;
     std::function<TrafficTotals()> trafficTotals_;
     std::function<BufferUsage()> bufferUsage_;
+    EventMemory &eventMemory_;
+    std::function<std::uint64_t()> logBytes_;
     RelayMetricsPort metrics_;
     std::function<std::uint64_t()> droppedLogLines_;
     /// Logs the number of store calls; called at intervals.
