Count only the filled part of an announced body

Cause: the parser reserves the announced length of a body at once, and the budget counted the capacity of the string: 40 uploads of 4 MB filled it before they had sent anything, and e2e-memory failed (a small request got no_memory, peak 18 MB). Change: at most twice the bytes received are counted for a body that has no reservation.

--- a/src/adapters/relayhttp/message.cpp
+++ b/src/adapters/relayhttp/message.cpp
@@ -265,7 +265,10 @@
     const RequestReaderState &state = *reader.state_;
     if (!state.parser_)
         return memoryOf(reader.pending_);
-    return memoryOf(reader.pending_) + memoryOf(state.parser_->get().body()) + state.headBytes_
+    // The parser reserves the announced length of a body at once. Memory is taken as it is filled.
+    const std::string &body = state.parser_->get().body();
+    const std::size_t bodyBytes = std::min(memoryOf(body), 2 * body.size());
+    return memoryOf(reader.pending_) + bodyBytes + state.headBytes_
         + state.headLines_ * parsedFieldBytes;
 }
 
