--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -65,12 +65,28 @@
 /// @brief Retries the dispatch of requests that wait for an instance.
 void resumeWaitingForInstance(RelayState &state, MonoTime now, RelayCommands &out);
 
+/// @brief Dispatches the most urgent request that waits for an instance of a service, after a
+/// connection to one has become free. One connection serves one request.
+/// @note O(active requests)
+void resumeForFreeConnection(RelayState &state, const ServiceId &service, MonoTime now,
+                             RelayCommands &out);
+
+/// @brief Returns true if a request may be sent to a service.
+bool usesService(const RelayedRequest &active, const ServiceId &service);
+
 /// @brief Returns this daemon's part of the shared retry limit.
 RetrySettings retrySettings(const RelayState &state);
 
 /// @brief Returns true if the daemons tell each other the load that they cause.
 bool sharesLoad(const RelayState &state);
 
+/// @brief Returns the load of other daemons for the choice of an instance, or nullptr if the
+/// daemons don't share it.
+const InstanceLoads *loadsForChoice(const RelayState &state);
+
+/// @brief Renews what is known of the load of other daemons, and what they are told.
+void updateLoads(RelayState &state, MonoTime now, RelayCommands &out);
+
 /// @brief A chosen instance and its service.
 struct Placement
 {
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -39,8 +39,12 @@
 constexpr Millis configBatchDelay {150};
 /// A message to a peer may carry the largest value of the store and all other documents.
 constexpr std::size_t maxPeerMessageBytes = std::size_t {4} << 20U;
-/// Clients get half of the descriptors; the rest is for files, listeners and upstreams.
+/// Clients get half of the descriptors; the rest is for upstreams.
 constexpr std::size_t clientDescriptorDivisor = 2;
+/// Descriptors for files, listeners, the local listener's connections, the store and other daemons.
+constexpr std::size_t reservedDescriptors = 96;
+/// Fraction of the process memory for log lines that wait for a slow reader.
+constexpr double logMemoryFraction = 0.03;
 /// Allocations from this size on are returned to the system when they are freed.
 constexpr int mappedAllocationBytes = 1 << 20;
 constexpr double bytesPerMegabyte = 1024.0 * 1024.0;
@@ -79,6 +83,7 @@
     frontend.localAddress_ = settings.localAddress_;
     frontend.headers_ = platform.headers_;
     frontend.maxClients_ = settings.maxFileDescriptors_ / clientDescriptorDivisor;
+    frontend.maxUpstreams_ = frontend.maxClients_ - reservedDescriptors;
     frontend.maxBufferedBytes_
         = static_cast<std::size_t>(settings.memoryMb_ * bytesPerMegabyte * bufferedMemoryFraction);
     return frontend;
@@ -190,6 +195,7 @@
     RelayDocuments formats_;
     HolderId holder_;
     RelayQueue queue_;
+    EventMemory eventMemory_;
     std::atomic<bool> ready_ = false;
     FollowGate gate_;
     LogSink sink_;
@@ -222,6 +228,18 @@
     }
 };
 
+void onDocumentsRequest(RelayDaemon &relay, const HostId &from, const DocumentsRequest &request)
+{
+    DocumentsReply reply
+        = makeDocumentsReply(*relay.documents_, request, std::chrono::steady_clock::now());
+    addLoads(*relay.documents_, from, request, reply);
+    peerPort(*relay.peers_).send_(SendPeer {from, request.replyAddress_, std::move(reply)});
+    LoadList loads;
+    if (request.loads_)
+        loads = std::make_shared<const std::vector<InstanceLoad>>(*request.loads_);
+    post(relay.queue_, RelayEvent {DocumentsRequestReceived {from, std::move(loads)}});
+}
+
 /// Handles messages from other daemons.
 void onPeerEvent(RelayDaemon &relay, const Event &event)
 {
@@ -229,15 +247,13 @@
     if (!received)
         return;
     if (const auto *documentsRequest = std::get_if<DocumentsRequest>(&received->message_)) {
-        peerPort(*relay.peers_)
-            .send_(SendPeer {received->from_, documentsRequest->replyAddress_,
-                             makeDocumentsReply(*relay.documents_, *documentsRequest,
-                                                std::chrono::steady_clock::now())});
-        post(relay.queue_, RelayEvent {DocumentsRequestReceived {}});
+        onDocumentsRequest(relay, received->from_, *documentsRequest);
     } else if (const auto *documentsReply = std::get_if<DocumentsReply>(&received->message_)) {
         applyDocumentsReply(*relay.documents_, *documentsReply);
         post(relay.queue_,
-             RelayEvent {DocumentsReplyReceived {received->from_, documentsReply->contactAge_}});
+             RelayEvent {DocumentsReplyReceived {received->from_, documentsReply->contactAge_,
+                                                 documentsReply->loads_,
+                                                 documentsReply->loadReporters_}});
     } else if (const auto *report = std::get_if<QuarantineReport>(&received->message_)) {
         post(relay.queue_, RelayEvent {QuarantineReportReceived {received->from_, *report}});
     } else if (const auto *loanRequest = std::get_if<LoanRequest>(&received->message_))
@@ -252,21 +268,25 @@
         post(relay.queue_, RelayEvent {PermitReplyReceived {received->from_, *permitReply}});
 }
 
-void requestPeerDocuments(RelayDaemon &relay, const std::vector<PeerAddress> &peers)
+void requestPeerDocuments(RelayDaemon &relay, RequestPeerDocuments command)
 {
     if (!relay.peers_)
         return;
-    const DocumentsRequest request
-        = makeDocumentsRequest(*relay.documents_, relay.settings_.peerAddress_);
-    for (const PeerAddress &peer : peers)
+    const DocumentsRequest request = makeDocumentsRequest(
+        *relay.documents_, relay.settings_.peerAddress_, std::move(command.loads_));
+    for (const PeerAddress &peer : command.peers_)
         peerPort(*relay.peers_).send_(SendPeer {peer.host_, peer.address_, request});
 }
 
 bool startHttpFrontend(RelayDaemon &relay)
 {
     const RelayEventPort events {[&relay](RelayEvent event) {
-        post(relay.queue_, std::move(event));
-    }};
+                                     countPosted(relay.eventMemory_, event);
+                                     post(relay.queue_, std::move(event));
+                                 },
+                                 [&relay] {
+                                     return relay.eventMemory_.bytes_.load();
+                                 }};
     relay.frontend_ = startListening<Frontend>(relay.log_, relay.settings_.stopTimeout_, [&] {
         return startFrontend(frontendSettings(relay.settings_, relay.platform_), events,
                              localHandler(relay.platform_, relay.ready_, relay.registry_));
@@ -361,6 +381,9 @@
     ::mallopt(M_MMAP_THRESHOLD, mappedAllocationBytes);
     const pthread_t mainThread = pthread_self();
     RelayDaemon relay(platform, settings);
+    if (settings.memoryMb_ > 0.0)
+        relay.sink_.settings_.maxBytes_
+            = static_cast<std::size_t>(settings.memoryMb_ * bytesPerMegabyte * logMemoryFraction);
     startLogSink(relay.sink_);
     relay.log_.write_(LogEvent {LogLevel::Info,
                                 "daemon.started",
@@ -387,7 +410,10 @@
         frontendPort(*relay.frontend_),
         relay.log_,
         relay.ready_,
-        [&relay](const auto &peers) { requestPeerDocuments(relay, peers); },
+        [&relay](RequestPeerDocuments command) { requestPeerDocuments(relay, std::move(command)); },
+        [&relay](std::shared_ptr<const LoadOffer> offer) {
+            publishLoads(*relay.documents_, std::move(offer));
+        },
         [&relay](bool follows) {
             if (!follows)
                 clearStoreContact(*relay.documents_);
@@ -400,6 +426,8 @@
         },
         [&relay] { return trafficTotals(*relay.frontend_); },
         [&relay] { return bufferUsage(*relay.frontend_); },
+        relay.eventMemory_,
+        [&relay] { return queuedLogBytes(relay.sink_); },
         makeRelayMetricsPort(relay.registry_),
         [&relay] { return droppedLogLines(relay.sink_); },
         [&relay] {
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -21,8 +21,9 @@
     void operator()(SendPeer &command) const { loop_.sendPeer_(std::move(command)); }
     void operator()(RequestPeerDocuments &command) const
     {
-        loop_.requestPeerDocuments_(command.peers_);
+        loop_.requestPeerDocuments_(std::move(command));
     }
+    void operator()(PublishLoads &command) const { loop_.publishLoads_(command.offer_); }
     void operator()(SetFollowsStore &command) const { loop_.setFollowsStore_(command.follows_); }
     void operator()(SetStoreContact &command) const { loop_.setStoreContact_(command.contact_); }
     void operator()(RelayStopCompleted &) const { running_ = false; }
@@ -51,7 +52,12 @@
     gauges.droppedLogLines_ = loop.droppedLogLines_();
     gauges.eventDelay_ = state.overload_.delay_;
     gauges.linkUse_ = state.overload_.linkUse_;
+    gauges.loadReports_ = state.loads_.daemons_;
+    if (state.loads_.knownAt_)
+        gauges.loadAge_ = std::chrono::steady_clock::now() - *state.loads_.knownAt_;
     gauges.buffers_ = loop.bufferUsage_();
+    gauges.eventBytes_ = loop.eventMemory_.bytes_;
+    gauges.logBytes_ = loop.logBytes_();
     return gauges;
 }
 
@@ -63,6 +69,8 @@
     MonoTime usageLoggedAt = std::chrono::steady_clock::now();
     while (running) {
         const auto posted = takePosted(loop.queue_, nextDueTime(state));
+        if (posted)
+            countTaken(loop.eventMemory_, posted->item_);
         const MonoTime now = std::chrono::steady_clock::now();
         recordEventDelay(state, posted ? now - posted->postedAt_ : PreciseMicros {}, now);
         recordTraffic(state, loop.trafficTotals_(), now);
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -4,10 +4,12 @@
 #include "core/relay/relay.h"
 #include "ports/ports.h"
 #include "ports/relay.h"
+#include "relayd/eventmemory.h"
 #include "runtime/runtime.h"
 
 #include <atomic>
 #include <functional>
+#include <memory>
 
 namespace tamarack {
 
@@ -19,12 +21,16 @@
     RelayFrontendPort frontend_;
     LogPort log_;
     std::atomic<bool> &ready_;
-    std::function<void(const std::vector<PeerAddress> &)> requestPeerDocuments_;
+    std::function<void(RequestPeerDocuments)> requestPeerDocuments_;
+    /// Replaces the load that replies to other daemons tell.
+    std::function<void(std::shared_ptr<const LoadOffer>)> publishLoads_;
     std::function<void(bool)> setFollowsStore_;
     std::function<void(bool)> setStoreContact_;
     std::function<void(SendPeer)> sendPeer_;
     std::function<TrafficTotals()> trafficTotals_;
     std::function<BufferUsage()> bufferUsage_;
+    EventMemory &eventMemory_;
+    std::function<std::uint64_t()> logBytes_;
     RelayMetricsPort metrics_;
     std::function<std::uint64_t()> droppedLogLines_;
     /// Logs the number of store calls; called at intervals.
