Instances are chosen by the load of all daemons

Each daemon took the others for as busy as itself, and all of them chose the instance with the lowest score. Daemons with the same old knowledge overload an engine in turns.

Where the load of the others is known, it is added to the daemon's own counts; as the knowledge ages, the own count times the number of daemons takes over again. A full engine (slots, memory of the running requests) is predicted to be waited for. The request chooses at random, by the hash of its id, among the instances that would be filled by the requests that all daemons send until their knowledge is renewed. The preferred engine of a shared prompt part is kept unless another is better by more than the time to read the part again.

--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -3,22 +3,15 @@
 #include "core/relay/instancechoiceinternal.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
 
 namespace tamarack {
 
 namespace {
 
-using choicedetail::learnedDelay;
-using choicedetail::prefillTime;
-
-const InstanceStats *findStats(const ChoiceState &state, const KnownInstance &known)
-{
-    const auto it = state.instanceStats_.find(known.instance_.id_);
-    // Statistics of an earlier process with the same id don't apply.
-    if (it == state.instanceStats_.end() || it->second.startedAt_ != known.instance_.startedAt_)
-        return nullptr;
-    return &it->second;
-}
+using namespace choicedetail;
 
 const Withdrawal *findWithdrawal(const ChoiceState &state, const KnownInstance &known)
 {
@@ -103,82 +96,109 @@
     return std::max(uncached, Tokens {});
 }
 
-/// Returns the tokens of engine memory that a request may take.
-Tokens contextTokens(const RelayRequest &request)
+PreciseMicros otherZonePenalty(const Instance &instance, const ChoiceSettings &settings,
+                               const ChoiceQuery &query)
 {
-    return request.usage_ ? request.usage_->prompt_ + request.usage_->maxOutput_ : Tokens {};
+    if (instance.zone_ == query.zone_)
+        return {};
+    const double kilobytes = static_cast<double>(query.request_->bodyBytes_) / 1000.0;
+    return settings.otherZonePenalty_ + settings.otherZonePenaltyPerKilobyte_ * kilobytes;
 }
 
-/// Prediction for an instance.
-struct Estimate
+/// Makes missing and leaving instances a last resort.
+PreciseMicros lastResortPenalty(const KnownInstance &known, const Withdrawal *withdrawal)
+{
+    const bool isLastResort
+        = known.missingSince_ || (withdrawal && withdrawal->leavingSince_.has_value());
+    return isLastResort ? PreciseMicros {Seconds {60}} : PreciseMicros {};
+}
+
+/// An instance that may be chosen.
+struct Candidate
 {
-    PreciseMicros predicted_ {};
-    /// Prompt tokens of earlier requests that an engine has still to process.
-    Tokens queued_;
-    /// Part of the prediction that the running requests cause.
-    PreciseMicros runningDelay_ {};
+    Choice choice_;
+    PreciseMicros score_ {};
+    double running_ = 0.0;
+    /// How much each further request adds to the score.
+    PreciseMicros costPerRequest_ {};
+    std::uint64_t hash_ = 0;
 };
 
-Estimate engineEstimate(const InstanceStats *record, Tokens uncached, double tokensPerMs,
-                        const ChoiceSettings &settings, const ChoiceQuery &query)
+/// Returns the time in which the engine of a candidate reads the shared parts of a prompt.
+PreciseMicros sharedReadTime(const RelayRequest &request, const Choice &choice)
 {
-    Estimate estimate;
-    if (record) {
-        // Assumes that the other daemons of the zone send as much as this one.
-        estimate.queued_ = Tokens {record->queuedPrefill_.count_ * query.zoneDaemons_};
-        estimate.runningDelay_ = settings.delayPerRequest_
-            * (static_cast<double>(record->running_) * query.zoneDaemons_);
-    }
-    estimate.predicted_
-        = prefillTime(tokensPerMs, uncached + estimate.queued_) + estimate.runningDelay_;
-    return estimate;
+    Tokens shared;
+    const std::vector<PromptPart> &parts = request.usage_->parts_;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+        shared += parts[i].tokens_;
+    return prefillTime(choice.prefillPerMs_, shared);
 }
 
-/// Returns the mean of the learned speeds of a service's engines, which is the initial value of an
-/// engine without samples.
-double meanSpeed(const ChoiceState &state, const ChoiceSettings &settings,
-                 const InstanceDirectory &directory, const ChoiceQuery &query)
+/// Returns the number of requests that an instance takes until its score reaches @a level.
+double roomBelow(const Candidate &candidate, PreciseMicros level)
 {
-    double sum = 0.0;
-    int engines = 0;
-    for (const auto &[id, known] : directory.known_) {
-        if (known.instance_.service_ != query.service_->id_)
-            continue;
-        const InstanceStats *record = findStats(state, known);
-        const double sampled = record ? sampledPerMs(record->speed_) : 0.0;
-        if (sampled <= 0.0)
-            continue;
-        sum += sampled;
-        ++engines;
+    return std::max(level - candidate.score_, PreciseMicros {}) / candidate.costPerRequest_;
+}
+
+/// Returns the score up to which the instances are filled by the requests that all daemons send
+/// before their knowledge is renewed, if the instances with the lowest scores are filled first.
+/// @note O(candidates x log candidates)
+PreciseMicros fillLevel(const std::vector<Candidate> &candidates, const ChoiceSettings &settings)
+{
+    std::vector<const Candidate *> byScore;
+    byScore.reserve(candidates.size());
+    double running = 0.0;
+    for (const Candidate &candidate : candidates) {
+        byScore.push_back(&candidate);
+        running += candidate.running_;
     }
-    return engines > 0 ? sum / engines : settings.prefillTokensPerMs_;
+    std::sort(byScore.begin(), byScore.end(),
+              [](const Candidate *a, const Candidate *b) { return a->score_ < b->score_; });
+    const double expected = 1.0 + running * settings.renewedShare_;
+    // With the i best instances: sum of (level - score) / cost = expected.
+    double scores = 0.0;
+    double rates = 0.0;
+    PreciseMicros level {};
+    for (const Candidate *candidate : byScore) {
+        if (rates > 0.0 && candidate->score_ >= level)
+            break;
+        scores += candidate->score_ / candidate->costPerRequest_;
+        rates += PreciseMicros {1.0} / candidate->costPerRequest_;
+        level = PreciseMicros {(expected + scores) / rates};
+    }
+    return std::max(level, byScore.front()->score_ + settings.minNearBest_);
 }
 
-Estimate serviceEstimate(const InstanceStats *record, std::uint32_t slots,
-                         const ChoiceSettings &settings, const ChoiceQuery &query)
+/// Returns the order of a candidate in a choice at random that is weighted by room; the lowest is
+/// chosen. All daemons agree on it for a request.
+double randomOrder(const Candidate &candidate, PreciseMicros level)
 {
-    const double running
-        = record ? static_cast<double>(record->running_) * query.zoneDaemons_ : 0.0;
-    Estimate estimate;
-    estimate.predicted_ = settings.serviceTime_ * (1.0 + running / std::max(slots, 1U));
-    return estimate;
+    // The upper 53 bits, which a double holds exactly.
+    const double uniform = (static_cast<double>(candidate.hash_ >> 11U) + 0.5) * 0x1p-53;
+    return -std::log(uniform) / roomBelow(candidate, level);
 }
 
-PreciseMicros otherZonePenalty(const Instance &instance, const ChoiceSettings &settings,
-                               const ChoiceQuery &query)
+/// Chooses among the instances whose score is near the best one, so that daemons with the same
+/// knowledge don't all choose the same instance until they know better.
+const Candidate &chooseNearBest(const std::vector<Candidate> &candidates, const Candidate &best,
+                                const Candidate *preferred, const ChoiceSettings &settings,
+                                const ChoiceQuery &query)
 {
-    if (instance.zone_ == query.zone_)
-        return {};
-    const double kilobytes = static_cast<double>(query.request_->bodyBytes_) / 1000.0;
-    return settings.otherZonePenalty_ + settings.otherZonePenaltyPerKilobyte_ * kilobytes;
+    if (preferred
+        && preferred->score_ - best.score_ <= sharedReadTime(*query.request_, best.choice_))
+        return *preferred;
+    const PreciseMicros level = fillLevel(candidates, settings);
+    const Candidate *chosen = &best;
+    for (const Candidate &candidate : candidates) {
+        if (candidate.score_ < level && randomOrder(candidate, level) < randomOrder(*chosen, level))
+            chosen = &candidate;
+    }
+    return *chosen;
 }
 
-/// Makes missing and leaving instances a last resort.
-PreciseMicros lastResortPenalty(const KnownInstance &known, const Withdrawal *withdrawal)
+bool isBetter(const Candidate &a, const Candidate &b)
 {
-    const bool isLastResort
-        = known.missingSince_ || (withdrawal && withdrawal->leavingSince_.has_value());
-    return isLastResort ? PreciseMicros {Seconds {60}} : PreciseMicros {};
+    return a.score_ < b.score_ || (a.score_ == b.score_ && a.hash_ > b.hash_);
 }
 
 } // namespace
@@ -188,13 +208,10 @@
                                      MonoTime now)
 {
     const PromptPart *part = query.service_->engine_ ? affinityPart(*query.request_) : nullptr;
-    const bool usesLearnedSpeed = query.service_->engine_ && query.usesLearnedSpeed_;
-    const double mean = usesLearnedSpeed ? meanSpeed(state, settings, directory, query)
-                                         : settings.prefillTokensPerMs_;
-    const UpstreamId preferred = part ? preferredInstance(directory, query, *part) : UpstreamId {};
-    std::optional<Choice> best;
-    PreciseMicros bestScore {};
-    std::uint64_t bestTie = 0;
+    const Speeds speeds = speedsOf(state, settings, directory, query);
+    const UpstreamId preferredId
+        = part ? preferredInstance(directory, query, *part) : UpstreamId {};
+    std::vector<Candidate> candidates;
     for (const auto &[id, known] : directory.known_) {
         const InstanceStats *record = findStats(state, known);
         const Withdrawal *withdrawal = findWithdrawal(state, known);
@@ -202,36 +219,47 @@
             || (withdrawal && hasWithdrawn(*withdrawal, settings, now)))
             continue;
         const Tokens uncached
-            = uncachedTokens(*query.request_, record, id == preferred, settings, now);
-        const double tokensPerMs = usesLearnedSpeed && record
-            ? learnedPerMs(record->speed_, settings.speed_, mean, now)
-            : mean;
+            = uncachedTokens(*query.request_, record, id == preferredId, settings, now);
+        const Occupancy occupancy = occupancyOf(record, id, query);
+        const double tokensPerMs = speedOf(speeds, record, id, settings, query, now);
         Estimate estimate = query.service_->engine_
-            ? engineEstimate(record, uncached, tokensPerMs, settings, query)
-            : serviceEstimate(record, known.instance_.slots_, settings, query);
+            ? engineEstimate(occupancy, uncached, tokensPerMs, settings, query)
+            : serviceEstimate(occupancy, known.instance_.slots_, settings);
         if (record)
             estimate.predicted_ += learnedDelay(*record, settings, now);
-        PreciseMicros score = estimate.predicted_
-            + otherZonePenalty(known.instance_, settings, query)
+        Candidate candidate;
+        candidate.score_ = estimate.predicted_ + otherZonePenalty(known.instance_, settings, query)
             + lastResortPenalty(known, withdrawal);
         if (record)
-            score += settings.failurePenalty_ * record->failureRate_;
-        const std::uint64_t tie = rendezvousWeight(query.request_->request_.value_, id.value_);
-        if (best && (score > bestScore || (score == bestScore && tie < bestTie)))
-            continue;
-        best = Choice {id,
-                       known.instance_.address_,
-                       estimate.predicted_,
-                       uncached,
-                       known.instance_.zone_ == query.zone_,
-                       tokensPerMs,
-                       estimate.queued_,
-                       estimate.runningDelay_,
-                       contextTokens(*query.request_)};
-        bestScore = score;
-        bestTie = tie;
+            candidate.score_ += settings.failurePenalty_ * record->failureRate_;
+        candidate.hash_ = rendezvousWeight(query.request_->request_.value_, id.value_);
+        candidate.running_ = occupancy.running_;
+        candidate.costPerRequest_ = query.service_->engine_
+            ? settings.delayPerRequest_
+            : settings.serviceTime_ / std::max(known.instance_.slots_, 1U);
+        candidate.choice_ = Choice {id,
+                                    known.instance_.address_,
+                                    estimate.predicted_,
+                                    uncached,
+                                    known.instance_.zone_ == query.zone_,
+                                    tokensPerMs,
+                                    estimate.queued_,
+                                    estimate.runningDelay_,
+                                    contextTokens(*query.request_)};
+        candidates.push_back(std::move(candidate));
     }
-    return best;
+    const auto best = std::min_element(candidates.begin(), candidates.end(), isBetter);
+    if (best == candidates.end())
+        return std::nullopt;
+    if (!knowsLoad(query))
+        return best->choice_;
+    const auto preferred
+        = std::find_if(candidates.begin(), candidates.end(), [&](const Candidate &candidate) {
+              return candidate.choice_.instance_ == preferredId;
+          });
+    return chooseNearBest(candidates, *best, preferred == candidates.end() ? nullptr : &*preferred,
+                          settings, query)
+        .choice_;
 }
 
 } // namespace tamarack
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -24,6 +24,8 @@
 
 namespace tamarack {
 
+struct InstanceLoads;
+
 struct ChoiceSettings
 {
     /// Prompt tokens that an engine is assumed to process per millisecond where no speed is
@@ -66,6 +68,14 @@
     /// Time constant of the exponential decay of the extra delay of an unused instance.
     Millis delayLifetime_ {Seconds {3}};
     PrefillSpeedSettings speed_;
+    /// How long a request holds its slot and memory at an engine, for the wait at a full one.
+    Millis engineHoldTime_ {2000};
+    /// Requests that all daemons send until their knowledge of each other's load is renewed, as a
+    /// share of those that are running. A request chooses at random among the instances that these
+    /// would fill: the knowledge is about 0.6 s old, and requests run for about engineHoldTime_.
+    double renewedShare_ = 0.3;
+    /// Instances whose scores differ by less than this always count as nearly equal.
+    PreciseMicros minNearBest_ {Millis {1}};
 };
 
 /// @brief Statistics of an instance, collected from this daemon's requests.
@@ -136,8 +146,9 @@
     bool acceptsLongWait_ = false;
     /// Availability zones whose instances must not be chosen.
     std::set<ZoneId> excludedZones_ {};
-    /// The learned speeds of the engines are used instead of ChoiceSettings::prefillTokensPerMs_.
-    bool usesLearnedSpeed_ = false;
+    /// Load of the other daemons; nullptr if the daemons don't share it. Learned speeds, slots and
+    /// memory of engines are considered only with it.
+    const InstanceLoads *load_ = nullptr;
 };
 
 /// @brief The chosen instance and the prediction for it.
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -79,7 +79,7 @@
             continue;
         const ChoiceQuery query {
             &active.request_, service, state.settings_.zone_, state.fleet_.zoneDaemons_, excluded,
-            acceptsLongWait,  {},      sharesLoad(state)};
+            acceptsLongWait,  {},      loadsForChoice(state)};
         std::optional<Choice> choice
             = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, query, now);
         if (choice)
--- a/tests/unit-engineload.cpp
+++ b/tests/unit-engineload.cpp
@@ -38,7 +38,13 @@
     std::map<UpstreamId, Engine> engines;
     const MonoTime end = fixture.now_ + duration;
     MonoTime nextArrival = fixture.now_;
+    MonoTime nextReport = fixture.now_;
     for (; fixture.now_ < end; fixture.now_ += Millis {5}) {
+        if (fixture.state_.settings_.shareLoadFrom_ > 0 && fixture.now_ >= nextReport) {
+            nextReport += Millis {300};
+            // The other daemons are idle.
+            post(fixture, DocumentsReplyReceived {HostId {"observer"}, Millis {0}, {}, 3});
+        }
         for (auto &[id, engine] : engines) {
             while (!engine.waiting_.empty() && engine.waiting_.front().first <= fixture.now_) {
                 const SendAttempt attempt = engine.waiting_.front().second;
@@ -81,6 +87,17 @@
     post(fixture, ConfigReceived {config, ChangeSource::Store});
 }
 
+/// Makes the daemon one of four that tell each other their load.
+void shareLoad(RelayFixture &fixture)
+{
+    fixture.state_.settings_.shareLoadFrom_ = 4;
+    FleetView fleet;
+    fleet.daemons_ = 4;
+    fleet.zoneDaemons_ = 4;
+    fleet.peers_ = {PeerAddress {HostId {"observer"}, ZoneId {"near"}, "observer:1", 0}};
+    post(fixture, fleet);
+}
+
 } // namespace
 
 TEST_CASE("under twice the load that two engines can take, most of what they can do is in time")
@@ -130,4 +147,25 @@
     CHECK(findCommand<SendAttempt>(post(fixture, ended(*attempt, AttemptEnd::NotExecuted, 503))));
 }
 
+TEST_CASE("under twice the load, a daemon that knows the load of the others does as well")
+{
+    RelayFixture fixture;
+    setUpWithTokens(fixture);
+    shareLoad(fixture);
+    const LoadResult result = playLoad(fixture, Millis {25}, Millis {100}, Seconds {30});
+    CHECK(result.inTime_ >= 440);
+    CHECK(result.late_ <= 60);
+    CHECK(result.refused_ >= 500);
+}
+
+TEST_CASE("no request is refused while the engines keep up and the load of the others is known")
+{
+    RelayFixture fixture;
+    setUpWithTokens(fixture);
+    shareLoad(fixture);
+    const LoadResult result = playLoad(fixture, Millis {65}, Millis {100}, Seconds {30});
+    CHECK(result.refused_ == 0);
+    CHECK(result.late_ == 0);
+}
+
 } // namespace tamarack
