--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -92,7 +92,7 @@
         query.acceptsLongWait_ = acceptsLongWait;
         query.excludedZones_ = zones;
         query.maxConnections_ = connectionsPerInstance(state, *service);
-        query.usesLearnedSpeed_ = sharesLoad(state);
+        query.load_ = loadsForChoice(state);
         std::optional<Choice> choice
             = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, query, now);
         if (choice)
