--- a/src/core/relay/coldpermits.cpp
+++ b/src/core/relay/coldpermits.cpp
@@ -51,6 +51,9 @@
 {
     if (limits.stopping_ || !limits.startedAt_ || now < *limits.startedAt_ + settings.startDelay_)
         return GrantRole::None;
+    // Such a daemon is missing in what the others know, so its rank is not known to them.
+    if (limits.address_.empty() && limits.fleetSize_ > 1)
+        return GrantRole::None;
     std::vector<PeerAddress> ranked = limits.daemons_;
     sortForInstance(ranked, target.process_.instance_, target.zone_, settings.coordinators_);
     const bool known = std::any_of(ranked.begin(), ranked.end(), [&](const PeerAddress &daemon) {
--- a/src/core/relay/instancelimits.h
+++ b/src/core/relay/instancelimits.h
@@ -74,6 +74,8 @@
     std::string address_;
     /// All daemons, including this one.
     std::vector<PeerAddress> daemons_;
+    /// Registered daemons, including this one and those without a peer listener.
+    std::uint32_t fleetSize_ = 1;
     /// When daemons_ was first known.
     std::optional<MonoTime> startedAt_;
     /// Daemons that left the fleet, and when this was noticed.
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -178,6 +178,7 @@
     state.fleet_ = event;
     state.prepaid_.daemons_ = event.daemons_;
     updateQuarantinePeers(state.quarantine_, self, event.peers_, now);
+    state.limits_.fleetSize_ = event.daemons_;
     updateLimitPeers(state.limits_, state.settings_.limits_, self, event.peers_, now);
     if (changed)
         logLine(out, LogLevel::Info, "fleet.counted",
--- a/tests/unit-relaysettings.cpp
+++ b/tests/unit-relaysettings.cpp
@@ -66,6 +66,21 @@
     CHECK(control.capacity_ == 250);
 }
 
+TEST_CASE("the bound for cold instances reaches the control state")
+{
+    // Without it, the bound was the bare rate and a part of what is permitted was not used.
+    RelayDaemonSettings settings;
+    CHECK(relayControlSettings(settings).cold_.overrun_ == Approx(1.0));
+    CHECK(relayControlSettings(settings).cold_.slack_ == Approx(0.0));
+    settings.coldOverrun_ = 1.5;
+    settings.coldSlack_ = 5.0;
+    const RelaySettings control = relayControlSettings(settings);
+    CHECK(control.cold_.overrun_ == Approx(1.5));
+    CHECK(control.cold_.slack_ == Approx(5.0));
+    // A permit that is used later than the arithmetic of the bound assumes would break it.
+    CHECK(control.cold_.useWithin_ >= control.limits_.replyTimeout_ + control.connectTimeout_);
+}
+
 TEST_CASE("the network link of a host is converted to bytes per second")
 {
     ValidationErrors errors;
