--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -71,14 +71,15 @@
     return nullptr;
 }
 
-/// Returns whether a permit can still be used: the instance is not cold unless the permit is for a
-/// cold one, and a suspension of this daemon has not delayed the reply. A permit that is used late
-/// would add up with those of the next second.
+/// Returns whether a permit can still be used. One for a cold instance that is used late, for
+/// example after a suspension of this daemon, would add up with those of the next second; one for a
+/// stated limit is not enough for an instance that is cold by now.
 bool isValid(const RelayState &state, const AwaitedPermit &permit, const Instance &instance,
              MonoTime now)
 {
-    return now <= permit.requestedAt_ + state.settings_.limits_.replyTimeout_
-        && (permit.isCold_ || !coldRate(state, instance, now));
+    if (permit.isCold_)
+        return now <= permit.requestedAt_ + state.settings_.limits_.replyTimeout_;
+    return !coldRate(state, instance, now);
 }
 
 /// Sends a request for which a permit was granted, if the instance still takes requests.
