--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -185,6 +185,7 @@
     scheduleFirstGrants(state.prepaid_, state.settings_.prepaid_, now);
     updateQuarantinePeers(state.quarantine_, self, event.peers_, now);
     updateLoadPeers(state.loads_, self, event.peers_);
+    state.limits_.fleetSize_ = event.daemons_;
     updateLimitPeers(state.limits_, state.settings_.limits_, self, event.peers_, now);
     if (changed)
         logLine(out, LogLevel::Info, "fleet.counted",
