--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -344,11 +344,10 @@
     active.awaitedPermit_.reset();
     // Work was already done for a request that is sent again.
     const bool acceptsLongWait = active.attempts_ > 0;
-    const std::set<ZoneId> zones = excludedZones(state, active);
     countEvacuationSkip(state, active, now);
     while (true) {
-        const std::optional<Placement> placement
-            = chooseAcrossServices(state, active, zones, acceptsLongWait, now);
+        const std::optional<Placement> placement = chooseAcrossServices(
+            state, active, excludedZones(state, active), acceptsLongWait, now);
         if (!placement)
             break;
         const PermitStatus permit = obtainPermit(state, active, *placement, now, out);
