--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -92,7 +92,7 @@
         query.acceptsLongWait_ = acceptsLongWait;
         query.excludedZones_ = zones;
         query.maxConnections_ = connectionsPerInstance(state, *service);
-        query.usesLearnedSpeed_ = sharesLoad(state);
+        query.load_ = loadsForChoice(state);
         std::optional<Choice> choice
             = chooseInstance(state.choice_, state.settings_.choice_, state.directory_, query, now);
         if (choice)
@@ -283,11 +283,10 @@
     active.awaitedPermit_.reset();
     // Work was already done for a request that is sent again.
     const bool acceptsLongWait = active.attempts_ > 0;
-    const std::set<ZoneId> zones = excludedZones(state, active);
     countEvacuationSkip(state, active, now);
     while (true) {
-        const std::optional<Placement> placement
-            = chooseAcrossServices(state, active, zones, acceptsLongWait, now);
+        const std::optional<Placement> placement = chooseAcrossServices(
+            state, active, excludedZones(state, active), acceptsLongWait, now);
         if (!placement)
             break;
         const PermitStatus permit = obtainPermit(state, active, *placement, now, out);
