Requests that wait for an instance are sent by urgency, then deadline

They were sent in the order of their arrival, so an urgent request could wait behind others for the only engine. unit-urgency: four waiting requests are sent in the right order to an engine that appears.

--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -2,7 +2,10 @@
 #include "core/relay/relayinternal.h"
 #include "core/relay/urgency.h"
 
+#include <algorithm>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace tamarack::relaydetail {
 
@@ -50,6 +53,19 @@
     return afterOutage ? now : *knownAt;
 }
 
+void resumeWaitingForInstance(RelayState &state, MonoTime now, RelayCommands &out)
+{
+    // The most urgent first, and among these the one with the least time left.
+    std::vector<std::tuple<int, MonoTime, ExchangeId>> waiting;
+    for (const auto &[id, active] : state.active_) {
+        if (active.stage_ == RelayStage::AwaitingInstance)
+            waiting.emplace_back(active.urgency_, active.deadline_, id);
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto &[urgency, deadline, id] : waiting)
+        dispatch(state, state.active_.at(id), now, out);
+}
+
 void recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now)
 {
     recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_, now);
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -383,15 +383,4 @@
     }
 }
 
-void resumeWaitingForInstance(RelayState &state, MonoTime now, RelayCommands &out)
-{
-    std::vector<ExchangeId> waiting;
-    for (const auto &[id, active] : state.active_) {
-        if (active.stage_ == RelayStage::AwaitingInstance)
-            waiting.push_back(id);
-    }
-    for (const ExchangeId id : waiting)
-        dispatch(state, state.active_.at(id), now, out);
-}
-
 } // namespace tamarack::relaydetail
--- a/tests/unit-urgency.cpp
+++ b/tests/unit-urgency.cpp
@@ -73,4 +73,32 @@
     CHECK(last == 9);
 }
 
+TEST_CASE("requests that wait for an instance are sent by urgency, then deadline")
+{
+    RelayFixture fixture;
+    setUpPriorities(fixture, 2, 1, std::nullopt);
+    post(fixture, InstancesListed {{}, Revision {10}, ChangeSource::Store});
+    advanceTime(fixture, Seconds {2});
+    const auto wait = [&fixture](const std::string &route, Millis timeout) {
+        RelayRequest request = makeRequest(fixture, route);
+        request.usage_ = PromptUsage {Tokens {400}, Tokens {10}, {}};
+        request.clientTimeout_ = timeout;
+        post(fixture, RequestRead {request});
+        REQUIRE(fixture.state_.active_.at(request.id_).stage_ == RelayStage::AwaitingInstance);
+        return request.id_;
+    };
+    const ExchangeId late = wait("stream", Millis {1500});
+    const ExchangeId soon = wait("stream", Millis {1000});
+    const ExchangeId urgentLate = wait("resume", Millis {1500});
+    const ExchangeId urgentSoon = wait("resume", Millis {1000});
+    const RelayCommands out
+        = post(fixture, InstanceChanged {makeInstance("e1", "llm", 11), ChangeSource::Store});
+    std::vector<ExchangeId> sent;
+    for (const RelayCommand &command : out) {
+        if (const auto *attempt = std::get_if<SendAttempt>(&command))
+            sent.push_back(attempt->id_);
+    }
+    CHECK(sent == std::vector<ExchangeId> {urgentSoon, urgentLate, soon, late});
+}
+
 } // namespace tamarack
