--- a/src/adapters/relayhttp/accepting.cpp
+++ b/src/adapters/relayhttp/accepting.cpp
@@ -38,8 +38,7 @@
 
 /// Closes the connection that has been idle for longest. One whose next request has arrived is
 /// served instead.
-/// @return false if no connection is idle
-bool closeLongestIdle(FrontendState &state)
+void closeLongestIdle(FrontendState &state)
 {
     while (!state.idleClients_.empty()) {
         const ConnectionId id = state.idleClients_.begin()->second;
@@ -47,15 +46,14 @@
         if (hasInput(client)) {
             unmarkIdle(state, client);
             if (!receiveFromClient(state, client))
-                return true;
+                return;
             countBuffers(state, relatedIds(state, id));
             continue;
         }
         ++state.buffers_.idleClosed_;
         closeClient(state, id);
-        return true;
+        return;
     }
-    return false;
 }
 
 } // namespace
@@ -80,11 +78,14 @@
 {
     const int listener = local ? state.localListener_.fd_ : state.clientListener_.fd_;
     for (std::size_t i = 0; i < maxCount; ++i) {
-        if (!local && isClientLimitReached(state) && !closeLongestIdle(state))
+        if (!local && isClientLimitReached(state) && state.idleClients_.empty())
             return;
         Descriptor socket(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (socket.fd_ < 0)
             return;
+        // Only now: an idle connection is not closed for a connection that does not come.
+        if (!local && isClientLimitReached(state))
+            closeLongestIdle(state);
         if (local && state.localClients_ >= state.settings_.maxLocalClients_)
             continue;
         setTcpOptions(socket.fd_, state.settings_.tcpUserTimeout_);
--- a/src/adapters/relayhttp/message.cpp
+++ b/src/adapters/relayhttp/message.cpp
@@ -149,6 +149,9 @@
     bool skipBody_ = false;
     /// Interim responses since the last final one.
     std::size_t interimResponses_ = 0;
+    /// Bytes and lines of the head so far.
+    std::size_t headBytes_ = 0;
+    std::size_t headLines_ = 0;
 };
 
 namespace {
@@ -156,6 +159,8 @@
 void resetParser(ResponseReaderState &state)
 {
     state.parser_.emplace();
+    state.headBytes_ = 0;
+    state.headLines_ = 0;
     state.parser_->eager(true);
     state.parser_->header_limit(maxResponseHeaderBytes);
     state.parser_->body_limit(maxResponseBodyBytes);
@@ -310,7 +315,14 @@
         error_code error;
         const std::size_t used
             = state.parser_->put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+        if (!state.parser_->is_header_done()) {
+            state.headBytes_ += used;
+            state.headLines_ += static_cast<std::size_t>(
+                std::count(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(used), '\n'));
+        }
         bytes.erase(0, used);
+        if (bytes.empty())
+            std::string().swap(bytes);
         if (error && error != http::error::need_more)
             return ParseStatus::Invalid;
         const bool interim
@@ -356,8 +368,11 @@
 
 std::size_t parsedHeadBytes(const ResponseReader &reader)
 {
+    const ResponseReaderState &state = *reader.state_;
+    if (!state.parser_->is_header_done())
+        return state.headBytes_ + state.headLines_ * parsedFieldBytes;
     std::size_t bytes = 0;
-    for (const auto &field : reader.state_->parser_->get().base())
+    for (const auto &field : state.parser_->get().base())
         bytes += parsedFieldBytes + field.name_string().size() + field.value().size();
     // The exchange keeps a copy of the end-to-end fields.
     return bytes * 2;
--- a/src/adapters/relayhttp/message.h
+++ b/src/adapters/relayhttp/message.h
@@ -134,7 +134,8 @@
 /// @pre readResponse() returned HeadDone or Done
 HttpResponseHead responseHead(const ResponseReader &reader);
 
-/// @brief Returns the memory of the response's fields.
+/// @brief Returns the memory of the response's fields, also while the head is not complete.
+/// @pre startResponse() was called
 std::size_t parsedHeadBytes(const ResponseReader &reader);
 
 /// @brief Returns the body bytes parsed since the last call.
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::uint32_t readInterest = EPOLLIN | EPOLLRDHUP;
 
+/// While memory is used up, the unfinished head of a response may take this much.
+constexpr std::size_t maxHeadBytesWhenFull = std::size_t {16} << 10U;
+
 bool isSetByRelay(const HeaderNames &names, std::string_view field)
 {
     const std::array<std::string_view, 5> relayFields {
@@ -292,8 +295,16 @@
             failAttempt(state, upstream, AttemptEnd::Malformed, "malformed HTTP response");
             return;
         }
-        if (read == ParseStatus::NeedMore)
+        if (read == ParseStatus::NeedMore) {
+            if (!upstream.headParsed_)
+                upstream.headBytes_ = parsedHeadBytes(upstream.reader_);
+            // No client that reads would free this memory.
+            if (!upstream.headParsed_ && upstream.headBytes_ > maxHeadBytesWhenFull
+                && isMemoryFull(state))
+                failAttempt(state, upstream, AttemptEnd::Malformed,
+                            "response head too large while memory is short");
             return;
+        }
         if (!upstream.headParsed_) {
             upstream.headParsed_ = true;
             upstream.headBytes_ = parsedHeadBytes(upstream.reader_);
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -39,8 +39,6 @@
 constexpr Millis configBatchDelay {150};
 /// A message to a peer may carry the largest value of the store and all other documents.
 constexpr std::size_t maxPeerMessageBytes = std::size_t {4} << 20U;
-/// Clients get half of the descriptors; the rest is for upstreams.
-constexpr std::size_t clientDescriptorDivisor = 2;
 /// Descriptors for files, listeners, the local listener's connections, the store and other daemons.
 constexpr std::size_t reservedDescriptors = 96;
 /// Fraction of the process memory for log lines that wait for a slow reader.
@@ -82,8 +80,9 @@
     frontend.clientAddress_ = settings.clientAddress_;
     frontend.localAddress_ = settings.localAddress_;
     frontend.headers_ = platform.headers_;
-    frontend.maxClients_ = settings.maxFileDescriptors_ / clientDescriptorDivisor;
-    frontend.maxUpstreams_ = frontend.maxClients_ - reservedDescriptors;
+    // Every client that waits for a response has a connection to an upstream.
+    frontend.maxClients_ = (settings.maxFileDescriptors_ - reservedDescriptors) / 2;
+    frontend.maxUpstreams_ = frontend.maxClients_;
     frontend.maxBufferedBytes_
         = static_cast<std::size_t>(settings.memoryMb_ * bytesPerMegabyte * bufferedMemoryFraction);
     return frontend;
--- a/tests/unit-logsink.cpp
+++ b/tests/unit-logsink.cpp
@@ -93,6 +93,26 @@
         text = readAvailable(pipe);
         CHECK(text.find("daemon.not_started") != std::string::npos);
     }
+    SECTION("long lines exceed the memory before their number exceeds the limit")
+    {
+        // Lines carry ids that clients choose.
+        sink.settings_.maxBytes_ = 4000;
+        LogEvent event = makeEvent(LogLevel::Info, "request.end");
+        event.fields_.push_back({"request", std::string(1000, 'a')});
+        for (int i = 0; i < 9; ++i)
+            queueLogLine(sink, event);
+        CHECK(droppedLogLines(sink) == 6);
+        CHECK(queuedLogBytes(sink) <= 4000);
+        event.level_ = LogLevel::Error;
+        queueLogLine(sink, event);
+        CHECK(queuedLogBytes(sink) <= 4000);
+        StdoutPipe pipe;
+        startLogSink(sink);
+        stopLogSink(sink);
+        text = readAvailable(pipe);
+        CHECK(text.find("level=error") != std::string::npos);
+        CHECK(queuedLogBytes(sink) == 0);
+    }
     SECTION("info lines above the rate limit are dropped and counted")
     {
         sink.settings_.maxLines_ = 1000;
