--- a/tests/coldfleet.h
+++ b/tests/coldfleet.h
@@ -296,6 +296,7 @@
     const ColdTarget &target = fleet.targets_.front();
     sortForInstance(daemons, target.process_.instance_, target.zone_, 4);
     std::vector<std::size_t> indexes;
+    indexes.reserve(daemons.size());
     for (const PeerAddress &daemon : daemons)
         indexes.push_back(indexOf(fleet, daemon.host_));
     return indexes;
