--- a/src/core/relay/granthandover.cpp
+++ b/src/core/relay/granthandover.cpp
@@ -1,7 +1,6 @@
-// Handover of a stopping lender's tokens, and the other steps of its stop.
+// Handover of a stopping lender's tokens.
 #include "core/relay/granthandover.h"
 
-#include "core/relay/loans.h"
 #include "core/relay/prepaidinternal.h"
 
 #include <algorithm>
@@ -107,36 +106,4 @@
     }
 }
 
-void stopLending(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
-{
-    state.stopping_ = true;
-    for (auto &[account, balance] : state.balances_) {
-        if (isHandingOver(state, settings, account)) {
-            const std::chrono::duration<double> time = settings.handoverKeepTime_;
-            const double ownUse = consumptionRateAt(balance.grant_, now) * time.count();
-            handOver(state, settings, account, balance, Tokens {static_cast<std::int64_t>(ownUse)},
-                     now);
-        }
-        for (auto &[borrower, issuedLoan] : balance.issuedLoans_) {
-            if (outstandingOf(issuedLoan) > Tokens {} || issuedLoan.replyPending_)
-                sendUnavailable(state, settings, account, issuedLoan);
-        }
-    }
-}
-
-void closeLoans(PrepaidState &state, const AccountId &account, PrepaidBalance &balance,
-                MonoTime now)
-{
-    for (auto &[lenderId, loan] : balance.receivedLoans_) {
-        loan.grant_.returned_ += reservableTokens(loan.grant_);
-        sendReport(state, account, lenderId, loan);
-    }
-    for (auto &[borrower, issuedLoan] : balance.issuedLoans_) {
-        // Borrowers may still spend outstanding tokens after this daemon has stopped, so they are
-        // charged now.
-        settleIssuedLoan(balance, issuedLoan, issuedLoan.lent_ - issuedLoan.returned_,
-                         issuedLoan.returned_, now);
-    }
-}
-
 } // namespace tamarack
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -344,25 +344,6 @@
         balance.lendersWithoutTokens_[from] = now + settings.lenders_.noTokensExclusion_;
 }
 
-void returnRecalledLoan(PrepaidState &state, const LoanReply &reply)
-{
-    const auto found = state.balances_.find(reply.account_);
-    const bool isOwn = reply.borrower_ == state.holder_;
-    if (!reply.recalled_ || !isOwn || found == state.balances_.end())
-        return;
-    const auto loan = found->second.receivedLoans_.find(reply.lender_);
-    if (loan == found->second.receivedLoans_.end())
-        return;
-    const std::optional<PendingLoanRequest> &pending = found->second.pendingRequest_;
-    // The pending request asks for what is missing to the tokens of this loan.
-    if (pending && pending->host_ == loan->second.lenderHost_)
-        return;
-    HeldGrant &grant = loan->second.grant_;
-    // The lender can distribute the remaining tokens to all daemons of the zone.
-    grant.returned_ += reservableTokens(grant);
-    sendReport(state, reply.account_, loan->first, loan->second);
-}
-
 void serveBorrowers(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
 {
     for (auto &[account, balance] : state.balances_) {
--- a/src/core/relay/prepaidinternal.h
+++ b/src/core/relay/prepaidinternal.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/relay/prepaid.h"
+#include "core/relay/prepaidshortage.h"
 
 namespace tamarack::prepaiddetail {
 
--- a/src/core/relay/prepaidshortage.cpp
+++ b/src/core/relay/prepaidshortage.cpp
@@ -1,4 +1,6 @@
 // Why tokens of an account are short, and which requests get those that are left.
+#include "core/relay/prepaidshortage.h"
+
 #include "core/relay/prepaidinternal.h"
 
 #include <algorithm>
--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -16,6 +16,7 @@
 #include "core/relay/loans.h"
 #include "core/relay/overload.h"
 #include "core/relay/prepaid.h"
+#include "core/relay/prepaidshortage.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/relaycontrol.h"
 #include "core/relay/request.h"
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -1,6 +1,7 @@
 // Functions shared by the source files of the relay's state machine. Internal to the library.
 #pragma once
 
+#include "core/relay/prepaidshortage.h"
 #include "core/relay/relaycontrol.h"
 
 #include <optional>
