A preferred engine is left if reading the shared part elsewhere is quicker

The advantage that another engine needed was counted twice: the time to read the shared part again is in its prediction already. bench-evenload (next commit), 69 daemons, knowledge 0.5 s old, seed 1: callers within their objective 96.8% before, 98.4% after; shared parts read again 5.5% before, 5.4% after.

--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -124,16 +124,6 @@
     std::uint64_t hash_ = 0;
 };
 
-/// Returns the time in which the engine of a candidate reads the shared parts of a prompt.
-PreciseMicros sharedReadTime(const RelayRequest &request, const Choice &choice)
-{
-    Tokens shared;
-    const std::vector<PromptPart> &parts = request.usage_->parts_;
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
-        shared += parts[i].tokens_;
-    return prefillTime(choice.prefillPerMs_, shared);
-}
-
 /// Returns the number of requests that an instance takes until its score reaches @a level.
 double roomBelow(const Candidate &candidate, PreciseMicros level)
 {
@@ -181,12 +171,12 @@
 /// Chooses among the instances whose score is near the best one, so that daemons with the same
 /// knowledge don't all choose the same instance until they know better.
 const Candidate &chooseNearBest(const std::vector<Candidate> &candidates, const Candidate &best,
-                                const Candidate *preferred, const ChoiceSettings &settings,
-                                const ChoiceQuery &query)
+                                const UpstreamId &preferred, const ChoiceSettings &settings)
 {
-    if (preferred
-        && preferred->score_ - best.score_ <= sharedReadTime(*query.request_, best.choice_))
-        return *preferred;
+    // The scores of the other engines contain the time to read the shared part again, so the
+    // preferred one is left only if that is quicker than to wait there.
+    if (best.choice_.instance_ == preferred)
+        return best;
     const PreciseMicros level = fillLevel(candidates, settings);
     const Candidate *chosen = &best;
     for (const Candidate &candidate : candidates) {
@@ -253,13 +243,7 @@
         return std::nullopt;
     if (!knowsLoad(query))
         return best->choice_;
-    const auto preferred
-        = std::find_if(candidates.begin(), candidates.end(), [&](const Candidate &candidate) {
-              return candidate.choice_.instance_ == preferredId;
-          });
-    return chooseNearBest(candidates, *best, preferred == candidates.end() ? nullptr : &*preferred,
-                          settings, query)
-        .choice_;
+    return chooseNearBest(candidates, *best, preferredId, settings).choice_;
 }
 
 } // namespace tamarack
