--- a/src/relayd/documentcache.h
+++ b/src/relayd/documentcache.h
@@ -55,6 +55,8 @@
     /// Evacuations that the store may have lost with its return from a copy. Peers get them until
     /// they are confirmed or count as removed, so that a daemon that starts meanwhile has them.
     std::map<StoreKey, UnconfirmedDocument> unconfirmed_;
+    /// Load that replies to other daemons tell; nullptr if this daemon tells none.
+    std::shared_ptr<const LoadOffer> loads_;
 };
 
 /// @brief Stores a document in the cache.
