--- a/src/core/relay/relay.h
+++ b/src/core/relay/relay.h
@@ -24,6 +24,7 @@
 #include "core/relay/permitbucket.h"
 #include "core/relay/prefillspeed.h"
 #include "core/relay/prepaid.h"
+#include "core/relay/prepaidshortage.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/relaycontrol.h"
 #include "core/relay/request.h"
