--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -59,6 +59,16 @@
     return value;
 }
 
+/// Larger counts than any model or account has. Sums of a few of them can't overflow.
+constexpr std::int64_t maxTokenCount = 1'000'000'000'000;
+
+/// Parses a number of tokens. A larger number than maxTokenCount counts as that many.
+std::optional<Tokens> parseTokens(std::string_view text)
+{
+    const auto count = parseNumber(text);
+    return count ? std::optional(Tokens {std::min(*count, maxTokenCount)}) : std::nullopt;
+}
+
 /// Splits at the first separator; the second part is empty if there is none.
 std::pair<std::string_view, std::string_view> split(std::string_view text, char separator)
 {
@@ -74,8 +84,8 @@
     while (!text.empty()) {
         const auto [entry, rest] = split(text, ',');
         const auto [id, tokens] = split(entry, ':');
-        if (const auto count = parseNumber(tokens))
-            parts.push_back(PromptPart {std::string(id), Tokens {*count}});
+        if (const auto count = parseTokens(tokens))
+            parts.push_back(PromptPart {std::string(id), *count});
         text = rest;
     }
     return parts;
@@ -87,11 +97,11 @@
     if (!field)
         return std::nullopt;
     const auto [prompt, output] = split(*field, ',');
-    const auto promptTokens = parseNumber(prompt);
-    const auto outputTokens = parseNumber(output);
+    const auto promptTokens = parseTokens(prompt);
+    const auto outputTokens = parseTokens(output);
     if (!promptTokens || !outputTokens)
         return std::nullopt;
-    PromptUsage usage {Tokens {*promptTokens}, Tokens {*outputTokens}, {}};
+    PromptUsage usage {*promptTokens, *outputTokens, {}};
     if (const auto parts = findField(request.headers_, names.promptParts_))
         usage.parts_ = parsePromptParts(*parts);
     return usage;
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -127,8 +127,12 @@
     return true;
 }
 
-std::optional<ConnectionId> openConnection(FrontendState &state, const SendAttempt &attempt)
+/// Opens a connection to an instance.
+/// @param limited set if a limit of this daemon prevents it
+std::optional<ConnectionId> openConnection(FrontendState &state, const SendAttempt &attempt,
+                                           bool &limited)
 {
+    limited = true;
     std::vector<ConnectionId> &idle = state.idleConnections_[attempt.address_];
     if (state.connectionCounts_[attempt.address_] >= attempt.maxConnections_ && !idle.empty())
         closeUpstream(state, idle.front());
@@ -136,6 +140,7 @@
         return std::nullopt;
     if (state.upstreams_.size() >= state.settings_.maxUpstreams_ && !makeRoomForUpstream(state))
         return std::nullopt;
+    limited = false;
     Descriptor socket = startConnect(attempt.address_, state.settings_.tcpUserTimeout_);
     if (socket.fd_ < 0)
         return std::nullopt;
@@ -373,11 +378,10 @@
     exchange.outputReported_ = false;
     exchange.events_ = {};
     std::optional<ConnectionId> id = takeIdleConnection(state, attempt);
+    bool connectionsUsed = false;
     if (!id)
-        id = openConnection(state, attempt);
+        id = openConnection(state, attempt, connectionsUsed);
     if (!id) {
-        const bool connectionsUsed
-            = state.connectionCounts_[attempt.address_] >= attempt.maxConnections_;
         reportAttemptEnd(state, exchange, AttemptEnd::NotSent,
                          connectionsUsed ? "no connection: connection limit reached"
                                          : "no connection: connect failed",
--- a/src/core/relay/coldpermits.cpp
+++ b/src/core/relay/coldpermits.cpp
@@ -91,6 +91,7 @@
         allowance = budget.partial_;
     if (!allowance)
         return {PermitResult::Denied, limitSettings.maxRetryAfter_};
+    allowance->perSecond_ = std::max(allowance->perSecond_, limitSettings.minRate_);
     if (statedLimit) {
         const double share = role == GrantRole::Full ? 1.0 : limitSettings.partialShare_;
         const double limit = std::max(*statedLimit * share, limitSettings.minRate_);
@@ -149,17 +150,17 @@
 }
 
 void noteColdPermitTime(ColdPermits &permits, const InstanceLimits &limits,
-                        const ColdPermitSettings &settings, bool storeContact, MonoTime now)
+                        const ColdPermitSettings &settings, bool fleetListed, MonoTime now)
 {
     const bool hasPeers = limits.daemons_.size() > 1;
     const bool wasSuspended
         = hasPeers && permits.notedAt_ && now > *permits.notedAt_ + settings.stallLimit_;
     const bool contactRegained
-        = storeContact && permits.contactAt_ && now > *permits.contactAt_ + settings.contactGrace_;
+        = fleetListed && permits.contactAt_ && now > *permits.contactAt_ + settings.contactGrace_;
     if (wasSuspended || (hasPeers && contactRegained))
         permits.resumedAt_ = now;
     permits.notedAt_ = now;
-    if (storeContact)
+    if (fleetListed)
         permits.contactAt_ = now;
     if (now < permits.prunedAt_ + settings.lifetime_)
         return;
--- a/src/core/relay/coldpermits.h
+++ b/src/core/relay/coldpermits.h
@@ -37,9 +37,10 @@
     /// A daemon that has known the fleet for less than this grants nothing. Longer than the
     /// listing of the fleet takes to be complete while many daemons start.
     Millis startDelay_ {4000};
-    /// A daemon without contact to the store knows the fleet as it was. It grants at the full rate
-    /// for this long; RequestLimitSettings::fullRateAfter_ must be longer, by the time in which the
-    /// loss of contact is noticed.
+    /// A daemon that can't read the fleet from the store knows it as it was. It grants at the full
+    /// rate for this long, which is longer than the interval of 6 s between two reads;
+    /// RequestLimitSettings::fullRateAfter_ must be longer, by the time in which the loss of
+    /// contact is noticed.
     Millis contactGrace_ {7000};
     /// A daemon that handled no event for this long may have been suspended.
     Millis stallLimit_ {2000};
@@ -55,7 +56,7 @@
     std::map<UpstreamId, MonoTime> awaited_;
     /// When noteColdPermitTime() was last called.
     std::optional<MonoTime> notedAt_;
-    /// When the daemon was last known to be in contact with the store.
+    /// When the store last listed the fleet, with this daemon.
     std::optional<MonoTime> contactAt_;
     /// When the daemon resumed after it was suspended or without contact; what it knows of the
     /// fleet may be outdated then.
@@ -76,11 +77,11 @@
 /// @brief Divides the bound for an instance that accepts @a perSecond requests while it is cold.
 ColdBudget coldBudget(const ColdPermitSettings &settings, double perSecond);
 
-/// @brief Records that this daemon handles events, and whether it is in contact with the store,
-/// itself or through other daemons. Called before each event, and at least each
+/// @brief Records that this daemon handles events. Called before each event, and at least each
 /// ColdPermitSettings::stallLimit_ / 2.
+/// @param fleetListed the store has just listed the fleet, with this daemon
 void noteColdPermitTime(ColdPermits &permits, const InstanceLimits &limits,
-                        const ColdPermitSettings &settings, bool storeContact, MonoTime now);
+                        const ColdPermitSettings &settings, bool fleetListed, MonoTime now);
 
 /// @brief A cold instance.
 struct ColdTarget
--- a/src/core/relay/firstgrants.cpp
+++ b/src/core/relay/firstgrants.cpp
@@ -69,6 +69,9 @@
 bool submitFirstGrants(PrepaidState &state, const PrepaidSettings &settings, ShardNumber number,
                        MonoTime now)
 {
+    // The copy from which the store has returned may lack grants of other holders.
+    if (state.drawsPausedUntil_ || state.failures_ > 0)
+        return true;
     bool lacking = false;
     for (auto &[account, balance] : state.balances_) {
         if (ledgerShardOf(BudgetId {account.value_}, settings.shards_) != number
--- a/src/core/relay/fleet.cpp
+++ b/src/core/relay/fleet.cpp
@@ -26,6 +26,8 @@
             counted.peers_.push_back(PeerAddress {
                 host, registration.zone_, registration.peerAddress_, registration.capacity_});
     }
+    const auto own = newest.find(self);
+    counted.listsSelf_ = own != newest.end() && !own->second->registration_.leaving_;
     counted.daemons_ = std::max(counted.daemons_, 1U);
     counted.zoneDaemons_ = std::max(counted.zoneDaemons_, 1U);
     return counted;
--- a/src/core/relay/fleet.h
+++ b/src/core/relay/fleet.h
@@ -15,6 +15,8 @@
     std::uint32_t daemons_ = 1;
     std::uint32_t zoneDaemons_ = 1;
     std::vector<PeerAddress> peers_;
+    /// The registration of this daemon was among them, so the others know it too.
+    bool listsSelf_ = true;
 };
 
 /// @brief Counts the registered daemons that are not stopping.
--- a/src/core/relay/instanceload.cpp
+++ b/src/core/relay/instanceload.cpp
@@ -104,6 +104,15 @@
     loads.resize(maxEntries);
 }
 
+/// Returns the fraction of the other daemons of the zone whose load the received sums contain.
+double receivedCoverage(const InstanceLoads &loads)
+{
+    const auto others = static_cast<double>(
+        std::count_if(loads.zoneOfPeer_.begin(), loads.zoneOfPeer_.end(),
+                      [&loads](const auto &peer) { return peer.second == loads.zone_; }));
+    return others > 0.0 ? std::min(loads.received_->daemons_ / others, 1.0) : 1.0;
+}
+
 } // namespace
 
 double loadWeight(const LoadSettings &settings, Millis age)
@@ -180,8 +189,10 @@
     });
     if (loads.received_ && ageOf(loads.received_->at_, now) >= settings.maxAge_)
         loads.received_.reset();
-    const double receivedWeight
-        = loads.received_ ? loadWeight(settings, ageOf(loads.received_->at_, now)) : 0.0;
+    // An observer that has just become one knows the reports of few daemons.
+    const double receivedWeight = loads.received_
+        ? loadWeight(settings, ageOf(loads.received_->at_, now)) * receivedCoverage(loads)
+        : 0.0;
     ScaledSums reported = sumReports(loads, settings, now);
     if (loads.received_ && loads.received_->daemons_ * receivedWeight >= reported.daemons_) {
         loads.others_ = loads.received_->sums_;
--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -292,8 +292,9 @@
     const bool isReport = request.wanted_ == Tokens {};
     if (isReport)
         return;
-    // A repeated request is not counted again.
-    if (request.needed_ > std::max(issuedLoan.lent_, issuedLoan.needed_))
+    // A request is repeated while its reply is late; it is not counted again.
+    const bool isRepeated = issuedLoan.replyPending_ && request.needed_ <= issuedLoan.needed_;
+    if (!isRepeated && request.needed_ > issuedLoan.lent_)
         recordDemand(balance.shares_, request.urgency_, request.needed_ - issuedLoan.lent_, now);
     issuedLoan.largestNeed_ = std::max(issuedLoan.largestNeed_, request.needed_ - issuedLoan.lent_);
     issuedLoan.urgency_ = request.urgency_;
--- a/src/core/relay/prepaid.cpp
+++ b/src/core/relay/prepaid.cpp
@@ -291,8 +291,13 @@
             repeatHandover(state, settings, account, balance);
         }
         closeLoans(state, account, balance, now);
-        if (balance.grant_.authorized_ > Tokens {})
-            submitReturn(state, settings, account, balance, reservableTokens(balance.grant_), now);
+        const HeldGrant &grant = balance.grant_;
+        if (reservableTokens(grant) > Tokens {})
+            submitReturn(state, settings, account, balance, reservableTokens(grant), now);
+        else if (grant.spent_ > grant.settled_)
+            // Everything was handed over, but its use must be charged.
+            submitOp(shardFor(state, settings, account),
+                     LedgerOp {SettleOp {BudgetId {account.value_}, grant.id_, grant.spent_}}, now);
     }
 }
 
--- a/src/core/relay/relaycold.cpp
+++ b/src/core/relay/relaycold.cpp
@@ -65,8 +65,14 @@
 {
     if (state.coldPermits_.notedAt_ == now || !hasColdLimits(state))
         return;
-    noteColdPermitTime(state.coldPermits_, state.limits_, state.settings_.cold_,
-                       hasStoreContact(state.sync_, state.settings_.sync_, now), now);
+    noteColdPermitTime(state.coldPermits_, state.limits_, state.settings_.cold_, false, now);
+}
+
+void noteFleetListed(RelayState &state, const FleetView &fleet, MonoTime now)
+{
+    // Contact to peers is not enough: they don't tell each other who is in the fleet.
+    if (fleet.listsSelf_)
+        noteColdPermitTime(state.coldPermits_, state.limits_, state.settings_.cold_, true, now);
 }
 
 void runColdInstances(RelayState &state, MonoTime now, RelayCommands &out)
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -125,8 +125,10 @@
         = it->second.stage_ == RelayStage::Sent && it->second.attempts_ == event.attempt_;
     if (!isCurrent && event.end_ != AttemptEnd::Delivered) {
         // The request waits for an instance or a permit to be sent again.
-        if (it->second.attempts_ == event.attempt_)
+        if (it->second.attempts_ == event.attempt_) {
             it->second.attemptRunning_ = false;
+            recordAttemptForCold(state, it->second, event, now);
+        }
         return;
     }
     const ServiceId service = it->second.service_;
@@ -186,6 +188,7 @@
     updateQuarantinePeers(state.quarantine_, self, event.peers_, now);
     updateLoadPeers(state.loads_, self, event.peers_);
     state.limits_.fleetSize_ = event.daemons_;
+    noteFleetListed(state, event, now);
     updateLimitPeers(state.limits_, state.settings_.limits_, self, event.peers_, now);
     if (changed)
         logLine(out, LogLevel::Info, "fleet.counted",
@@ -384,6 +387,7 @@
 RelayCommands runDueWork(RelayState &state, MonoTime now)
 {
     RelayCommands out;
+    noteColdTime(state, now);
     updateReadiness(state, out);
     endLostEvacuations(state, now, out);
     while (!state.timers_.empty() && state.timers_.begin()->first <= now) {
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -181,6 +181,9 @@
 /// @brief Records that events are handled. A daemon that was suspended grants less.
 void noteColdTime(RelayState &state, MonoTime now);
 
+/// @brief Records that the store has listed the fleet.
+void noteFleetListed(RelayState &state, const FleetView &fleet, MonoTime now);
+
 /// @brief Logs the instances that became cold or warm.
 void runColdInstances(RelayState &state, MonoTime now, RelayCommands &out);
 
--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -22,7 +22,7 @@
 std::optional<ColdTarget> coldTarget(const RelayState &state, const PermitRequest &request,
                                      MonoTime now)
 {
-    if (request.coldPerSecond_)
+    if (request.coldPerSecond_ && *request.coldPerSecond_ > 0.0)
         return ColdTarget {request.process_, request.zone_, *request.coldPerSecond_};
     const auto known = state.directory_.known_.find(request.process_.instance_);
     if (!request.limit_ || known == state.directory_.known_.end())
@@ -128,6 +128,15 @@
     return excluded;
 }
 
+/// Returns until when the reply to another request's permit for a cold instance is awaited.
+std::optional<MonoTime> awaitedUntil(const RelayState &state, const UpstreamId &id, MonoTime now)
+{
+    const auto awaited = state.coldPermits_.awaited_.find(id);
+    if (awaited == state.coldPermits_.awaited_.end() || awaited->second <= now)
+        return std::nullopt;
+    return awaited->second;
+}
+
 std::optional<MonoTime> nextAcceptingTime(const RelayState &state, const RelayedRequest &active,
                                           MonoTime now)
 {
@@ -141,8 +150,9 @@
             || isLeaving(state.choice_, process))
             continue;
         // The later of the two, if there are both.
-        const std::optional<MonoTime> until = std::max(deniedUntil(state.limits_, process, now),
-                                                       closedUntil(state.choice_, process, now));
+        const std::optional<MonoTime> until
+            = std::max({deniedUntil(state.limits_, process, now),
+                        closedUntil(state.choice_, process, now), awaitedUntil(state, id, now)});
         if (until && (!next || *until < *next))
             next = until;
     }
@@ -190,13 +200,16 @@
               waitFor(state, permit.process_, now), out);
     state.coldPermits_.awaited_.erase(permit.process_.instance_);
     dispatch(state, active, now, out);
+    if (permit.isCold_)
+        resumeWaitingForInstance(state, now, out);
 }
 
 void onPermitRequest(RelayState &state, const PermitRequestReceived &event, MonoTime now,
                      RelayCommands &out)
 {
     const PermitRequest &request = event.request_;
-    const ZoneId zone = zoneOf(state, request.process_.instance_);
+    const ZoneId known = zoneOf(state, request.process_.instance_);
+    const ZoneId zone = known.isEmpty() ? request.zone_ : known;
     if (request.limit_ && isEvacuated(state.evacuations_, zone)) {
         out.emplace_back(
             SendPeer {event.from_, request.replyAddress_,
@@ -222,8 +235,12 @@
     const AwaitedPermit permit = active ? *active->awaitedPermit_ : AwaitedPermit {};
     handlePermitReply(state.limits_, state.settings_.limits_, event.reply_, event.from_,
                       permit.requestedAt_, now);
-    if (!active)
+    if (!active) {
+        // The request that the permit was for has ended or uses another instance.
+        if (state.coldPermits_.awaited_.erase(event.reply_.process_.instance_) > 0)
+            resumeWaitingForInstance(state, now, out);
         return;
+    }
     state.coldPermits_.awaited_.erase(permit.process_.instance_);
     logPermit(*active, permit.process_, event.from_, permitResultCode(event.reply_.result_),
               event.reply_.retryAfter_, out);
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace tamarack::relaydetail {
@@ -301,17 +302,23 @@
 void resumeForFreeConnection(RelayState &state, const ServiceId &service, MonoTime now,
                              RelayCommands &out)
 {
-    RelayedRequest *first = nullptr;
-    for (auto &[id, active] : state.active_) {
-        if (active.stage_ != RelayStage::AwaitingInstance || !usesService(active, service))
-            continue;
-        if (!first
-            || std::pair(active.urgency_, active.deadline_)
-                < std::pair(first->urgency_, first->deadline_))
-            first = &active;
+    std::vector<std::tuple<int, MonoTime, ExchangeId>> waiting;
+    for (const auto &[id, active] : state.active_) {
+        if (active.stage_ == RelayStage::AwaitingInstance && usesService(active, service))
+            waiting.emplace_back(active.urgency_, active.deadline_, id);
+    }
+    // The most urgent one may be unable to use this instance, for example because it tried it.
+    constexpr std::size_t maxTries = 3;
+    const auto end
+        = waiting.begin() + static_cast<std::ptrdiff_t>(std::min(maxTries, waiting.size()));
+    std::partial_sort(waiting.begin(), end, waiting.end());
+    for (auto it = waiting.begin(); it != end; ++it) {
+        const ExchangeId id = std::get<ExchangeId>(*it);
+        dispatch(state, state.active_.at(id), now, out);
+        const auto left = state.active_.find(id);
+        if (left != state.active_.end() && left->second.stage_ == RelayStage::Sent)
+            return;
     }
-    if (first)
-        dispatch(state, *first, now, out);
 }
 
 } // namespace tamarack::relaydetail
--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -171,8 +171,11 @@
         dispatch(state, active, now, out);
         return;
     }
-    recordDemand(state.prepaid_.balances_[active.account_].shares_, active.urgency_,
-                 worstCase(*active.request_.usage_), now);
+    PrepaidBalance &balance = state.prepaid_.balances_[active.account_];
+    const Tokens amount = worstCase(*active.request_.usage_);
+    // A request that the account can never pay for is no demand.
+    if (amount <= balance.funded_)
+        recordDemand(balance.shares_, active.urgency_, amount, now);
     reserveOrWait(state, active, now, out);
 }
 
