Requests of one account compete for its tokens by the priority of their routes

Within an account the priority of the route decides now.

A lender uses the mix of its own requests: loan requests show mostly large ones, because small ones are served from loans that borrowers hold already.

--- a/src/core/relay/loans.cpp
+++ b/src/core/relay/loans.cpp
@@ -295,7 +295,8 @@
     // A request is repeated while its reply is late; it is not counted again.
     const bool isRepeated = issuedLoan.replyPending_ && request.needed_ <= issuedLoan.needed_;
     if (!isRepeated && request.needed_ > issuedLoan.lent_)
-        recordDemand(balance.shares_, request.urgency_, request.needed_ - issuedLoan.lent_, now);
+        recordDemand(balance.loanShares_, request.urgency_, request.needed_ - issuedLoan.lent_,
+                     now);
     issuedLoan.largestNeed_ = std::max(issuedLoan.largestNeed_, request.needed_ - issuedLoan.lent_);
     issuedLoan.urgency_ = request.urgency_;
     issuedLoan.needed_ = request.needed_;
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -203,8 +203,11 @@
     /// arrive too late to size the grant.
     double lendRate_ = 0.0;
     MonoTime lendRateAt_ {};
-    /// Demand of this daemon's requests and of those for which loans are requested.
+    /// Demand of this daemon's requests.
     TokenShares shares_;
+    /// Demand for which loans are requested of this daemon. Small requests are mostly served from
+    /// loans that are held already, so this is used only if its own requests show one urgency.
+    TokenShares loanShares_;
 };
 
 /// @brief What other holders have reported of one ledger shard (grantreports.h). Decisions must not
--- a/src/core/relay/prepaidshortage.cpp
+++ b/src/core/relay/prepaidshortage.cpp
@@ -116,9 +116,13 @@
                                            const AccountId &account, int urgency, MonoTime now)
 {
     const auto found = state.balances_.find(account);
-    if (found == state.balances_.end() || !hasSeveralUrgencies(found->second.shares_))
+    if (found == state.balances_.end())
         return std::nullopt;
     const PrepaidBalance &balance = found->second;
+    const TokenShares &shares
+        = hasSeveralUrgencies(balance.shares_) ? balance.shares_ : balance.loanShares_;
+    if (!hasSeveralUrgencies(shares))
+        return std::nullopt;
     const BudgetRecord *record = findBudgetRecord(state, settings, account);
     const bool scarce = record && isScarce(settings, *record);
     const bool failing = isLedgerFailing(state, settings, account) || !state.storeContact_;
@@ -137,8 +141,8 @@
         share.left_
             += Tokens {unallocatedTokens(*record).count_ / std::max(state.lenders_.zones_, 1U)};
     share.rest_ = expectedShortageRest(state, settings, now);
-    share.expected_ = expectedUrgentUse(balance.shares_, urgency, consumptionRate(balance, now),
-                                        share.rest_, now);
+    share.expected_
+        = expectedUrgentUse(shares, urgency, consumptionRate(balance, now), share.rest_, now);
     return share;
 }
 
--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -12,6 +12,13 @@
 constexpr int statusPaymentRequired = 402;
 constexpr int statusServiceUnavailable = 503;
 
+/// Returns the urgency of a request among those of its account, which compete for the same tokens.
+/// The priority of the account is the same for all of them, so that of the route decides.
+int tokenUrgency(const RelayedRequest &active)
+{
+    return active.route_->priority_;
+}
+
 bool isPrepaid(const RelayedRequest &active)
 {
     const auto account = active.config_->accounts_.find(active.account_);
@@ -33,8 +40,9 @@
 bool refuseByLender(RelayState &state, RelayedRequest &active, Tokens amount, MonoTime now,
                     RelayCommands &out)
 {
-    const std::optional<LenderRefusal> refusal = recentLenderRefusal(
-        state.prepaid_, state.settings_.prepaid_, active.account_, amount, now, active.urgency_);
+    const std::optional<LenderRefusal> refusal
+        = recentLenderRefusal(state.prepaid_, state.settings_.prepaid_, active.account_, amount,
+                              now, tokenUrgency(active));
     if (!refusal)
         return false;
     std::vector<LogField> fields = requestFields(active);
@@ -85,12 +93,12 @@
                      RelayCommands &out)
 {
     const std::optional<UrgentShare> share = findUrgentShare(
-        state.prepaid_, state.settings_.prepaid_, active.account_, active.urgency_, now);
+        state.prepaid_, state.settings_.prepaid_, active.account_, tokenUrgency(active), now);
     if (!share || !isReservedForUrgent(*share, amount))
         return false;
     std::vector<LogField> fields = requestFields(active);
     fields.push_back({"account", active.account_.value_});
-    fields.push_back({"urgency", std::to_string(active.urgency_)});
+    fields.push_back({"urgency", std::to_string(tokenUrgency(active))});
     fields.push_back({"amount", std::to_string(amount.count_)});
     addShareFields(fields, *share);
     logLine(out, LogLevel::Info, "budget.reserved_for_urgent", std::move(fields));
@@ -103,7 +111,7 @@
     const Tokens amount = worstCase(*active.request_.usage_);
     PrepaidState &prepaid = state.prepaid_;
     active.reserved_ = reserveTokens(prepaid, state.settings_.prepaid_, active.account_, amount,
-                                     now, active.urgency_);
+                                     now, tokenUrgency(active));
     if (active.reserved_) {
         dispatch(state, active, now, out);
         return;
@@ -142,7 +150,7 @@
     return !state.prepaid_.storeContact_
         || isTokenSupplyFailing(state.prepaid_, state.settings_.prepaid_, active.account_, now)
         || findUrgentShare(state.prepaid_, state.settings_.prepaid_, active.account_,
-                           active.urgency_, now);
+                           tokenUrgency(active), now);
 }
 
 bool isUsedWithSeveralUrgencies(const RelayState &state, const AccountId &account)
@@ -158,7 +166,7 @@
         return spread;
     const auto &urgencies = state.prepaid_.balances_.at(active.account_).shares_.byUrgency_;
     const auto rank = static_cast<double>(
-        std::distance(urgencies.begin(), urgencies.lower_bound(active.urgency_)));
+        std::distance(urgencies.begin(), urgencies.lower_bound(tokenUrgency(active))));
     return std::min((rank + spread) / static_cast<double>(urgencies.size()), 1.0);
 }
 
@@ -175,7 +183,7 @@
     const Tokens amount = worstCase(*active.request_.usage_);
     // A request that the account can never pay for is no demand.
     if (amount <= balance.funded_)
-        recordDemand(balance.shares_, active.urgency_, amount, now);
+        recordDemand(balance.shares_, tokenUrgency(active), amount, now);
     reserveOrWait(state, active, now, out);
 }
 
@@ -186,7 +194,7 @@
     std::vector<std::tuple<int, MonoTime, ExchangeId>> waiting;
     for (const auto &[id, active] : state.active_) {
         if (active.stage_ == RelayStage::AwaitingTokens && active.account_ == account)
-            waiting.emplace_back(active.urgency_, active.deadline_, id);
+            waiting.emplace_back(tokenUrgency(active), active.deadline_, id);
     }
     std::sort(waiting.begin(), waiting.end());
     for (const auto &[urgency, deadline, id] : waiting) {
