The lender keeps what its own or its borrowers' urgent requests need, whichever is more

A request for more than the account's total counts as that total, so that a client can't inflate the demand.

--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -206,7 +206,7 @@
     /// Demand of this daemon's requests.
     TokenShares shares_;
     /// Demand for which loans are requested of this daemon. Small requests are mostly served from
-    /// loans that are held already, so this is used only if its own requests show one urgency.
+    /// loans that are held already, so the mix of the daemon's own requests may show more of them.
     TokenShares loanShares_;
 };
 
--- a/src/core/relay/prepaidshortage.cpp
+++ b/src/core/relay/prepaidshortage.cpp
@@ -119,9 +119,7 @@
     if (found == state.balances_.end())
         return std::nullopt;
     const PrepaidBalance &balance = found->second;
-    const TokenShares &shares
-        = hasSeveralUrgencies(balance.shares_) ? balance.shares_ : balance.loanShares_;
-    if (!hasSeveralUrgencies(shares))
+    if (!hasSeveralUrgencies(balance.shares_) && !hasSeveralUrgencies(balance.loanShares_))
         return std::nullopt;
     const BudgetRecord *record = findBudgetRecord(state, settings, account);
     const bool scarce = record && isScarce(settings, *record);
@@ -141,8 +139,10 @@
         share.left_
             += Tokens {unallocatedTokens(*record).count_ / std::max(state.lenders_.zones_, 1U)};
     share.rest_ = expectedShortageRest(state, settings, now);
-    share.expected_
-        = expectedUrgentUse(shares, urgency, consumptionRate(balance, now), share.rest_, now);
+    const auto expectedFrom = [&](const TokenShares &shares) {
+        return expectedUrgentUse(shares, urgency, consumptionRate(balance, now), share.rest_, now);
+    };
+    share.expected_ = std::max(expectedFrom(balance.shares_), expectedFrom(balance.loanShares_));
     return share;
 }
 
--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -181,9 +181,8 @@
     }
     PrepaidBalance &balance = state.prepaid_.balances_[active.account_];
     const Tokens amount = worstCase(*active.request_.usage_);
-    // A request that the account can never pay for is no demand.
-    if (amount <= balance.funded_)
-        recordDemand(balance.shares_, tokenUrgency(active), amount, now);
+    // A client may ask for more than the account can ever pay for.
+    recordDemand(balance.shares_, tokenUrgency(active), std::min(amount, balance.funded_), now);
     reserveOrWait(state, active, now, out);
 }
 
