--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 
 namespace tamarack {
 
@@ -153,6 +154,14 @@
     rejectUnknownFields(balancing, {"shareLoadFrom"});
 }
 
+void readAdmission(const JsonReader &root, RelayDaemonSettings &settings)
+{
+    const JsonReader admission = readObject(root, "admission", FieldPresence::Optional);
+    settings.manageShortageFrom_ = static_cast<std::uint32_t>(readInteger(
+        admission, "manageShortageFrom", FieldPresence::Optional, IntegerRange {0, 1'000'000}));
+    rejectUnknownFields(admission, {"manageShortageFrom"});
+}
+
 } // namespace
 
 RelayDaemonSettings parseRelaySettings(const std::string &text, ValidationErrors &errors)
@@ -172,10 +181,11 @@
             readCold(root, settings);
             readRegions(root, settings);
             readBalancing(root, settings);
+            readAdmission(root, settings);
             settings.seeds_ = readStrings(root, "seeds", FieldPresence::Optional);
             rejectUnknownFields(root,
                                 {"host", "zone", "listen", "seeds", "store", "retries", "limits",
-                                 "evacuation", "cold", "regions", "balancing"});
+                                 "evacuation", "cold", "regions", "balancing", "admission"});
             return {};
         },
         [&errors](const Error &error) {
@@ -215,6 +225,9 @@
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
     control.prepaid_.shards_ = settings.ledgerShards_;
     control.shareLoadFrom_ = settings.shareLoadFrom_;
+    control.prepaid_.manageShortageFrom_ = settings.manageShortageFrom_ > 0
+        ? settings.manageShortageFrom_
+        : std::numeric_limits<std::uint32_t>::max();
     return control;
 }
 
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -59,6 +59,9 @@
     double coldSlack_ = 0.0;
     /// Region of each availability zone.
     std::map<ZoneId, RegionId> regions_ {};
+    /// Number of live daemons from which on shortages of prepaid tokens are managed; 0 if they
+    /// never are.
+    std::uint32_t manageShortageFrom_ = 0;
     /// Number of live daemons from which on they tell each other the load that they cause at the
     /// instances; 0 if they never do.
     std::uint32_t shareLoadFrom_ = 0;
--- a/src/core/relay/firstgrants.cpp
+++ b/src/core/relay/firstgrants.cpp
@@ -98,7 +98,7 @@
 
 void scheduleFirstGrants(PrepaidState &state, const PrepaidSettings &settings, MonoTime now)
 {
-    if (!isFleetKnown(state))
+    if (!isFleetKnown(state) || !managesShortage(state, settings))
         return;
     FirstGrants &first = state.firstGrants_;
     std::vector<HostId> lenders = lendersOfZone(state, settings);
--- a/src/core/relay/granthandover.cpp
+++ b/src/core/relay/granthandover.cpp
@@ -73,7 +73,8 @@
 bool isHandingOver(const PrepaidState &state, const PrepaidSettings &settings,
                    const AccountId &account)
 {
-    return state.stopping_ && (isLedgerFailing(state, settings, account) || !state.storeContact_);
+    return state.stopping_ && managesShortage(state, settings)
+        && (isLedgerFailing(state, settings, account) || !state.storeContact_);
 }
 
 void handOver(PrepaidState &state, const PrepaidSettings &settings, const AccountId &account,
--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -70,6 +70,9 @@
     Millis maxBackoff_ {200};
     Millis backoffPerDaemon_ {20};
     LenderSettings lenders_;
+    /// Number of live daemons from which on shortages of tokens are managed: first grants, shares
+    /// by urgency, handovers and refusals without a wait.
+    std::uint32_t manageShortageFrom_ = 1;
     /// Maximum first grant of an account as a fraction of its unallocated tokens.
     double firstGrantShare_ = 0.02;
     /// First grants are drawn this long after the lenders of the zone last changed. The daemons of
--- a/src/core/relay/prepaidshortage.cpp
+++ b/src/core/relay/prepaidshortage.cpp
@@ -82,11 +82,18 @@
         || (shard != state.shards_.end() && shard->second.failures_ > 0);
 }
 
+bool managesShortage(const PrepaidState &state, const PrepaidSettings &settings)
+{
+    return state.daemons_ >= settings.manageShortageFrom_;
+}
+
 bool isTokenSupplyFailing(const PrepaidState &state, const PrepaidSettings &settings,
                           const AccountId &account, MonoTime now)
 {
-    return isLedgerFailing(state, settings, account)
-        || lenderForAccount(state, settings, account, now).source_ == TokenSource::None;
+    if (isLedgerFailing(state, settings, account))
+        return true;
+    return managesShortage(state, settings)
+        && lenderForAccount(state, settings, account, now).source_ == TokenSource::None;
 }
 
 Millis expectedShortageRest(const PrepaidState &state, const PrepaidSettings &settings,
--- a/src/core/relay/prepaidshortage.h
+++ b/src/core/relay/prepaidshortage.h
@@ -51,6 +51,9 @@
 bool isLedgerFailing(const PrepaidState &state, const PrepaidSettings &settings,
                      const AccountId &account);
 
+/// @brief Returns true if the fleet is large enough for PrepaidSettings::manageShortageFrom_.
+bool managesShortage(const PrepaidState &state, const PrepaidSettings &settings);
+
 /// @brief Returns true if isLedgerFailing(), or if all lenders have said that they have no tokens.
 bool isTokenSupplyFailing(const PrepaidState &state, const PrepaidSettings &settings,
                           const AccountId &account, MonoTime now);
--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -14,9 +14,9 @@
 
 /// Returns the urgency of a request among those of its account, which compete for the same tokens.
 /// The priority of the account is the same for all of them, so that of the route decides.
-int tokenUrgency(const RelayedRequest &active)
+int tokenUrgency(const RelayState &state, const RelayedRequest &active)
 {
-    return active.route_->priority_;
+    return managesShortage(state.prepaid_, state.settings_.prepaid_) ? active.route_->priority_ : 0;
 }
 
 bool isPrepaid(const RelayedRequest &active)
@@ -42,7 +42,7 @@
 {
     const std::optional<LenderRefusal> refusal
         = recentLenderRefusal(state.prepaid_, state.settings_.prepaid_, active.account_, amount,
-                              now, tokenUrgency(active));
+                              now, tokenUrgency(state, active));
     if (!refusal)
         return false;
     std::vector<LogField> fields = requestFields(active);
@@ -92,13 +92,14 @@
 bool refuseForUrgent(RelayState &state, RelayedRequest &active, Tokens amount, MonoTime now,
                      RelayCommands &out)
 {
-    const std::optional<UrgentShare> share = findUrgentShare(
-        state.prepaid_, state.settings_.prepaid_, active.account_, tokenUrgency(active), now);
+    const std::optional<UrgentShare> share
+        = findUrgentShare(state.prepaid_, state.settings_.prepaid_, active.account_,
+                          tokenUrgency(state, active), now);
     if (!share || !isReservedForUrgent(*share, amount))
         return false;
     std::vector<LogField> fields = requestFields(active);
     fields.push_back({"account", active.account_.value_});
-    fields.push_back({"urgency", std::to_string(tokenUrgency(active))});
+    fields.push_back({"urgency", std::to_string(tokenUrgency(state, active))});
     fields.push_back({"amount", std::to_string(amount.count_)});
     addShareFields(fields, *share);
     logLine(out, LogLevel::Info, "budget.reserved_for_urgent", std::move(fields));
@@ -111,7 +112,7 @@
     const Tokens amount = worstCase(*active.request_.usage_);
     PrepaidState &prepaid = state.prepaid_;
     active.reserved_ = reserveTokens(prepaid, state.settings_.prepaid_, active.account_, amount,
-                                     now, tokenUrgency(active));
+                                     now, tokenUrgency(state, active));
     if (active.reserved_) {
         dispatch(state, active, now, out);
         return;
@@ -122,12 +123,14 @@
         return;
     // Waiting is pointless while the ledger is unavailable or no lender has tokens, unless a loan
     // request is pending.
+    const bool isNew = active.stage_ != RelayStage::AwaitingTokens || !active.stageDeadline_;
     if (isTokenSupplyFailing(prepaid, state.settings_.prepaid_, active.account_, now)
-        && !isLoanRequestPending(prepaid, active.account_)) {
+        && !isLoanRequestPending(prepaid, active.account_)
+        && (isNew || managesShortage(prepaid, state.settings_.prepaid_))) {
         refuse(state, active, statusServiceUnavailable, "budget_unconfirmed", now, out);
         return;
     }
-    if (active.stage_ != RelayStage::AwaitingTokens || !active.stageDeadline_) {
+    if (isNew) {
         active.stage_ = RelayStage::AwaitingTokens;
         const PreciseMicros wait
             = PreciseMicros {active.route_->latencyObjective_} * state.settings_.tokenWaitShare_;
@@ -147,10 +150,12 @@
 
 bool isTokenOutage(const RelayState &state, const RelayedRequest &active, MonoTime now)
 {
-    return !state.prepaid_.storeContact_
+    const bool contactLost = managesShortage(state.prepaid_, state.settings_.prepaid_)
+        && !state.prepaid_.storeContact_;
+    return contactLost
         || isTokenSupplyFailing(state.prepaid_, state.settings_.prepaid_, active.account_, now)
         || findUrgentShare(state.prepaid_, state.settings_.prepaid_, active.account_,
-                           tokenUrgency(active), now);
+                           tokenUrgency(state, active), now);
 }
 
 bool isUsedWithSeveralUrgencies(const RelayState &state, const AccountId &account)
@@ -166,7 +171,7 @@
         return spread;
     const auto &urgencies = state.prepaid_.balances_.at(active.account_).shares_.byUrgency_;
     const auto rank = static_cast<double>(
-        std::distance(urgencies.begin(), urgencies.lower_bound(tokenUrgency(active))));
+        std::distance(urgencies.begin(), urgencies.lower_bound(tokenUrgency(state, active))));
     return std::min((rank + spread) / static_cast<double>(urgencies.size()), 1.0);
 }
 
@@ -182,7 +187,8 @@
     PrepaidBalance &balance = state.prepaid_.balances_[active.account_];
     const Tokens amount = worstCase(*active.request_.usage_);
     // A client may ask for more than the account can ever pay for.
-    recordDemand(balance.shares_, tokenUrgency(active), std::min(amount, balance.funded_), now);
+    recordDemand(balance.shares_, tokenUrgency(state, active), std::min(amount, balance.funded_),
+                 now);
     reserveOrWait(state, active, now, out);
 }
 
@@ -193,7 +199,7 @@
     std::vector<std::tuple<int, MonoTime, ExchangeId>> waiting;
     for (const auto &[id, active] : state.active_) {
         if (active.stage_ == RelayStage::AwaitingTokens && active.account_ == account)
-            waiting.emplace_back(tokenUrgency(active), active.deadline_, id);
+            waiting.emplace_back(tokenUrgency(state, active), active.deadline_, id);
     }
     std::sort(waiting.begin(), waiting.end());
     for (const auto &[urgency, deadline, id] : waiting) {
