--- a/tests/unit-instanceload.cpp
+++ b/tests/unit-instanceload.cpp
@@ -23,8 +23,9 @@
 
 LoadList report(std::uint32_t running, const UpstreamId &id = engine)
 {
-    return std::make_shared<const std::vector<InstanceLoad>>(std::vector<InstanceLoad> {
-        InstanceLoad {id, running, Tokens {running * 100}, Tokens {running * 1000}, 50.0}});
+    return std::make_shared<const std::vector<InstanceLoad>>(
+        std::vector<InstanceLoad> {InstanceLoad {id, running, Tokens {std::int64_t {running} * 100},
+                                                 Tokens {std::int64_t {running} * 1000}, 50.0}});
 }
 
 double runningOf(InstanceLoads &loads, MonoTime now, const UpstreamId &id = engine)
