--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -12,11 +12,10 @@
 constexpr int statusPaymentRequired = 402;
 constexpr int statusServiceUnavailable = 503;
 
-/// Returns the urgency of a request among those of its account, which compete for the same tokens.
-/// The priority of the account is the same for all of them, so that of the route decides.
+/// Returns the urgency by which a request competes for tokens; 0 if shortages are not managed.
 int tokenUrgency(const RelayState &state, const RelayedRequest &active)
 {
-    return managesShortage(state.prepaid_, state.settings_.prepaid_) ? active.route_->priority_ : 0;
+    return managesShortage(state.prepaid_, state.settings_.prepaid_) ? active.urgency_ : 0;
 }
 
 bool isPrepaid(const RelayedRequest &active)
