--- a/src/core/relay/prepaid.h
+++ b/src/core/relay/prepaid.h
@@ -70,6 +70,9 @@
     Millis maxBackoff_ {200};
     Millis backoffPerDaemon_ {20};
     LenderSettings lenders_;
+    /// Number of live daemons from which on shortages of tokens are managed: first grants, shares
+    /// by urgency, handovers and refusals without a wait.
+    std::uint32_t manageShortageFrom_ = 1;
     /// Maximum first grant of an account as a fraction of its unallocated tokens.
     double firstGrantShare_ = 0.02;
     /// First grants are drawn this long after the lenders of the zone last changed. The daemons of
@@ -206,7 +209,7 @@
     /// Demand of this daemon's requests.
     TokenShares shares_;
     /// Demand for which loans are requested of this daemon. Small requests are mostly served from
-    /// loans that are held already, so this is used only if its own requests show one urgency.
+    /// loans that are held already, so the mix of the daemon's own requests may show more of them.
     TokenShares loanShares_;
 };
 
