Tests of the review's fixes: token counts, first grants after a return of the store, listing of the fleet

unit-coldinstances reads the fleet every 6 s now, as the daemon does: the right to the full rate follows from that listing and no longer from contact to peers. Its checks are unchanged.

--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -26,6 +26,23 @@
     CHECK(waitForEvent<RelayAttemptEnded>(fixture).end_ == AttemptEnd::Delivered);
 }
 
+TEST_CASE("token counts of a client that would overflow are limited")
+{
+    Fixture fixture;
+    setUp(fixture);
+    StreamSocket client = connectClient(fixture);
+    sendText(client,
+             "GET /a/b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+             "X-Tokens: 5,9223372036854775807\r\n"
+             "X-Prompt-Parts: p:9223372036854775807\r\n\r\n");
+    const std::optional<PromptUsage> usage = waitForEvent<RequestRead>(fixture).request_.usage_;
+    REQUIRE(usage);
+    CHECK(usage->prompt_ == Tokens {5});
+    CHECK(usage->maxOutput_ == Tokens {1'000'000'000'000});
+    REQUIRE(usage->parts_.size() == 1);
+    CHECK(usage->parts_.front().tokens_ == Tokens {1'000'000'000'000});
+}
+
 TEST_CASE("the next request of a client reuses the connection to the upstream")
 {
     Fixture fixture;
--- a/tests/unit-coldinstances.cpp
+++ b/tests/unit-coldinstances.cpp
@@ -212,8 +212,12 @@
     config->services_.at(ServiceId {"app"}).coldPerSecond_ = perSecond;
     config->services_.at(ServiceId {"app"}).coldStart_ = coldStart;
     post(fixture, ConfigReceived {config, ChangeSource::Store});
+    // The daemon reads the fleet every 6 s.
+    for (int i = 0; i < 4; ++i) {
+        post(fixture, FleetView {1, 1, {}});
+        advanceTime(fixture, Seconds {6});
+    }
     post(fixture, FleetView {1, 1, {}});
-    advanceTime(fixture, Seconds {20});
     return fixture;
 }
 
@@ -395,4 +399,21 @@
     CHECK(coldCount(fixture.state_.cold_) == 0);
 }
 
+TEST_CASE("a daemon that the store no longer lists in the fleet gives up the full rate")
+{
+    RelayFixture fixture = makeColdFixture(11.0);
+    const ColdPermits &permits = fixture.state_.coldPermits_;
+    post(fixture, FleetView {1, 1, {}});
+    const std::optional<MonoTime> listedAt = permits.contactAt_;
+    REQUIRE(listedAt == fixture.now_);
+    FleetView unlisted {2, 2, {}};
+    unlisted.listsSelf_ = false;
+    fixture.now_ += Seconds {6};
+    post(fixture, unlisted);
+    CHECK(permits.contactAt_ == listedAt);
+    // Contact to peers says nothing about the fleet.
+    post(fixture, DocumentsReplyReceived {HostId {"peer"}, Millis {0}});
+    CHECK(permits.contactAt_ == listedAt);
+}
+
 } // namespace tamarack
--- a/tests/unit-firstgrants.cpp
+++ b/tests/unit-firstgrants.cpp
@@ -261,4 +261,19 @@
     CHECK(haveFirstGrants(fleet, accountCount));
 }
 
+TEST_CASE("no first grant is drawn while draws are paused after the store has returned from a copy")
+{
+    ShardedFleet fleet = makeShardedFleet();
+    configure(fleet, 1, accountCount);
+    for (PrepaidState &state : fleet.daemons_) {
+        noticeStoreEra(state, fleet.settings_, StoreEra {1}, fleet.now_);
+        noticeStoreEra(state, fleet.settings_, StoreEra {2}, fleet.now_);
+    }
+    run(fleet, fleet.settings_.returnSettleTime_ - Millis {40}, alwaysDone);
+    for (int i = 0; i < accountCount; ++i)
+        CHECK(grantsOf(fleet, accountNumbered(i)).empty());
+    run(fleet, Seconds {10}, alwaysDone);
+    CHECK(haveFirstGrants(fleet, accountCount));
+}
+
 } // namespace tamarack
