Quarantine: all parts of a prompt can be cleared and condemned

With longer prompts, requests with a part that stands before the last 16 went on ending instances.

Cause: a response cleared the first 16 shared parts of a prompt, a crash suspected the last 16. Parts beyond were never cleared, parts before never suspected. Two more bounds dropped input: no part was recorded as seen once 4,096 had been, and a new crash was dropped once 128 with suspects were remembered. Besides, each crash counted as one divided by all its suspects, so that long prompts hid the cause.

Change: no count of parts in a request. Suspects are kept by part, with the set of crashes on which each was waiting; the memory of suspects, seen parts and messages is bounded, and the head of quarantine.h says what happens at each bound. From five crashes on, a part is compared with the parts of as many crashes. The digest that daemons compare is computed in another way, so neighbours of different versions exchange complete reports during a rollout.

--- a/src/adapters/peers/messagedecoder.cpp
+++ b/src/adapters/peers/messagedecoder.cpp
@@ -191,6 +191,9 @@
     return PeerMessage {message};
 }
 
+/// Less than any shift by it would overflow.
+constexpr std::uint32_t maxReportedSampling = 32;
+
 Result<PeerMessage> decodeQuarantineReport(const peer::CrashesReported &in)
 {
     if (in.purpose() > static_cast<std::uint32_t>(ReportPurpose::Exchange))
@@ -208,6 +211,7 @@
             decoded.suspects_.push_back(PromptPartId {part});
         for (const std::uint64_t part : crash.cleared())
             decoded.cleared_.push_back(PromptPartId {part});
+        decoded.sampling_ = std::min(crash.sampling(), maxReportedSampling);
         if (crash.has_survived_age_ms())
             decoded.survivedAge_ = Millis {std::min(crash.survived_age_ms(), maxAgeMs)};
         message.crashes_.push_back(std::move(decoded));
--- a/src/adapters/peers/messageencoder.cpp
+++ b/src/adapters/peers/messageencoder.cpp
@@ -251,6 +251,7 @@
             encoded.add_suspects(part.value_);
         for (const PromptPartId part : crash.cleared_)
             encoded.add_cleared(part.value_);
+        encoded.set_sampling(crash.sampling_);
         if (crash.survivedAge_)
             encoded.set_survived_age_ms(static_cast<std::uint64_t>(crash.survivedAge_->count()));
     }
--- a/src/core/quarantinereport.h
+++ b/src/core/quarantinereport.h
@@ -29,6 +29,8 @@
     /// Set if the process is known to have been running this long ago, after it had been presumed
     /// to have ended.
     std::optional<Millis> survivedAge_;
+    /// One in 2^sampling_ of the parts that were waiting on no other crash is reported.
+    std::uint32_t sampling_ = 0;
 };
 
 /// @brief What the receiver should do after merging a report.
--- a/src/core/relay/quarantine.h
+++ b/src/core/relay/quarantine.h
@@ -7,6 +7,19 @@
 // Reports only accumulate and are merged in any order, so daemons that know the same reports reach
 // the same verdicts without agreement. Without contact to its peers, a daemon judges by the crashes
 // that it sees itself.
+//
+// All shared parts of a request count, wherever they stand in the prompt: its client chooses their
+// number and order. Memory is bounded as follows.
+//
+// - Parts seen in responses: the ones seen longest ago are forgotten. A later response still clears
+//   a forgotten part, so only a part that is in no response between two crashes can be condemned.
+// - Suspects of one crash: of the parts that wait on no other crash, a sample is kept; a part that
+//   waits on another crash too is always kept. A crash that a sample represents has less weight in
+//   proportion. The part that crashes instances is in the sample of some crash, and from then on in
+//   all further ones, so it is found after more crashes.
+// - Suspects of all crashes, and crashes: the oldest crash is forgotten.
+// - Parts in one message: news that don't fit follow in the next message. A complete report has the
+//   parts that wait on several crashes first.
 #pragma once
 
 #include "core/quarantinereport.h"
@@ -14,17 +27,23 @@
 #include "core/relay/request.h"
 #include "core/time.h"
 
+#include <bitset>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace tamarack {
 
+/// Number of crashes that can be remembered.
+inline constexpr std::size_t maxCrashes = 128;
+
+/// @brief A set of remembered crashes, by their slot.
+using CrashSet = std::bitset<maxCrashes>;
+
 struct QuarantineSettings
 {
     /// Crashes within this time count once: a host, a network or a release may have ended the
@@ -41,6 +60,13 @@
     /// Each crash counts as one, divided by the number of its suspects. A part needs this sum, so
     /// that crashes with many requests waiting condemn none of their parts.
     double minEvidence_ = 0.5;
+    /// From this many crashes at different times on, or if they are most of the crashes meanwhile,
+    /// a part is compared with the parts that were waiting on as many crashes: their number, not
+    /// that of all suspects, divides the evidence. Otherwise other parts of long prompts that no
+    /// response has shown would hide the cause.
+    std::size_t minRepeatedCrashes_ = 5;
+    /// So many of these crashes must not be at the most frequent address.
+    std::size_t minCrashesElsewhere_ = 2;
     /// A verdict takes effect after this time, in which a peer may report that it has seen the part
     /// in a response.
     Millis objectionTime_ {300};
@@ -64,11 +90,12 @@
     Millis trialInterval_ {10'000};
     /// How long a crash is remembered. Longer than maxDuration_, so that a trial can fail.
     Millis crashLifetime_ {600'000};
-    /// Limits on memory: the number of parts in a request is up to its client.
-    std::size_t maxCrashes_ = 128;
-    std::size_t maxSuspects_ = 64;
-    std::size_t maxPartsPerRequest_ = 16;
-    std::size_t maxSeenParts_ = 4096;
+    /// Limits on memory, see the head of this file. Each suspect and each seen part takes about
+    /// 100 bytes.
+    std::size_t maxSuspects_ = 65'536;
+    std::size_t maxSuspectsPerCrash_ = 8192;
+    std::size_t maxSeenParts_ = 65'536;
+    std::size_t maxPartsPerReport_ = 16'384;
     /// New reports are collected for this long before they are sent to peers.
     Millis reportDelay_ {50};
     /// Interval at which a daemon compares its reports with those of a peer, to find what it missed
@@ -81,13 +108,40 @@
 {
     std::string address_;
     MonoTime at_ {};
-    /// Parts that were waiting on the instance, and whether each has been cleared. Empty if the
-    /// instance has survived.
-    std::map<PromptPartId, bool> suspects_;
+    /// Position in each CrashSet; no other remembered crash has it.
+    std::size_t slot_ = 0;
+    /// Parts that were waiting on the instance and have not been cleared, and those that have. Both
+    /// are 0 if the instance has survived.
+    std::size_t suspects_ = 0;
+    std::size_t cleared_ = 0;
+    /// One in 2^sampling_ of the parts that were waiting on no other crash is kept.
+    std::uint32_t sampling_ = 0;
+    /// Determines the sample. Differs between crashes, so that each part is in some samples.
+    std::uint64_t sampleSeed_ = 0;
     /// The instance was running at this time. Connections that it had closed before don't count.
     std::optional<MonoTime> survivedAt_;
 };
 
+/// @brief The crashes on which a part was waiting.
+struct Suspect
+{
+    CrashSet crashes_;
+    /// Those of crashes_ of which a response has cleared the part.
+    CrashSet cleared_;
+    /// Those of crashes_ for which the part is news that has not been sent to peers.
+    CrashSet unsent_;
+};
+
+/// @brief When this daemon last saw parts in responses. Lookups use both generations; the older one
+/// is replaced when the newer one is full or old.
+struct SeenParts
+{
+    std::unordered_map<PromptPartId, MonoTime> current_;
+    std::unordered_map<PromptPartId, MonoTime> previous_;
+    /// When current_ was begun.
+    MonoTime begunAt_ {};
+};
+
 /// @brief The quarantine of a part.
 struct PartVerdict
 {
@@ -98,8 +152,9 @@
 
 /// @brief What one daemon knows of crashes.
 ///
-/// Invariants: crashes_, their suspects and seen_ are within the limits of the settings; the parts
-/// in verdicts_ and the ends of their quarantines follow from crashes_ alone.
+/// Invariants: crashes_, suspects_ and seen_ are within the limits of the settings; each suspect is
+/// waiting on a crash, and the counts of each crash match suspects_; the parts in verdicts_ and the
+/// ends of their quarantines follow from crashes_ and suspects_ alone.
 struct Quarantine
 {
     HostId self_;
@@ -109,15 +164,15 @@
     /// same zone.
     std::vector<PeerAddress> ring_;
     std::map<InstanceProcess, Crash> crashes_;
-    /// When this daemon last saw a part in a response.
-    std::unordered_map<PromptPartId, MonoTime> seen_;
+    std::unordered_map<PromptPartId, Suspect> suspects_;
+    SeenParts seen_;
     /// The parts that crash instances.
     std::map<PromptPartId, PartVerdict> verdicts_;
     /// Last trial of a part by this daemon.
     std::map<PromptPartId, MonoTime> trials_;
-    /// Suspects that are new or cleared and have not been sent to peers. No suspects if the news is
-    /// that the instance has survived.
-    std::map<InstanceProcess, std::set<PromptPartId>> unsent_;
+    /// Crashes of which there is news that has not been sent to peers: suspects that are new or
+    /// cleared, or that the instance has survived.
+    CrashSet unsent_;
     std::optional<MonoTime> sendAt_;
     MonoTime nextCompareAt_ {};
     std::size_t comparisons_ = 0;
@@ -131,6 +186,7 @@
                            const std::vector<PeerAddress> &peers, MonoTime now);
 
 /// @brief Records a complete response, or output for QuarantineSettings::minOutputTime_.
+/// @note O(parts) if none of them is a suspect
 void recordResponse(Quarantine &quarantine, const QuarantineSettings &settings,
                     const RelayRequest &request, MonoTime now);
 
--- a/src/core/relay/quarantineexchange.cpp
+++ b/src/core/relay/quarantineexchange.cpp
@@ -3,14 +3,13 @@
 // Each daemon sends news to the daemons at distances 1, 2, 4, ... in a ring of all daemons, and
 // these send on what is new to them. News reach all daemons in a logarithmic number of steps, also
 // if some daemons are dead, and no daemon has connections to all others.
-#include "core/hash.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/quarantineinternal.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
+#include <array>
 #include <tuple>
+#include <unordered_set>
 
 namespace tamarack {
 
@@ -36,35 +35,21 @@
 /// times are left out, because they differ between daemons.
 std::uint64_t digestOf(const Quarantine &quarantine)
 {
-    std::map<PromptPartId, std::size_t> counts;
-    for (const auto &[id, crash] : quarantine.crashes_) {
-        for (const auto &[part, cleared] : crash.suspects_)
-            counts[part] += cleared ? 0 : 1;
-    }
-    std::string text;
-    for (const auto &[id, crash] : quarantine.crashes_) {
-        for (const auto &[part, cleared] : crash.suspects_) {
-            if (!cleared && counts.at(part) > 1)
-                text += fmt::format(
-                    "{}@{}+{:x};", id.instance_.value_,
-                    std::chrono::duration_cast<Millis>(id.startedAt_.time_since_epoch()).count(),
-                    part.value_);
+    std::array<std::uint64_t, maxCrashes> hashBySlot {};
+    for (const auto &[id, crash] : quarantine.crashes_)
+        hashBySlot[crash.slot_] = crash.sampleSeed_;
+    std::uint64_t digest = 0;
+    for (const auto &[part, suspect] : quarantine.suspects_) {
+        const CrashSet crashes = suspect.crashes_ & ~suspect.cleared_;
+        if (crashes.count() <= 1)
+            continue;
+        for (std::size_t slot = 0; slot < maxCrashes; ++slot) {
+            // A sum, because the order of the suspects differs between daemons.
+            if (crashes.test(slot))
+                digest += hashOf(hashBySlot[slot], part);
         }
     }
-    return text.empty() ? 0 : hash64(text);
-}
-
-ReportedCrash reportOf(const InstanceProcess &id, const Crash &crash, MonoTime now)
-{
-    ReportedCrash report;
-    report.id_ = id;
-    report.address_ = crash.address_;
-    report.age_ = std::chrono::duration_cast<Millis>(now - crash.at_);
-    for (const auto &[part, cleared] : crash.suspects_)
-        (cleared ? report.cleared_ : report.suspects_).push_back(part);
-    if (crash.survivedAt_)
-        report.survivedAge_ = std::chrono::duration_cast<Millis>(now - *crash.survivedAt_);
-    return report;
+    return digest;
 }
 
 QuarantineReport makeReport(const Quarantine &quarantine, ReportPurpose purpose)
@@ -76,35 +61,123 @@
     return report;
 }
 
-QuarantineReport completeReport(const Quarantine &quarantine, ReportPurpose purpose, MonoTime now)
+/// Adds crashes without suspects to a report.
+/// @return the position in the report of the crash in each slot
+std::array<std::size_t, maxCrashes> addCrashes(QuarantineReport &report,
+                                               const Quarantine &quarantine,
+                                               const CrashSet &selected, MonoTime now)
+{
+    std::array<std::size_t, maxCrashes> positions {};
+    for (const auto &[id, crash] : quarantine.crashes_) {
+        if (!selected.test(crash.slot_))
+            continue;
+        positions[crash.slot_] = report.crashes_.size();
+        ReportedCrash &added = report.crashes_.emplace_back();
+        added.id_ = id;
+        added.address_ = crash.address_;
+        added.age_ = std::chrono::duration_cast<Millis>(now - crash.at_);
+        added.sampling_ = crash.sampling_;
+        if (crash.survivedAt_)
+            added.survivedAge_ = std::chrono::duration_cast<Millis>(now - *crash.survivedAt_);
+    }
+    return positions;
+}
+
+/// A part that was waiting on some of the crashes of a report.
+struct PartOfReport
+{
+    PromptPartId part_;
+    CrashSet crashes_;
+    CrashSet cleared_;
+};
+
+void addPart(QuarantineReport &report, const std::array<std::size_t, maxCrashes> &positions,
+             const PartOfReport &added)
+{
+    for (std::size_t slot = 0; slot < maxCrashes; ++slot) {
+        if (!added.crashes_.test(slot))
+            continue;
+        ReportedCrash &crash = report.crashes_[positions[slot]];
+        (added.cleared_.test(slot) ? crash.cleared_ : crash.suspects_).push_back(added.part_);
+    }
+}
+
+/// Returns a report of all crashes. Parts that were waiting on several of them come first, because
+/// verdicts depend on them; others follow as far as there is room.
+QuarantineReport completeReport(const Quarantine &quarantine, const QuarantineSettings &settings,
+                                ReportPurpose purpose, MonoTime now)
 {
     QuarantineReport report = makeReport(quarantine, purpose);
-    for (const auto &[id, crash] : quarantine.crashes_)
-        report.crashes_.push_back(reportOf(id, crash, now));
+    const auto positions = addCrashes(report, quarantine, CrashSet {}.set(), now);
+    std::size_t room = settings.maxPartsPerReport_;
+    for (const bool repeated : {true, false}) {
+        for (const auto &[part, suspect] : quarantine.suspects_) {
+            const std::size_t count = suspect.crashes_.count();
+            if ((count > 1) != repeated || count > room)
+                continue;
+            addPart(report, positions, PartOfReport {part, suspect.crashes_, suspect.cleared_});
+            room -= count;
+        }
+    }
     return report;
 }
 
-QuarantineReport newsReport(const Quarantine &quarantine, MonoTime now)
+/// Returns a report of the news and marks them as sent. News that don't fit remain.
+QuarantineReport takeNews(Quarantine &quarantine, const QuarantineSettings &settings, MonoTime now)
 {
     QuarantineReport report = makeReport(quarantine, ReportPurpose::Inform);
-    for (const auto &[id, parts] : quarantine.unsent_) {
-        const auto known = quarantine.crashes_.find(id);
-        if (known == quarantine.crashes_.end())
+    const auto positions = addCrashes(report, quarantine, quarantine.unsent_, now);
+    std::size_t room = settings.maxPartsPerReport_;
+    quarantine.unsent_.reset();
+    for (auto &[part, suspect] : quarantine.suspects_) {
+        const std::size_t count = suspect.unsent_.count();
+        if (count > room) {
+            quarantine.unsent_ |= suspect.unsent_;
             continue;
-        Crash news {known->second.address_, known->second.at_, {}, known->second.survivedAt_};
-        for (const PromptPartId part : parts) {
-            const auto suspect = known->second.suspects_.find(part);
-            if (suspect != known->second.suspects_.end())
-                news.suspects_.insert(*suspect);
         }
-        report.crashes_.push_back(reportOf(id, news, now));
+        addPart(report, positions, PartOfReport {part, suspect.unsent_, suspect.cleared_});
+        suspect.unsent_.reset();
+        room -= count;
     }
     return report;
 }
 
+/// Returns the parts that were waiting on several crashes of a report.
+std::unordered_set<PromptPartId> repeatedParts(const QuarantineReport &report)
+{
+    std::unordered_set<PromptPartId> seen;
+    std::unordered_set<PromptPartId> repeated;
+    for (const ReportedCrash &crash : report.crashes_) {
+        for (const auto *parts : {&crash.suspects_, &crash.cleared_}) {
+            for (const PromptPartId part : *parts) {
+                if (!seen.insert(part).second)
+                    repeated.insert(part);
+            }
+        }
+    }
+    return repeated;
+}
+
+/// Merges one part of a reported crash.
+/// @return the change of the crash
+SuspectChange mergePart(Quarantine &quarantine, const QuarantineSettings &settings, Crash &crash,
+                        const WaitingPart &reported, MonoTime now)
+{
+    const SuspectChange change = addSuspect(quarantine, settings, crash, reported);
+    if (change == SuspectChange::CrashForgotten)
+        return change;
+    if (change == SuspectChange::Changed)
+        scheduleNews(quarantine, settings, crash, reported.part_, now);
+    // The sender does not know yet that the part has been cleared.
+    if (!reported.cleared_ && isCleared(quarantine, crash, reported.part_))
+        reportClearance(quarantine, settings, reported.part_, now);
+    return change;
+}
+
 /// @return true if the crash was new or changed
 bool mergeCrash(Quarantine &quarantine, const QuarantineSettings &settings,
-                const ReportedCrash &reported, MonoTime now)
+                const ReportedCrash &reported, const std::unordered_set<PromptPartId> &repeated,
+                MonoTime now)
 {
     if (reported.age_ >= settings.crashLifetime_)
         return false;
@@ -122,33 +195,27 @@
     Crash *crash = findOrAddCrash(quarantine, settings, reported.id_, reported.address_, at);
     if (!crash) {
         // The sender does not know yet that the instance has survived.
-        if (!reported.survivedAge_ && quarantine.crashes_.contains(reported.id_))
-            scheduleSurvival(quarantine, settings, reported.id_, now);
+        const auto known = quarantine.crashes_.find(reported.id_);
+        if (!reported.survivedAge_ && known != quarantine.crashes_.end())
+            scheduleSurvival(quarantine, settings, known->second, now);
         return changed;
     }
-    const auto merge = [&](PromptPartId part, bool cleared) {
-        if (addSuspect(quarantine, settings, *crash, part, cleared)) {
-            scheduleNews(quarantine, settings, reported.id_, part, now);
-            changed = true;
+    crash->sampling_ = std::max(crash->sampling_, reported.sampling_);
+    for (const bool cleared : {false, true}) {
+        for (const PromptPartId part : cleared ? reported.cleared_ : reported.suspects_) {
+            const WaitingPart waiting {part, cleared, repeated.contains(part)};
+            const SuspectChange change = mergePart(quarantine, settings, *crash, waiting, now);
+            if (change == SuspectChange::CrashForgotten)
+                return true;
+            changed = changed || change == SuspectChange::Changed;
         }
-        // The sender does not know yet that the part has been cleared.
-        const auto suspect = crash->suspects_.find(part);
-        if (!cleared && suspect != crash->suspects_.end() && suspect->second)
-            reportClearance(quarantine, settings, part, now);
-    };
-    for (const PromptPartId part : reported.suspects_)
-        merge(part, false);
-    for (const PromptPartId part : reported.cleared_)
-        merge(part, true);
+    }
     return changed;
 }
 
 void forgetOldCrashes(Quarantine &quarantine, const QuarantineSettings &settings, MonoTime now)
 {
-    const std::size_t forgotten = std::erase_if(quarantine.crashes_, [&](const auto &crash) {
-        return now - crash.second.at_ >= settings.crashLifetime_;
-    });
-    if (forgotten == 0)
+    if (!forgetCrashesBefore(quarantine, now - settings.crashLifetime_))
         return;
     updateVerdicts(quarantine, settings, now);
     std::erase_if(quarantine.trials_,
@@ -176,13 +243,14 @@
                                             const QuarantineReport &report, MonoTime now)
 {
     bool changed = false;
+    const std::unordered_set<PromptPartId> repeated = repeatedParts(report);
     for (const ReportedCrash &crash : report.crashes_)
-        changed = mergeCrash(quarantine, settings, crash, now) || changed;
+        changed = mergeCrash(quarantine, settings, crash, repeated, now) || changed;
     if (changed)
         updateVerdicts(quarantine, settings, now);
     if (report.purpose_ == ReportPurpose::Inform || report.digest_ == digestOf(quarantine))
         return std::nullopt;
-    return completeReport(quarantine,
+    return completeReport(quarantine, settings,
                           report.purpose_ == ReportPurpose::Compare ? ReportPurpose::Exchange
                                                                     : ReportPurpose::Inform,
                           now);
@@ -199,11 +267,12 @@
     forgetOldCrashes(quarantine, settings, now);
     const std::vector<PeerAddress> peers = neighbours(quarantine);
     if (sendsNews) {
-        const QuarantineReport news = newsReport(quarantine, now);
+        const QuarantineReport news = takeNews(quarantine, settings, now);
         for (const PeerAddress &peer : peers)
             due.push_back(OutgoingReport {peer, news});
-        quarantine.unsent_.clear();
         quarantine.sendAt_.reset();
+        if (quarantine.unsent_.any())
+            quarantine.sendAt_ = now + settings.reportDelay_;
     }
     if (compares) {
         // A daemon that has just started asks all neighbours at once.
--- a/tests/quarantinefixture.h
+++ b/tests/quarantinefixture.h
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <set>
 #include <string>
@@ -32,6 +33,8 @@
     /// Every third message is lost and every third is delivered twice.
     bool lossy_ = false;
     std::size_t sent_ = 0;
+    /// Number of parts in the largest report that was sent.
+    std::size_t largestReport_ = 0;
 };
 
 inline PeerAddress quarantinePeer(std::size_t index)
@@ -65,6 +68,10 @@
                        QuarantineReport report)
 {
     ++fleet.sent_;
+    std::size_t parts = 0;
+    for (const ReportedCrash &reported : report.crashes_)
+        parts += reported.suspects_.size() + reported.cleared_.size();
+    fleet.largestReport_ = std::max(fleet.largestReport_, parts);
     if (fleet.lossy_ && fleet.sent_ % 3 == 0)
         return;
     const QuarantineMessage message {from, std::stoul(to), std::move(report)};
