Prompt parts without a valid token count are kept

A request whose list of prompt parts has an entry without a valid token count could crash instances without that part ever being quarantined, and a broken last entry made the part before it count as the last one, which is never a suspect.

Cause: the front end left such entries out. They are kept with 0 tokens now; only the prediction of the time to first output uses the tokens.

Test: contract-relayfront, "a prompt part without a valid token count is not left out", fails before (2 of 6 parts), passes now.

--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -78,14 +78,15 @@
     return {text.substr(0, at), text.substr(at + 1)};
 }
 
+/// Parses the list of prompt parts. A part without a valid number of tokens counts as one of 0
+/// tokens: its position says which part is the last one, and it may be quarantined like others.
 std::vector<PromptPart> parsePromptParts(std::string_view text)
 {
     std::vector<PromptPart> parts;
     while (!text.empty()) {
         const auto [entry, rest] = split(text, ',');
         const auto [id, tokens] = split(entry, ':');
-        if (const auto count = parseTokens(tokens))
-            parts.push_back(PromptPart {std::string(id), *count});
+        parts.push_back(PromptPart {std::string(id), parseTokens(tokens).value_or(Tokens {})});
         text = rest;
     }
     return parts;
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -43,6 +43,26 @@
     CHECK(usage->parts_.front().tokens_ == Tokens {1'000'000'000'000});
 }
 
+TEST_CASE("a prompt part without a valid token count is not left out")
+{
+    // A part that crashes instances could not be quarantined, and a broken last entry made the part
+    // before it count as the one that belongs to this request only.
+    Fixture fixture;
+    setUp(fixture);
+    StreamSocket client = connectClient(fixture);
+    sendText(client,
+             "GET /a/b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Tokens: 5,7\r\n"
+             "X-Prompt-Parts: a:3,b,c:many,d:-2,e:4,f:\r\n\r\n");
+    const std::optional<PromptUsage> usage = waitForEvent<RequestRead>(fixture).request_.usage_;
+    REQUIRE(usage);
+    std::vector<std::pair<std::string, std::int64_t>> parts;
+    for (const PromptPart &part : usage->parts_)
+        parts.emplace_back(part.id_, part.tokens_.count_);
+    CHECK(parts
+          == std::vector<std::pair<std::string, std::int64_t>> {
+              {"a", 3}, {"b", 0}, {"c", 0}, {"d", 0}, {"e", 4}, {"f", 0}});
+}
+
 TEST_CASE("the next request of a client reuses the connection to the upstream")
 {
     Fixture fixture;
