The cached parts of an instance have a bound

Prompts with many parts grow the memory of a daemon: each part that it sends to an instance is remembered for at least 10 s.

Cause: maxCachedParts_ was the size from which old parts are forgotten, not a bound. That size keeps its value under a true name, and there is a bound of 4,096 parts: the parts used longest ago are forgotten, and count as not cached. Below the bound nothing changes.

--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -43,8 +43,11 @@
     PreciseMicros otherZonePenaltyPerKilobyte_ {Millis {5}};
     /// A prompt part is assumed to stay cached for this long after its last use.
     Millis cacheLifetime_ {Seconds {20}};
-    /// Maximum number of prompt parts tracked for one instance.
-    std::size_t maxCachedParts_ = 400;
+    /// From this many prompt parts of one instance on, those that are half as old are forgotten.
+    std::size_t pruneCachedPartsFrom_ = 400;
+    /// Maximum number of prompt parts remembered for one instance. The ones used longest ago are
+    /// forgotten, and are expected not to be cached then.
+    std::size_t maxCachedParts_ = 4096;
     /// Ejection time after a failure; it doubles with each further one up to maxEjectionTime_.
     Millis baseEjectionTime_ {250};
     Millis maxEjectionTime_ {4000};
--- a/src/core/relay/instancestats.cpp
+++ b/src/core/relay/instancestats.cpp
@@ -63,13 +63,35 @@
     record.maxWaitingReducedAt_ = now;
 }
 
-void evictOldParts(InstanceStats &record, const ChoiceSettings &settings, MonoTime now)
+/// Forgets the prompt parts that were used longest ago, so that there is room for @a added ones.
+void evictOldParts(InstanceStats &record, const ChoiceSettings &settings, std::size_t added,
+                   MonoTime now)
 {
-    if (record.cachedParts_.size() < settings.maxCachedParts_)
+    if (record.cachedParts_.size() < settings.pruneCachedPartsFrom_)
         return;
-    std::erase_if(record.cachedParts_, [&](const auto &item) {
-        return now - item.second > settings.cacheLifetime_ / 2;
-    });
+    Millis age = settings.cacheLifetime_ / 2;
+    const auto forgetOlderThan = [&](Millis limit) {
+        std::erase_if(record.cachedParts_,
+                      [&](const auto &item) { return now - item.second > limit; });
+    };
+    forgetOlderThan(age);
+    while (record.cachedParts_.size() + added > settings.maxCachedParts_ && age > Millis {}) {
+        age /= 2;
+        forgetOlderThan(age);
+    }
+    if (record.cachedParts_.size() + added > settings.maxCachedParts_)
+        record.cachedParts_.clear();
+}
+
+/// Records the parts that the engine will have cached after a request.
+void recordCachedParts(InstanceStats &record, const ChoiceSettings &settings,
+                       const std::vector<PromptPart> &parts, MonoTime now)
+{
+    // A part is of use only with all parts before it.
+    const std::size_t count = std::min(parts.size(), settings.maxCachedParts_);
+    evictOldParts(record, settings, count, now);
+    for (std::size_t i = 0; i < count; ++i)
+        record.cachedParts_[parts[i].id_] = now;
 }
 
 } // namespace
@@ -128,11 +150,8 @@
     ++record.waiting_;
     record.queuedPrefill_ += choice.uncached_;
     record.contextTokens_ += choice.contextTokens_;
-    if (!request.usage_)
-        return;
-    evictOldParts(record, settings, now);
-    for (const PromptPart &part : request.usage_->parts_)
-        record.cachedParts_[part.id_] = now;
+    if (request.usage_)
+        recordCachedParts(record, settings, request.usage_->parts_, now);
 }
 
 void recordFirstOutput(ChoiceState &state, const ChoiceSettings &settings, const Choice &choice,
