A member that the store does not list has not left the fleet

Cause: each list of registrations was taken as the truth about the fleet. A daemon that read it while the registrations of the others had lapsed took itself for the only one: coordinator of every instance, and sole user of everything that is divided by the number of daemons. If the store was away again, it believed so until it returned.

Change: core/relay/fleetmembers decides what a listing means. A member leaves by its own word, or if it is not listed and does not reply to three requests over 4 s. A list is complete once the daemon itself has been listed for 10 s without a gap; until then it asks peers for the size of the fleet and never grants at the full rate. The parts of the relay get the members and compare no lists. Two messages between daemons are new; older daemons ignore them.

Also mended, as it is the same limit: a daemon without any list took a whole limit as its equal share.

Ruled out: permits granted before the outage (the excess lasts as long as the store is away), instances' limits forgotten (the excess grows by whole limits, not by demand).

Tests changed: unit-relayload took a daemon for gone because a listing lacked it; the daemon says now that it stops, or does not reply. The tests of limits and of cold instances told the members to updateLimitPeers(), which found the departures itself; departures.h finds them now. Their checks and bounds are unchanged.

--- a/src/adapters/peers/messagedecoder.cpp
+++ b/src/adapters/peers/messagedecoder.cpp
@@ -52,6 +52,9 @@
                         {in.parts().begin(), in.parts().end()}};
 }
 
+/// More daemons than any fleet has. One that believes a larger number would use none of its limits.
+constexpr std::uint32_t maxFleetSize = 100'000;
+
 /// Larger numbers than any instance has; sums of them can't overflow.
 constexpr std::uint64_t maxLoadTokens = 1'000'000'000'000;
 constexpr std::uint32_t maxLoadRequests = 1'000'000;
@@ -296,6 +299,12 @@
         return decodePermitReply(in.permit_answered());
     case peer::Envelope::kGrantsCommitted:
         return fromProto(in.grants_committed());
+    case peer::Envelope::kPresenceAsked:
+        return PeerMessage {PresenceRequest {in.presence_asked().reply_address()}};
+    case peer::Envelope::kPresenceConfirmed:
+        return PeerMessage {
+            PresenceReply {in.presence_confirmed().leaving(),
+                           std::min(in.presence_confirmed().daemons(), maxFleetSize)}};
     case peer::Envelope::MESSAGE_NOT_SET:
         break;
     }
--- a/src/adapters/peers/messageencoder.cpp
+++ b/src/adapters/peers/messageencoder.cpp
@@ -257,6 +257,18 @@
     }
 }
 
+void encodeInto(peer::Envelope &envelope, const PresenceRequest &message)
+{
+    envelope.mutable_presence_asked()->set_reply_address(message.replyAddress_);
+}
+
+void encodeInto(peer::Envelope &envelope, const PresenceReply &message)
+{
+    peer::PresenceConfirmed &out = *envelope.mutable_presence_confirmed();
+    out.set_leaving(message.leaving_);
+    out.set_daemons(message.daemons_);
+}
+
 } // namespace
 
 std::string encodePeerMessage(const PeerEnvelope &envelope)
--- a/src/core/controlpeers.cpp
+++ b/src/core/controlpeers.cpp
@@ -90,6 +90,8 @@
     void operator()(const QuarantineReport &) const { }
     void operator()(const PermitRequest &) const { }
     void operator()(const PermitReply &) const { }
+    void operator()(const PresenceRequest &) const { }
+    void operator()(const PresenceReply &) const { }
     void operator()(const ReleaseRequest &message) const
     {
         if (message.holder_ == state_.membership_.self_.holder_)
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -8,6 +8,7 @@
 #include "core/requestrecords.h"
 #include "core/routing.h"
 #include "core/store.h"
+#include "core/storeposition.h"
 #include "core/time.h"
 #include "core/tokens.h"
 
@@ -141,6 +142,8 @@
 struct RegistrationsLoaded
 {
     std::vector<RegisteredMember> members_;
+    /// Era of the store that they were read from.
+    StoreEra era_ {};
 };
 
 /// @brief The platform's list of hosts was read.
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -5,6 +5,7 @@
 #include "core/ids.h"
 #include "core/instanceload.h"
 #include "core/permitmessage.h"
+#include "core/presence.h"
 #include "core/quarantinereport.h"
 #include "core/refusal.h"
 #include "core/storeposition.h"
@@ -242,9 +243,10 @@
     std::vector<ReportedGrant> grants_;
 };
 
-using PeerMessage = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle,
-                                 SettleAck, BundleOffer, BundleFetch, BundleParts, ReleaseRequest,
-                                 Leaving, DocumentsRequest, DocumentsReply, LoanRequest, LoanReply,
-                                 QuarantineReport, PermitRequest, PermitReply, GrantReport>;
+using PeerMessage
+    = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle, SettleAck,
+                   BundleOffer, BundleFetch, BundleParts, ReleaseRequest, Leaving, DocumentsRequest,
+                   DocumentsReply, LoanRequest, LoanReply, QuarantineReport, PermitRequest,
+                   PermitReply, GrantReport, PresenceRequest, PresenceReply>;
 
 } // namespace tamarack
--- a/src/core/relay/coldpermits.cpp
+++ b/src/core/relay/coldpermits.cpp
@@ -66,10 +66,14 @@
     // first and a second in rank.
     if (!known || (!first && !inContact))
         return GrantRole::None;
+    // It may have been started while the store listed few daemons.
+    if (!limits.isComplete_ && !inContact)
+        return GrantRole::None;
     const auto isLongAgo = [&](const std::optional<MonoTime> &event) {
         return !event || now >= *event + limitSettings.fullRateAfter_;
     };
-    const bool isSure = inContact && isLongAgo(limits.startedAt_) && isLongAgo(permits.resumedAt_);
+    const bool isSure = inContact && limits.isComplete_ && isLongAgo(limits.startedAt_)
+        && isLongAgo(permits.resumedAt_);
     return first && isSure && isFirstOfAll(limits, limitSettings, target, now) ? GrantRole::Full
                                                                                : GrantRole::Partial;
 }
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -204,6 +204,20 @@
     PermitReply reply_;
 };
 
+/// @brief Another daemon asks whether this one runs.
+struct PresenceRequestReceived
+{
+    HostId from_;
+    PresenceRequest request_;
+};
+
+/// @brief Another daemon replied that it runs.
+struct PresenceReplyReceived
+{
+    HostId from_;
+    PresenceReply reply_;
+};
+
 /// @brief Another daemon requested documents from this one.
 struct DocumentsRequestReceived
 {
@@ -248,8 +262,9 @@
                    InstanceRemoved, EvacuationsListed, EvacuationChanged, EvacuationRemoved,
                    FleetView, LoanRequestReceived, LoanReplyReceived, GrantReportReceived,
                    QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
-                   DocumentsRequestReceived, DocumentsReplyReceived, FeedAvailabilityChanged,
-                   StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
+                   PresenceRequestReceived, PresenceReplyReceived, DocumentsRequestReceived,
+                   DocumentsReplyReceived, FeedAvailabilityChanged, StoreEraNoticed, StoreReplied,
+                   RelayStopRequested, ClientsClosed>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
--- a/src/core/relay/fleet.cpp
+++ b/src/core/relay/fleet.cpp
@@ -1,7 +1,6 @@
 // Counts the live daemons.
 #include "core/relay/fleet.h"
 
-#include <algorithm>
 #include <map>
 
 namespace tamarack {
@@ -17,19 +16,27 @@
     FleetView counted {0, 0, {}};
     for (const auto &[host, member] : newest) {
         const Registration &registration = member->registration_;
-        if (registration.leaving_)
+        if (registration.leaving_) {
+            if (host != self)
+                counted.leaving_[host] = registration.holder_;
             continue;
+        }
         ++counted.daemons_;
         if (registration.zone_ == zone)
             ++counted.zoneDaemons_;
-        if (host != self && !registration.peerAddress_.empty())
-            counted.peers_.push_back(PeerAddress {
-                host, registration.zone_, registration.peerAddress_, registration.capacity_});
+        if (host == self || registration.peerAddress_.empty())
+            continue;
+        counted.peers_.push_back(PeerAddress {host, registration.zone_, registration.peerAddress_,
+                                              registration.capacity_});
+        counted.holders_[host] = registration.holder_;
     }
     const auto own = newest.find(self);
     counted.listsSelf_ = own != newest.end() && !own->second->registration_.leaving_;
-    counted.daemons_ = std::max(counted.daemons_, 1U);
-    counted.zoneDaemons_ = std::max(counted.zoneDaemons_, 1U);
+    if (!counted.listsSelf_) {
+        ++counted.daemons_;
+        ++counted.zoneDaemons_;
+    }
+    counted.era_ = members.era_;
     return counted;
 }
 
--- a/src/core/relay/instancelimits.cpp
+++ b/src/core/relay/instancelimits.cpp
@@ -2,6 +2,7 @@
 #include "core/relay/instancelimits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack {
 
@@ -10,11 +11,12 @@
 using FractionalSeconds = std::chrono::duration<double>;
 
 /// Returns true if no other daemon grants at the full rate for the instance: this one is first in
-/// rank, and was already before daemons may have disagreed about the fleet.
+/// rank among all members, and was already before daemons may have disagreed about the fleet.
 bool mayGrantAtFullRate(const InstanceLimits &limits, const RequestLimitSettings &settings,
                         const InstanceProcess &process, const ZoneId &zone, MonoTime now)
 {
-    if (!limits.startedAt_ || now < *limits.startedAt_ + settings.fullRateAfter_)
+    if (!limits.isComplete_ || !limits.startedAt_
+        || now < *limits.startedAt_ + settings.fullRateAfter_)
         return false;
     std::vector<PeerAddress> candidates = limits.daemons_;
     for (const auto &[daemon, since] : limits.departed_) {
@@ -91,10 +93,26 @@
     return {PermitResult::Denied, *wait};
 }
 
+/// Returns the fraction of a limit that each daemon takes if no coordinator can be found; 0 if
+/// nothing is known of the fleet.
+double equalShare(const InstanceLimits &limits)
+{
+    const auto known
+        = std::max(limits.fleetSize_, static_cast<std::uint32_t>(limits.daemons_.size()));
+    const bool isUnknown = !limits.startedAt_ && known <= 1;
+    return isUnknown ? 0.0 : 1.0 / std::max(known, 1U);
+}
+
 double coordinatorShare(const InstanceLimits &limits, const RequestLimitSettings &settings,
                         const InstanceProcess &process, const ZoneId &zone, MonoTime now)
 {
-    return mayGrantAtFullRate(limits, settings, process, zone, now) ? 1.0 : settings.partialShare_;
+    if (mayGrantAtFullRate(limits, settings, process, zone, now))
+        return 1.0;
+    const bool isInContact = limits.listedAt_ && now <= *limits.listedAt_ + settings.contactGrace_;
+    const bool knowsAll = limits.daemons_.size() >= limits.fleetSize_;
+    if (limits.isComplete_ || (isInContact && knowsAll))
+        return settings.partialShare_;
+    return std::min(settings.partialShare_, equalShare(limits));
 }
 
 } // namespace
@@ -121,20 +139,14 @@
 }
 
 void updateLimitPeers(InstanceLimits &limits, const RequestLimitSettings &settings,
-                      const PeerAddress &self, const std::vector<PeerAddress> &peers, MonoTime now)
+                      FleetPeers fleet, MonoTime now)
 {
-    std::erase_if(limits.departed_,
-                  [&](const auto &entry) { return now >= entry.second + settings.fullRateAfter_; });
-    for (const PeerAddress &known : limits.daemons_) {
-        const auto same = [&known](const PeerAddress &peer) {
-            return peer.host_ == known.host_;
-        };
-        if (known.host_ != self.host_ && std::none_of(peers.begin(), peers.end(), same))
-            limits.departed_.emplace_back(known, now);
-    }
-    limits.self_ = self.host_;
-    limits.daemons_ = peers;
-    limits.daemons_.push_back(self);
+    limits.self_ = fleet.self_.host_;
+    limits.daemons_ = std::move(fleet.peers_);
+    limits.daemons_.push_back(std::move(fleet.self_));
+    limits.departed_ = std::move(fleet.departed_);
+    limits.isComplete_ = fleet.isComplete_;
+    limits.listedAt_ = fleet.listedAt_;
     if (!limits.startedAt_)
         limits.startedAt_ = now;
     std::erase_if(limits.unresponsive_, [now](const auto &entry) { return entry.second <= now; });
@@ -196,9 +208,8 @@
                              std::chrono::duration_cast<Millis>(now - statement.statedAt_)};
         return answer;
     }
-    const double daemons = std::max<double>(static_cast<double>(limits.daemons_.size()), 1.0);
     const double share
-        = coordinator ? coordinatorShare(limits, settings, process, zone, now) : 1.0 / daemons;
+        = coordinator ? coordinatorShare(limits, settings, process, zone, now) : equalShare(limits);
     const auto [result, wait] = decide(limits, settings, process, zone, statement, share, now);
     answer.coordinator_.host_ = limits.self_;
     answer.result_ = result;
--- a/src/core/relay/instancelimits.h
+++ b/src/core/relay/instancelimits.h
@@ -26,6 +26,11 @@
     Millis fullRateAfter_ {10'000};
     /// Fraction of the rate at which other daemons grant.
     double partialShare_ = 0.25;
+    /// A daemon whose knowledge of the fleet is not complete grants that fraction only if the fleet
+    /// was listed within this time, which is longer than the interval between two listings, and no
+    /// peer knows a larger one. Otherwise there may be any number of such daemons, and each grants
+    /// its equal share.
+    Millis contactGrace_ {9000};
     /// A permit that is not answered within this time is denied. Longer than a reply takes between
     /// availability zones, and short enough to use another instance.
     Millis replyTimeout_ {150};
@@ -74,12 +79,16 @@
     std::string address_;
     /// All daemons, including this one.
     std::vector<PeerAddress> daemons_;
-    /// Registered daemons, including this one and those without a peer listener.
+    /// Number of daemons, including this one and those without a peer listener; 1 if unknown.
     std::uint32_t fleetSize_ = 1;
     /// When daemons_ was first known.
     std::optional<MonoTime> startedAt_;
     /// Daemons that left the fleet, and when this was noticed.
     std::vector<std::pair<PeerAddress, MonoTime>> departed_;
+    /// No daemon is missing in daemons_: see FleetMembers.
+    bool isComplete_ = false;
+    /// When the store last listed the fleet.
+    std::optional<MonoTime> listedAt_;
     std::map<InstanceProcess, StatedLimit> stated_;
     std::map<InstanceProcess, PermitBucket> buckets_;
     /// Until when no permit is requested for an instance.
@@ -93,11 +102,21 @@
 /// @brief Returns the stable code of a PermitResult, such as "granted".
 std::string_view permitResultCode(PermitResult result);
 
+/// @brief The daemons that may coordinate limits.
+struct FleetPeers
+{
+    PeerAddress self_;
+    /// All other members.
+    std::vector<PeerAddress> peers_;
+    /// Daemons that have left, and when this was noticed.
+    std::vector<std::pair<PeerAddress, MonoTime>> departed_;
+    bool isComplete_ = false;
+    std::optional<MonoTime> listedAt_;
+};
+
 /// @brief Updates the daemons that coordinate limits.
-/// @param self this daemon
-/// @param peers all other live daemons
 void updateLimitPeers(InstanceLimits &limits, const RequestLimitSettings &settings,
-                      const PeerAddress &self, const std::vector<PeerAddress> &peers, MonoTime now);
+                      FleetPeers fleet, MonoTime now);
 
 /// @brief Records the limit in a response of an instance, or that there was none.
 /// @return true if the instance stated a limit before and does not any more
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -171,31 +171,6 @@
     onAttemptEnded(state, active, ended, now, out);
 }
 
-void onEvent(RelayState &state, const FleetView &event, MonoTime now, RelayCommands &out)
-{
-    const bool changed = event.daemons_ != state.fleet_.daemons_
-        || event.zoneDaemons_ != state.fleet_.zoneDaemons_;
-    const PeerAddress self {
-        state.settings_.host_, state.settings_.zone_, {}, state.settings_.capacity_};
-    if (!event.peers_.empty()) {
-        state.sync_.peersSeen_ = true;
-        updateSyncPeers(state.sync_, self, event.peers_);
-    }
-    updateLenders(state.prepaid_.lenders_, self, event.peers_);
-    state.fleet_ = event;
-    state.prepaid_.daemons_ = event.daemons_;
-    scheduleFirstGrants(state.prepaid_, state.settings_.prepaid_, now);
-    updateQuarantinePeers(state.quarantine_, self, event.peers_, now);
-    updateLoadPeers(state.loads_, self, event.peers_);
-    state.limits_.fleetSize_ = event.daemons_;
-    noteFleetListed(state, event, now);
-    updateLimitPeers(state.limits_, state.settings_.limits_, self, event.peers_, now);
-    if (changed)
-        logLine(out, LogLevel::Info, "fleet.counted",
-                {{"daemons", std::to_string(event.daemons_)},
-                 {"zone_daemons", std::to_string(event.zoneDaemons_)}});
-}
-
 void onEvent(RelayState &state, const DocumentsRequestReceived &event, MonoTime now,
              RelayCommands &)
 {
@@ -368,7 +343,13 @@
 {
     RelayCommands out;
     noteColdTime(state, now);
-    std::visit([&](const auto &concrete) { onEvent(state, concrete, now, out); }, event);
+    std::visit(
+        [&](const auto &concrete) {
+            if constexpr (requires { concrete.from_; })
+                noteFleetContact(state, concrete.from_, now, out);
+            onEvent(state, concrete, now, out);
+        },
+        event);
     RelayCommands dueCommands = runDueWork(state, now);
     std::move(dueCommands.begin(), dueCommands.end(), std::back_inserter(out));
     return out;
@@ -421,6 +402,7 @@
         resumeWaitingForTokens(state, account, now, out);
     }
     runQuarantine(state, now, out);
+    runFleet(state, now, out);
     runColdInstances(state, now, out);
     advanceStop(state, now, out);
     startCalls(state, now, out);
@@ -440,6 +422,7 @@
     takeEarlier(next, nextQuarantineTime(state));
     takeEarlier(next, nextEvacuationTime(state.evacuations_));
     takeEarlier(next, nextColdTime(state));
+    takeEarlier(next, nextFleetTime(state.members_));
     if (state.stopRequestedAt_ && !state.stopCompleted_) {
         if (!state.idleConnectionsClosed_)
             takeEarlier(next, *state.stopRequestedAt_ + state.settings_.stopAcceptPeriod_);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -8,6 +8,7 @@
 #include "core/relay/documentsync.h"
 #include "core/relay/evacuation.h"
 #include "core/relay/events.h"
+#include "core/relay/fleetmembers.h"
 #include "core/relay/instancechoice.h"
 #include "core/relay/instancelimits.h"
 #include "core/relay/instanceload.h"
@@ -52,6 +53,7 @@
     OverloadSettings overload_;
     QuarantineSettings quarantine_;
     RequestLimitSettings limits_;
+    FleetMemberSettings members_;
     LoadSettings load_;
     /// Number of live daemons from which on they tell each other the load that they cause at the
     /// instances, and balance by it; 0 if they never do.
@@ -211,6 +213,8 @@
     std::set<PromptPartId> quarantinedParts_;
     std::map<ExchangeId, RelayedRequest> active_;
     std::set<std::pair<MonoTime, ExchangeId>> timers_;
+    FleetMembers members_;
+    /// The members that count, as they were last told to the parts of this state.
     FleetView fleet_;
     DocumentSync sync_;
     /// What the threads that call the store were last told.
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -184,6 +184,20 @@
 /// @brief Records that the store has listed the fleet.
 void noteFleetListed(RelayState &state, const FleetView &fleet, MonoTime now);
 
+// Handlers of the events about the members of the fleet, in relayfleet.cpp.
+void onEvent(RelayState &state, const FleetView &event, MonoTime now, RelayCommands &out);
+void onEvent(RelayState &state, const PresenceRequestReceived &event, MonoTime now,
+             RelayCommands &out);
+void onEvent(RelayState &state, const PresenceReplyReceived &event, MonoTime now,
+             RelayCommands &out);
+
+/// @brief Records that another daemon sent a message.
+void noteFleetContact(RelayState &state, const HostId &host, MonoTime now, RelayCommands &out);
+
+/// @brief Removes the members that have left without a word, and asks missing ones whether they
+/// run.
+void runFleet(RelayState &state, MonoTime now, RelayCommands &out);
+
 /// @brief Logs the instances that became cold or warm.
 void runColdInstances(RelayState &state, MonoTime now, RelayCommands &out);
 
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -265,6 +265,11 @@
         post(relay.queue_, RelayEvent {PermitRequestReceived {received->from_, *permitRequest}});
     else if (const auto *permitReply = std::get_if<PermitReply>(&received->message_))
         post(relay.queue_, RelayEvent {PermitReplyReceived {received->from_, *permitReply}});
+    else if (const auto *presenceRequest = std::get_if<PresenceRequest>(&received->message_))
+        post(relay.queue_,
+             RelayEvent {PresenceRequestReceived {received->from_, *presenceRequest}});
+    else if (const auto *presenceReply = std::get_if<PresenceReply>(&received->message_))
+        post(relay.queue_, RelayEvent {PresenceReplyReceived {received->from_, *presenceReply}});
 }
 
 void requestPeerDocuments(RelayDaemon &relay, RequestPeerDocuments command)
@@ -366,6 +371,10 @@
     const RelaySettings &settings = state.settings_;
     updateSyncPeers(state.sync_,
                     PeerAddress {settings.host_, settings.zone_, {}, settings.capacity_}, seeds);
+    state.members_.self_ = settings.host_;
+    state.members_.zone_ = settings.zone_;
+    if (!relay.settings_.peerAddress_.empty())
+        state.members_.seeds_ = std::move(seeds);
     state.sync_.startedAt_ = std::chrono::steady_clock::now();
     state.followsStore_ = false;
     return state;
--- a/src/runtime/registration.cpp
+++ b/src/runtime/registration.cpp
@@ -108,6 +108,7 @@
     if (reply.status_ != StoreStatus::Ok)
         return std::nullopt;
     RegistrationsLoaded seen;
+    seen.era_ = currentEra(threads);
     for (const StoredEntry &entry : reply.entries_)
         seen.members_.push_back(
             RegisteredMember {std::get<Registration>(entry.value_), entry.created_});
--- a/tests/coldfleet.h
+++ b/tests/coldfleet.h
@@ -4,6 +4,8 @@
 
 #include "core/relay/relay.h"
 
+#include "departures.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -80,8 +82,10 @@
         if (i != daemon && !missing.contains(i))
             peers.push_back(fleet.addresses_[i]);
     }
-    updateLimitPeers(fleet.daemons_[daemon].limits_, fleet.limitSettings_, fleet.addresses_[daemon],
-                     peers, fleet.now_);
+    updateLimitPeers(fleet.daemons_[daemon].limits_, fleet.limitSettings_,
+                     peersAfterDepartures(fleet.daemons_[daemon].limits_, fleet.addresses_[daemon],
+                                          std::move(peers), fleet.now_),
+                     fleet.now_);
 }
 
 inline void start(Fleet &fleet, std::size_t daemon, const std::set<std::size_t> &missing = {})
--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -139,6 +139,8 @@
                        Millis {40}, 11.0, ZoneId {"z-1"}},
         PermitReply {InstanceProcess {UpstreamId {"i-1"}, WallTime {Millis {1234}}}, 7,
                      PermitResult::Denied, Millis {210}},
+        PresenceRequest {"10.0.0.1:7340"},
+        PresenceReply {true, 8},
         GrantReport {entry,
                      StoreEra {3},
                      {ReportedGrant {BudgetId {"b"}, Tokens {9}, Tokens {4}, Tokens {2}},
--- a/tests/unit-coldlimits.cpp
+++ b/tests/unit-coldlimits.cpp
@@ -129,7 +129,9 @@
         InstanceLimits &limits = fleet.daemons_[i].limits_;
         limits.address_.clear();
         limits.fleetSize_ = 84;
-        updateLimitPeers(limits, fleet.limitSettings_, fleet.addresses_[i], {}, fleet.now_);
+        updateLimitPeers(limits, fleet.limitSettings_,
+                         peersAfterDepartures(limits, fleet.addresses_[i], {}, fleet.now_),
+                         fleet.now_);
     }
     run(fleet, Seconds {30}, 10.0);
     checkBound(fleet);
--- a/tests/unit-instancelimits.cpp
+++ b/tests/unit-instancelimits.cpp
@@ -2,6 +2,8 @@
 // that together send more than an instance accepts, and against a limit that goes unused.
 #include "core/relay/relay.h"
 
+#include "departures.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -50,7 +52,9 @@
         if (i != daemon && !unknown.contains(i))
             peers.push_back(fleet.addresses_[i]);
     }
-    updateLimitPeers(fleet.daemons_[daemon], fleet.settings_, fleet.addresses_[daemon], peers,
+    updateLimitPeers(fleet.daemons_[daemon], fleet.settings_,
+                     peersAfterDepartures(fleet.daemons_[daemon], fleet.addresses_[daemon],
+                                          std::move(peers), fleet.now_),
                      fleet.now_);
 }
 
--- a/tests/unit-relayload.cpp
+++ b/tests/unit-relayload.cpp
@@ -186,11 +186,12 @@
     deliver(observer, "a", requestWith(5));
     run(observer, advanceTime(observer.fixture_, Millis {300}));
     CHECK(running(deliver(observer, "b", requestWith(7)).loads_) > 0);
-    // The registrations no longer list it, and then nobody asks any more.
+    // Its registration says that it is stopping, and then nobody asks any more.
     FleetView fleet;
     fleet.daemons_ = 4;
     fleet.zoneDaemons_ = 4;
     fleet.peers_ = {peer("b"), peer("self"), peer("c")};
+    fleet.leaving_[HostId {"a"}] = HolderId {};
     run(observer, post(observer.fixture_, fleet));
     run(observer, advanceTime(observer.fixture_, Millis {300}));
     CHECK(running(deliver(observer, "b", requestWith(7)).loads_) == 0);
@@ -235,6 +236,9 @@
     fleet.zoneDaemons_ = 3;
     fleet.peers_ = {peer("a"), peer("b")};
     run(observer, post(observer.fixture_, fleet));
+    // The daemons that are not listed any more are asked whether they run, and don't reply.
+    for (int i = 0; i < 6; ++i)
+        run(observer, advanceTime(observer.fixture_, Seconds {1}));
     CHECK(deliver(observer, "b", requestWith(7)).loadReporters_ == 0);
     CHECK(observer.fixture_.state_.loads_.reports_.empty());
     CHECK(observer.fixture_.state_.loads_.weight_ == 0.0);
