Log which members of the fleet are listed, missing or have left

fleet.counted was logged only if the number of daemons changed, so that a listing without the others left no trace now that they go on counting. It is logged when any of the counts changes; fleet.member_left names each member that has left, and whether it said so. No behaviour changes.

--- a/src/core/relay/fleetmembers.h
+++ b/src/core/relay/fleetmembers.h
@@ -119,6 +119,19 @@
     bool hasUnlisted_ = false;
 };
 
+/// @brief What is logged of the members.
+struct FleetCounts
+{
+    std::uint32_t daemons_ = 0;
+    std::uint32_t zoneDaemons_ = 0;
+    std::size_t listed_ = 0;
+    std::size_t missing_ = 0;
+    std::size_t introduced_ = 0;
+    bool isComplete_ = false;
+
+    bool operator==(const FleetCounts &) const = default;
+};
+
 /// @brief Applies a listing.
 /// @note O(members x log members)
 void applyListing(FleetMembers &members, const FleetMemberSettings &settings,
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -216,6 +216,7 @@
     FleetMembers members_;
     /// The members that count, as they were last told to the parts of this state.
     FleetView fleet_;
+    FleetCounts loggedFleet_;
     DocumentSync sync_;
     /// What the threads that call the store were last told.
     bool followsStore_ = true;
--- a/src/core/relay/relayfleet.cpp
+++ b/src/core/relay/relayfleet.cpp
@@ -8,16 +8,31 @@
 
 namespace {
 
-void logFleet(const RelayState &state, RelayCommands &out)
+/// Logs the counts if they have changed, and the members that have just left.
+void logFleet(RelayState &state, MonoTime now, RelayCommands &out)
 {
     const FleetMembers &members = state.members_;
+    for (const auto &[host, departure] : members.departed_) {
+        if (departure.noticedAt_ == now)
+            logLine(
+                out, LogLevel::Info, "fleet.member_left",
+                {{"host", host.value_}, {"cause", departure.presumed_ ? "silent" : "stopping"}});
+    }
+    const FleetCounts counts {state.fleet_.daemons_,
+                              state.fleet_.zoneDaemons_,
+                              countMembers(members, FleetMemberState::Listed),
+                              countMembers(members, FleetMemberState::Missing),
+                              countMembers(members, FleetMemberState::Introduced),
+                              members.isComplete_};
+    if (std::exchange(state.loggedFleet_, counts) == counts)
+        return;
     logLine(out, LogLevel::Info, "fleet.counted",
-            {{"daemons", std::to_string(state.fleet_.daemons_)},
-             {"zone_daemons", std::to_string(state.fleet_.zoneDaemons_)},
-             {"listed", std::to_string(countMembers(members, FleetMemberState::Listed))},
-             {"missing", std::to_string(countMembers(members, FleetMemberState::Missing))},
-             {"introduced", std::to_string(countMembers(members, FleetMemberState::Introduced))},
-             {"complete", members.isComplete_ ? "yes" : "no"},
+            {{"daemons", std::to_string(counts.daemons_)},
+             {"zone_daemons", std::to_string(counts.zoneDaemons_)},
+             {"listed", std::to_string(counts.listed_)},
+             {"missing", std::to_string(counts.missing_)},
+             {"introduced", std::to_string(counts.introduced_)},
+             {"complete", counts.isComplete_ ? "yes" : "no"},
              {"era", std::to_string(members.era_.value_)}});
 }
 
@@ -35,17 +50,13 @@
 /// Tells the members to all parts.
 void updateParts(RelayState &state, MonoTime now, RelayCommands &out)
 {
-    FleetView fleet = currentFleet(state.members_, state.settings_.members_, now);
-    const bool changed = fleet.daemons_ != state.fleet_.daemons_
-        || fleet.zoneDaemons_ != state.fleet_.zoneDaemons_;
-    state.fleet_ = std::move(fleet);
+    state.fleet_ = currentFleet(state.members_, state.settings_.members_, now);
     const std::vector<PeerAddress> &peers = state.fleet_.peers_;
     const PeerAddress self {
         state.settings_.host_, state.settings_.zone_, {}, state.settings_.capacity_};
     state.limits_.fleetSize_ = state.fleet_.daemons_;
     state.prepaid_.daemons_ = state.fleet_.daemons_;
-    if (changed)
-        logFleet(state, out);
+    logFleet(state, now, out);
     // Before the first listing, the seeds are the only peers that are known.
     if (!state.members_.listedAt_)
         return;
