Trailer fields are not merged into the head of a message

A client could avoid a charge. Trailer fields of a response reached the client as fields of its head if one read delivered the whole response.

Cause: the parser adds trailer fields to the fields of the head, and the daemon took the fields when the message was complete.

Change: the fields are taken once, when the head is complete; the parser stops there. Trailer fields are dropped in both directions.

Ruled out: that the daemon sends the trailer section on; the parsed request differs before anything is sent.

Measured: unit-httpmessage, both new cases fail without the change (26 assertions), pass with it; the relay's contract tests pass.

--- a/src/adapters/relayhttp/message.cpp
+++ b/src/adapters/relayhttp/message.cpp
@@ -138,6 +138,9 @@
 {
     std::optional<RequestParser> parser_;
     bool headParsed_ = false;
+    /// The request as its head says, without the body. The parser adds trailer fields to its own
+    /// fields, and a request must be decided on, sent and charged as its head says.
+    HttpRequest head_;
     /// Bytes and lines of the head so far.
     std::size_t headBytes_ = 0;
     std::size_t headLines_ = 0;
@@ -146,6 +149,8 @@
 struct ResponseReaderState
 {
     std::optional<ResponseParser> parser_;
+    /// Set once the head is complete; without trailer fields.
+    std::optional<HttpResponseHead> head_;
     bool skipBody_ = false;
     /// Interim responses since the last final one.
     std::size_t interimResponses_ = 0;
@@ -159,14 +164,41 @@
 void resetParser(ResponseReaderState &state)
 {
     state.parser_.emplace();
+    state.head_.reset();
     state.headBytes_ = 0;
     state.headLines_ = 0;
-    state.parser_->eager(true);
     state.parser_->header_limit(maxResponseHeaderBytes);
     state.parser_->body_limit(maxResponseBodyBytes);
     state.parser_->skip(state.skipBody_);
 }
 
+HttpRequest headOf(const http::request<http::string_body> &message)
+{
+    HttpRequest head;
+    head.method_ = toString(message.method_string());
+    head.target_ = toString(message.target());
+    head.http10_ = message.version() < 11;
+    head.keepAlive_ = message.keep_alive();
+    head.host_ = toString(message[http::field::host]);
+    head.headers_ = endToEndFields(message.base());
+    return head;
+}
+
+HttpResponseHead headOf(const ResponseParser &parser)
+{
+    const auto &message = parser.get();
+    HttpResponseHead head;
+    head.status_ = static_cast<int>(message.result_int());
+    head.reason_ = toString(message.reason());
+    head.keepAlive_ = message.keep_alive() && !message.need_eof();
+    head.keepAliveTimeout_ = keepAliveTimeout(message.base());
+    const auto length = parser.content_length();
+    if (length)
+        head.contentLength_ = *length;
+    head.headers_ = endToEndFields(message.base());
+    return head;
+}
+
 } // namespace
 
 bool equalsIgnoreCase(std::string_view a, std::string_view b)
@@ -205,8 +237,8 @@
 {
     RequestReaderState &state = *reader.state_;
     if (!state.parser_) {
+        // Not eager: the parser stops after the head, before it reads a trailer section.
         state.parser_.emplace();
-        state.parser_->eager(true);
         state.parser_->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes_));
         state.parser_->body_limit(limits.maxBodyBytes_);
         state.headParsed_ = false;
@@ -236,6 +268,8 @@
                 progress.status_ = statusBadRequest;
                 return progress;
             }
+            state.head_ = headOf(state.parser_->get());
+            state.parser_->eager(true);
             progress.expectsContinue_ = !state.parser_->is_done()
                 && equalsIgnoreCase(toString(state.parser_->get()[http::field::expect]),
                                     "100-continue");
@@ -274,7 +308,7 @@
     const std::string &body = state.parser_->get().body();
     const std::size_t bodyBytes = std::min(memoryOf(body), 2 * body.size());
     return memoryOf(reader.pending_) + bodyBytes + state.headBytes_
-        + state.headLines_ * parsedFieldBytes;
+        + state.headLines_ * parsedFieldBytes + memoryOf(state.head_.headers_);
 }
 
 std::size_t memoryOf(const std::vector<HeaderField> &fields)
@@ -287,15 +321,8 @@
 
 HttpRequest takeRequest(RequestReader &reader)
 {
-    auto &message = reader.state_->parser_->get();
-    HttpRequest request;
-    request.method_ = toString(message.method_string());
-    request.target_ = toString(message.target());
-    request.http10_ = message.version() < 11;
-    request.keepAlive_ = message.keep_alive();
-    request.host_ = toString(message[http::field::host]);
-    request.headers_ = endToEndFields(message.base());
-    request.body_ = std::move(message.body());
+    HttpRequest request = std::exchange(reader.state_->head_, {});
+    request.body_ = std::move(reader.state_->parser_->get().body());
     reader.state_->parser_.reset();
     return request;
 }
@@ -325,6 +352,10 @@
             std::string().swap(bytes);
         if (error && error != http::error::need_more)
             return ParseStatus::Invalid;
+        if (state.parser_->is_header_done() && !state.head_) {
+            state.head_ = headOf(*state.parser_);
+            state.parser_->eager(true);
+        }
         const bool interim
             = state.parser_->is_done() && state.parser_->get().result_int() / 100 == 1;
         if (interim && state.parser_->get().result_int() != 101) {
@@ -353,17 +384,7 @@
 
 HttpResponseHead responseHead(const ResponseReader &reader)
 {
-    const auto &message = reader.state_->parser_->get();
-    HttpResponseHead head;
-    head.status_ = static_cast<int>(message.result_int());
-    head.reason_ = toString(message.reason());
-    head.keepAlive_ = message.keep_alive() && !message.need_eof();
-    head.keepAliveTimeout_ = keepAliveTimeout(message.base());
-    const auto length = reader.state_->parser_->content_length();
-    if (length)
-        head.contentLength_ = *length;
-    head.headers_ = endToEndFields(message.base());
-    return head;
+    return *reader.state_->head_;
 }
 
 std::size_t parsedHeadBytes(const ResponseReader &reader)
@@ -374,8 +395,8 @@
     std::size_t bytes = 0;
     for (const auto &field : state.parser_->get().base())
         bytes += parsedFieldBytes + field.name_string().size() + field.value().size();
-    // The exchange keeps a copy of the end-to-end fields.
-    return bytes * 2;
+    // The reader and the exchange keep a copy each of the end-to-end fields.
+    return bytes * 3;
 }
 
 std::string takeBody(ResponseReader &reader)
--- a/tests/unit-httpmessage.cpp
+++ b/tests/unit-httpmessage.cpp
@@ -39,6 +39,16 @@
     return state;
 }
 
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+Fields fieldsOf(const std::vector<HeaderField> &headers)
+{
+    Fields fields;
+    for (const HeaderField &field : headers)
+        fields.emplace_back(field.name_, field.value_);
+    return fields;
+}
+
 } // namespace
 
 TEST_CASE("requests are parsed from pieces of any size")
@@ -85,6 +95,70 @@
     }
 }
 
+TEST_CASE("trailer fields of a request change nothing that its head says")
+{
+    // They were merged into the head after the request had been decided on: a client could change
+    // what is charged, or have fields dropped that the daemon sets.
+    const std::size_t size = GENERATE(1U, 3U, 1000U);
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\nX-Tokens: 5,7\r\nX-Parts: a:1\r\n"
+                             "Authorization: Bearer k\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string body = "3\r\nhel\r\n2\r\nlo\r\n0\r\n";
+    RequestReader plain;
+    REQUIRE(readPieces(plain, head + body + "\r\n", size).parseStatus_ == ParseStatus::Done);
+    const HttpRequest expected = takeRequest(plain);
+    struct Case
+    {
+        std::string trailer_;
+        bool isAccepted_ = true;
+    };
+    const Case cases[] {
+        {"X-Tokens: 1,1\r\n"},
+        {"Connection: X-Tokens, X-Parts, close\r\n"},
+        {"X-Parts: b:1\r\nX-Request-Id: other\r\nX-Deadline-Ms: 1\r\n"},
+        {"Authorization: Bearer other\r\n"},
+        {"Host: other\r\n"},
+        {"Expect: 100-continue\r\n"},
+        {"X-Any: 1\r\n"},
+        {"Content-Length: 1\r\n", false},
+        {"Transfer-Encoding: chunked\r\n", false},
+    };
+    for (const Case &c : cases) {
+        INFO(c.trailer_);
+        RequestReader reader;
+        const RequestProgress progress
+            = readPieces(reader, head + body + c.trailer_ + "\r\n", size);
+        if (!c.isAccepted_) {
+            CHECK(progress.parseStatus_ == ParseStatus::Invalid);
+            continue;
+        }
+        REQUIRE(progress.parseStatus_ == ParseStatus::Done);
+        const HttpRequest request = takeRequest(reader);
+        CHECK(request.host_ == expected.host_);
+        CHECK(request.keepAlive_ == expected.keepAlive_);
+        CHECK(request.body_ == expected.body_);
+        CHECK(fieldsOf(request.headers_) == fieldsOf(expected.headers_));
+    }
+}
+
+TEST_CASE("trailer fields of a response are not passed on as fields of its head")
+{
+    const std::size_t size = GENERATE(1U, 3U, 1000U);
+    ResponseReader reader;
+    std::string body;
+    std::string rest;
+    startResponse(reader, "GET");
+    REQUIRE(readResponsePieces(reader,
+                               "HTTP/1.1 200 OK\r\nX-One: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "2\r\nok\r\n0\r\nX-Signature: s\r\nX-One: 2\r\n"
+                               "Connection: close, X-One\r\n\r\n",
+                               size, body, rest)
+            == ParseStatus::Done);
+    CHECK(body == "ok");
+    const HttpResponseHead head = responseHead(reader);
+    CHECK(head.keepAlive_);
+    CHECK(fieldsOf(head.headers_) == Fields {{"X-One", "1"}});
+}
+
 TEST_CASE("ambiguous, malformed and oversized requests are rejected")
 {
     struct Case
