The list of idle connections is not read after it was freed

The release build read the freed list as empty and went on.

Cause: a reference to the list of an address was kept while closeUpstream() removed the list with its last connection.

Change: the list is looked up again after each close.

Test: contract-relayfaults, "idle connections to an earlier process at an address are closed". It passes before without a sanitizer.

--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -85,24 +85,24 @@
 
 std::optional<ConnectionId> takeIdleConnection(FrontendState &state, const SendAttempt &attempt)
 {
-    std::vector<ConnectionId> &idle = state.idleConnections_[attempt.address_];
-    while (!idle.empty()) {
-        const ConnectionId id = idle.back();
+    while (true) {
+        // closeUpstream() removes the entry of an address with its last connection.
+        const auto idle = state.idleConnections_.find(attempt.address_);
+        if (idle == state.idleConnections_.end() || idle->second.empty())
+            return std::nullopt;
+        const ConnectionId id = idle->second.back();
         const UpstreamConnection &upstream = state.upstreams_.at(id);
         const bool fresh = bootTime() - upstream.idleSince_
             <= maxReuseIdleTime(state.settings_, attempt, upstream);
         const bool same = upstream.instance_ == attempt.instance_;
         if (fresh && same) {
-            idle.pop_back();
+            idle->second.pop_back();
             return id;
         }
-        if (!same) {
-            closeUpstream(state, id);
-            continue;
-        }
-        return std::nullopt;
+        if (same)
+            return std::nullopt;
+        closeUpstream(state, id);
     }
-    return std::nullopt;
 }
 
 /// Closes an idle connection to any upstream, or else the longest running attempt whose client has
--- a/tests/contract-relayfaults.cpp
+++ b/tests/contract-relayfaults.cpp
@@ -4,6 +4,27 @@
 
 namespace tamarack {
 
+TEST_CASE("idle connections to an earlier process at an address are closed")
+{
+    // The daemon read the freed list of idle connections when it closed the last one (seen with
+    // AddressSanitizer).
+    Fixture fixture;
+    setUp(fixture);
+    Exchange exchange = startExchange(fixture);
+    sendText(exchange.upstream_, responseTo("r1", "Content-Length: 2\r\n\r\nok"));
+    readUntil(exchange.client_, [](const std::string &text) { return text.ends_with("ok"); });
+    waitForEvent<RelayAttemptEnded>(fixture);
+    sendText(exchange.client_, getRequest);
+    SendAttempt attempt
+        = attemptFor(fixture, waitForEvent<RequestRead>(fixture), RetryPolicy::AtMostOnce, false);
+    attempt.instance_ = UpstreamId {"i-2"};
+    command(fixture, attempt);
+    StreamSocket later = fixture.upstream_.acceptConnection();
+    later.setReceiveTimeout(receiveTimeout);
+    CHECK(readHead(later).starts_with("GET /a/b"));
+    CHECK(readToEnd(exchange.upstream_).empty());
+}
+
 TEST_CASE("unacceptable responses don't reach the client")
 {
     struct Case
