Requests with two values for a field that decides are rejected

The daemon decided on the first value of a field, such as the token counts, and sent all of them.

Change: 400 for two values of the request id, the deadline, the model, the token counts, the prompt parts or Authorization. Such a request has not run.

Measured: contract-relayfront, "a request with two values for a field that decides about it is rejected", fails without the change (no answer), passes with it. bench-quarantine also measures the choice of an engine for long prompts (docs/decisions/quarantine.md).

--- a/bench/bench-quarantine.cpp
+++ b/bench/bench-quarantine.cpp
@@ -1,5 +1,6 @@
-// Measures what prompts with many parts cost the control thread in the quarantine, for
-// docs/decisions/quarantine.md. Prints a Markdown table of microseconds for each call.
+// Measures what prompts with many parts cost the control thread, in the quarantine and in the
+// choice of an instance, for docs/decisions/quarantine.md. Prints a Markdown table of microseconds
+// for each call.
 #include "core/relay/relay.h"
 
 #include <fmt/format.h>
@@ -47,6 +48,38 @@
     return quarantine;
 }
 
+/// Returns the time to choose one of 20 engines that all have the prompt cached, and to record it.
+PreciseMicros timeOfChoice(const RelayRequest &request, int calls)
+{
+    constexpr int engines = 20;
+    const ChoiceSettings settings;
+    ChoiceState state;
+    InstanceDirectory directory;
+    RelayService service {ServiceId {"llm"}, 370, EngineSpec {64, Tokens {400'000}, 3}};
+    for (int i = 0; i < engines; ++i) {
+        ListedInstance listed;
+        listed.instance_.id_ = UpstreamId {"e" + std::to_string(i)};
+        listed.instance_.service_ = service.id_;
+        listed.instance_.zone_ = ZoneId {"z"};
+        upsertInstance(directory, listed);
+        Choice choice;
+        choice.instance_ = listed.instance_.id_;
+        recordSent(state, settings, choice, request, WallTime {}, start);
+        recordEnded(state, settings, choice, InstanceOutcome::Success, false, start);
+    }
+    ChoiceQuery query;
+    query.request_ = &request;
+    query.service_ = &service;
+    query.zone_ = ZoneId {"z"};
+    return timePerCall(calls, [&](int) {
+        const auto choice = chooseInstance(state, settings, directory, query, start);
+        if (!choice)
+            return;
+        recordSent(state, settings, *choice, request, WallTime {}, start);
+        recordEnded(state, settings, *choice, InstanceOutcome::Success, true, start);
+    });
+}
+
 void printRow(std::size_t parts)
 {
     const QuarantineSettings settings;
@@ -75,8 +108,9 @@
                     requestWithParts("deadly", 1), start + Seconds {i});
     const PreciseMicros check = timePerCall(
         calls, [&](int) { checkQuarantine(condemning, settings, request, start + Seconds {7}); });
-    fmt::print("| {} | {:.1f} | {:.1f} | {:.0f} | {:.0f} | {} |\n", parts, response.count(),
-               check.count(), crash.count(), clearance.count(), full.suspects_.size());
+    fmt::print("| {} | {:.1f} | {:.1f} | {:.0f} | {:.0f} | {} | {:.0f} |\n", parts,
+               response.count(), check.count(), crash.count(), clearance.count(),
+               full.suspects_.size(), timeOfChoice(request, calls).count());
 }
 
 } // namespace
@@ -86,7 +120,8 @@
 int main()
 {
     fmt::print("| parts | response | check while a part is quarantined | crash, memory full | "
-               "response that clears, memory full | suspects |\n|---|---|---|---|---|---|\n");
+               "response that clears, memory full | suspects | choice of an engine |\n"
+               "|---|---|---|---|---|---|---|\n");
     for (const std::size_t parts : {std::size_t {3}, std::size_t {20}, std::size_t {100},
                                     std::size_t {1000}, std::size_t {2700}})
         tamarack::printRow(parts);
--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr int statusBadRequest = 400;
 constexpr int statusRequestTimeout = 408;
 constexpr std::uint32_t readInterest = EPOLLIN | EPOLLRDHUP;
 
@@ -151,6 +152,32 @@
     state.events_.post_(RequestRead {std::move(relayed)});
 }
 
+void rejectBadRequest(FrontendState &state, ClientConnection &client, int status,
+                      const std::string &problem)
+{
+    discardRequest(client);
+    LocalResponse response;
+    response.contentType_ = "application/json";
+    response.body_
+        = fmt::format(R"({{"error":{{"code":"invalid_request","message":"{}"}}}})", problem);
+    sendLocalResponse(state, client, status, response, std::nullopt);
+}
+
+/// Returns a field that occurs more than once although decisions are based on its value, or an
+/// empty string. The upstream could use another one of the values.
+std::string doubledField(const HttpRequest &request, const HeaderNames &names)
+{
+    for (const std::string &name : {names.requestId_, names.deadline_, names.model_, names.usage_,
+                                    names.promptParts_, std::string("Authorization")}) {
+        const auto count = std::count_if(
+            request.headers_.begin(), request.headers_.end(),
+            [&name](const HeaderField &field) { return equalsIgnoreCase(field.name_, name); });
+        if (count > 1)
+            return name;
+    }
+    return {};
+}
+
 void handleRequest(FrontendState &state, ClientConnection &client)
 {
     HttpRequest request = takeRequest(client.reader_);
@@ -158,24 +185,18 @@
     client.closeAfterResponse_ = !request.keepAlive_ || request.http10_ || state.keepAliveDisabled_;
     setDeadline(state, client.channel_, std::nullopt);
     if (!client.local_) {
-        submitRequest(state, client, std::move(request));
+        const std::string doubled = doubledField(request, state.settings_.headers_);
+        if (doubled.empty())
+            submitRequest(state, client, std::move(request));
+        else
+            rejectBadRequest(state, client, statusBadRequest,
+                             fmt::format("multiple {} fields; send exactly one", doubled));
         return;
     }
     const LocalResponse response = state.localHandler_(request.target_);
     sendLocalResponse(state, client, response.status_, response, std::nullopt);
 }
 
-void rejectBadRequest(FrontendState &state, ClientConnection &client, int status,
-                      const std::string &problem)
-{
-    discardRequest(client);
-    LocalResponse response;
-    response.contentType_ = "application/json";
-    response.body_
-        = fmt::format(R"({{"error":{{"code":"invalid_request","message":"{}"}}}})", problem);
-    sendLocalResponse(state, client, status, response, std::nullopt);
-}
-
 /// Parses the received bytes and handles the request if it is complete.
 void parseRequest(FrontendState &state, ClientConnection &client)
 {
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -43,6 +43,33 @@
     CHECK(usage->parts_.front().tokens_ == Tokens {1'000'000'000'000});
 }
 
+TEST_CASE("a request with two values for a field that decides about it is rejected")
+{
+    // The daemon used the first value and sent both, so the upstream could use the other one.
+    const std::string fields[] {
+        "X-Request-Id: r1", "X-Deadline-Ms: 100",      "X-Model: m",
+        "X-Tokens: 5,7",    "X-Prompt-Parts: a:1,b:1", "Authorization: Bearer k"};
+    Fixture fixture;
+    setUp(fixture);
+    for (const std::string &field : fields) {
+        INFO(field);
+        StreamSocket client = connectClient(fixture);
+        sendText(client,
+                 "GET /a/b HTTP/1.1\r\nHost: h\r\n" + field + "\r\nX-Any: 1\r\n" + field
+                     + "\r\nX-Any: 2\r\n\r\n");
+        const std::string response
+            = readUntil(client, [](const std::string &text) { return text.ends_with("one\"}}"); });
+        CHECK(response.starts_with("HTTP/1.1 400 "));
+        CHECK(response.find(field.substr(0, field.find(':'))) != std::string::npos);
+    }
+    // Others may occur any number of times.
+    StreamSocket client = connectClient(fixture);
+    sendText(client,
+             "GET /a/b HTTP/1.1\r\nHost: h\r\nX-Any: 1\r\nX-Any: 2\r\n"
+             "X-Request-Id: last\r\n\r\n");
+    CHECK(waitForEvent<RequestRead>(fixture).request_.request_ == RequestId {"last"});
+}
+
 TEST_CASE("a prompt part without a valid token count is not left out")
 {
     // A part that crashes instances could not be quarantined, and a broken last entry made the part
