--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -54,9 +54,9 @@
     for (const std::string &field : fields) {
         INFO(field);
         StreamSocket client = connectClient(fixture);
-        sendText(client,
-                 "GET /a/b HTTP/1.1\r\nHost: h\r\n" + field + "\r\nX-Any: 1\r\n" + field
-                     + "\r\nX-Any: 2\r\n\r\n");
+        std::string request = "GET /a/b HTTP/1.1\r\nHost: h\r\n";
+        request.append(field).append("\r\nX-Any: 1\r\n").append(field);
+        sendText(client, request.append("\r\nX-Any: 2\r\n\r\n"));
         const std::string response
             = readUntil(client, [](const std::string &text) { return text.ends_with("one\"}}"); });
         CHECK(response.starts_with("HTTP/1.1 400 "));
--- a/tests/unit-fleetmembers.cpp
+++ b/tests/unit-fleetmembers.cpp
@@ -252,8 +252,10 @@
 
 TEST_CASE("the daemons of a large fleet don't all ask each other at once")
 {
+    constexpr int others = 409;
     std::vector<std::string> hosts;
-    for (int i = 0; i < 409; ++i)
+    hosts.reserve(others);
+    for (int i = 0; i < others; ++i)
         hosts.push_back("d" + std::to_string(i));
     Reader reader = makeReader(hosts);
     reader.asked_ = 0;
