--- a/tests/quarantinefixture.h
+++ b/tests/quarantinefixture.h
@@ -144,4 +144,28 @@
         == QuarantineDecision::Refuse;
 }
 
+/// Time within which each daemon must refuse a part after its fifth crash.
+inline constexpr Millis bound {3000};
+
+inline RequestParts soundRequest(int number)
+{
+    return {"system", "template", "sound" + std::to_string(number % 40),
+            "own" + std::to_string(number)};
+}
+
+/// Sound requests at all daemons, which are answered.
+inline void serveSoundRequests(QuarantineFleet &fleet, int count)
+{
+    for (int i = 0; i < count; ++i)
+        respond(fleet, static_cast<std::size_t>(i) * 7 % fleet.daemons_.size(), soundRequest(i));
+}
+
+inline std::size_t countRefusing(QuarantineFleet &fleet, const RequestParts &parts)
+{
+    std::size_t refusing = 0;
+    for (std::size_t i = 0; i < fleet.daemons_.size(); ++i)
+        refusing += refuses(fleet, i, parts) ? 1 : 0;
+    return refusing;
+}
+
 } // namespace tamarack
