A daemon asks its peers as soon as a reply of the store is overdue

Cause: a daemon that follows the store learned that it has no contact only from the result of its call. Without a response a call takes the timeout of the watch, a new connection and the timeout again, up to 4 s, and the daemon then asked only the observers of its own availability zone for eight requests.

Change: the reply to the watch of the configuration is overdue 0.4 s after the watch should have ended. From then on the daemon asks peers of its own and of another availability zone. A peer whose own contact is overdue does not count as one with contact.

--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -66,12 +66,30 @@
     return sync.requestedAt_ && now - *sync.requestedAt_ <= settings.observeOnRequest_;
 }
 
-/// Returns true if this daemon relies on the documents of peers.
-bool needsPeers(const DocumentSync &sync, const DocumentSyncSettings &settings)
+/// Returns the longest time between two replies of the store that are not overdue.
+Millis replyLimit(const DocumentSyncSettings &settings)
+{
+    return settings.contactInterval_ + settings.maxReplyDelay_;
+}
+
+/// Returns true if the store does not reply to this daemon, which follows it.
+bool lacksStore(const DocumentSync &sync, MonoTime now)
+{
+    return !sync.unavailableFeeds_.empty() || isReplyOverdue(sync, now);
+}
+
+/// Returns true if this daemon relies on the documents of peers, whether or not a reply of the
+/// store is overdue.
+bool reliesOnPeers(const DocumentSync &sync, const DocumentSyncSettings &settings)
 {
     return !isAlone(sync) && (!sync.unavailableFeeds_.empty() || !isObserver(sync, settings));
 }
 
+bool needsPeers(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    return reliesOnPeers(sync, settings) || (!isAlone(sync) && isReplyOverdue(sync, now));
+}
+
 /// Returns how long this daemon waits for a peer with contact before it follows the store.
 Millis followDelay(const DocumentSync &sync, const DocumentSyncSettings &settings)
 {
@@ -107,13 +125,19 @@
     return due;
 }
 
+/// Returns true if peers of other availability zones may be asked.
+bool mayAskOtherZones(const DocumentSync &sync, const DocumentSyncSettings &settings)
+{
+    // The first reply carries all documents, which should not come from another zone.
+    const bool hasDocuments = sync.freshAt_ || sync.hadStoreReply_;
+    return !sync.otherZones_.empty()
+        && (hasDocuments || sync.requestCount_ > 2 * settings.otherZoneEvery_);
+}
+
 /// Returns true if it is the turn of the other availability zones.
 bool asksOtherZones(const DocumentSync &sync, const DocumentSyncSettings &settings)
 {
-    // The first reply carries all documents, which should not come from another zone.
-    const bool mayAsk = sync.freshAt_ || sync.requestCount_ > 2 * settings.otherZoneEvery_;
-    return mayAsk && sync.requestCount_ % settings.otherZoneEvery_ == 0
-        && !sync.otherZones_.empty();
+    return mayAskOtherZones(sync, settings) && sync.requestCount_ % settings.otherZoneEvery_ == 0;
 }
 
 /// Returns the peers of this zone among which the next request chooses: its observers and the peer
@@ -160,6 +184,22 @@
     return candidates;
 }
 
+/// Adds up to @a count of the candidates to the peers that are asked, beginning with the one whose
+/// turn it is.
+void selectPeers(DocumentSync &sync, const std::vector<PeerAddress> &candidates, std::size_t count,
+                 std::size_t turn, MonoTime now, std::vector<PeerAddress> &selected)
+{
+    count = std::min(count, candidates.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const PeerAddress &peer = candidates[(turn * count + i) % candidates.size()];
+        // The host id of a seed is unknown, so its reply can't be matched.
+        const bool sent = peer.zone_.isEmpty() || sync.unanswered_.emplace(peer.host_, now).second;
+        // A second request to a peer whose reply is on its way would double a large reply.
+        if (sent)
+            selected.push_back(peer);
+    }
+}
+
 } // namespace
 
 DocumentSyncSettings documentSyncSettings(Millis applyTime, Millis settleTime)
@@ -203,6 +243,31 @@
     sync.unavailableFeeds_.insert(feed);
 }
 
+void setFollowing(DocumentSync &sync, const DocumentSyncSettings &settings, bool follows,
+                  MonoTime now)
+{
+    if (follows) {
+        sync.replyDueAt_ = now + replyLimit(settings);
+        return;
+    }
+    sync.replyDueAt_.reset();
+    sync.unavailableFeeds_.clear();
+}
+
+void recordStoreReply(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    // A watch that ends after following was stopped says nothing about the source in use.
+    if (!sync.replyDueAt_)
+        return;
+    sync.hadStoreReply_ = true;
+    sync.replyDueAt_ = now + replyLimit(settings);
+}
+
+bool isReplyOverdue(const DocumentSync &sync, MonoTime now)
+{
+    return sync.replyDueAt_ && now >= *sync.replyDueAt_;
+}
+
 void recordDocumentsRequest(DocumentSync &sync, MonoTime now)
 {
     sync.requestedAt_ = now;
@@ -226,7 +291,11 @@
     if (contactAge && requestedAt)
         sync.completeAt_
             = std::max(sync.completeAt_.value_or(MonoTime {}), *requestedAt - *contactAge);
-    if (contactAge && *contactAge <= settings.freshLifetime_) {
+    // A daemon whose own reply is overdue looks for a peer whose reply is not.
+    const Millis maxAge = lacksStore(sync, now)
+        ? std::min(settings.freshLifetime_, replyLimit(settings))
+        : settings.freshLifetime_;
+    if (contactAge && *contactAge <= maxAge) {
         sync.freshFrom_ = from;
         sync.withoutContact_.erase(from);
     } else {
@@ -263,40 +332,40 @@
     excludeSilentPeers(sync, settings, now);
     std::erase_if(sync.withoutContact_, [now](const auto &entry) { return entry.second <= now; });
     std::vector<PeerAddress> selected = dueProbes(sync, settings, now);
-    if (now < sync.nextRequestAt_ || !needsPeers(sync, settings))
+    if (now < sync.nextRequestAt_ || !needsPeers(sync, settings, now))
         return selected;
     sync.nextRequestAt_ = now + settings.requestInterval_;
     ++sync.requestCount_;
-    const bool fresh = sync.unavailableFeeds_.empty() && isFresh(sync, settings, now);
-    const std::vector<PeerAddress> candidates = candidatePeers(sync, settings);
+    const bool withoutStore = lacksStore(sync, now);
+    const bool fresh = !withoutStore && isFresh(sync, settings, now);
+    const bool otherZones = asksOtherZones(sync, settings);
     // Requests to this zone and to the others take turns separately, so that each observer has its
     // turn.
     const std::size_t toOtherZones = sync.requestCount_ / settings.otherZoneEvery_;
-    const std::size_t turn
-        = asksOtherZones(sync, settings) ? toOtherZones : sync.requestCount_ - toOtherZones;
-    const std::size_t count = std::min(fresh ? 1 : settings.fanout_, candidates.size());
-    for (std::size_t i = 0; i < count; ++i) {
-        const PeerAddress &peer = candidates[(turn * count + i) % candidates.size()];
-        // The host id of a seed is unknown, so its reply can't be matched.
-        const bool sent = peer.zone_.isEmpty() || sync.unanswered_.emplace(peer.host_, now).second;
-        // A second request to a peer whose reply is on its way would double a large reply.
-        if (sent)
-            selected.push_back(peer);
-    }
+    const std::size_t turn = otherZones ? toOtherZones : sync.requestCount_ - toOtherZones;
+    selectPeers(sync, candidatePeers(sync, settings), fresh ? 1 : settings.fanout_, turn, now,
+                selected);
+    // What keeps the store from replying to this daemon may concern all observers of its zone.
+    if (withoutStore && !otherZones && mayAskOtherZones(sync, settings))
+        selectPeers(sync, responsivePeers(sync, sync.otherZones_, settings.observersPerZone_),
+                    settings.fanout_, sync.requestCount_, now, selected);
     return selected;
 }
 
 std::optional<MonoTime> nextSyncTime(const DocumentSync &sync, const DocumentSyncSettings &settings)
 {
     std::optional<MonoTime> next;
+    const auto takeEarlier = [&next](MonoTime time) {
+        next = std::min(next.value_or(time), time);
+    };
     if (!sync.startupOver_)
-        next = sync.startedAt_ + settings.startupWait_;
-    if (needsPeers(sync, settings) && (!next || sync.nextRequestAt_ < *next))
-        next = sync.nextRequestAt_;
-    for (const auto &[host, probeAt] : sync.silent_) {
-        if (!next || probeAt < *next)
-            next = probeAt;
-    }
+        takeEarlier(sync.startedAt_ + settings.startupWait_);
+    if (reliesOnPeers(sync, settings))
+        takeEarlier(sync.nextRequestAt_);
+    else if (sync.replyDueAt_ && !isAlone(sync))
+        takeEarlier(std::max(*sync.replyDueAt_, sync.nextRequestAt_));
+    for (const auto &[host, probeAt] : sync.silent_)
+        takeEarlier(probeAt);
     return next;
 }
 
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -45,6 +45,9 @@
     /// A feed whose last contact to the store is older than watchTimeout_ and this counts as
     /// unavailable.
     Millis maxContactDelay_ {1000};
+    /// A reply of the store that is later than contactInterval_ by this is overdue: the daemon asks
+    /// peers. The call itself may take several times as long until it fails.
+    Millis maxReplyDelay_ {400};
     /// Maximum age of what a daemon relies on peers for, counted from the peer's last contact to
     /// the store. With older information, the daemon follows the store itself.
     Millis freshLifetime_ {1300};
@@ -78,6 +81,11 @@
     std::vector<PeerAddress> otherZones_;
     /// Names of the feeds that the store does not deliver at present.
     std::set<std::string> unavailableFeeds_;
+    /// From when on the reply of the store that this daemon waits for is overdue. Set while the
+    /// daemon follows the store.
+    std::optional<MonoTime> replyDueAt_;
+    /// The store has replied to this daemon, so that it has documents.
+    bool hadStoreReply_ = false;
     /// Peers that did not reply in time, and when each is probed next.
     std::map<HostId, MonoTime> silent_;
     /// When the first request without a reply was sent, by peer.
@@ -110,6 +118,16 @@
 /// @brief Records whether the store delivers a feed.
 void setFeedAvailability(DocumentSync &sync, const std::string &feed, bool available, MonoTime now);
 
+/// @brief Records that this daemon begins or ends to follow the store.
+void setFollowing(DocumentSync &sync, const DocumentSyncSettings &settings, bool follows,
+                  MonoTime now);
+
+/// @brief Records a reply of the store to the watch of the configuration.
+void recordStoreReply(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now);
+
+/// @brief Returns true if the store has not replied in time to this daemon, which follows it.
+bool isReplyOverdue(const DocumentSync &sync, MonoTime now);
+
 /// @brief Records that another daemon asked for documents.
 void recordDocumentsRequest(DocumentSync &sync, MonoTime now);
 
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -245,6 +245,10 @@
     std::string detail_;
 };
 
+/// @brief The store replied to the watch of the configuration: its changes so far are known.
+struct ConfigFeedReplied
+{ };
+
 /// @brief The daemon was requested to stop.
 struct RelayStopRequested
 {
@@ -263,8 +267,8 @@
                    FleetView, LoanRequestReceived, LoanReplyReceived, GrantReportReceived,
                    QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
                    PresenceRequestReceived, PresenceReplyReceived, DocumentsRequestReceived,
-                   DocumentsReplyReceived, FeedAvailabilityChanged, StoreEraNoticed, StoreReplied,
-                   RelayStopRequested, ClientsClosed>;
+                   DocumentsReplyReceived, FeedAvailabilityChanged, ConfigFeedReplied,
+                   StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -220,6 +220,8 @@
     DocumentSync sync_;
     /// What the threads that call the store were last told.
     bool followsStore_ = true;
+    /// As logged.
+    bool storeReplyOverdue_ = false;
     bool storeContact_ = true;
     Overload overload_;
     bool ready_ = false;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -89,8 +89,7 @@
     const bool follows = followsStore(state.sync_, state.settings_.sync_, now);
     if (follows != state.followsStore_) {
         state.followsStore_ = follows;
-        if (!follows)
-            state.sync_.unavailableFeeds_.clear();
+        setFollowing(state.sync_, state.settings_.sync_, follows, now);
         logLine(out, LogLevel::Info, "documents.source",
                 {{"follows_store", follows ? "yes" : "no"},
                  {"zone_daemons", std::to_string(state.sync_.sameZone_.size())},
@@ -98,6 +97,13 @@
                  {"peer_contact_age_ms", peerContactAge(state.sync_, now)}});
         out.emplace_back(SetFollowsStore {follows});
     }
+    const bool overdue = isReplyOverdue(state.sync_, now);
+    if (overdue != state.storeReplyOverdue_) {
+        state.storeReplyOverdue_ = overdue;
+        logLine(out, overdue ? LogLevel::Warning : LogLevel::Info, "store.reply_overdue",
+                {{"overdue", overdue ? "yes" : "no"},
+                 {"peer_contact_age_ms", peerContactAge(state.sync_, now)}});
+    }
     const bool contact = hasStoreContact(state.sync_, state.settings_.sync_, now);
     if (contact != state.storeContact_) {
         state.storeContact_ = contact;
@@ -180,6 +186,11 @@
             {{"name", event.name_}, {"detail", event.detail_}});
 }
 
+void onEvent(RelayState &state, const ConfigFeedReplied &, MonoTime now, RelayCommands &)
+{
+    recordStoreReply(state.sync_, state.settings_.sync_, now);
+}
+
 void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime now, RelayCommands &out)
 {
     if (event.era_ <= state.storeEra_)
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -224,6 +224,7 @@
 void onEvent(RelayState &state, const InstanceRemoved &event, MonoTime now, RelayCommands &out);
 void onEvent(RelayState &state, const FeedAvailabilityChanged &event, MonoTime now,
              RelayCommands &out);
+void onEvent(RelayState &state, const ConfigFeedReplied &event, MonoTime now, RelayCommands &out);
 void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime now, RelayCommands &out);
 
 // Handlers of the events about evacuations, in relayevacuation.cpp.
--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -317,6 +317,11 @@
 FollowerHandlers configHandlers(DocumentReader &reader)
 {
     FollowerHandlers handlers = commonHandlers(reader, configFeed);
+    handlers.onProgress_
+        = [&reader, recordProgress = std::move(handlers.onProgress_)](StorePosition position) {
+              recordProgress(position);
+              post(reader.queue_, RelayEvent {ConfigFeedReplied {}});
+          };
     handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, StorePosition position) {
         noteEra(reader, position.era_);
         readConfigListing(reader, toDocuments(entries, position.era_), position,
--- a/tests/syncfleet.h
+++ b/tests/syncfleet.h
@@ -98,11 +98,12 @@
             if (!daemon.alive_)
                 continue;
             const bool follows = isFollowing(fleet, daemon);
+            if (follows != daemon.sync_.replyDueAt_.has_value())
+                setFollowing(daemon.sync_, fleet.settings_, follows, fleet.now_);
             if (follows)
                 setFeedAvailability(daemon.sync_, "feed", daemon.reachesStore_, fleet.now_);
-            else
-                daemon.sync_.unavailableFeeds_.clear();
             if (hasContact(fleet, daemon) && !daemon.watchHangs_) {
+                recordStoreReply(daemon.sync_, fleet.settings_, fleet.now_);
                 daemon.contactAt_ = fleet.now_;
                 daemon.learnedAt_ = fleet.now_;
             }
--- a/tests/unit-documentexchange.cpp
+++ b/tests/unit-documentexchange.cpp
@@ -171,6 +171,18 @@
               .changes_.empty());
 }
 
+TEST_CASE("each reply of the store to the watch of the configuration is posted")
+{
+    // Without it, a daemon takes the store for silent and asks its peers all the time.
+    ExchangeDaemon daemon;
+    daemon.instances_.onProgress_(Revision {4});
+    daemon.config_.onProgress_(Revision {4});
+    std::size_t replies = 0;
+    while (const auto event = takePosted(daemon.queue_, std::chrono::steady_clock::now()))
+        replies += std::holds_alternative<ConfigFeedReplied>(event->item_) ? 1 : 0;
+    CHECK(replies == 1);
+}
+
 TEST_CASE("the contact age is that of the newest contact while all feeds are available")
 {
     ExchangeDaemon observer;
--- a/tests/unit-silentstore.cpp
+++ b/tests/unit-silentstore.cpp
@@ -1,5 +1,6 @@
 // Daemons whose calls to the store get no response. Guards against a daemon that handles requests
 // by an outdated configuration until its call has timed out, although its peers know the new one.
+#include "relayfixture.h"
 #include "syncfleet.h"
 
 #include <catch2/catch.hpp>
@@ -65,4 +66,30 @@
     checkAllKnowChanges(fleet, shape);
 }
 
+TEST_CASE("a relay asks its peers while a reply of the store is overdue, and not after one")
+{
+    RelayFixture fixture;
+    setUp(fixture);
+    fixture.state_.followsStore_ = false;
+    fixture.state_.settings_.host_ = HostId {"me"};
+    post(fixture, FleetView {2, 2, {PeerAddress {HostId {"peer"}, ZoneId {"near"}, "p:1", 0}}});
+    REQUIRE(fixture.state_.followsStore_);
+    const DocumentSyncSettings &settings = fixture.state_.settings_.sync_;
+    for (int i = 0; i < 5; ++i) {
+        CHECK_FALSE(
+            findCommand<RequestPeerDocuments>(advanceTime(fixture, settings.contactInterval_)));
+        post(fixture, ConfigFeedReplied {});
+    }
+    const std::optional<MonoTime> due = nextSyncTime(fixture.state_.sync_, settings);
+    REQUIRE(due);
+    CHECK(*due == fixture.now_ + settings.contactInterval_ + settings.maxReplyDelay_);
+    fixture.now_ = *due;
+    CHECK(findCommand<RequestPeerDocuments>(advanceTime(fixture, {})));
+    post(fixture, DocumentsReplyReceived {HostId {"peer"}, std::nullopt, {}, 0});
+    CHECK(findCommand<RequestPeerDocuments>(advanceTime(fixture, settings.requestInterval_)));
+    post(fixture, DocumentsReplyReceived {HostId {"peer"}, std::nullopt, {}, 0});
+    post(fixture, ConfigFeedReplied {});
+    CHECK_FALSE(findCommand<RequestPeerDocuments>(advanceTime(fixture, settings.requestInterval_)));
+}
+
 } // namespace tamarack
