Requests that crash the instances that run them are quarantined

Cause: only shared parts of prompts counted as causes of crashes. Nothing was kept of a request after its end, so each attempt of it was judged by itself, on each host by itself.

Change: the quarantine of prompt parts runs a second time for whole requests, identified by a hash of account, method, host, path and body, with settings and reports of its own. Repetition decides, because many requests wait on each instance and most come once.

Ruled out: counting requests among the suspects of the part quarantine, because they are never cleared and would divide the evidence against parts.

--- a/bench/bench-quarantine.cpp
+++ b/bench/bench-quarantine.cpp
@@ -44,7 +44,8 @@
     Quarantine quarantine;
     for (int i = 0; i < crashes; ++i)
         recordCrash(quarantine, settings, process(i), std::to_string(i),
-                    requestWithParts("c" + std::to_string(i) + '-', parts), start + Seconds {i});
+                    sharedParts(requestWithParts("c" + std::to_string(i) + '-', parts)),
+                    start + Seconds {i});
     return quarantine;
 }
 
@@ -87,27 +88,30 @@
     constexpr int calls = 200;
 
     Quarantine calm;
-    const PreciseMicros response = timePerCall(
-        calls, [&](int i) { recordResponse(calm, settings, request, start + Millis {i}); });
+    const PreciseMicros response = timePerCall(calls, [&](int i) {
+        recordResponse(calm, settings, sharedParts(request), start + Millis {i});
+    });
 
     // Suspects at the bound of the memory.
     Quarantine full = withCrashes(settings, 100, parts);
     const PreciseMicros crash = timePerCall(20, [&](int i) {
         recordCrash(full, settings, process(1000 + i), std::to_string(i),
-                    requestWithParts("d" + std::to_string(i) + '-', parts),
+                    sharedParts(requestWithParts("d" + std::to_string(i) + '-', parts)),
                     start + Seconds {100 + i});
     });
     const PreciseMicros clearance = timePerCall(20, [&](int i) {
-        recordResponse(full, settings, requestWithParts("d" + std::to_string(i) + '-', parts),
+        recordResponse(full, settings,
+                       sharedParts(requestWithParts("d" + std::to_string(i) + '-', parts)),
                        start + Seconds {130});
     });
 
     Quarantine condemning;
     for (int i = 0; i < 6; ++i)
         recordCrash(condemning, settings, process(i), std::to_string(i),
-                    requestWithParts("deadly", 1), start + Seconds {i});
-    const PreciseMicros check = timePerCall(
-        calls, [&](int) { checkQuarantine(condemning, settings, request, start + Seconds {7}); });
+                    sharedParts(requestWithParts("deadly", 1)), start + Seconds {i});
+    const PreciseMicros check = timePerCall(calls, [&](int) {
+        checkQuarantine(condemning, settings, sharedParts(request), start + Seconds {7});
+    });
     fmt::print("| {} | {:.1f} | {:.1f} | {:.0f} | {:.0f} | {} | {:.0f} |\n", parts,
                response.count(), check.count(), crash.count(), clearance.count(),
                full.suspects_.size(), timeOfChoice(request, calls).count());
--- a/src/adapters/peers/messagedecoder.cpp
+++ b/src/adapters/peers/messagedecoder.cpp
@@ -197,13 +197,14 @@
 /// Less than any shift by it would overflow.
 constexpr std::uint32_t maxReportedSampling = 32;
 
-Result<PeerMessage> decodeQuarantineReport(const peer::CrashesReported &in)
+Result<PeerMessage> decodeQuarantineReport(const peer::CrashesReported &in, QuarantineScope scope)
 {
     if (in.purpose() > static_cast<std::uint32_t>(ReportPurpose::Exchange))
         return unknownCodeError(in.purpose());
     QuarantineReport message;
     message.replyAddress_ = in.reply_address();
     message.purpose_ = static_cast<ReportPurpose>(in.purpose());
+    message.scope_ = scope;
     message.digest_ = in.digest();
     for (const peer::Crash &crash : in.crashes()) {
         ReportedCrash decoded;
@@ -211,9 +212,9 @@
         decoded.address_ = crash.address();
         decoded.age_ = Millis {std::min(crash.age_ms(), maxAgeMs)};
         for (const std::uint64_t part : crash.suspects())
-            decoded.suspects_.push_back(PromptPartId {part});
+            decoded.suspects_.push_back(SuspectId {part});
         for (const std::uint64_t part : crash.cleared())
-            decoded.cleared_.push_back(PromptPartId {part});
+            decoded.cleared_.push_back(SuspectId {part});
         decoded.sampling_ = std::min(crash.sampling(), maxReportedSampling);
         if (crash.has_survived_age_ms())
             decoded.survivedAge_ = Millis {std::min(crash.survived_age_ms(), maxAgeMs)};
@@ -292,7 +293,9 @@
     case peer::Envelope::kTokensLent:
         return decodeLoanReply(in.tokens_lent());
     case peer::Envelope::kCrashesReported:
-        return decodeQuarantineReport(in.crashes_reported());
+        return decodeQuarantineReport(in.crashes_reported(), QuarantineScope::PromptParts);
+    case peer::Envelope::kRequestCrashesReported:
+        return decodeQuarantineReport(in.request_crashes_reported(), QuarantineScope::Requests);
     case peer::Envelope::kPermitAsked:
         return fromProto(in.permit_asked());
     case peer::Envelope::kPermitAnswered:
--- a/src/adapters/peers/messageencoder.cpp
+++ b/src/adapters/peers/messageencoder.cpp
@@ -237,7 +237,9 @@
 
 void encodeInto(peer::Envelope &envelope, const QuarantineReport &message)
 {
-    peer::CrashesReported &out = *envelope.mutable_crashes_reported();
+    peer::CrashesReported &out = message.scope_ == QuarantineScope::Requests
+        ? *envelope.mutable_request_crashes_reported()
+        : *envelope.mutable_crashes_reported();
     out.set_reply_address(message.replyAddress_);
     out.set_purpose(static_cast<std::uint32_t>(message.purpose_));
     out.set_digest(message.digest_);
@@ -247,9 +249,9 @@
         encoded.set_started_ms(millisSinceEpoch(crash.id_.startedAt_));
         encoded.set_address(crash.address_);
         encoded.set_age_ms(static_cast<std::uint64_t>(crash.age_.count()));
-        for (const PromptPartId part : crash.suspects_)
+        for (const SuspectId part : crash.suspects_)
             encoded.add_suspects(part.value_);
-        for (const PromptPartId part : crash.cleared_)
+        for (const SuspectId part : crash.cleared_)
             encoded.add_cleared(part.value_);
         encoded.set_sampling(crash.sampling_);
         if (crash.survivedAge_)
--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -1,6 +1,7 @@
 // Client connections. A request is read completely before it is submitted to the control thread.
 #include "adapters/relayhttp/internal.h"
 
+#include "core/hash.h"
 #include "core/relay/requestmemory.h"
 
 #include <fmt/format.h>
@@ -118,6 +119,13 @@
     return equalsIgnoreCase(scheme, names.authScheme_) ? std::string(key) : std::string();
 }
 
+/// Returns a hash of what an instance is asked to do, whoever asks.
+std::uint64_t contentHash(const HttpRequest &request)
+{
+    return hash64(fmt::format("{} {} {} {:016x}", request.method_, request.host_, request.target_,
+                              hash64(request.body_)));
+}
+
 void submitRequest(FrontendState &state, ClientConnection &client, HttpRequest request)
 {
     const HeaderNames &names = state.settings_.headers_;
@@ -139,6 +147,7 @@
     relayed.key_ = parseKey(request, names);
     relayed.usage_ = parseUsage(request, names);
     relayed.bodyBytes_ = request.body_.size();
+    relayed.contentHash_ = contentHash(request);
     relayed.arrivedAt_ = exchange.arrivedAt_;
     relayed.clientTimeout_ = exchange.clientTimeout_;
     client.exchange_ = exchange.id_;
--- a/src/core/quarantinereport.h
+++ b/src/core/quarantinereport.h
@@ -1,5 +1,5 @@
 // The message in which daemons exchange what they know of crashed instances and of the prompt parts
-// that were waiting on them.
+// or requests that were waiting on them.
 #pragma once
 
 #include "core/ids.h"
@@ -13,8 +13,16 @@
 
 namespace tamarack {
 
-/// @brief Hash of the id of a prompt part.
-using PromptPartId = NumericId<struct PromptPartTag>;
+/// @brief What may crash instances: hash of the id of a prompt part, or of a whole request.
+using SuspectId = NumericId<struct SuspectTag>;
+
+/// @brief What a quarantine keeps away from instances.
+enum class QuarantineScope {
+    /// Parts of prompts, which different requests share.
+    PromptParts,
+    /// Requests with the same account, target and body.
+    Requests,
+};
 
 struct ReportedCrash
 {
@@ -22,10 +30,10 @@
     std::string address_;
     /// A duration, because the clocks of hosts differ.
     Millis age_ {};
-    /// Parts that may be the cause.
-    std::vector<PromptPartId> suspects_;
-    /// Parts that were waiting on the instance but have been seen in responses.
-    std::vector<PromptPartId> cleared_;
+    /// Parts, or requests, that may be the cause.
+    std::vector<SuspectId> suspects_;
+    /// Those that were waiting on the instance but have been seen in responses.
+    std::vector<SuspectId> cleared_;
     /// Set if the process is known to have been running this long ago, after it had been presumed
     /// to have ended.
     std::optional<Millis> survivedAge_;
@@ -51,6 +59,7 @@
     /// Hash of all crashes that the sender knows.
     std::uint64_t digest_ = 0;
     std::vector<ReportedCrash> crashes_;
+    QuarantineScope scope_ = QuarantineScope::PromptParts;
 };
 
 } // namespace tamarack
--- a/src/core/relay/quarantine.cpp
+++ b/src/core/relay/quarantine.cpp
@@ -13,20 +13,8 @@
 
 using namespace quarantinedetail;
 
-PromptPartId partId(const PromptPart &part)
-{
-    return PromptPartId {hash64(part.id_)};
-}
-
-/// Returns the number of parts that other requests may share. The last part can't be the cause.
-std::size_t sharedPartCount(const RelayRequest &request)
-{
-    return request.usage_ && !request.usage_->parts_.empty() ? request.usage_->parts_.size() - 1
-                                                             : 0;
-}
-
 /// Returns whether it is this daemon's turn to try a part whose quarantine is over.
-bool mayTry(const Quarantine &quarantine, const QuarantineSettings &settings, PromptPartId part,
+bool mayTry(const Quarantine &quarantine, const QuarantineSettings &settings, SuspectId part,
             MonoTime now)
 {
     const auto last = quarantine.trials_.find(part);
@@ -41,18 +29,49 @@
 
 } // namespace
 
-std::size_t crashCount(const Quarantine &quarantine, PromptPartId part)
+QuarantineSettings requestQuarantineSettings()
+{
+    QuarantineSettings settings;
+    settings.minCrashes_ = 3;
+    settings.minCrashesAmongOthers_ = 3;
+    settings.minSimultaneousCrashes_ = maxCrashes + 1;
+    settings.minRepeatedCrashes_ = 3;
+    settings.minCrashesElsewhere_ = 1;
+    // Several requests that wait on each crash are the ones that clients send most.
+    settings.minEvidence_ = 1.5;
+    settings.minDuration_ = Seconds {120};
+    return settings;
+}
+
+Quarantine makeQuarantine(QuarantineScope scope)
+{
+    Quarantine quarantine;
+    quarantine.scope_ = scope;
+    return quarantine;
+}
+
+std::vector<SuspectId> sharedParts(const RelayRequest &request)
+{
+    std::vector<SuspectId> parts;
+    if (!request.usage_ || request.usage_->parts_.empty())
+        return parts;
+    parts.reserve(request.usage_->parts_.size() - 1);
+    for (std::size_t i = 0; i + 1 < request.usage_->parts_.size(); ++i)
+        parts.push_back(SuspectId {hash64(request.usage_->parts_[i].id_)});
+    return parts;
+}
+
+std::size_t crashCount(const Quarantine &quarantine, SuspectId part)
 {
     const auto suspect = quarantine.suspects_.find(part);
     return suspect == quarantine.suspects_.end() ? 0 : suspect->second.crashes_.count();
 }
 
 void recordResponse(Quarantine &quarantine, const QuarantineSettings &settings,
-                    const RelayRequest &request, MonoTime now)
+                    const std::vector<SuspectId> &parts, MonoTime now)
 {
     bool changed = false;
-    for (std::size_t i = 0; i < sharedPartCount(request); ++i) {
-        const PromptPartId part = partId(request.usage_->parts_[i]);
+    for (const SuspectId part : parts) {
         recordSeen(quarantine, settings, part, now);
         quarantine.trials_.erase(part);
         if (!clearSuspect(quarantine, part))
@@ -64,13 +83,12 @@
         updateVerdicts(quarantine, settings, now);
 }
 
-std::vector<PromptPartId> recordCrash(Quarantine &quarantine, const QuarantineSettings &settings,
-                                      const InstanceProcess &id, const std::string &address,
-                                      const RelayRequest &request, MonoTime now)
+std::vector<SuspectId> recordCrash(Quarantine &quarantine, const QuarantineSettings &settings,
+                                   const InstanceProcess &id, const std::string &address,
+                                   const std::vector<SuspectId> &parts, MonoTime now)
 {
-    std::vector<PromptPartId> suspects;
-    for (std::size_t i = 0; i < sharedPartCount(request); ++i) {
-        const PromptPartId part = partId(request.usage_->parts_[i]);
+    std::vector<SuspectId> suspects;
+    for (const SuspectId part : parts) {
         if (!wasSeen(quarantine, settings, part, now))
             suspects.push_back(part);
     }
@@ -80,7 +98,7 @@
     if (!crash)
         return suspects;
     bool changed = false;
-    for (const PromptPartId part : suspects) {
+    for (const SuspectId part : suspects) {
         const SuspectChange change
             = addSuspect(quarantine, settings, *crash, WaitingPart {part, false, false});
         if (change == SuspectChange::CrashForgotten) {
@@ -112,9 +130,9 @@
     return true;
 }
 
-bool isRepeatedSuspect(const Quarantine &quarantine, const std::vector<PromptPartId> &parts)
+bool isRepeatedSuspect(const Quarantine &quarantine, const std::vector<SuspectId> &parts)
 {
-    return std::any_of(parts.begin(), parts.end(), [&quarantine](PromptPartId part) {
+    return std::any_of(parts.begin(), parts.end(), [&quarantine](SuspectId part) {
         const auto suspect = quarantine.suspects_.find(part);
         return suspect != quarantine.suspects_.end()
             && (suspect->second.crashes_ & ~suspect->second.cleared_).count() > 1;
@@ -122,19 +140,18 @@
 }
 
 QuarantineCheck checkQuarantine(Quarantine &quarantine, const QuarantineSettings &settings,
-                                const RelayRequest &request, MonoTime now)
+                                const std::vector<SuspectId> &parts, MonoTime now)
 {
     QuarantineCheck check;
     if (quarantine.verdicts_.empty())
         return check;
-    std::optional<PromptPartId> tried;
-    for (std::size_t i = 0; i < sharedPartCount(request); ++i) {
-        const PromptPart &part = request.usage_->parts_[i];
-        const auto verdict = quarantine.verdicts_.find(partId(part));
+    std::optional<SuspectId> tried;
+    for (const SuspectId part : parts) {
+        const auto verdict = quarantine.verdicts_.find(part);
         if (verdict == quarantine.verdicts_.end()
             || now < verdict->second.since_ + settings.objectionTime_)
             continue;
-        check.part_ = part.id_;
+        check.part_ = part;
         check.remaining_
             = std::max(std::chrono::duration_cast<Millis>(verdict->second.until_ - now),
                        settings.trialInterval_);
--- a/src/core/relay/quarantine.h
+++ b/src/core/relay/quarantine.h
@@ -1,4 +1,7 @@
-// Quarantine of prompt parts that crash upstream instances.
+// Quarantine of prompt parts, or of whole requests, that crash upstream instances.
+//
+// The following speaks of parts. A second quarantine with its own settings and reports does the
+// same for requests: one with the same account, target and body counts like a part.
 //
 // When an instance ends, each daemon reports the shared prompt parts of its requests that had no
 // output there yet: any of them may be the cause. Daemons exchange these reports. A part that was
@@ -103,6 +106,12 @@
     Millis compareInterval_ {1000};
 };
 
+/// @brief Returns the settings for whole requests. Many requests wait on each instance that ends,
+/// and most come once, so only repetition counts: three crashes at different times, or at two
+/// times if fewer instances end for other reasons. A trial may cost another instance, and a mistake
+/// concerns a single request, so the quarantine is longer.
+QuarantineSettings requestQuarantineSettings();
+
 /// @brief The presumed end of an instance, as far as it is known.
 struct Crash
 {
@@ -136,8 +145,8 @@
 /// is replaced when the newer one is full or old.
 struct SeenParts
 {
-    std::unordered_map<PromptPartId, MonoTime> current_;
-    std::unordered_map<PromptPartId, MonoTime> previous_;
+    std::unordered_map<SuspectId, MonoTime> current_;
+    std::unordered_map<SuspectId, MonoTime> previous_;
     /// When current_ was begun.
     MonoTime begunAt_ {};
 };
@@ -157,6 +166,7 @@
 /// ends of their quarantines follow from crashes_ and suspects_ alone.
 struct Quarantine
 {
+    QuarantineScope scope_ = QuarantineScope::PromptParts;
     HostId self_;
     /// "IP:port" of this daemon's peer listener.
     std::string address_;
@@ -164,12 +174,12 @@
     /// same zone.
     std::vector<PeerAddress> ring_;
     std::map<InstanceProcess, Crash> crashes_;
-    std::unordered_map<PromptPartId, Suspect> suspects_;
+    std::unordered_map<SuspectId, Suspect> suspects_;
     SeenParts seen_;
     /// The parts that crash instances.
-    std::map<PromptPartId, PartVerdict> verdicts_;
+    std::map<SuspectId, PartVerdict> verdicts_;
     /// Last trial of a part by this daemon.
-    std::map<PromptPartId, MonoTime> trials_;
+    std::map<SuspectId, MonoTime> trials_;
     /// Crashes of which there is news that has not been sent to peers: suspects that are new or
     /// cleared, or that the instance has survived.
     CrashSet unsent_;
@@ -178,6 +188,8 @@
     std::size_t comparisons_ = 0;
 };
 
+Quarantine makeQuarantine(QuarantineScope scope);
+
 /// @brief Updates the daemons that reports are exchanged with.
 /// @param self this daemon
 /// @param peers all other live daemons
@@ -185,16 +197,21 @@
 void updateQuarantinePeers(Quarantine &quarantine, const PeerAddress &self,
                            const std::vector<PeerAddress> &peers, MonoTime now);
 
+/// @brief Returns the prompt parts that other requests may share. The last part can't be the cause.
+std::vector<SuspectId> sharedParts(const RelayRequest &request);
+
 /// @brief Records a complete response, or output for QuarantineSettings::minOutputTime_.
+/// @param parts those of the request
 /// @note O(parts) if none of them is a suspect
 void recordResponse(Quarantine &quarantine, const QuarantineSettings &settings,
-                    const RelayRequest &request, MonoTime now);
+                    const std::vector<SuspectId> &parts, MonoTime now);
 
 /// @brief Records that an instance closed its connection before a request had output.
-/// @return the parts of the request that may be the cause
-std::vector<PromptPartId> recordCrash(Quarantine &quarantine, const QuarantineSettings &settings,
-                                      const InstanceProcess &id, const std::string &address,
-                                      const RelayRequest &request, MonoTime now);
+/// @param parts those of the request
+/// @return the parts that may be the cause
+std::vector<SuspectId> recordCrash(Quarantine &quarantine, const QuarantineSettings &settings,
+                                   const InstanceProcess &id, const std::string &address,
+                                   const std::vector<SuspectId> &parts, MonoTime now);
 
 /// @brief Records output or a response of an instance. If it was presumed to have crashed, this may
 /// show that it has not.
@@ -204,10 +221,10 @@
                     const InstanceProcess &id, MonoTime sentAt, MonoTime now);
 
 /// @brief Returns the number of crashes on which a part was waiting, cleared or not.
-std::size_t crashCount(const Quarantine &quarantine, PromptPartId part);
+std::size_t crashCount(const Quarantine &quarantine, SuspectId part);
 
 /// @brief Returns true if one of the parts is a suspect in several crashes.
-bool isRepeatedSuspect(const Quarantine &quarantine, const std::vector<PromptPartId> &parts);
+bool isRepeatedSuspect(const Quarantine &quarantine, const std::vector<SuspectId> &parts);
 
 enum class QuarantineDecision {
     Send,
@@ -220,13 +237,14 @@
 {
     QuarantineDecision decision_ = QuarantineDecision::Send;
     /// Set unless decision_ is Send: the part, and how long requests with it are refused.
-    std::string part_;
+    SuspectId part_;
     Millis remaining_ {};
 };
 
 /// @brief Decides whether a request may be sent to an instance. A trial is recorded.
+/// @param parts those of the request
 QuarantineCheck checkQuarantine(Quarantine &quarantine, const QuarantineSettings &settings,
-                                const RelayRequest &request, MonoTime now);
+                                const std::vector<SuspectId> &parts, MonoTime now);
 
 /// @brief Merges a report of a peer.
 /// @return the reply, if there is one
--- a/src/core/relay/quarantineexchange.cpp
+++ b/src/core/relay/quarantineexchange.cpp
@@ -57,6 +57,7 @@
     QuarantineReport report;
     report.replyAddress_ = quarantine.address_;
     report.purpose_ = purpose;
+    report.scope_ = quarantine.scope_;
     report.digest_ = digestOf(quarantine);
     return report;
 }
@@ -86,7 +87,7 @@
 /// A part that was waiting on some of the crashes of a report.
 struct PartOfReport
 {
-    PromptPartId part_;
+    SuspectId part_;
     CrashSet crashes_;
     CrashSet cleared_;
 };
@@ -143,13 +144,13 @@
 }
 
 /// Returns the parts that were waiting on several crashes of a report.
-std::unordered_set<PromptPartId> repeatedParts(const QuarantineReport &report)
+std::unordered_set<SuspectId> repeatedParts(const QuarantineReport &report)
 {
-    std::unordered_set<PromptPartId> seen;
-    std::unordered_set<PromptPartId> repeated;
+    std::unordered_set<SuspectId> seen;
+    std::unordered_set<SuspectId> repeated;
     for (const ReportedCrash &crash : report.crashes_) {
         for (const auto *parts : {&crash.suspects_, &crash.cleared_}) {
-            for (const PromptPartId part : *parts) {
+            for (const SuspectId part : *parts) {
                 if (!seen.insert(part).second)
                     repeated.insert(part);
             }
@@ -176,7 +177,7 @@
 
 /// @return true if the crash was new or changed
 bool mergeCrash(Quarantine &quarantine, const QuarantineSettings &settings,
-                const ReportedCrash &reported, const std::unordered_set<PromptPartId> &repeated,
+                const ReportedCrash &reported, const std::unordered_set<SuspectId> &repeated,
                 MonoTime now)
 {
     if (reported.age_ >= settings.crashLifetime_)
@@ -202,7 +203,7 @@
     }
     crash->sampling_ = std::max(crash->sampling_, reported.sampling_);
     for (const bool cleared : {false, true}) {
-        for (const PromptPartId part : cleared ? reported.cleared_ : reported.suspects_) {
+        for (const SuspectId part : cleared ? reported.cleared_ : reported.suspects_) {
             const WaitingPart waiting {part, cleared, repeated.contains(part)};
             const SuspectChange change = mergePart(quarantine, settings, *crash, waiting, now);
             if (change == SuspectChange::CrashForgotten)
@@ -243,7 +244,7 @@
                                             const QuarantineReport &report, MonoTime now)
 {
     bool changed = false;
-    const std::unordered_set<PromptPartId> repeated = repeatedParts(report);
+    const std::unordered_set<SuspectId> repeated = repeatedParts(report);
     for (const ReportedCrash &crash : report.crashes_)
         changed = mergeCrash(quarantine, settings, crash, repeated, now) || changed;
     if (changed)
--- a/src/core/relay/quarantineinternal.h
+++ b/src/core/relay/quarantineinternal.h
@@ -29,7 +29,7 @@
 /// @brief A part of a request that was waiting on a crashed instance.
 struct WaitingPart
 {
-    PromptPartId part_;
+    SuspectId part_;
     bool cleared_ = false;
     /// It is known to have been waiting on another crash too, which the caller is about to add.
     bool repeated_ = false;
@@ -49,18 +49,18 @@
 
 /// @brief Clears a part of all crashes on which it was waiting.
 /// @return true if there were any
-bool clearSuspect(Quarantine &quarantine, PromptPartId part);
+bool clearSuspect(Quarantine &quarantine, SuspectId part);
 
 /// @brief Returns whether a part was waiting on a crash and has been cleared of it.
-bool isCleared(const Quarantine &quarantine, const Crash &crash, PromptPartId part);
+bool isCleared(const Quarantine &quarantine, const Crash &crash, SuspectId part);
 
 /// @brief Records that a part was seen in a response.
-void recordSeen(Quarantine &quarantine, const QuarantineSettings &settings, PromptPartId part,
+void recordSeen(Quarantine &quarantine, const QuarantineSettings &settings, SuspectId part,
                 MonoTime now);
 
 /// @brief Returns whether a part was seen in a response so late that it can't be the cause of a
 /// crash.
-bool wasSeen(const Quarantine &quarantine, const QuarantineSettings &settings, PromptPartId part,
+bool wasSeen(const Quarantine &quarantine, const QuarantineSettings &settings, SuspectId part,
              MonoTime crashedAt);
 
 /// @brief Returns a hash of a crash, the same at all daemons.
@@ -68,12 +68,12 @@
 
 /// @brief Returns a hash of a part and a crash, the same at all daemons.
 /// @param crash as returned by hashOf()
-std::uint64_t hashOf(std::uint64_t crash, PromptPartId part);
+std::uint64_t hashOf(std::uint64_t crash, SuspectId part);
 
 /// @brief Schedules the report that a part has been cleared. Only for parts of several crashes,
 /// which peers may be about to quarantine: after the end of many instances, there are many
 /// suspects.
-void reportClearance(Quarantine &quarantine, const QuarantineSettings &settings, PromptPartId part,
+void reportClearance(Quarantine &quarantine, const QuarantineSettings &settings, SuspectId part,
                      MonoTime now);
 
 /// @brief Schedules the report to the peers that an instance has survived.
@@ -82,6 +82,6 @@
 
 /// @brief Schedules the report of one suspect of a crash to the peers.
 void scheduleNews(Quarantine &quarantine, const QuarantineSettings &settings, const Crash &crash,
-                  PromptPartId part, MonoTime now);
+                  SuspectId part, MonoTime now);
 
 } // namespace tamarack::quarantinedetail
--- a/src/core/relay/quarantinesuspects.cpp
+++ b/src/core/relay/quarantinesuspects.cpp
@@ -60,7 +60,7 @@
 void removeAllSuspects(Quarantine &quarantine, Crash &crash)
 {
     if (crash.suspects_ + crash.cleared_ > 0)
-        removeSuspects(quarantine, crash, [](PromptPartId, const Suspect &) { return true; });
+        removeSuspects(quarantine, crash, [](SuspectId, const Suspect &) { return true; });
 }
 
 void forgetCrash(Quarantine &quarantine, CrashEntry crash)
@@ -104,7 +104,7 @@
     return !isAdded;
 }
 
-bool isInSample(const Crash &crash, PromptPartId part)
+bool isInSample(const Crash &crash, SuspectId part)
 {
     constexpr int hashBits = std::numeric_limits<std::uint64_t>::digits;
     return crash.sampling_ == 0
@@ -117,7 +117,7 @@
     while (crash.suspects_ + crash.cleared_ > settings.maxSuspectsPerCrash_
            && crash.sampling_ < maxSampling) {
         ++crash.sampling_;
-        removeSuspects(quarantine, crash, [&crash](PromptPartId part, const Suspect &suspect) {
+        removeSuspects(quarantine, crash, [&crash](SuspectId part, const Suspect &suspect) {
             return suspect.crashes_.count() == 1 && !isInSample(crash, part);
         });
     }
@@ -131,7 +131,7 @@
         quarantine.sendAt_ = now + settings.reportDelay_;
 }
 
-std::optional<MonoTime> lastSeen(const SeenParts &seen, PromptPartId part)
+std::optional<MonoTime> lastSeen(const SeenParts &seen, SuspectId part)
 {
     for (const auto *generation : {&seen.current_, &seen.previous_}) {
         const auto found = generation->find(part);
@@ -149,7 +149,7 @@
     return hash64(fmt::format("{}@{}", id.instance_.value_, startedMs.count()));
 }
 
-std::uint64_t hashOf(std::uint64_t crash, PromptPartId part)
+std::uint64_t hashOf(std::uint64_t crash, SuspectId part)
 {
     std::array<char, 2 * sizeof(std::uint64_t)> bytes {};
     // Byte by byte, so that the result does not depend on the byte order of the host.
@@ -247,7 +247,7 @@
     return SuspectChange::Changed;
 }
 
-bool clearSuspect(Quarantine &quarantine, PromptPartId part)
+bool clearSuspect(Quarantine &quarantine, SuspectId part)
 {
     const auto known = quarantine.suspects_.find(part);
     if (known == quarantine.suspects_.end())
@@ -265,13 +265,13 @@
     return cleared.any();
 }
 
-bool isCleared(const Quarantine &quarantine, const Crash &crash, PromptPartId part)
+bool isCleared(const Quarantine &quarantine, const Crash &crash, SuspectId part)
 {
     const auto known = quarantine.suspects_.find(part);
     return known != quarantine.suspects_.end() && known->second.cleared_.test(crash.slot_);
 }
 
-void recordSeen(Quarantine &quarantine, const QuarantineSettings &settings, PromptPartId part,
+void recordSeen(Quarantine &quarantine, const QuarantineSettings &settings, SuspectId part,
                 MonoTime now)
 {
     SeenParts &seen = quarantine.seen_;
@@ -284,14 +284,14 @@
     seen.current_[part] = now;
 }
 
-bool wasSeen(const Quarantine &quarantine, const QuarantineSettings &settings, PromptPartId part,
+bool wasSeen(const Quarantine &quarantine, const QuarantineSettings &settings, SuspectId part,
              MonoTime crashedAt)
 {
     const std::optional<MonoTime> seenAt = lastSeen(quarantine.seen_, part);
     return seenAt && *seenAt > crashedAt - settings.clearanceTime_;
 }
 
-void reportClearance(Quarantine &quarantine, const QuarantineSettings &settings, PromptPartId part,
+void reportClearance(Quarantine &quarantine, const QuarantineSettings &settings, SuspectId part,
                      MonoTime now)
 {
     const auto known = quarantine.suspects_.find(part);
@@ -309,7 +309,7 @@
 }
 
 void scheduleNews(Quarantine &quarantine, const QuarantineSettings &settings, const Crash &crash,
-                  PromptPartId part, MonoTime now)
+                  SuspectId part, MonoTime now)
 {
     const auto known = quarantine.suspects_.find(part);
     // The part may not be in the sample of the crash.
--- a/src/core/relay/quarantineverdicts.cpp
+++ b/src/core/relay/quarantineverdicts.cpp
@@ -13,7 +13,7 @@
 struct SuspectGroup
 {
     CrashSet crashes_;
-    std::vector<PromptPartId> parts_;
+    std::vector<SuspectId> parts_;
 };
 
 /// The evidence against one part.
@@ -42,7 +42,7 @@
 /// Groups the parts that are suspects in several crashes.
 std::vector<SuspectGroup> groupRepeatedSuspects(const Quarantine &quarantine)
 {
-    std::unordered_map<CrashSet, std::vector<PromptPartId>> partsByCrashes;
+    std::unordered_map<CrashSet, std::vector<SuspectId>> partsByCrashes;
     for (const auto &[part, suspect] : quarantine.suspects_) {
         const CrashSet crashes = suspect.crashes_ & ~suspect.cleared_;
         if (crashes.count() > 1)
@@ -224,7 +224,7 @@
 
 void updateVerdicts(Quarantine &quarantine, const QuarantineSettings &settings, MonoTime now)
 {
-    const std::map<PromptPartId, PartVerdict> previous = std::exchange(quarantine.verdicts_, {});
+    const std::map<SuspectId, PartVerdict> previous = std::exchange(quarantine.verdicts_, {});
     Investigation investigation = makeInvestigation(quarantine);
     // A part that explains a crash acquits the others that were waiting there, for example those
     // that always come with it.
@@ -234,7 +234,7 @@
             return;
         for (const SuspectGroup *group : groups) {
             const MonoTime until = quarantineEnd(investigation, *group, settings);
-            for (const PromptPartId part : group->parts_) {
+            for (const SuspectId part : group->parts_) {
                 const auto known = previous.find(part);
                 quarantine.verdicts_[part]
                     = PartVerdict {known == previous.end() ? now : known->second.since_, until};
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -77,7 +77,7 @@
 }
 
 /// Returns the ids of the prompt parts that other requests may share.
-std::string sharedParts(const RelayRequest &request)
+std::string sharedPartNames(const RelayRequest &request)
 {
     std::string ids;
     if (!request.usage_)
@@ -209,7 +209,9 @@
     fields.push_back({"status", std::to_string(ended.status_)});
     fields.push_back({"detail", ended.detail_});
     if (ended.end_ == AttemptEnd::ConnectionLost && !active.outputStarted_)
-        fields.push_back({"waiting_with_parts", sharedParts(active.request_)});
+        fields.insert(fields.end(),
+                      {{"waiting_with_parts", sharedPartNames(active.request_)},
+                       {"request_hash", fmt::format("{:016x}", active.identity_.value_)}});
     fields.push_back({"repeat", reason ? "no:" + *reason : "yes"});
     logLine(out, LogLevel::Warning, "request.attempt_failed", std::move(fields));
     if (reason)
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -90,6 +90,7 @@
         refuse(state, active, statusServiceUnavailable, "stopping", now, out);
         return;
     }
+    active.identity_ = requestIdentity(active);
     creditRetryBudget(state, active, now);
     admit(state, active, now, out);
 }
@@ -186,10 +187,7 @@
 void onEvent(RelayState &state, const QuarantineReportReceived &event, MonoTime now,
              RelayCommands &out)
 {
-    std::optional<QuarantineReport> reply
-        = mergeReport(state.quarantine_, state.settings_.quarantine_, event.report_, now);
-    if (reply)
-        out.emplace_back(SendPeer {event.from_, event.report_.replyAddress_, std::move(*reply)});
+    mergeQuarantineReport(state, event, now, out);
 }
 
 void onEvent(RelayState &state, const LoanRequestReceived &event, MonoTime now, RelayCommands &)
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -52,6 +52,7 @@
     SharedRetryLimit retries_;
     OverloadSettings overload_;
     QuarantineSettings quarantine_;
+    QuarantineSettings requestQuarantine_ = requestQuarantineSettings();
     RequestLimitSettings limits_;
     FleetMemberSettings members_;
     LoadSettings load_;
@@ -168,7 +169,9 @@
     WallTime instanceStartedAt_ {};
     bool outputStarted_ = false;
     std::optional<MonoTime> firstOutputAt_;
-    /// The request tests whether a quarantined prompt part still crashes instances.
+    /// Identifies requests with the same account and content.
+    SuspectId identity_;
+    /// The request tests whether it or one of its prompt parts still crashes instances.
     bool isTrial_ = false;
     /// An upstream may have started the request.
     bool mayHaveRun_ = false;
@@ -197,7 +200,9 @@
     ChoiceState choice_;
     PrepaidState prepaid_;
     std::map<ServiceId, RetryBudget> retries_;
+    /// Of prompt parts, and of whole requests.
     Quarantine quarantine_;
+    Quarantine requestQuarantine_ = makeQuarantine(QuarantineScope::Requests);
     InstanceLimits limits_;
     Evacuations evacuations_;
     /// Requests since the start whose best instance was in an evacuated zone.
@@ -209,8 +214,9 @@
     bool sharesLoad_ = false;
     /// Replies to other daemons tell the load of this daemon and of those that reported theirs.
     bool loadsPublished_ = false;
-    /// The parts whose quarantine was logged as begun.
-    std::set<PromptPartId> quarantinedParts_;
+    /// The parts and requests whose quarantine was logged as begun.
+    std::set<SuspectId> quarantinedParts_;
+    std::set<SuspectId> quarantinedRequests_;
     std::map<ExchangeId, RelayedRequest> active_;
     std::set<std::pair<MonoTime, ExchangeId>> timers_;
     FleetMembers members_;
--- a/src/core/relay/relayfleet.cpp
+++ b/src/core/relay/relayfleet.cpp
@@ -67,6 +67,7 @@
     updateLenders(state.prepaid_.lenders_, self, peers);
     scheduleFirstGrants(state.prepaid_, state.settings_.prepaid_, now);
     updateQuarantinePeers(state.quarantine_, self, peers, now);
+    updateQuarantinePeers(state.requestQuarantine_, self, peers, now);
     updateLoadPeers(state.loads_, self, peers);
     updateLimitPeers(state.limits_, state.settings_.limits_, limitPeers(state, self), now);
 }
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -261,6 +261,13 @@
 /// @brief Applies new verdicts to waiting requests and sends reports to peers.
 void runQuarantine(RelayState &state, MonoTime now, RelayCommands &out);
 
+/// @brief Merges a report of a peer, and replies if it asks for it.
+void mergeQuarantineReport(RelayState &state, const QuarantineReportReceived &event, MonoTime now,
+                           RelayCommands &out);
+
+/// @brief Returns what requests with the same account and content have in common.
+SuspectId requestIdentity(const RelayedRequest &active);
+
 /// @brief Returns when runQuarantine() has work to do next.
 std::optional<MonoTime> nextQuarantineTime(const RelayState &state);
 
--- a/src/core/relay/request.h
+++ b/src/core/relay/request.h
@@ -44,6 +44,8 @@
     std::string key_;
     std::optional<PromptUsage> usage_;
     std::size_t bodyBytes_ = 0;
+    /// Hash of the method, host, path and body; the same at all daemons.
+    std::uint64_t contentHash_ = 0;
     /// When the first byte of the request arrived.
     MonoTime arrivedAt_ {};
     /// How long the client waits, counted from arrivedAt_.
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -362,6 +362,7 @@
     state.prepaid_.holder_ = relay.holder_;
     state.prepaid_.peerAddress_ = relay.settings_.peerAddress_;
     state.quarantine_.address_ = relay.settings_.peerAddress_;
+    state.requestQuarantine_.address_ = relay.settings_.peerAddress_;
     state.limits_.address_ = relay.settings_.peerAddress_;
     std::vector<PeerAddress> seeds;
     for (const std::string &seed : relay.settings_.seeds_) {
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -43,6 +43,30 @@
     CHECK(usage->parts_.front().tokens_ == Tokens {1'000'000'000'000});
 }
 
+TEST_CASE("requests with the same content have the same hash, however they are framed")
+{
+    // A request that crashes instances is recognized by it when another client attempt brings it.
+    Fixture fixture;
+    setUp(fixture);
+    const auto hashOf = [&fixture](const std::string &request) {
+        StreamSocket client = connectClient(fixture);
+        sendText(client, request);
+        return waitForEvent<RequestRead>(fixture).request_.contentHash_;
+    };
+    const std::uint64_t hash = hashOf(
+        "POST /a/b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nContent-Length: 3\r\n\r\nabc");
+    CHECK(hash
+          == hashOf("POST /a/b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\nX-Other: 1\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n2\r\nbc\r\n0\r\n\r\n"));
+    for (const std::string other :
+         {"PUT /a/b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r3\r\nContent-Length: 3\r\n\r\nabc",
+          "POST /a/c HTTP/1.1\r\nHost: h\r\nX-Request-Id: r3\r\nContent-Length: 3\r\n\r\nabc",
+          "POST /a/b HTTP/1.1\r\nHost: i\r\nX-Request-Id: r3\r\nContent-Length: 3\r\n\r\nabc",
+          "POST /a/b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r3\r\nContent-Length: 3\r\n\r\nabd",
+          "POST /a/b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r3\r\n\r\n"})
+        CHECK(hash != hashOf(other));
+}
+
 TEST_CASE("a request with two values for a field that decides about it is rejected")
 {
     // The daemon used the first value and sent both, so the upstream could use the other one.
--- a/tests/quarantinefixture.h
+++ b/tests/quarantinefixture.h
@@ -24,6 +24,7 @@
 
 struct QuarantineFleet
 {
+    QuarantineScope scope_ = QuarantineScope::PromptParts;
     QuarantineSettings settings_;
     std::vector<Quarantine> daemons_;
     std::deque<QuarantineMessage> messages_;
@@ -50,14 +51,18 @@
         if (i != index)
             peers.push_back(quarantinePeer(i));
     }
-    Quarantine &daemon = fleet.daemons_[index] = Quarantine {};
+    Quarantine &daemon = fleet.daemons_[index] = makeQuarantine(fleet.scope_);
     daemon.address_ = std::to_string(index);
     updateQuarantinePeers(daemon, quarantinePeer(index), peers, fleet.now_);
 }
 
-inline QuarantineFleet makeQuarantineFleet(std::size_t size)
+inline QuarantineFleet makeQuarantineFleet(std::size_t size,
+                                           QuarantineScope scope = QuarantineScope::PromptParts)
 {
     QuarantineFleet fleet;
+    fleet.scope_ = scope;
+    if (scope == QuarantineScope::Requests)
+        fleet.settings_ = requestQuarantineSettings();
     fleet.daemons_.resize(size);
     for (std::size_t i = 0; i < size; ++i)
         restart(fleet, i);
@@ -120,7 +125,8 @@
 {
     recordCrash(fleet.daemons_[daemon], fleet.settings_,
                 InstanceProcess {UpstreamId {instance}, WallTime {Millis {1}}},
-                address.empty() ? instance + ":80" : address, requestWithParts(parts), fleet.now_);
+                address.empty() ? instance + ":80" : address, sharedParts(requestWithParts(parts)),
+                fleet.now_);
 }
 
 inline bool survive(QuarantineFleet &fleet, std::size_t daemon, const std::string &instance,
@@ -133,13 +139,14 @@
 
 inline void respond(QuarantineFleet &fleet, std::size_t daemon, const RequestParts &parts)
 {
-    recordResponse(fleet.daemons_[daemon], fleet.settings_, requestWithParts(parts), fleet.now_);
+    recordResponse(fleet.daemons_[daemon], fleet.settings_, sharedParts(requestWithParts(parts)),
+                   fleet.now_);
 }
 
 inline bool refuses(QuarantineFleet &fleet, std::size_t daemon, const RequestParts &parts)
 {
-    return checkQuarantine(fleet.daemons_[daemon], fleet.settings_, requestWithParts(parts),
-                           fleet.now_)
+    return checkQuarantine(fleet.daemons_[daemon], fleet.settings_,
+                           sharedParts(requestWithParts(parts)), fleet.now_)
                .decision_
         == QuarantineDecision::Refuse;
 }
--- a/tests/unit-quarantineprompts.cpp
+++ b/tests/unit-quarantineprompts.cpp
@@ -219,7 +219,7 @@
         crash.address_ = std::to_string(i) + ":80";
         crash.age_ = Millis {i * 100 % 7000};
         for (std::size_t suspect = 0; suspect < settings.maxSuspectsPerCrash_ + 100; ++suspect)
-            crash.suspects_.push_back(PromptPartId {part += 0x9e3779b97f4a7c15});
+            crash.suspects_.push_back(SuspectId {part += 0x9e3779b97f4a7c15});
         mergeReport(fleet.daemons_[0], settings, report, fleet.now_);
         passTime(fleet, Millis {20});
     }
--- a/tests/unit-relayquarantine.cpp
+++ b/tests/unit-relayquarantine.cpp
@@ -52,7 +52,7 @@
             ReportedCrash {InstanceProcess {UpstreamId {instance}, WallTime {}},
                            std::string(instance) + ":80",
                            Millis {first ? 1500 : 100},
-                           {PromptPartId {hash64(part)}},
+                           {SuspectId {hash64(part)}},
                            {},
                            std::nullopt});
     }
@@ -99,7 +99,7 @@
             ReportedCrash {InstanceProcess {UpstreamId {"x" + std::to_string(i)}, WallTime {}},
                            std::to_string(i) + ":80",
                            Millis {i * 1000},
-                           {PromptPartId {hash64("deadly")}},
+                           {SuspectId {hash64("deadly")}},
                            {},
                            std::nullopt});
     post(fixture, QuarantineReportReceived {HostId {"peer"}, report});
@@ -245,7 +245,7 @@
     REQUIRE(news);
     const auto &report = std::get<QuarantineReport>(news->message_);
     REQUIRE(report.crashes_.size() == 1);
-    CHECK(report.crashes_[0].suspects_ == std::vector<PromptPartId> {{hash64("deadly")}});
+    CHECK(report.crashes_[0].suspects_ == std::vector<SuspectId> {{hash64("deadly")}});
 }
 
 } // namespace tamarack
