--- a/tests/unit-silentstore.cpp
+++ b/tests/unit-silentstore.cpp
@@ -66,6 +66,18 @@
     checkAllKnowChanges(fleet, shape);
 }
 
+TEST_CASE("a daemon that the store refuses asks another zone if its own zone is refused too")
+{
+    // Observers had never relied on peers, and asked only three daemons of their zone eight times.
+    const FleetShape shape
+        = GENERATE(FleetShape {8, 3, Millis {2000}}, FleetShape {69, 3, Millis {3000}},
+                   FleetShape {195, 5, Millis {4000}});
+    SyncFleet fleet = startFleet(shape);
+    for (std::size_t rank = 0; rank < fleet.settings_.observersPerZone_ + 1; ++rank)
+        observerOf(fleet, "z0", rank).reachesStore_ = false;
+    checkAllKnowChanges(fleet, shape);
+}
+
 TEST_CASE("a relay asks its peers while a reply of the store is overdue, and not after one")
 {
     RelayFixture fixture;
