Fewer requests for documents and fewer reports of requests that come once

- An overdue reply of the store counts for observers only.
The others ask peers in any case, and a large document may take long to arrive.
Another zone is asked in addition only while the observers of the own zone lack contact.
- News of requests that were waiting on one crash are collected for 0.3 s, those of repeated ones for 0.05 s as before.
Bounds on memory are smaller, because a crash has few waiting requests.

--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -72,10 +72,12 @@
     return settings.contactInterval_ + settings.maxReplyDelay_;
 }
 
-/// Returns true if the store does not reply to this daemon, which follows it.
-bool lacksStore(const DocumentSync &sync, MonoTime now)
+/// Returns true if the store does not reply to this daemon. An overdue reply counts for observers
+/// only: the others ask peers in any case, and a large document may take long to arrive.
+bool lacksStore(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
 {
-    return !sync.unavailableFeeds_.empty() || isReplyOverdue(sync, now);
+    return !sync.unavailableFeeds_.empty()
+        || (isReplyOverdue(sync, now) && isObserver(sync, settings));
 }
 
 /// Returns true if this daemon relies on the documents of peers, whether or not a reply of the
@@ -172,6 +174,17 @@
     return candidates;
 }
 
+/// Returns true if the observers of this zone other than this daemon replied without contact to the
+/// store, or there are none.
+bool zoneLacksContact(const DocumentSync &sync, const DocumentSyncSettings &settings)
+{
+    const std::vector<PeerAddress> observers
+        = responsivePeers(sync, sync.sameZone_, settings.observersPerZone_);
+    return std::all_of(observers.begin(), observers.end(), [&sync](const PeerAddress &peer) {
+        return peer.host_ == sync.self_ || sync.withoutContact_.contains(peer.host_);
+    });
+}
+
 /// Returns the peers among which the next request chooses.
 std::vector<PeerAddress> candidatePeers(const DocumentSync &sync,
                                         const DocumentSyncSettings &settings)
@@ -292,7 +305,7 @@
         sync.completeAt_
             = std::max(sync.completeAt_.value_or(MonoTime {}), *requestedAt - *contactAge);
     // A daemon whose own reply is overdue looks for a peer whose reply is not.
-    const Millis maxAge = lacksStore(sync, now)
+    const Millis maxAge = lacksStore(sync, settings, now)
         ? std::min(settings.freshLifetime_, replyLimit(settings))
         : settings.freshLifetime_;
     if (contactAge && *contactAge <= maxAge) {
@@ -336,17 +349,17 @@
         return selected;
     sync.nextRequestAt_ = now + settings.requestInterval_;
     ++sync.requestCount_;
-    const bool withoutStore = lacksStore(sync, now);
-    const bool fresh = !withoutStore && isFresh(sync, settings, now);
+    const bool fresh = !lacksStore(sync, settings, now) && isFresh(sync, settings, now);
     const bool otherZones = asksOtherZones(sync, settings);
     // Requests to this zone and to the others take turns separately, so that each observer has its
     // turn.
     const std::size_t toOtherZones = sync.requestCount_ / settings.otherZoneEvery_;
     const std::size_t turn = otherZones ? toOtherZones : sync.requestCount_ - toOtherZones;
-    selectPeers(sync, candidatePeers(sync, settings), fresh ? 1 : settings.fanout_, turn, now,
-                selected);
+    const std::vector<PeerAddress> candidates = candidatePeers(sync, settings);
+    selectPeers(sync, candidates, fresh ? 1 : settings.fanout_, turn, now, selected);
     // What keeps the store from replying to this daemon may concern all observers of its zone.
-    if (withoutStore && !otherZones && mayAskOtherZones(sync, settings))
+    if (lacksStore(sync, settings, now) && !otherZones && zoneLacksContact(sync, settings)
+        && mayAskOtherZones(sync, settings))
         selectPeers(sync, responsivePeers(sync, sync.otherZones_, settings.observersPerZone_),
                     settings.fanout_, sync.requestCount_, now, selected);
     return selected;
--- a/src/core/relay/quarantine.cpp
+++ b/src/core/relay/quarantine.cpp
@@ -40,6 +40,13 @@
     // Several requests that wait on each crash are the ones that clients send most.
     settings.minEvidence_ = 1.5;
     settings.minDuration_ = Seconds {120};
+    // Each lost connection makes suspects, most of them once. Their reports must not cost a small
+    // host its processor.
+    settings.reportDelay_ = Millis {300};
+    settings.compareInterval_ = Seconds {2};
+    settings.maxSuspects_ = 8192;
+    settings.maxSuspectsPerCrash_ = 256;
+    settings.maxSeenParts_ = 16'384;
     return settings;
 }
 
--- a/src/core/relay/quarantine.h
+++ b/src/core/relay/quarantine.h
@@ -99,8 +99,10 @@
     std::size_t maxSuspectsPerCrash_ = 8192;
     std::size_t maxSeenParts_ = 65'536;
     std::size_t maxPartsPerReport_ = 16'384;
-    /// New reports are collected for this long before they are sent to peers.
+    /// News are collected for this long before they are sent to peers, those of suspects in several
+    /// crashes for the shorter time.
     Millis reportDelay_ {50};
+    Millis repeatedReportDelay_ {50};
     /// Interval at which a daemon compares its reports with those of a peer, to find what it missed
     /// before it started or while it was cut off.
     Millis compareInterval_ {1000};
--- a/src/core/relay/quarantinesuspects.cpp
+++ b/src/core/relay/quarantinesuspects.cpp
@@ -123,12 +123,10 @@
     }
 }
 
-void scheduleReport(Quarantine &quarantine, const QuarantineSettings &settings,
-                    const CrashSet &crashes, MonoTime now)
+void scheduleReport(Quarantine &quarantine, const CrashSet &crashes, MonoTime sendAt)
 {
     quarantine.unsent_ |= crashes;
-    if (!quarantine.sendAt_)
-        quarantine.sendAt_ = now + settings.reportDelay_;
+    quarantine.sendAt_ = std::min(quarantine.sendAt_.value_or(sendAt), sendAt);
 }
 
 std::optional<MonoTime> lastSeen(const SeenParts &seen, SuspectId part)
@@ -299,13 +297,13 @@
         || known->second.crashes_.count() < settings.minCrashes_)
         return;
     known->second.unsent_ |= known->second.cleared_;
-    scheduleReport(quarantine, settings, known->second.cleared_, now);
+    scheduleReport(quarantine, known->second.cleared_, now + settings.repeatedReportDelay_);
 }
 
 void scheduleSurvival(Quarantine &quarantine, const QuarantineSettings &settings,
                       const Crash &crash, MonoTime now)
 {
-    scheduleReport(quarantine, settings, CrashSet {}.set(crash.slot_), now);
+    scheduleReport(quarantine, CrashSet {}.set(crash.slot_), now + settings.reportDelay_);
 }
 
 void scheduleNews(Quarantine &quarantine, const QuarantineSettings &settings, const Crash &crash,
@@ -316,7 +314,9 @@
     if (known == quarantine.suspects_.end() || !known->second.crashes_.test(crash.slot_))
         return;
     known->second.unsent_.set(crash.slot_);
-    scheduleReport(quarantine, settings, CrashSet {}.set(crash.slot_), now);
+    const bool isRepeated = (known->second.crashes_ & ~known->second.cleared_).count() > 1;
+    scheduleReport(quarantine, CrashSet {}.set(crash.slot_),
+                   now + (isRepeated ? settings.repeatedReportDelay_ : settings.reportDelay_));
 }
 
 } // namespace tamarack::quarantinedetail
