Connections to many instances that are lost at once make no suspects of whole requests

A reset of a host's own connections reported all requests that were waiting on them, to the whole fleet. The new case of unit-requestquarantine fails before: 300 suspects at each daemon, 20 are allowed.

--- a/src/core/relay/quarantine.cpp
+++ b/src/core/relay/quarantine.cpp
@@ -13,6 +13,17 @@
 
 using namespace quarantinedetail;
 
+/// Records that this daemon lost its connections to an instance.
+/// @return true if it lost so many others at the same time that no request is the cause
+bool isOneOfManyLosses(Quarantine &quarantine, const QuarantineSettings &settings,
+                       const InstanceProcess &id, MonoTime now)
+{
+    std::erase_if(quarantine.losses_,
+                  [&](const auto &loss) { return now - loss.second >= settings.crashSpacing_; });
+    quarantine.losses_[id] = now;
+    return quarantine.losses_.size() > settings.maxSimultaneousLosses_;
+}
+
 /// Returns whether it is this daemon's turn to try a part whose quarantine is over.
 bool mayTry(const Quarantine &quarantine, const QuarantineSettings &settings, SuspectId part,
             MonoTime now)
@@ -42,6 +53,7 @@
     settings.minDuration_ = Seconds {120};
     // Each lost connection makes suspects, most of them once. Their reports must not cost a small
     // host its processor.
+    settings.maxSimultaneousLosses_ = 4;
     settings.reportDelay_ = Millis {300};
     settings.compareInterval_ = Seconds {2};
     settings.maxSuspects_ = 8192;
@@ -99,7 +111,7 @@
         if (!wasSeen(quarantine, settings, part, now))
             suspects.push_back(part);
     }
-    if (suspects.empty())
+    if (suspects.empty() || isOneOfManyLosses(quarantine, settings, id, now))
         return suspects;
     Crash *crash = findOrAddCrash(quarantine, settings, id, address, now);
     if (!crash)
--- a/src/core/relay/quarantine.h
+++ b/src/core/relay/quarantine.h
@@ -33,6 +33,7 @@
 #include <bitset>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -93,6 +94,9 @@
     Millis trialInterval_ {10'000};
     /// How long a crash is remembered. Longer than maxDuration_, so that a trial can fail.
     Millis crashLifetime_ {600'000};
+    /// A daemon that loses its connections to more instances than this within crashSpacing_ makes
+    /// no suspects: a reset of its own connections, or a failure of many instances, is the cause.
+    std::size_t maxSimultaneousLosses_ = std::numeric_limits<std::size_t>::max();
     /// Limits on memory, see the head of this file. Each suspect and each seen part takes about
     /// 100 bytes.
     std::size_t maxSuspects_ = 65'536;
@@ -178,6 +182,8 @@
     std::map<InstanceProcess, Crash> crashes_;
     std::unordered_map<SuspectId, Suspect> suspects_;
     SeenParts seen_;
+    /// When this daemon lost connections to instances, within the last crashSpacing_.
+    std::map<InstanceProcess, MonoTime> losses_;
     /// The parts that crash instances.
     std::map<SuspectId, PartVerdict> verdicts_;
     /// Last trial of a part by this daemon.
--- a/tests/unit-requestquarantine.cpp
+++ b/tests/unit-requestquarantine.cpp
@@ -147,6 +147,23 @@
     }
 }
 
+TEST_CASE("connections to many instances that are lost at once make few suspects")
+{
+    // Reports of all requests that were waiting took the processor of small hosts.
+    QuarantineFleet fleet = makeQuarantineFleet(20, QuarantineScope::Requests);
+    for (int i = 0; i < 60; ++i) {
+        for (int request = 0; request < 5; ++request)
+            crash(fleet, 3, "i" + std::to_string(i),
+                  requestNamed(std::to_string(i) + "-" + std::to_string(request)));
+    }
+    passTime(fleet, Seconds {2});
+    for (const Quarantine &daemon : fleet.daemons_)
+        CHECK(daemon.suspects_.size() <= 5 * fleet.settings_.maxSimultaneousLosses_);
+    // A single loss later counts again.
+    crash(fleet, 3, "later", requestNamed("later"));
+    CHECK(fleet.daemons_[3].suspects_.size() == 5 * fleet.settings_.maxSimultaneousLosses_ + 1);
+}
+
 TEST_CASE("instances that end for another reason condemn none of the requests that are sent most")
 {
     // Nothing tells these requests apart: each of them was waiting on each instance.
