Responses with a status that can't occur are refused

Callers got an answer with status 000, or waited until their deadline: each three-digit status was passed on as it is, one of class 0 before a valid response was awaited as a response of its own (504 after the whole time), and a 101 was delivered although no request asks for another protocol.

Cause: the parser takes any three digits as a status, and nothing after it looked at the range (RFC 9110 sections 15 and 15.2.2). Status 0 then counted as a failure of the upstream, which is forwarded with its body.

Change: the reader of responses refuses a head with a status outside of 100 to 599, and 101, as soon as it is complete, also before a valid response. The attempt ends as malformed: it may have run, is charged as such, isn't repeated if it may run only once, and its connection is closed.

Evidence: contract-relayresponses on failed for 000, 001, 099, 600, 700, 999 and 101 as the status of the response, for 000 and 099 before a valid response (no end within 20 s), and for 101 with and without a request for an upgrade. It passes now, with contract-relayfaults, -relaystreams, -relayfront and unit-httpmessage.

Ruled out: signs, blanks, letters, two and four digits were refused already; the test keeps these cases.

--- a/src/adapters/relayhttp/message.cpp
+++ b/src/adapters/relayhttp/message.cpp
@@ -32,6 +32,7 @@
 /// Memory that the parser takes for a field beside its bytes.
 constexpr std::size_t parsedFieldBytes = 112;
 
+constexpr int statusSwitchingProtocols = 101;
 constexpr int statusBadRequest = 400;
 constexpr int statusContentTooLarge = 413;
 constexpr int statusHeaderFieldsTooLarge = 431;
@@ -184,6 +185,13 @@
     return head;
 }
 
+/// Returns whether a response may begin with this status. The parser takes any three digits
+/// (RFC 9110 section 15). No request asks for a switch of protocols (RFC 9110 section 15.2.2).
+bool isPossibleStatus(unsigned status)
+{
+    return status >= 100 && status <= 599 && status != statusSwitchingProtocols;
+}
+
 HttpResponseHead headOf(const ResponseParser &parser)
 {
     const auto &message = parser.get();
@@ -353,12 +361,14 @@
         if (error && error != http::error::need_more)
             return ParseStatus::Invalid;
         if (state.parser_->is_header_done() && !state.head_) {
+            if (!isPossibleStatus(state.parser_->get().result_int()))
+                return ParseStatus::Invalid;
             state.head_ = headOf(*state.parser_);
             state.parser_->eager(true);
         }
         const bool interim
             = state.parser_->is_done() && state.parser_->get().result_int() / 100 == 1;
-        if (interim && state.parser_->get().result_int() != 101) {
+        if (interim) {
             if (++state.interimResponses_ > maxInterimResponses)
                 return ParseStatus::Invalid;
             resetParser(state);
