A reset during an upload truncates a response without framing

Callers got a part of an answer as a complete one, with a Content-Length that the daemon had computed: the upstream answered a long upload at once without a length, and reset the connection while the upload was still being written.

Cause: the kernel reports an error of a socket once. The write of the upload took it in flushUpstream(), which then reads on, since the upstream may have answered before. The read after it returned 0, which was taken for an orderly end, and that completes a response without framing.

Change: the first failed send notes what it shows. EPIPE means that the end of the upstream's side was received before the reset; any other error means that the connection was reset or lost. In the latter case a receive that returns 0 is a failure. A connection with a failed send isn't pooled either: what was queued on it had been dropped, so it could look unused.

Looked at besides: on client connections an end and a failure are handled alike, and requests are always framed. A small upload, which fits the buffer of the socket, was handled, because the receive took the error.

--- a/src/adapters/relayhttp/frontendstate.h
+++ b/src/adapters/relayhttp/frontendstate.h
@@ -34,12 +34,24 @@
     std::size_t sent_ = 0;
 };
 
+/// @brief What a failed send shows of the connection.
+enum class SendFailure {
+    None,
+    /// The peer had closed its side before.
+    AfterClose,
+    /// The connection was reset or lost while the peer could still send.
+    Reset,
+};
+
 /// @brief A non-blocking socket with its send buffer, epoll interest set and deadline.
 struct SocketChannel
 {
     ConnectionId id_;
     Descriptor socket_;
     OutputBuffer out_;
+    /// Set by the first send that fails. The kernel reports an error of a socket only once: a
+    /// receive after it returns 0, as after an orderly close.
+    SendFailure sendFailure_ = SendFailure::None;
     /// The socket is registered with epoll, which reports these events for it.
     bool registered_ = false;
     std::uint32_t interest_ = 0;
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -39,7 +39,9 @@
 enum class ReceiveStatus {
     Received,
     Blocked,
+    /// The peer has ended the connection in an orderly way.
     Ended,
+    /// The connection was reset or lost.
     Failed,
 };
 
--- a/src/adapters/relayhttp/sockets.cpp
+++ b/src/adapters/relayhttp/sockets.cpp
@@ -92,9 +92,15 @@
                                     out.bytes_.size() - out.sent_, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (sent < 0 && errno == EINTR)
             continue;
-        if (sent < 0)
-            return errno == EAGAIN || errno == EWOULDBLOCK ? SendStatus::Blocked
-                                                           : SendStatus::Failed;
+        if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return SendStatus::Blocked;
+        if (sent < 0) {
+            // A reset gives EPIPE only if the end of the peer's side was received before it.
+            if (channel.sendFailure_ == SendFailure::None)
+                channel.sendFailure_
+                    = errno == EPIPE ? SendFailure::AfterClose : SendFailure::Reset;
+            return SendStatus::Failed;
+        }
         out.sent_ += static_cast<std::size_t>(sent);
         state.sentBytes_ += static_cast<std::uint64_t>(sent);
     }
@@ -116,7 +122,8 @@
             return ReceiveStatus::Received;
         }
         if (received == 0)
-            return ReceiveStatus::Ended;
+            return channel.sendFailure_ == SendFailure::Reset ? ReceiveStatus::Failed
+                                                              : ReceiveStatus::Ended;
         if (errno == EINTR)
             continue;
         return errno == EAGAIN || errno == EWOULDBLOCK ? ReceiveStatus::Blocked
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -247,6 +247,7 @@
 {
     // Bytes after a complete response belong to no request.
     const bool usable = keepAlive && upstream.input_.empty() && !upstream.closeAfterResponse_
+        && upstream.channel_.sendFailure_ == SendFailure::None
         && upstream.channel_.out_.bytes_.empty() && upstream.unsentBodyBytes_ == 0;
     if (!usable) {
         closeUpstream(state, upstream.channel_.id_);
