--- a/tests/contract-relayresponses.cpp
+++ b/tests/contract-relayresponses.cpp
@@ -156,4 +156,30 @@
     check(test, GENERATE_COPY(getRequest, upgrade));
 }
 
+TEST_CASE("a head with an invalid field is refused")
+{
+    const Place place = GENERATE(Place::Field, Place::InterimField, Place::TrailerField);
+    const auto line = GENERATE(values<std::string>({
+        "X Name: 1",
+        "X\tName: 1",
+        "X\x01Name: 1",
+        std::string("X\0Name: 1", 9),
+        "X\x7fName: 1",
+        "X\rName: 1",
+        "X\xe9Name: 1",
+        ": 1",
+        "X-Name",
+        "X-Name : 1",
+        "X-Name: a\rb",
+        std::string("X-Name: a\0b", 11),
+    }));
+    check(Case {line, place, refused, false});
+}
+
+TEST_CASE("a valid field is passed on")
+{
+    check(Case {"X-Name: \tvalue \xe9", Place::Field, delivered, true});
+    check(Case {"X-Name:", Place::InterimField, delivered, true});
+}
+
 } // namespace tamarack
