Responses whose transfer coding is not known are refused

Callers got a body that was not the upstream's: a response with the coding gzip and a length came as plain bytes without the coding, and with "chunked, identity" the sizes of the chunks came as part of the body.

Cause: the parser frames a body by its length, by chunks if chunked is the last coding, and else by the end of the connection. Other codings have no effect on it, and the daemon drops the field as one of the connection.

Change: a response with a body may have no Transfer-Encoding, or one field whose value is chunked, in HTTP/1.1 (RFC 9112 sections 6.1 and 6.3). Any other is malformed, like a status that can't occur. Responses without a body by their status or to HEAD are not concerned.

Ruled out: a length and chunked together, contradicting lengths, negative and empty lengths and a blank before the colon of either field were refused already; the test keeps these cases.

--- a/src/adapters/relayhttp/message.cpp
+++ b/src/adapters/relayhttp/message.cpp
@@ -192,6 +192,31 @@
     return status >= 100 && status <= 599 && status != statusSwitchingProtocols;
 }
 
+/// Returns whether a response has no body, whatever its fields say (RFC 9112 section 6.3).
+bool isBodiless(unsigned status, bool isHeadResponse)
+{
+    return isHeadResponse || status / 100 == 1 || status == 204 || status == 304;
+}
+
+/// Returns whether the codings of a body are none, or a single chunked one, which the parser
+/// removes. HTTP/1.0 has no codings (RFC 9112 section 6.1).
+bool areCodingsKnown(const http::response<http::string_body> &message)
+{
+    const auto codings = message.equal_range(http::field::transfer_encoding);
+    if (codings.first == codings.second)
+        return true;
+    return std::next(codings.first) == codings.second && message.version() >= 11
+        && equalsIgnoreCase(toString(codings.first->value()), "chunked");
+}
+
+/// Returns whether the parser frames the body of a response as its head says.
+bool isHeadAcceptable(const http::response<http::string_body> &message, bool isHeadResponse)
+{
+    const unsigned status = message.result_int();
+    return isPossibleStatus(status)
+        && (isBodiless(status, isHeadResponse) || areCodingsKnown(message));
+}
+
 HttpResponseHead headOf(const ResponseParser &parser)
 {
     const auto &message = parser.get();
@@ -361,7 +386,7 @@
         if (error && error != http::error::need_more)
             return ParseStatus::Invalid;
         if (state.parser_->is_header_done() && !state.head_) {
-            if (!isPossibleStatus(state.parser_->get().result_int()))
+            if (!isHeadAcceptable(state.parser_->get(), state.skipBody_))
                 return ParseStatus::Invalid;
             state.head_ = headOf(*state.parser_);
             state.parser_->eager(true);
--- a/src/adapters/relayhttp/message.h
+++ b/src/adapters/relayhttp/message.h
@@ -122,8 +122,10 @@
 /// @brief Resets the reader for a response to a request with this method.
 void startResponse(ResponseReader &reader, std::string_view method);
 
-/// @brief Parses @a bytes and removes the parsed part. Interim responses are skipped. A status that
-/// can't occur is invalid: one outside of 100 to 599, and 101 (Switching Protocols).
+/// @brief Parses @a bytes and removes the parsed part. Interim responses are skipped.
+///
+/// A status that can't occur is invalid: one outside of 100 to 599, and 101 (Switching Protocols).
+/// So is a body with another transfer coding than a single chunked one.
 ParseStatus readResponse(ResponseReader &reader, std::string &bytes);
 
 /// @brief Signals that the upstream closed the connection in an orderly way.
--- a/tests/contract-relayresponses.cpp
+++ b/tests/contract-relayresponses.cpp
@@ -182,4 +182,58 @@
     check(Case {"X-Name:", Place::InterimField, delivered, true});
 }
 
+TEST_CASE("a body whose framing is not understood is refused")
+{
+    // A coding beside a length was passed on as plain bytes. Chunk sizes before another coding
+    // reached the client as part of the body.
+    const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
+    const auto test = GENERATE_COPY(values<Case>({
+        {"Content-Length: 2", Place::Framing, delivered, true},
+        {"Content-Length: 2, 2", Place::Framing, delivered, true},
+        {"Transfer-Encoding: chunked", Place::Framing, delivered, true, chunks},
+        {"Transfer-Encoding: Chunked ", Place::Framing, delivered, true, chunks},
+        {"Content-Length : 2", Place::Framing, refused, false},
+        {"Content-Length: 2\r\nContent-Length: 3", Place::Framing, refused, false},
+        {"Content-Length: -2", Place::Framing, refused, false},
+        {"Content-Length: ", Place::Framing, refused, false},
+        {"Transfer-Encoding : chunked", Place::Framing, refused, false, chunks},
+        {"Transfer-Encoding: chunked", Place::Field, refused, false, chunks},
+        {"Transfer-Encoding: gzip", Place::Field, refused, false},
+        {"Transfer-Encoding: identity", Place::Field, refused, false},
+        {"Transfer-Encoding: ", Place::Field, refused, false},
+        {"Transfer-Encoding: gzip", Place::Framing, refused, false},
+        {"Transfer-Encoding: gzip\r\nContent-Length: 2", Place::Framing, refused, false},
+        {"Transfer-Encoding: gzip\r\nContent-Length: 0", Place::Framing, refused, false, ""},
+        {"Transfer-Encoding: identity\r\nContent-Length: 2", Place::Framing, refused, false},
+        {"Transfer-Encoding: gzip, chunked", Place::Framing, refused, false, chunks},
+        {"Transfer-Encoding: chunked, identity", Place::Framing, refused, false, chunks},
+        {"Transfer-Encoding: chunked, chunked", Place::Framing, refused, false, chunks},
+        {"Transfer-Encoding: chunked;q=1", Place::Framing, refused, false, chunks},
+        {"Transfer-Encoding: xchunked", Place::Framing, refused, false, chunks},
+        {"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", Place::Framing, refused, false,
+         chunks},
+        {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", Place::Framing, refused, false,
+         chunks},
+    }));
+    check(test);
+}
+
+TEST_CASE("a coding of a response without a body is ignored")
+{
+    // Such a response ends with its head, whatever its fields say (RFC 9112 section 6.3).
+    const auto test = GENERATE(values<Case>({
+        {"Transfer-Encoding: gzip, chunked", Place::Framing, delivered, true, ""},
+        {"Transfer-Encoding: chunked", Place::Framing, delivered, true, ""},
+    }));
+    check(test, "HEAD" + getRequest.substr(3));
+}
+
+TEST_CASE("a chunked response of HTTP/1.0 is refused")
+{
+    // HTTP/1.0 has no transfer codings, so an intermediary may have framed the body anew.
+    check(Case {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nX-Request-Id: r1\r\n"
+                "X-Signature: s",
+                Place::Head, refused, false, "2\r\nok\r\n0\r\n\r\n"});
+}
+
 } // namespace tamarack
