Move the connection and the reader of responses to a library of their own

The JSON client, the client of the host list and tamarackctl read responses with POCO's client, which takes broken ones for whole. adapters/httpclient lets them use the reader of tamarackd. No change of behaviour. pocotypes of the HTTP adapter, which keeps only the parameters of its servers, is now serverparams.

contract-upstream and contract-callers pass.

--- a/src/adapters/http/adminserver.cpp
+++ b/src/adapters/http/adminserver.cpp
@@ -2,7 +2,7 @@
 #include "adapters/http/adminserver.h"
 
 #include "adapters/crypto/crypto.h"
-#include "adapters/http/pocotypes.h"
+#include "adapters/http/serverparams.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
--- a/src/adapters/http/callerserver.cpp
+++ b/src/adapters/http/callerserver.cpp
@@ -2,8 +2,9 @@
 #include "adapters/http/callerserver.h"
 
 #include "adapters/http/callerresponse.h"
-#include "adapters/http/pocotypes.h"
 #include "adapters/http/requestdecoder.h"
+#include "adapters/http/serverparams.h"
+#include "adapters/httpclient/httpclient.h"
 
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPRequestHandler.h>
--- a/src/adapters/http/connectionpool.h
+++ b/src/adapters/http/connectionpool.h
@@ -1,7 +1,7 @@
 // Pool of idle connections to upstreams. Internal to the HTTP adapter.
 #pragma once
 
-#include "adapters/http/responsereader.h"
+#include "adapters/httpclient/httpclient.h"
 
 #include <cstddef>
 #include <deque>
--- a/src/adapters/http/oneshotrequest.cpp
+++ b/src/adapters/http/oneshotrequest.cpp
@@ -1,7 +1,7 @@
 // Single requests to upstreams on new connections: health probes and cancellations.
 #include "adapters/http/oneshotrequest.h"
 
-#include "adapters/http/responsereader.h"
+#include "adapters/httpclient/httpclient.h"
 #include "adapters/json/json.h"
 
 #include <sstream>
--- a/src/adapters/http/pocotypes.cpp
+++ b/src/adapters/http/serverparams.cpp
@@ -1,12 +1,9 @@
-// Conversions to POCO types.
-#include "adapters/http/pocotypes.h"
+// Parameters of POCO servers.
+#include "adapters/http/serverparams.h"
 
-namespace tamarack {
+#include "adapters/httpclient/httpclient.h"
 
-Poco::Timespan toTimespan(Millis time)
-{
-    return Poco::Timespan(std::chrono::duration_cast<Micros>(time).count());
-}
+namespace tamarack {
 
 Poco::Net::HTTPServerParams::Ptr serverParams(std::uint32_t connections, Millis idleTimeout)
 {
--- a/src/adapters/http/pocotypes.h
+++ b/src/adapters/http/serverparams.h
@@ -1,18 +1,14 @@
-// Conversions to POCO types. Internal to the HTTP adapter.
+// Parameters of POCO servers. Internal to the HTTP adapter.
 #pragma once
 
 #include "core/time.h"
 
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Timespan.h>
 
 #include <cstdint>
 
 namespace tamarack {
 
-/// @brief Converts a duration to POCO's type.
-Poco::Timespan toTimespan(Millis time);
-
 /// @brief Returns parameters of a keep-alive server with one thread per connection.
 Poco::Net::HTTPServerParams::Ptr serverParams(std::uint32_t connections, Millis idleTimeout);
 
--- a/src/adapters/http/upstreamclient.cpp
+++ b/src/adapters/http/upstreamclient.cpp
@@ -4,7 +4,7 @@
 #include "adapters/http/connectionpool.h"
 #include "adapters/http/eventstream.h"
 #include "adapters/http/oneshotrequest.h"
-#include "adapters/http/responsereader.h"
+#include "adapters/httpclient/httpclient.h"
 #include "adapters/json/json.h"
 
 #include <Poco/Net/HTTPRequest.h>
--- a/src/adapters/http/connection.cpp
+++ b/src/adapters/httpclient/connection.cpp
@@ -1,7 +1,7 @@
-// A buffered connection to an upstream.
-#include "adapters/http/connection.h"
+// A buffered connection to a server.
+#include "adapters/httpclient/connection.h"
 
-#include "adapters/http/pocotypes.h"
+#include "adapters/httpclient/timespan.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
--- a/src/adapters/http/connection.h
+++ b/src/adapters/httpclient/connection.h
@@ -1,4 +1,4 @@
-// A buffered connection to an upstream. Internal to the HTTP adapter.
+// A buffered connection to a server.
 #pragma once
 
 #include "core/time.h"
--- a/src/adapters/http/responsereader.cpp
+++ b/src/adapters/httpclient/responsereader.cpp
@@ -1,5 +1,5 @@
-// Reads an upstream's response from a connection.
-#include "adapters/http/responsereader.h"
+// Reads a server's response from a connection.
+#include "adapters/httpclient/responsereader.h"
 
 #include <Poco/Exception.h>
 #include <Poco/String.h>
--- a/src/adapters/http/responsereader.h
+++ b/src/adapters/httpclient/responsereader.h
@@ -1,10 +1,10 @@
-// Reads an upstream's response from a connection. Internal to the HTTP adapter.
+// Reads a server's response from a connection.
 //
 // POCO's chunked stream reports the end of the connection as the end of the body, so body framing
 // is handled here. POCO parses only the head.
 #pragma once
 
-#include "adapters/http/connection.h"
+#include "adapters/httpclient/connection.h"
 
 #include <Poco/Net/HTTPResponse.h>
 
