tamarackd refuses responses whose head is not valid HTTP

Callers of tamarackd got the response of an upstream whose head was broken, or a body that was not the upstream's: POCO's parser keeps blanks and control bytes in the name of a field and skips lines without a colon, so for example "Transfer-Encoding : chunked" was not seen and the body framed another way. A status below 200, 000 and negative ones too, was skipped as interim, and the caller waited for a response that didn't come.

Change: the reader checks the status line and each field line, in interim heads and trailers too, before POCO parses them. A status outside of 100 to 599, 101, and any transfer coding but a single chunked one in HTTP/1.1 are malformed. Folded values remain allowed. A malformed response of a plain service is charged like one that was cut off: the service has run the call.

Handled already: 600 to 999 failed as errors of the upstream, 101 failed, and an early response before a reset ended as truncated, because a failed write ends the exchange.

--- a/src/adapters/http/upstreamclient.cpp
+++ b/src/adapters/http/upstreamclient.cpp
@@ -63,6 +63,7 @@
         return;
     case IoStatus::Malformed:
         result.result_ = AttemptResult::Failed;
+        result.malformed_ = true;
         return;
     case IoStatus::Ok:
     case IoStatus::Closed:
@@ -256,10 +257,6 @@
         setFailed(result, fmt::format("the upstream responded with status {}", result.status_));
         return;
     }
-    if (result.status_ < HTTPResponse::HTTP_OK) {
-        setFailed(result, "the upstream switched protocols");
-        return;
-    }
     const bool ok = result.status_ == HTTPResponse::HTTP_OK;
     result.streamed_
         = exchange.request_.stream_ && ok && result.contentType_.starts_with("text/event-stream");
--- /dev/null
+++ b/src/adapters/httpclient/headsyntax.h
@@ -0,0 +1,19 @@
+// Syntax of the head of a response. Source: RFC 9112 sections 4 and 5, RFC 9110 section 5. Internal
+// to the HTTP client.
+#pragma once
+
+#include <string_view>
+
+namespace tamarack {
+
+/// @brief Returns whether a line, without its ending, is a status line of HTTP/1 with a status from
+/// 100 to 599. The reason phrase may be missing.
+bool isStatusLine(std::string_view line);
+
+/// @brief Returns whether a line, without its ending, is a header or trailer field.
+bool isFieldLine(std::string_view line);
+
+/// @brief Returns whether a line continues the value of the field before it.
+bool isFoldedLine(std::string_view line);
+
+} // namespace tamarack
--- a/src/adapters/httpclient/responsereader.cpp
+++ b/src/adapters/httpclient/responsereader.cpp
@@ -1,6 +1,8 @@
 // Reads a server's response from a connection.
 #include "adapters/httpclient/responsereader.h"
 
+#include "adapters/httpclient/headsyntax.h"
+
 #include <Poco/Exception.h>
 #include <Poco/String.h>
 
@@ -29,11 +31,6 @@
     return !text.empty() && result.ec == std::errc() && result.ptr == end;
 }
 
-bool isFinalStatus(int status)
-{
-    return status >= HTTPResponse::HTTP_OK || status == HTTPResponse::HTTP_SWITCHING_PROTOCOLS;
-}
-
 std::size_t countOf(const HTTPResponse &response, const std::string &name)
 {
     return static_cast<std::size_t>(
@@ -47,10 +44,9 @@
 IoStatus determineFraming(const HTTPResponse &response, const std::string &method,
                           BodyProgress &body)
 {
-    const std::string transfer = response.get("Transfer-Encoding", "");
     const std::size_t lengths = countOf(response, "Content-Length");
-    if (lengths > 1 || (lengths == 1 && !transfer.empty())
-        || countOf(response, "Transfer-Encoding") > 1)
+    const std::size_t codings = countOf(response, "Transfer-Encoding");
+    if (lengths + codings > 1)
         return IoStatus::Malformed;
     const int status = response.getStatus();
     if (method == "HEAD" || status == HTTPResponse::HTTP_NO_CONTENT
@@ -58,9 +54,12 @@
         body.complete_ = true;
         return IoStatus::Ok;
     }
-    if (!transfer.empty()) {
+    if (codings == 1) {
         body.framing_ = BodyFraming::Chunked;
-        return Poco::icompare(transfer, "chunked") == 0 ? IoStatus::Ok : IoStatus::Malformed;
+        // HTTP/1.0 has no transfer codings (RFC 9112 section 6.1).
+        const bool isChunked = response.getVersion() != HTTPResponse::HTTP_1_0
+            && Poco::icompare(response.get("Transfer-Encoding"), "chunked") == 0;
+        return isChunked ? IoStatus::Ok : IoStatus::Malformed;
     }
     if (lengths == 0) {
         body.framing_ = BodyFraming::UntilClose;
@@ -73,13 +72,25 @@
     return IoStatus::Ok;
 }
 
+/// Reads a head and checks its syntax. POCO's parser keeps any byte in the name of a field, skips
+/// lines without a colon, and takes the end of its input for the end of the head.
 IoStatus readHeadText(Connection &connection, const ReadLimits &limits, std::string &text)
 {
     std::string line;
+    IoStatus status = readLine(connection, limits, maxHeadBytes, line);
+    if (status != IoStatus::Ok)
+        return status;
+    if (!isStatusLine(line))
+        return IoStatus::Malformed;
+    text = line + "\r\n";
+    bool hasField = false;
     do {
-        const IoStatus status = readLine(connection, limits, maxHeadBytes, line);
+        status = readLine(connection, limits, maxHeadBytes, line);
         if (status != IoStatus::Ok)
             return status;
+        if (!line.empty() && !isFieldLine(line) && !(hasField && isFoldedLine(line)))
+            return IoStatus::Malformed;
+        hasField = true;
         text += line + "\r\n";
         if (text.size() > maxHeadBytes)
             return IoStatus::Malformed;
@@ -110,6 +121,8 @@
             body.complete_ = true;
             return IoStatus::Ok;
         }
+        if (!isFieldLine(line) && !isFoldedLine(line))
+            return IoStatus::Malformed;
     }
     return IoStatus::Malformed;
 }
@@ -179,7 +192,10 @@
         } catch (const Poco::Exception &) {
             return IoStatus::Malformed;
         }
-        if (isFinalStatus(head.response_.getStatus()))
+        // No request asks for a switch of protocols (RFC 9110 section 15.2.2).
+        if (head.response_.getStatus() == HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
+            return IoStatus::Malformed;
+        if (head.response_.getStatus() >= HTTPResponse::HTTP_OK)
             return determineFraming(head.response_, method, head.body_);
     }
     return IoStatus::Malformed;
--- a/src/adapters/httpclient/responsereader.h
+++ b/src/adapters/httpclient/responsereader.h
@@ -39,8 +39,9 @@
     BodyProgress body_;
 };
 
-/// @brief Reads the head of the final response. Interim responses are skipped: all of
-/// class 1xx except 101 (Switching Protocols).
+/// @brief Reads the head of the final response. Interim responses are skipped. A head is malformed
+/// if a line of it is not valid, the status is 101 (Switching Protocols), or the framing of the
+/// body is contradictory or unknown.
 /// @param method method of the request: a response to HEAD has no body
 IoStatus readHead(Connection &connection, const ReadLimits &limits, const std::string &method,
                   ReceivedHead &head);
--- a/src/ports/exchange.h
+++ b/src/ports/exchange.h
@@ -92,6 +92,8 @@
     std::optional<Tokens> usage_;
     /// The upstream didn't confirm the resume offset, so its response was discarded.
     bool resumeRefused_ = false;
+    /// The response was not valid HTTP, so the upstream may have run the request.
+    bool malformed_ = false;
     /// The response contained the id of another request or attempt and was discarded.
     bool forOtherRequest_ = false;
     /// Set after a silent period, or if the upstream refused the request because it is leaving.
--- a/src/traffic/attempts.cpp
+++ b/src/traffic/attempts.cpp
@@ -126,8 +126,10 @@
     switch (result.result_) {
     case AttemptResult::NotSent:
     case AttemptResult::Rejected:
-    case AttemptResult::Failed:
         return Tokens {};
+    case AttemptResult::Failed:
+        // A malformed response is charged like one that was lost.
+        return result.malformed_ ? served.price_ : Tokens {};
     case AttemptResult::Complete:
         return result.status_ < firstErrorStatus ? served.price_ : Tokens {};
     case AttemptResult::Truncated:
--- a/tests/unit-serve.cpp
+++ b/tests/unit-serve.cpp
@@ -281,6 +281,40 @@
     CHECK(fixture->sentResponse_->status_ == testCase.status_);
 }
 
+TEST_CASE("a malformed response of a service is charged like a lost one")
+{
+    // The service has run the call. It was free, unlike one whose response was cut off.
+    struct Case
+    {
+        AttemptResult result_;
+        bool malformed_;
+        Tokens cost_;
+    };
+    const auto testCase = GENERATE(values<Case>({
+        {AttemptResult::Truncated, false, Tokens {5}},
+        {AttemptResult::Failed, true, Tokens {5}},
+        {AttemptResult::Failed, false, Tokens {0}},
+        {AttemptResult::Rejected, false, Tokens {0}},
+    }));
+    const auto fixture = makeServeFixture();
+    fixture->request_.kind_ = UpstreamKind::Service;
+    fixture->request_.service_ = ServiceId {"lamps"};
+    fixture->request_.method_ = "POST";
+    fixture->request_.path_ = "/on";
+    fixture->request_.stream_ = false;
+    fixture->request_.idempotencyKey_ = "k";
+    fixture->decisions_ = {dispatchTo("one", "a1"), upstreamFailure()};
+    ExchangeResult result = resultOf(testCase.result_);
+    result.streamed_ = false;
+    result.malformed_ = testCase.malformed_;
+    fixture->exchanges_ = {endWith(result)};
+    run(*fixture);
+    CHECK(fixture->sent_.size() == 1);
+    CHECK(std::get<AttemptEnded>(fixture->events_.back()).used_ == testCase.cost_);
+    REQUIRE(fixture->refusal_);
+    CHECK(fixture->refusal_->execution_ == Execution::Unknown);
+}
+
 TEST_CASE("the usage event is sent only to callers that requested it")
 {
     const auto fixture = makeServeFixture();
