A health probe succeeds only with a whole response

A probe whose response was cut off or reset counted as passed, and a 101 too: the status alone decided, and what had arrived of the body was searched for the report that the upstream is leaving. A cancellation took its usage from such a part as well.

--- a/src/adapters/http/oneshotrequest.cpp
+++ b/src/adapters/http/oneshotrequest.cpp
@@ -22,6 +22,7 @@
     std::string body_;
 };
 
+/// Returns nothing if no whole response arrives.
 std::optional<OneShotResponse> sendOneShotRequest(const std::string &address, const char *method,
                                                   const std::string &path, Millis timeout)
 {
@@ -39,10 +40,9 @@
     if (readHead(*connection, limits, method, head) != IoStatus::Ok)
         return std::nullopt;
     OneShotResponse response {head.response_.getStatus(), {}};
-    std::string bytes;
-    while (!head.body_.complete_ && response.body_.size() < maxOneShotResponseBytes
-           && readBodyBytes(*connection, limits, head.body_, bytes) == IoStatus::Ok)
-        response.body_ += bytes;
+    if (readWholeBody(*connection, limits, head.body_, maxOneShotResponseBytes, response.body_)
+        != IoStatus::Ok)
+        return std::nullopt;
     return response;
 }
 
--- a/src/adapters/httpclient/responsereader.cpp
+++ b/src/adapters/httpclient/responsereader.cpp
@@ -215,4 +215,19 @@
     return status;
 }
 
+IoStatus readWholeBody(Connection &connection, const ReadLimits &limits, BodyProgress &body,
+                       std::size_t maxBytes, std::string &text)
+{
+    std::string bytes;
+    while (!body.complete_) {
+        const IoStatus status = readBodyBytes(connection, limits, body, bytes);
+        if (status != IoStatus::Ok)
+            return status;
+        text += bytes;
+        if (text.size() > maxBytes)
+            return IoStatus::Malformed;
+    }
+    return IoStatus::Ok;
+}
+
 } // namespace tamarack
--- a/src/adapters/httpclient/responsereader.h
+++ b/src/adapters/httpclient/responsereader.h
@@ -52,4 +52,10 @@
 IoStatus readBodyBytes(Connection &connection, const ReadLimits &limits, BodyProgress &body,
                        std::string &bytes);
 
+/// @brief Reads the rest of the body.
+/// @param text receives the data, which is the whole body only if the result is Ok
+/// @return Malformed if the body has more than @a maxBytes bytes
+IoStatus readWholeBody(Connection &connection, const ReadLimits &limits, BodyProgress &body,
+                       std::size_t maxBytes, std::string &text);
+
 } // namespace tamarack
--- a/tests/contract-upstreamresponses.cpp
+++ b/tests/contract-upstreamresponses.cpp
@@ -1,5 +1,6 @@
 // Tests the upstream client against a server that sends broken responses. Guards against a broken
 // response that reaches a caller as the upstream's, or a body that isn't the one of the response.
+#include "adapters/http/oneshotrequest.h"
 #include "adapters/http/upstreamclient.h"
 #include "scriptedserver.h"
 
@@ -152,4 +153,31 @@
     CHECK(result.result_ == AttemptResult::Truncated);
 }
 
+TEST_CASE("a health probe succeeds only with a whole response")
+{
+    struct ProbeCase
+    {
+        std::string response_;
+        ServerEnding ending_;
+        ProbeResult result_;
+    };
+    const std::string body = R"({"state":"ready"})";
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    const auto test = GENERATE_COPY(values<ProbeCase>({
+        {ok + length + body, ServerEnding::Close, ProbeResult::Live},
+        {ok + "\r\n" + body, ServerEnding::Close, ProbeResult::Live},
+        {ok + "\r\n" + body, ServerEnding::Reset, ProbeResult::Failed},
+        {ok + length + body.substr(1), ServerEnding::Close, ProbeResult::Failed},
+        {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", ServerEnding::Close,
+         ProbeResult::Failed},
+        {"HTTP/1.1 000 A\r\n" + length + body, ServerEnding::Close, ProbeResult::Failed},
+        {"HTTP/1.1 101 A\r\n\r\n", ServerEnding::Close, ProbeResult::Failed},
+        {ok + "X Name: 1\r\n" + length + body, ServerEnding::Close, ProbeResult::Failed},
+        {ok + "X-Name: 1", ServerEnding::Close, ProbeResult::Failed},
+    }));
+    INFO(test.response_ << ", ending " << static_cast<int>(test.ending_));
+    const ScriptedServer server(test.response_, test.ending_);
+    CHECK(probeUpstream(addressOf(server)) == test.result_);
+}
+
 } // namespace tamarack
