Responses of the store are taken only as a whole and if valid

A broken response of the store, or of what stands before it, was taken for its result: a lease counted as renewed or as ended, a change as made, by a status whose head had been cut off; a body without a length was whole wherever the connection ended, by a reset too, and so was a chunked one without its last chunk; a status of 600 or a field name with a blank was passed over.

Cause: POCO's client takes the end of the connection for the end of the head and of the body, and the streams hide an error of the socket. Its header reader keeps any byte in a name.

Change: the JSON client reads with adapters/httpclient, as tamarackd does its upstreams. The result is unknown, and the connection isn't used again, unless the head is valid and the body's end was seen: by its length, its last chunk, or, without framing, an orderly end after a JSON object, which shows its own end. A body has 64 MB at most. A response that is aborted by a cancellation is unknown too, since the shutdown of the socket looks like an orderly end.

Handled already: an early response before a reset during a request of 4 MB was unknown; a response cut inside its JSON object too.

--- a/src/adapters/jsonhttp/jsonclient.cpp
+++ b/src/adapters/jsonhttp/jsonclient.cpp
@@ -2,18 +2,13 @@
 #include "adapters/jsonhttp/jsonclient.h"
 
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/NumberParser.h>
-#include <Poco/StreamCopier.h>
-#include <Poco/Timespan.h>
 
-#include <istream>
 #include <optional>
-#include <ostream>
 #include <sstream>
 
 #include <netinet/in.h>
@@ -23,12 +18,10 @@
 
 namespace {
 
-using Poco::Net::HTTPClientSession;
-using SessionPtr = std::unique_ptr<HTTPClientSession>;
-
 /// Network devices on the path may have dropped the state of a connection that was idle for longer.
 constexpr Millis maxIdleTime {5000};
-constexpr std::size_t maxIdleSessions = 8;
+constexpr std::size_t maxIdleConnections = 8;
+constexpr std::size_t maxResponseBytes = std::size_t {64} << 20U;
 
 /// Keep-alive probes find a connection that lost its path within about 3 s, also while the service
 /// delays its response. Unacknowledged data fails it after the same time.
@@ -46,11 +39,6 @@
     socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMillis);
 }
 
-Poco::Timespan timespan(Millis time)
-{
-    return Poco::Timespan(std::chrono::duration_cast<Micros>(time).count());
-}
-
 Poco::JSON::Object::Ptr parse(const std::string &text)
 {
     Poco::JSON::Parser parser;
@@ -66,16 +54,17 @@
 
 /// Connects before the request is written, because only a failed connect proves that nothing was
 /// sent.
-std::optional<Poco::Net::StreamSocket> connect(const std::vector<std::string> &endpoints,
-                                               Millis timeout)
+std::optional<Connection> connect(const std::vector<std::string> &endpoints, Millis timeout)
 {
     for (const std::string &endpoint : endpoints) {
         try {
             Poco::Net::StreamSocket socket;
-            socket.connect(Poco::Net::SocketAddress(endpoint), timespan(timeout));
+            socket.connect(Poco::Net::SocketAddress(endpoint), toTimespan(timeout));
             socket.setNoDelay(true);
             enableKeepAlive(socket);
-            return socket;
+            Connection connection;
+            connection.socket_ = socket;
+            return connection;
         } catch (const Poco::Exception &) {
             continue;
         }
@@ -85,60 +74,59 @@
 
 /// Returns whether a pooled connection can be used. A readable one was closed by the service or
 /// holds unexpected data.
-bool isUsable(HTTPClientSession &session)
+bool isUsable(const Connection &connection)
 {
     try {
-        return !session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+        return availableBytes(connection) == 0
+            && !connection.socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
     } catch (const Poco::Exception &) {
         return false;
     }
 }
 
-SessionPtr takeIdleSession(JsonHttpClient &client)
+std::optional<Connection> takeIdleConnection(JsonHttpClient &client)
 {
     const std::lock_guard lock(client.mutex_);
     const MonoTime oldest = std::chrono::steady_clock::now() - maxIdleTime;
-    client.idle_.remove_if([oldest](const IdleSession &idle) { return idle.idleSince_ < oldest; });
+    client.idle_.remove_if(
+        [oldest](const IdleConnection &idle) { return idle.idleSince_ < oldest; });
     while (!client.idle_.empty()) {
-        SessionPtr session = std::move(client.idle_.back().session_);
+        Connection connection = std::move(client.idle_.back().connection_);
         client.idle_.pop_back();
-        if (isUsable(*session))
-            return session;
+        if (isUsable(connection))
+            return connection;
     }
-    return nullptr;
+    return std::nullopt;
 }
 
-void returnSession(JsonHttpClient &client, SessionPtr session)
+void returnConnection(JsonHttpClient &client, Connection connection)
 {
     const std::lock_guard lock(client.mutex_);
-    if (client.idle_.size() < maxIdleSessions)
-        client.idle_.push_back(IdleSession {std::move(session), std::chrono::steady_clock::now()});
+    if (client.idle_.size() < maxIdleConnections)
+        client.idle_.push_back(
+            IdleConnection {std::move(connection), std::chrono::steady_clock::now()});
 }
 
 /// Closes all pooled connections: they share the network path of one that failed.
-void closeIdleSessions(JsonHttpClient &client)
+void closeIdleConnections(JsonHttpClient &client)
 {
     const std::lock_guard lock(client.mutex_);
     client.idle_.clear();
 }
 
-void writeRequest(HTTPClientSession &session, const JsonRequest &request, Millis timeout)
+IoStatus writeRequest(Connection &connection, const JsonRequest &request, Millis timeout)
 {
     Poco::Net::HTTPRequest httpRequest(request.method_, request.path_,
                                        Poco::Net::HTTPRequest::HTTP_1_1);
     httpRequest.setKeepAlive(true);
-    // A session created from a connected socket does not know its host name.
-    httpRequest.setHost(session.socket().peerAddress().toString());
+    httpRequest.setHost(connection.socket_.peerAddress().toString());
     if (!request.body_.empty()) {
         httpRequest.setContentType("application/json");
         httpRequest.setContentLength(static_cast<std::streamsize>(request.body_.size()));
     }
-    // A session created from a connected socket ignores its own timeouts, so they are set on the
-    // socket.
-    session.socket().setSendTimeout(timespan(timeout));
-    session.socket().setReceiveTimeout(timespan(timeout));
-    session.setKeepAlive(true);
-    session.sendRequest(httpRequest) << request.body_ << std::flush;
+    std::ostringstream head;
+    httpRequest.write(head);
+    return sendAll(connection, head.str() + request.body_, timeout);
 }
 
 /// Returns the era in a header field, or 0 if it is missing or malformed.
@@ -150,22 +138,27 @@
     return valid ? StoreEra {era} : StoreEra {};
 }
 
-JsonResponse readResponse(HTTPClientSession &session, const std::string &eraField, bool &keepAlive)
+/// Reads a response, of which nothing is used unless it is whole and valid.
+JsonResponse readResponse(Connection &connection, const std::string &method, Millis timeout,
+                          const std::string &eraField, bool &keepAlive)
 {
-    Poco::Net::HTTPResponse response;
-    std::istream &stream = session.receiveResponse(response);
+    const JsonResponse unknown {StoreStatus::Unknown, 0, nullptr, {}};
+    ReadLimits limits;
+    limits.idleTimeout_ = timeout;
+    ReceivedHead head;
     std::string text;
-    Poco::StreamCopier::copyToString(stream, text);
-    const bool complete = !response.hasContentLength()
-        || response.getContentLength64() == static_cast<std::int64_t>(text.size());
-    if (!complete)
-        return JsonResponse {StoreStatus::Unknown, 0, nullptr, {}};
+    if (readHead(connection, limits, method, head) != IoStatus::Ok
+        || readWholeBody(connection, limits, head.body_, maxResponseBytes, text) != IoStatus::Ok)
+        return unknown;
+    const Poco::Net::HTTPResponse &response = head.response_;
     JsonResponse reply {StoreStatus::Ok, response.getStatus(), nullptr, eraOf(response, eraField)};
+    const bool isFramed = head.body_.framing_ != BodyFraming::UntilClose;
     if (text.starts_with('{'))
         reply.body_ = parse(text);
-    else if (reply.httpStatus_ == Poco::Net::HTTPResponse::HTTP_OK && !text.empty())
-        return JsonResponse {StoreStatus::Unknown, 0, nullptr, {}};
-    keepAlive = response.getKeepAlive();
+    else if (!isFramed || (reply.httpStatus_ == Poco::Net::HTTPResponse::HTTP_OK && !text.empty()))
+        // Without framing, only a JSON object shows its end.
+        return unknown;
+    keepAlive = isFramed && response.getKeepAlive();
     return reply;
 }
 
@@ -196,36 +189,60 @@
     CancelRegistration &operator=(const CancelRegistration &) = delete;
 };
 
+bool isCancelled(JsonHttpClient &client)
+{
+    const std::lock_guard lock(client.mutex_);
+    return client.cancelled_;
+}
+
 /// Sends the request on one connection and returns the connection to the pool after a complete
 /// response.
-JsonResponse roundTrip(JsonHttpClient &client, SessionPtr session, const JsonRequest &request)
+JsonResponse roundTrip(JsonHttpClient &client, Connection connection, const JsonRequest &request)
 {
+    const JsonResponse unknown {StoreStatus::Unknown, 0, nullptr, {}};
     try {
         bool keepAlive = false;
         std::optional<CancelRegistration> registration;
-        if (request.cancellable_ && !registration.emplace(client, session->socket()).registered_)
+        if (request.cancellable_ && !registration.emplace(client, connection.socket_).registered_)
             return JsonResponse {};
-        writeRequest(*session, request, request.timeout_.value_or(client.timeout_));
-        JsonResponse reply = readResponse(*session, client.eraField_, keepAlive);
+        const Millis timeout = request.timeout_.value_or(client.timeout_);
+        if (writeRequest(connection, request, timeout) != IoStatus::Ok)
+            return unknown;
+        JsonResponse reply
+            = readResponse(connection, request.method_, timeout, client.eraField_, keepAlive);
+        // The shutdown of the socket looks like an orderly end of the response.
+        if (request.cancellable_ && isCancelled(client))
+            return unknown;
         std::uint64_t newest = client.newestEra_;
         while (reply.era_.value_ > newest
                && !client.newestEra_.compare_exchange_weak(newest, reply.era_.value_)) { }
         if (keepAlive)
-            returnSession(client, std::move(session));
+            returnConnection(client, std::move(connection));
         return reply;
     } catch (const Poco::Exception &) {
-        return JsonResponse {StoreStatus::Unknown, 0, nullptr, {}};
+        return unknown;
     }
 }
 
-void readLines(HTTPClientSession &session, MonoTime deadline,
+/// Passes on the lines of a response until @a onLine returns false, the response ends or fails, or
+/// the deadline passes.
+void readLines(Connection &connection, const ReadLimits &limits,
                const std::function<bool(const Poco::JSON::Object::Ptr &)> &onLine)
 {
-    Poco::Net::HTTPResponse response;
-    std::istream &stream = session.receiveResponse(response);
-    std::string line;
-    while (std::chrono::steady_clock::now() < deadline && std::getline(stream, line)) {
-        if (!onLine(parse(line)))
+    ReceivedHead head;
+    if (readHead(connection, limits, "POST", head) != IoStatus::Ok)
+        return;
+    std::string text;
+    std::string bytes;
+    while (!head.body_.complete_
+           && readBodyBytes(connection, limits, head.body_, bytes) == IoStatus::Ok) {
+        text += bytes;
+        for (std::size_t end = text.find('\n'); end != std::string::npos; end = text.find('\n')) {
+            if (!onLine(parse(text.substr(0, end))))
+                return;
+            text.erase(0, end + 1);
+        }
+        if (text.size() > maxResponseBytes)
             return;
     }
 }
@@ -239,8 +256,6 @@
     , eraField_(std::move(eraField))
 { }
 
-JsonHttpClient::~JsonHttpClient() = default;
-
 StoreEra newestEra(const JsonHttpClient &client)
 {
     return StoreEra {client.newestEra_};
@@ -248,18 +263,18 @@
 
 JsonResponse sendJson(JsonHttpClient &client, const JsonRequest &request)
 {
-    if (SessionPtr pooled = takeIdleSession(client)) {
-        JsonResponse reply = roundTrip(client, std::move(pooled), request);
+    if (std::optional<Connection> pooled = takeIdleConnection(client)) {
+        JsonResponse reply = roundTrip(client, std::move(*pooled), request);
         if (reply.outcome_ == StoreStatus::Ok)
             return reply;
-        closeIdleSessions(client);
+        closeIdleConnections(client);
         if (request.idempotency_ == Idempotency::NonIdempotent)
             return reply;
     }
-    std::optional<Poco::Net::StreamSocket> socket = connect(client.endpoints_, client.timeout_);
-    if (!socket)
+    std::optional<Connection> connection = connect(client.endpoints_, client.timeout_);
+    if (!connection)
         return JsonResponse {};
-    return roundTrip(client, std::make_unique<HTTPClientSession>(*socket), request);
+    return roundTrip(client, std::move(*connection), request);
 }
 
 PostResult postJson(JsonHttpClient &client, const std::string &path, const Poco::JSON::Object &body,
@@ -280,23 +295,22 @@
                     Millis limit,
                     const std::function<bool(const Poco::JSON::Object::Ptr &)> &onLine)
 {
-    const MonoTime deadline = std::chrono::steady_clock::now() + limit;
-    const std::optional<Poco::Net::StreamSocket> socket
-        = connect(client.endpoints_, client.timeout_);
-    if (!socket)
+    ReadLimits limits;
+    limits.idleTimeout_ = limit;
+    limits.deadline_ = std::chrono::steady_clock::now() + limit;
+    std::optional<Connection> connection = connect(client.endpoints_, client.timeout_);
+    if (!connection)
         return;
-    const CancelRegistration registration(client, *socket);
+    const CancelRegistration registration(client, connection->socket_);
     if (!registration.registered_)
         return;
     try {
-        HTTPClientSession session(*socket);
-        writeRequest(
-            session,
-            JsonRequest {"POST", path, stringify(body), Idempotency::Idempotent, limit, true},
-            limit);
-        readLines(session, deadline, onLine);
+        const JsonRequest request {"POST", path, stringify(body), Idempotency::Idempotent,
+                                   limit,  true};
+        if (writeRequest(*connection, request, limit) == IoStatus::Ok)
+            readLines(*connection, limits, onLine);
     } catch (const Poco::Exception &) {
-        // The stream failed or timed out; the lines received so far were passed on.
+        // A line was no JSON object; the lines before it were passed on.
     }
 }
 
--- a/src/adapters/jsonhttp/jsonclient.h
+++ b/src/adapters/jsonhttp/jsonclient.h
@@ -1,6 +1,8 @@
 // HTTP client for services with JSON bodies, with a pool of idle connections.
 #pragma once
 
+#include "adapters/httpclient/httpclient.h"
+
 #include "core/store.h"
 #include "core/storeposition.h"
 #include "core/time.h"
@@ -18,16 +20,12 @@
 #include <string>
 #include <vector>
 
-namespace Poco::Net {
-class HTTPClientSession;
-}
-
 namespace tamarack {
 
 /// @brief A pooled connection.
-struct IdleSession
+struct IdleConnection
 {
-    std::unique_ptr<Poco::Net::HTTPClientSession> session_;
+    Connection connection_;
     MonoTime idleSince_ {};
 };
 
@@ -40,13 +38,13 @@
     std::string eraField_;
     std::atomic<std::uint64_t> newestEra_ = 0;
     std::mutex mutex_;
-    std::list<IdleSession> idle_;
+    std::list<IdleConnection> idle_;
     /// Sockets of streams and cancellable requests in progress; cancelRequests() shuts them down.
     std::list<Poco::Net::StreamSocket> cancellableSockets_;
     bool cancelled_ = false;
 
     JsonHttpClient(std::vector<std::string> endpoints, Millis timeout, std::string eraField = {});
-    ~JsonHttpClient();
+    ~JsonHttpClient() = default;
     JsonHttpClient(const JsonHttpClient &) = delete;
     JsonHttpClient &operator=(const JsonHttpClient &) = delete;
 };
@@ -76,8 +74,8 @@
 /// @brief Outcome of a request.
 struct JsonResponse
 {
-    /// Ok: a complete response arrived. Unavailable: the service did not receive the request.
-    /// Unknown: it may have.
+    /// Ok: a whole and valid response arrived. Unavailable: the service did not receive the
+    /// request. Unknown: it may have.
     StoreStatus outcome_ = StoreStatus::Unavailable;
     int httpStatus_ = 0;
     /// Null if the response contains no JSON object.
