The host list is taken only from a whole and valid response

A host list that had been cut off was read as far as it had come: one without its last chunk, one shorter than its length, and one whose framing was not understood ("Transfer-Encoding : chunked", gzip). A head with a blank in the name of a field passed. If what was left is a list, hosts look gone.

Cause: as for the store, POCO's client takes the end of the connection for the end of the response. The client now reads with adapters/httpclient.

A reset and a status of 000 gave no list before either; the test keeps them.

--- a/src/adapters/hostlist/hostlistclient.cpp
+++ b/src/adapters/hostlist/hostlistclient.cpp
@@ -1,16 +1,15 @@
 // HTTP client for the platform's host list.
 #include "adapters/hostlist/hostlistclient.h"
 
+#include "adapters/httpclient/httpclient.h"
+
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Timespan.h>
 
-#include <istream>
+#include <sstream>
 
 namespace tamarack {
 
@@ -33,33 +32,28 @@
     return host;
 }
 
-/// Reads a body; returns nothing if it has more than @a maxBytes bytes.
-std::optional<std::string> readBody(std::istream &stream, std::size_t maxBytes)
-{
-    std::string text(maxBytes + 1, '\0');
-    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
-    text.resize(static_cast<std::size_t>(stream.gcount()));
-    if (text.size() > maxBytes)
-        return std::nullopt;
-    return text;
-}
-
+/// Returns the body of a whole response with status 200, or nothing.
 std::optional<std::string> fetch(const HostListSettings &settings)
 {
-    try {
-        Poco::Net::HTTPClientSession session {Poco::Net::SocketAddress(settings.address_)};
-        session.setTimeout(
-            Poco::Timespan(std::chrono::duration_cast<Micros>(settings.timeout_).count()));
-        Poco::Net::HTTPRequest request("GET", "/hosts", Poco::Net::HTTPRequest::HTTP_1_1);
-        session.sendRequest(request);
-        Poco::Net::HTTPResponse response;
-        std::istream &body = session.receiveResponse(response);
-        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
-            return std::nullopt;
-        return readBody(body, settings.maxBytes_);
-    } catch (const Poco::Exception &) {
+    std::string detail;
+    std::optional<Connection> connection = connectTo(settings.address_, settings.timeout_, detail);
+    if (!connection)
         return std::nullopt;
-    }
+    Poco::Net::HTTPRequest request("GET", "/hosts", Poco::Net::HTTPRequest::HTTP_1_1);
+    request.setHost(settings.address_);
+    request.setKeepAlive(false);
+    std::ostringstream text;
+    request.write(text);
+    ReadLimits limits;
+    limits.idleTimeout_ = settings.timeout_;
+    ReceivedHead head;
+    std::string body;
+    if (sendAll(*connection, text.str(), settings.timeout_) != IoStatus::Ok
+        || readHead(*connection, limits, "GET", head) != IoStatus::Ok
+        || head.response_.getStatus() != Poco::Net::HTTPResponse::HTTP_OK
+        || readWholeBody(*connection, limits, head.body_, settings.maxBytes_, body) != IoStatus::Ok)
+        return std::nullopt;
+    return body;
 }
 
 } // namespace
--- a/tests/contract-hostlist.cpp
+++ b/tests/contract-hostlist.cpp
@@ -2,6 +2,7 @@
 #include "adapters/hostlist/hostlist.h"
 
 #include "fakes/fakehttp.h"
+#include "scriptedserver.h"
 
 #include <catch2/catch.hpp>
 
@@ -84,4 +85,36 @@
     }
 }
 
+TEST_CASE("a broken response gives no host list")
+{
+    // A host list that was cut off and still is a list would show hosts as gone.
+    struct BrokenCase
+    {
+        std::string response_;
+        ServerEnding ending_;
+        bool isRead_ = false;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string list = "Content-Length: 2\r\n\r\n[]";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto test = GENERATE_COPY(values<BrokenCase>({
+        {ok + list, ServerEnding::Close, true},
+        {ok + "\r\n[]", ServerEnding::Close, true},
+        {chunked + "2\r\n[]\r\n0\r\n\r\n", ServerEnding::Close, true},
+        {ok + "\r\n[]", ServerEnding::Reset},
+        {chunked + "2\r\n[]\r\n", ServerEnding::Close},
+        {ok + "Content-Length: 3\r\n\r\n[]", ServerEnding::Close},
+        {"HTTP/1.1 000 A\r\n\r\n" + ok + list, ServerEnding::Close},
+        {ok + "X Name: 1\r\n" + list, ServerEnding::Close},
+        {ok + "Transfer-Encoding: gzip\r\n" + list, ServerEnding::Close},
+        {ok + "Transfer-Encoding : chunked\r\n\r\n[]", ServerEnding::Close},
+    }));
+    INFO(test.response_ << ", ending " << static_cast<int>(test.ending_));
+    const ScriptedServer server(test.response_, test.ending_);
+    HostListSettings settings;
+    settings.address_ = addressOf(server);
+    settings.timeout_ = Seconds {20};
+    CHECK(makeHostListPort(settings).read_().has_value() == test.isRead_);
+}
+
 } // namespace tamarack
