tamarackctl reports only whole and valid responses as a daemon's

An operator could be told that a change was made or refused when that was not known: tamarackctl printed what had arrived of a response and took its status, also if the response was cut off, its framing was not understood, a field name held a blank, or the status was 600.

Cause: as for the store, POCO's client takes the end of the connection for the end of the response. The client now reads with adapters/httpclient. If no whole and valid response arrives, the message says so and asks to check the state of the daemon before the command is repeated: it may have taken effect. A daemon that can't be reached keeps its message.

--- a/src/adapters/httpclient/connection.cpp
+++ b/src/adapters/httpclient/connection.cpp
@@ -68,9 +68,9 @@
     case IoStatus::Ok:
         return "data";
     case IoStatus::Closed:
-        return "the upstream closed the connection before the end of its response";
+        return "the connection was closed before the end of the response";
     case IoStatus::IdleTimeout:
-        return "the upstream sent no data within the idle timeout";
+        return "no data arrived within the idle timeout";
     case IoStatus::DeadlineExceeded:
         return "the caller's deadline was exceeded";
     case IoStatus::CallerDisconnected:
--- a/src/ctl/adminclient.h
+++ b/src/ctl/adminclient.h
@@ -13,8 +13,8 @@
     std::string token_;
 };
 
-/// @brief HTTP status and body of a response. With status 0 the daemon is unreachable and the body
-/// is the error message.
+/// @brief HTTP status and body of a response. With status 0 no whole and valid response arrived,
+/// and the body is the error message.
 struct AdminCallResult
 {
     int status_ = 0;
