Linter: no move of a constant result, no move into a reference

clang-tidy reported performance-no-automatic-move in the JSON client and performance-move-const-arg in the test server. No change of behaviour.

--- a/src/adapters/jsonhttp/jsonclient.cpp
+++ b/src/adapters/jsonhttp/jsonclient.cpp
@@ -138,18 +138,22 @@
     return valid ? StoreEra {era} : StoreEra {};
 }
 
+JsonResponse unknownResponse()
+{
+    return JsonResponse {StoreStatus::Unknown, 0, nullptr, {}};
+}
+
 /// Reads a response, of which nothing is used unless it is whole and valid.
 JsonResponse readResponse(Connection &connection, const std::string &method, Millis timeout,
                           const std::string &eraField, bool &keepAlive)
 {
-    const JsonResponse unknown {StoreStatus::Unknown, 0, nullptr, {}};
     ReadLimits limits;
     limits.idleTimeout_ = timeout;
     ReceivedHead head;
     std::string text;
     if (readHead(connection, limits, method, head) != IoStatus::Ok
         || readWholeBody(connection, limits, head.body_, maxResponseBytes, text) != IoStatus::Ok)
-        return unknown;
+        return unknownResponse();
     const Poco::Net::HTTPResponse &response = head.response_;
     JsonResponse reply {StoreStatus::Ok, response.getStatus(), nullptr, eraOf(response, eraField)};
     const bool isFramed = head.body_.framing_ != BodyFraming::UntilClose;
@@ -157,7 +161,7 @@
         reply.body_ = parse(text);
     else if (!isFramed || (reply.httpStatus_ == Poco::Net::HTTPResponse::HTTP_OK && !text.empty()))
         // Without framing, only a JSON object shows its end.
-        return unknown;
+        return unknownResponse();
     keepAlive = isFramed && response.getKeepAlive();
     return reply;
 }
@@ -199,7 +203,6 @@
 /// response.
 JsonResponse roundTrip(JsonHttpClient &client, Connection connection, const JsonRequest &request)
 {
-    const JsonResponse unknown {StoreStatus::Unknown, 0, nullptr, {}};
     try {
         bool keepAlive = false;
         std::optional<CancelRegistration> registration;
@@ -207,12 +210,12 @@
             return JsonResponse {};
         const Millis timeout = request.timeout_.value_or(client.timeout_);
         if (writeRequest(connection, request, timeout) != IoStatus::Ok)
-            return unknown;
+            return unknownResponse();
         JsonResponse reply
             = readResponse(connection, request.method_, timeout, client.eraField_, keepAlive);
         // The shutdown of the socket looks like an orderly end of the response.
         if (request.cancellable_ && isCancelled(client))
-            return unknown;
+            return unknownResponse();
         std::uint64_t newest = client.newestEra_;
         while (reply.era_.value_ > newest
                && !client.newestEra_.compare_exchange_weak(newest, reply.era_.value_)) { }
@@ -220,7 +223,7 @@
             returnConnection(client, std::move(connection));
         return reply;
     } catch (const Poco::Exception &) {
-        return unknown;
+        return unknownResponse();
     }
 }
 
--- a/tests/scriptedserver.h
+++ b/tests/scriptedserver.h
@@ -66,7 +66,7 @@
     return true;
 }
 
-inline void serveConnection(const ScriptedServer &server, Poco::Net::StreamSocket socket)
+inline void serveConnection(const ScriptedServer &server, Poco::Net::StreamSocket &socket)
 {
     const bool unread = server.ending_ == ServerEnding::ResetUnread;
     while (readRequest(socket, unread)) {
@@ -92,7 +92,7 @@
                 return;
             ++connections_;
             try {
-                serveConnection(*this, std::move(socket));
+                serveConnection(*this, socket);
             } catch (const Poco::Exception &) {
                 // The client has reset the connection.
             }
