The status of a response is read from its status line

UndefinedBehaviorSanitizer reported a load of 599 in POCO's getStatus(): its type for a status has no values above 511 (seen in contract-jsonclient, g++ 12; the values of no response were affected). The reader returns the number of the status line that it checks anyway.

--- a/src/adapters/hostlist/hostlistclient.cpp
+++ b/src/adapters/hostlist/hostlistclient.cpp
@@ -46,7 +46,7 @@
     if (sendAll(*connection, serialize(request, {}), settings.timeout_) != IoStatus::Ok
         || readWholeResponse(*connection, limits, "GET", settings.maxBytes_, response)
             != IoStatus::Ok
-        || response.head_.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
+        || response.status_ != Poco::Net::HTTPResponse::HTTP_OK)
         return std::nullopt;
     return response.body_;
 }
--- a/src/adapters/http/oneshotrequest.cpp
+++ b/src/adapters/http/oneshotrequest.cpp
@@ -48,7 +48,7 @@
 {
     const std::optional<WholeResponse> response
         = sendOneShotRequest(address, HTTPRequest::HTTP_GET.c_str(), "/health", probeTimeout);
-    if (!response || response->head_.getStatus() >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
+    if (!response || response->status_ >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
         return ProbeResult::Failed;
     return reportsLeaving(response->body_) ? ProbeResult::Leaving : ProbeResult::Live;
 }
--- a/src/adapters/http/upstreamclient.cpp
+++ b/src/adapters/http/upstreamclient.cpp
@@ -230,7 +230,7 @@
 void copyFields(Exchange &exchange)
 {
     const HTTPResponse &response = exchange.head_.response_;
-    exchange.result_.status_ = response.getStatus();
+    exchange.result_.status_ = exchange.head_.status_;
     if (response.has("Content-Type"))
         exchange.result_.contentType_ = response.get("Content-Type");
     for (const char *name : forwardedFields) {
--- a/src/adapters/httpclient/headsyntax.cpp
+++ b/src/adapters/httpclient/headsyntax.cpp
@@ -2,6 +2,7 @@
 #include "adapters/httpclient/headsyntax.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace tamarack {
 
@@ -30,20 +31,25 @@
 
 } // namespace
 
-bool isStatusLine(std::string_view line)
+std::optional<int> parseStatusLine(std::string_view line)
 {
     constexpr std::string_view version = "HTTP/1.";
+    constexpr int firstStatus = 100;
+    constexpr int lastStatus = 599;
     if (!line.starts_with(version))
-        return false;
+        return std::nullopt;
     line.remove_prefix(version.size());
     // The minor version, a space and the status.
     if (line.size() < 5 || !isDigit(line[0]) || line[1] != ' ')
-        return false;
-    const std::string_view status = line.substr(2, 3);
+        return std::nullopt;
+    const std::string_view digits = line.substr(2, 3);
     const std::string_view reason = line.substr(5);
-    return std::all_of(status.begin(), status.end(), isDigit) && status.front() >= '1'
-        && status.front() <= '5' && (reason.empty() || reason.front() == ' ')
-        && isFieldText(reason);
+    if (!std::all_of(digits.begin(), digits.end(), isDigit)
+        || !(reason.empty() || reason.front() == ' ') || !isFieldText(reason))
+        return std::nullopt;
+    int status = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    return status >= firstStatus && status <= lastStatus ? std::optional(status) : std::nullopt;
 }
 
 bool isFieldLine(std::string_view line)
--- a/src/adapters/httpclient/headsyntax.h
+++ b/src/adapters/httpclient/headsyntax.h
@@ -2,13 +2,15 @@
 // to the HTTP client.
 #pragma once
 
+#include <optional>
 #include <string_view>
 
 namespace tamarack {
 
-/// @brief Returns whether a line, without its ending, is a status line of HTTP/1 with a status from
-/// 100 to 599. The reason phrase may be missing.
-bool isStatusLine(std::string_view line);
+/// @brief Returns the status of a status line of HTTP/1, which is without its ending. The reason
+/// phrase may be missing.
+/// @return nothing if the line is invalid or the status is not from 100 to 599
+std::optional<int> parseStatusLine(std::string_view line);
 
 /// @brief Returns whether a line, without its ending, is a header or trailer field.
 bool isFieldLine(std::string_view line);
--- a/src/adapters/httpclient/responsereader.cpp
+++ b/src/adapters/httpclient/responsereader.cpp
@@ -41,14 +41,13 @@
 
 /// Determines the framing of the body. A response with contradictory framing is malformed, because
 /// sender and receiver could disagree on where the next response begins.
-IoStatus determineFraming(const HTTPResponse &response, const std::string &method,
+IoStatus determineFraming(const HTTPResponse &response, int status, const std::string &method,
                           BodyProgress &body)
 {
     const std::size_t lengths = countOf(response, "Content-Length");
     const std::size_t codings = countOf(response, "Transfer-Encoding");
     if (lengths + codings > 1)
         return IoStatus::Malformed;
-    const int status = response.getStatus();
     if (method == "HEAD" || status == HTTPResponse::HTTP_NO_CONTENT
         || status == HTTPResponse::HTTP_NOT_MODIFIED) {
         body.complete_ = true;
@@ -74,14 +73,17 @@
 
 /// Reads a head and checks its syntax. POCO's parser keeps any byte in the name of a field, skips
 /// lines without a colon, and takes the end of its input for the end of the head.
-IoStatus readHeadText(Connection &connection, const ReadLimits &limits, std::string &text)
+IoStatus readHeadText(Connection &connection, const ReadLimits &limits, int &responseStatus,
+                      std::string &text)
 {
     std::string line;
     IoStatus status = readLine(connection, limits, maxHeadBytes, line);
     if (status != IoStatus::Ok)
         return status;
-    if (!isStatusLine(line))
+    const std::optional<int> parsed = parseStatusLine(line);
+    if (!parsed)
         return IoStatus::Malformed;
+    responseStatus = *parsed;
     text = line + "\r\n";
     bool hasField = false;
     do {
@@ -182,7 +184,7 @@
 {
     for (int i = 0; i < maxInterimResponses; ++i) {
         std::string text;
-        const IoStatus status = readHeadText(connection, limits, text);
+        const IoStatus status = readHeadText(connection, limits, head.status_, text);
         if (status != IoStatus::Ok)
             return status;
         try {
@@ -193,10 +195,10 @@
             return IoStatus::Malformed;
         }
         // No request asks for a switch of protocols (RFC 9110 section 15.2.2).
-        if (head.response_.getStatus() == HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
+        if (head.status_ == HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
             return IoStatus::Malformed;
-        if (head.response_.getStatus() >= HTTPResponse::HTTP_OK)
-            return determineFraming(head.response_, method, head.body_);
+        if (head.status_ >= HTTPResponse::HTTP_OK)
+            return determineFraming(head.response_, head.status_, method, head.body_);
     }
     return IoStatus::Malformed;
 }
@@ -227,6 +229,7 @@
         if (response.body_.size() > maxBytes)
             return IoStatus::Malformed;
     }
+    response.status_ = head.status_;
     response.head_ = head.response_;
     response.framing_ = head.body_.framing_;
     return status;
--- a/src/adapters/httpclient/responsereader.h
+++ b/src/adapters/httpclient/responsereader.h
@@ -35,6 +35,8 @@
 /// @brief Head of a response and the framing of its body.
 struct ReceivedHead
 {
+    /// POCO's type for a status has no values above 511.
+    int status_ = 0;
     Poco::Net::HTTPResponse response_;
     BodyProgress body_;
 };
@@ -55,6 +57,7 @@
 /// @brief A response with its body.
 struct WholeResponse
 {
+    int status_ = 0;
     Poco::Net::HTTPResponse head_;
     BodyFraming framing_ = BodyFraming::None;
     std::string body_;
--- a/src/adapters/jsonhttp/jsonclient.cpp
+++ b/src/adapters/jsonhttp/jsonclient.cpp
@@ -151,7 +151,7 @@
     if (readWholeResponse(connection, limits, method, maxResponseBytes, response) != IoStatus::Ok)
         return unknownResponse();
     const std::string &text = response.body_;
-    JsonResponse reply {StoreStatus::Ok, response.head_.getStatus(), nullptr,
+    JsonResponse reply {StoreStatus::Ok, response.status_, nullptr,
                         eraOf(response.head_, eraField)};
     const bool isFramed = response.framing_ != BodyFraming::UntilClose;
     if (text.starts_with('{'))
--- a/src/ctl/adminclient.cpp
+++ b/src/ctl/adminclient.cpp
@@ -48,7 +48,7 @@
     if (status != IoStatus::Ok)
         return problem(target, "sent no whole response", ioStatusText(status),
                        "check its state before you repeat the command");
-    return AdminCallResult {response.head_.getStatus(), std::move(response.body_)};
+    return AdminCallResult {response.status_, std::move(response.body_)};
 }
 
 } // namespace tamarack
