The software version of an instance and the stream that a request resumes are read and logged

The logs could not tell the hypotheses about joined streams apart: the field Version of an entry was not decoded, and Resumes was passed on unread. instance.changed and request.dispatch now name the version, and request.dispatch the attempt that began the stream. Two values of Last-Event-Id or Resumes are refused like those of other fields that decisions are based on.

--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -110,6 +110,15 @@
     return usage;
 }
 
+std::optional<ResumedStream> parseResumedStream(const HttpRequest &request,
+                                                const HeaderNames &names)
+{
+    if (findField(request.headers_, names.lastEventId_).value_or("").empty())
+        return std::nullopt;
+    return ResumedStream {
+        RequestId {std::string(findField(request.headers_, names.resumes_).value_or(""))}};
+}
+
 std::string parseKey(const HttpRequest &request, const HeaderNames &names)
 {
     const auto field = findField(request.headers_, "Authorization");
@@ -146,6 +155,7 @@
     relayed.path_ = request.target_;
     relayed.key_ = parseKey(request, names);
     relayed.usage_ = parseUsage(request, names);
+    relayed.resumed_ = parseResumedStream(request, names);
     relayed.bodyBytes_ = request.body_.size();
     relayed.contentHash_ = contentHash(request);
     relayed.arrivedAt_ = exchange.arrivedAt_;
@@ -176,8 +186,9 @@
 /// empty string. The upstream could use another one of the values.
 std::string doubledField(const HttpRequest &request, const HeaderNames &names)
 {
-    for (const std::string &name : {names.requestId_, names.deadline_, names.model_, names.usage_,
-                                    names.promptParts_, std::string("Authorization")}) {
+    for (const std::string &name :
+         {names.requestId_, names.deadline_, names.model_, names.usage_, names.promptParts_,
+          names.lastEventId_, names.resumes_, std::string("Authorization")}) {
         const auto count = std::count_if(
             request.headers_.begin(), request.headers_.end(),
             [&name](const HeaderField &field) { return equalsIgnoreCase(field.name_, name); });
--- a/src/adapters/relayhttp/headernames.h
+++ b/src/adapters/relayhttp/headernames.h
@@ -21,6 +21,9 @@
     /// Comma-separated list of "ID:TOKENS", one entry for each part of the prompt.
     std::string promptParts_ = "X-Prompt-Parts";
     std::string lastEventId_ = "Last-Event-ID";
+    /// Id of the client's attempt that brought the first event of the stream that a request
+    /// continues.
+    std::string resumes_ = "X-Resumes";
     /// Client account, set by the relay.
     std::string account_ = "X-Account";
     /// Id of the instance that should handle the request, set by the relay.
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -45,6 +45,8 @@
 using UpstreamId = Id<struct UpstreamTag>;
 using ModelId = Id<struct ModelTag>;
 using ServiceId = Id<struct ServiceTag>;
+/// Version of the software that a process of an upstream runs.
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 /// A fine-tuned adapter that an engine loads in addition to a base model.
 using AdapterId = Id<struct AdapterTag>;
 using ModelVersionId = Id<struct ModelVersionTag>;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -28,6 +28,7 @@
              {"service", instance.service_.value_},
              {"address", instance.address_},
              {"zone", instance.zone_.value_},
+             {"version", instance.version_.value_},
              {"state", instance.state_ == InstanceState::Ready ? "ready" : "draining"},
              {"era", std::to_string(position.era_.value_)},
              {"revision", std::to_string(position.revision_.value_)},
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -180,6 +180,9 @@
     fields.push_back({"attempt", std::to_string(active.attempts_)});
     fields.push_back({"upstream", choice.instance_.value_});
     fields.push_back({"address", choice.address_});
+    fields.push_back({"version", instance.version_.value_});
+    if (active.request_.resumed_)
+        fields.push_back({"resumes", active.request_.resumed_->begunBy_.value_});
     fields.push_back({"predicted_ms", fmt::format("{:.0f}", choice.predicted_.count() / 1000.0)});
     fields.push_back({"uncached", std::to_string(choice.uncached_.count_)});
     fields.push_back({"same_zone", choice.sameZone_ ? "yes" : "no"});
--- a/src/core/relay/request.h
+++ b/src/core/relay/request.h
@@ -32,6 +32,13 @@
     std::vector<PromptPart> parts_;
 };
 
+/// @brief The stream that a request continues after its connection broke off.
+struct ResumedStream
+{
+    /// The client's attempt that brought the first event; empty if the client did not name it.
+    RequestId begunBy_;
+};
+
 /// @brief A completely read request.
 struct RelayRequest
 {
@@ -43,6 +50,8 @@
     /// The client's API key; empty if it sent none.
     std::string key_;
     std::optional<PromptUsage> usage_;
+    /// Set if the client asks for the rest of a stream.
+    std::optional<ResumedStream> resumed_ {};
     std::size_t bodyBytes_ = 0;
     /// Hash of the method, host, path and body; the same at all daemons.
     std::uint64_t contentHash_ = 0;
--- a/src/core/relay/requestmemory.h
+++ b/src/core/relay/requestmemory.h
@@ -23,6 +23,8 @@
 {
     std::size_t bytes = sizeof(RelayRequest) + memoryOf(request.request_.value_)
         + memoryOf(request.host_) + memoryOf(request.path_) + memoryOf(request.key_);
+    if (request.resumed_)
+        bytes += memoryOf(request.resumed_->begunBy_.value_);
     if (!request.usage_)
         return bytes;
     for (const PromptPart &part : request.usage_->parts_)
