Messages about where streams began, and a stored record of software versions

StreamBegan, StreamOriginRequest and StreamOriginReply; the documents' reply tells the versions that the store has confirmed to its sender. Daemons of the release before drop the new messages. Nothing sends them yet.

--- a/src/adapters/peers/messagedecoder.cpp
+++ b/src/adapters/peers/messagedecoder.cpp
@@ -105,6 +105,18 @@
 /// The year 2096; later times could overflow the clock's type.
 constexpr std::int64_t maxWallMs = 4'000'000'000'000;
 
+boost::leaf::error_id unknownCodeError(std::uint32_t code)
+{
+    return fail(ErrorKind::InvalidMessage, "tamarack.peers.102",
+                "a peer message has the unknown code " + std::to_string(code)
+                    + "; run the same version on all daemons");
+}
+
+ServedVersion fromProto(const peer::ServedVersion &in)
+{
+    return ServedVersion {ServiceId {in.service()}, SoftwareVersion {in.version()}};
+}
+
 PeerMessage fromProto(const peer::DocumentsOffered &in)
 {
     DocumentsReply message;
@@ -115,9 +127,27 @@
     for (const peer::InstanceLoad &load : in.loads())
         message.loads_.push_back(loadFromProto(load));
     message.loadReporters_ = in.load_reporters();
+    for (const peer::ServedVersion &version : in.confirmed_versions())
+        message.versions_.versions_.push_back(fromProto(version));
+    message.versions_.era_ = StoreEra {in.confirmed_era()};
     return message;
 }
 
+PeerMessage fromProto(const peer::StreamBegan &in)
+{
+    return StreamBegan {StreamKey {in.stream()}, fromProto(in.origin()),
+                        Millis {std::min(in.lifetime_ms(), maxAgeMs)}};
+}
+
+Result<PeerMessage> decodeOriginReply(const peer::StreamOriginAnswered &in)
+{
+    if (in.knowledge() > static_cast<std::uint32_t>(OriginKnowledge::Contradictory))
+        return unknownCodeError(in.knowledge());
+    return PeerMessage {StreamOriginReply {StreamKey {in.stream()},
+                                           static_cast<OriginKnowledge>(in.knowledge()),
+                                           fromProto(in.origin())}};
+}
+
 /// Larger than any priority of a configuration.
 constexpr std::uint32_t maxUrgency = 1'000'000;
 
@@ -172,13 +202,6 @@
 /// Code that refusalCode() returns for a number that is not a RefusalReason.
 constexpr std::string_view unknownRefusalCode = "internal";
 
-boost::leaf::error_id unknownCodeError(std::uint32_t code)
-{
-    return fail(ErrorKind::InvalidMessage, "tamarack.peers.102",
-                "a peer message has the unknown code " + std::to_string(code)
-                    + "; run the same version on all daemons");
-}
-
 Result<PeerMessage> decodeLoanReply(const peer::TokensLent &in)
 {
     if (in.refusal() > static_cast<std::uint32_t>(LoanRefusal::Exhausted))
@@ -308,6 +331,13 @@
         return PeerMessage {
             PresenceReply {in.presence_confirmed().leaving(),
                            std::min(in.presence_confirmed().daemons(), maxFleetSize)}};
+    case peer::Envelope::kStreamBegan:
+        return fromProto(in.stream_began());
+    case peer::Envelope::kStreamOriginAsked:
+        return PeerMessage {StreamOriginRequest {in.stream_origin_asked().reply_address(),
+                                                 StreamKey {in.stream_origin_asked().stream()}}};
+    case peer::Envelope::kStreamOriginAnswered:
+        return decodeOriginReply(in.stream_origin_answered());
     case peer::Envelope::MESSAGE_NOT_SET:
         break;
     }
--- a/src/adapters/peers/messageencoder.cpp
+++ b/src/adapters/peers/messageencoder.cpp
@@ -138,6 +138,12 @@
     }
 }
 
+void encode(peer::ServedVersion &out, const ServedVersion &version)
+{
+    out.set_service(version.service_.value_);
+    out.set_version(version.version_.value_);
+}
+
 void encodeInto(peer::Envelope &envelope, const DocumentsReply &message)
 {
     peer::DocumentsOffered &out = *envelope.mutable_documents_offered();
@@ -161,6 +167,9 @@
     for (const InstanceLoad &load : message.loads_)
         encodeLoad(*out.add_loads(), load);
     out.set_load_reporters(message.loadReporters_);
+    for (const ServedVersion &version : message.versions_.versions_)
+        encode(*out.add_confirmed_versions(), version);
+    out.set_confirmed_era(message.versions_.era_.value_);
 }
 
 void encodeInto(peer::Envelope &envelope, const LoanRequest &message)
@@ -259,6 +268,29 @@
     }
 }
 
+void encodeInto(peer::Envelope &envelope, const StreamBegan &message)
+{
+    peer::StreamBegan &out = *envelope.mutable_stream_began();
+    out.set_stream(message.stream_.value_);
+    encode(*out.mutable_origin(), message.origin_);
+    out.set_lifetime_ms(static_cast<std::uint64_t>(std::max(message.lifetime_, Millis {}).count()));
+}
+
+void encodeInto(peer::Envelope &envelope, const StreamOriginRequest &message)
+{
+    peer::StreamOriginAsked &out = *envelope.mutable_stream_origin_asked();
+    out.set_reply_address(message.replyAddress_);
+    out.set_stream(message.stream_.value_);
+}
+
+void encodeInto(peer::Envelope &envelope, const StreamOriginReply &message)
+{
+    peer::StreamOriginAnswered &out = *envelope.mutable_stream_origin_answered();
+    out.set_stream(message.stream_.value_);
+    out.set_knowledge(static_cast<std::uint32_t>(message.knowledge_));
+    encode(*out.mutable_origin(), message.origin_);
+}
+
 void encodeInto(peer::Envelope &envelope, const PresenceRequest &message)
 {
     envelope.mutable_presence_asked()->set_reply_address(message.replyAddress_);
--- a/src/adapters/shardcodec/storedvalue.cpp
+++ b/src/adapters/shardcodec/storedvalue.cpp
@@ -90,6 +90,17 @@
     return message.SerializeAsString();
 }
 
+std::string encode(const VersionRecord &record)
+{
+    stored::VersionRecord message;
+    for (const ServedVersion &version : record.versions_) {
+        stored::ServedVersion &out = *message.add_versions();
+        out.set_service(version.service_.value_);
+        out.set_version(version.version_.value_);
+    }
+    return message.SerializeAsString();
+}
+
 LedgerShard fromProto(const stored::LedgerShard &message)
 {
     LedgerShard shard;
@@ -156,6 +167,15 @@
     return PlacementLease {HolderId {message.holder()}};
 }
 
+VersionRecord fromProto(const stored::VersionRecord &message)
+{
+    VersionRecord record;
+    for (const stored::ServedVersion &in : message.versions())
+        record.versions_.insert(
+            ServedVersion {ServiceId {in.service()}, SoftwareVersion {in.version()}});
+    return record;
+}
+
 template <typename Message>
 Result<StoredValue> decode(const std::string &bytes)
 {
@@ -189,6 +209,8 @@
         return decode<stored::Registration>(bytes);
     case StoredKind::PlacementLease:
         return decode<stored::PlacementLease>(bytes);
+    case StoredKind::VersionRecord:
+        return decode<stored::VersionRecord>(bytes);
     }
     return fail(ErrorKind::InvalidMessage, "tamarack.stored.102",
                 "the kind of stored value is unknown");
--- a/src/core/controlpeers.cpp
+++ b/src/core/controlpeers.cpp
@@ -92,6 +92,9 @@
     void operator()(const PermitReply &) const { }
     void operator()(const PresenceRequest &) const { }
     void operator()(const PresenceReply &) const { }
+    void operator()(const StreamBegan &) const { }
+    void operator()(const StreamOriginRequest &) const { }
+    void operator()(const StreamOriginReply &) const { }
     void operator()(const ReleaseRequest &message) const
     {
         if (message.holder_ == state_.membership_.self_.holder_)
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -9,6 +9,7 @@
 #include "core/quarantinereport.h"
 #include "core/refusal.h"
 #include "core/storeposition.h"
+#include "core/streamorigin.h"
 #include "core/time.h"
 #include "core/tokens.h"
 
@@ -174,6 +175,8 @@
     /// Load that other daemons than the receiver cause, and the number of these daemons.
     std::vector<InstanceLoad> loads_ {};
     std::uint32_t loadReporters_ = 0;
+    /// Versions that the store has confirmed to the sender.
+    ConfirmedVersions versions_ {};
 };
 
 /// @brief Requests a loan of an account's tokens and reports the use of earlier loans. Totals are
@@ -247,6 +250,7 @@
     = std::variant<Heartbeat, Reserve, ReserveQueued, Reserved, Refused, Settle, SettleAck,
                    BundleOffer, BundleFetch, BundleParts, ReleaseRequest, Leaving, DocumentsRequest,
                    DocumentsReply, LoanRequest, LoanReply, QuarantineReport, PermitRequest,
-                   PermitReply, GrantReport, PresenceRequest, PresenceReply>;
+                   PermitReply, GrantReport, PresenceRequest, PresenceReply, StreamBegan,
+                   StreamOriginRequest, StreamOriginReply>;
 
 } // namespace tamarack
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -6,8 +6,10 @@
 #include "core/ledger.h"
 #include "core/requestrecords.h"
 #include "core/storeposition.h"
+#include "core/streamorigin.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -49,8 +51,16 @@
     HolderId holder_;
 };
 
-using StoredValue
-    = std::variant<LedgerShard, RequestShard, BundleHead, BundlePart, Registration, PlacementLease>;
+/// @brief The software versions at which streams may have begun lately.
+struct VersionRecord
+{
+    std::set<ServedVersion> versions_;
+
+    bool operator==(const VersionRecord &) const = default;
+};
+
+using StoredValue = std::variant<LedgerShard, RequestShard, BundleHead, BundlePart, Registration,
+                                 PlacementLease, VersionRecord>;
 
 /// @brief Identifies the alternative of StoredValue that a key holds.
 enum class StoredKind {
@@ -60,6 +70,7 @@
     BundlePart,
     Registration,
     PlacementLease,
+    VersionRecord,
 };
 
 /// @brief Reads one key.
--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -149,6 +149,16 @@
                        Millis {40}, 11.0, ZoneId {"z-1"}},
         PermitReply {InstanceProcess {UpstreamId {"i-1"}, WallTime {Millis {1234}}}, 7,
                      PermitResult::Denied, Millis {210}},
+        DocumentsReply {
+            {},
+            Millis {40},
+            {},
+            0,
+            ConfirmedVersions {StoreEra {3}, {{ServiceId {"s"}, SoftwareVersion {"v1"}}}}},
+        StreamBegan {StreamKey {77}, {ServiceId {"s"}, SoftwareVersion {"v1"}}, Millis {4000}},
+        StreamOriginRequest {"10.0.0.1:7340", StreamKey {77}},
+        StreamOriginReply {
+            StreamKey {77}, OriginKnowledge::Known, {ServiceId {"s"}, SoftwareVersion {"v1"}}},
         PresenceRequest {"10.0.0.1:7340"},
         PresenceReply {true, 8},
         GrantReport {entry,
--- a/tests/contract-storedvalue.cpp
+++ b/tests/contract-storedvalue.cpp
@@ -39,6 +39,13 @@
         CHECK(read.grants_.at(GrantId {"g"}).returned_ == Tokens {3});
         CHECK(read.grants_.at(GrantId {"w"}).state_ == GrantState::WrittenOff);
     }
+    SECTION("record of versions")
+    {
+        const VersionRecord record {{{ServiceId {"s"}, SoftwareVersion {"v1"}},
+                                     {ServiceId {"s"}, SoftwareVersion {"v2"}},
+                                     {ServiceId {"t"}, SoftwareVersion {"v1"}}}};
+        CHECK(roundTrip(StoredKind::VersionRecord, record) == record);
+    }
     SECTION("malformed bytes are rejected")
     {
         CHECK_FALSE(decodeStoredValue(StoredKind::LedgerShard, "\xff\xff\xff"));
