A stream continues only at the software version that began it

Cause: nothing that decides where a stream continues knew of versions. A version belongs to a process, and one process was taken as a substitute for any other of its service.

Change: a repeat after an event goes to the version of the attempt that brought the first one, as the front end has seen it. A client that takes a stream up reaches the version that this daemon, or one of three keepers of the stream, remembers; a stream that nobody remembers continues if the store's record has a single version at which it can have begun, and is refused otherwise.

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -74,7 +74,10 @@
         = readMillis(store, "settleMs", FieldPresence::Optional, timeRange, settings.settleTime_);
     settings.applyTime_
         = readMillis(store, "applyMs", FieldPresence::Optional, timeRange, settings.applyTime_);
-    rejectUnknownFields(store, {"address", "prefix", "ledgerShards", "settleMs", "applyMs"});
+    settings.renewInterval_
+        = readMillis(store, "renewMs", FieldPresence::Optional, timeRange, settings.renewInterval_);
+    rejectUnknownFields(store,
+                        {"address", "prefix", "ledgerShards", "settleMs", "applyMs", "renewMs"});
 }
 
 void readRetries(const JsonReader &root, RelayDaemonSettings &settings)
@@ -212,6 +215,7 @@
         std::min({settings.applyTime_, settings.drainTimeout_, evacuationTime}),
         settings.settleTime_);
     control.evacuationSettleTime_ = settings.settleTime_;
+    control.maxEntryAge_ = settings.renewInterval_ * 2;
     control.regions_ = settings.regions_;
     constexpr double bytesPerMegabit = 125'000.0;
     control.overload_.linkBytesPerSecond_ = settings.linkMbps_ * bytesPerMegabit;
@@ -224,6 +228,7 @@
     control.choice_.leavingRetention_ = control.missingRetention_;
     control.prepaid_.keyPrefix_ = settings.storePrefix_ + "/ledger";
     control.prepaid_.shards_ = settings.ledgerShards_;
+    control.versions_.key_ = StoreKey {settings.storePrefix_ + "/versions"};
     control.shareLoadFrom_ = settings.shareLoadFrom_;
     control.prepaid_.manageShortageFrom_ = settings.manageShortageFrom_ > 0
         ? settings.manageShortageFrom_
--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -182,6 +182,19 @@
                        .Help("Requests whose best instance was in an evacuated zone")
                        .Register(*registry)
                        .Add({});
+    auto &resumed = BuildCounter()
+                        .Name("tamarack_relay_resumed_streams_total")
+                        .Help("Streams that clients have taken up, by whether the software version "
+                              "that began them is known")
+                        .Register(*registry);
+    auto *resumedKnown = &resumed.Add({{"origin", "known"}});
+    auto *resumedUnknown = &resumed.Add({{"origin", "unknown"}});
+    auto *versionGone = &BuildCounter()
+                             .Name("tamarack_relay_streams_version_gone_total")
+                             .Help("Streams that could not continue because no instance of their "
+                                   "software version was left")
+                             .Register(*registry)
+                             .Add({});
     auto *cold = gauge("tamarack_relay_cold_instances",
                        "Upstream instances that get fewer requests because they may be cold");
     auto *dropped = gauge("tamarack_relay_log_lines_dropped", "Log lines dropped since the start");
@@ -225,37 +238,41 @@
     port.command_ = [families](const RelayCommand &command) {
         std::visit([&families](const auto &concrete) { record(*families, concrete); }, command);
     };
-    port.onEventHandled_
-        = [families, &handling, active, instances, version, daemons, available, limited, evacuated,
-           skips, cold, dropped, delay, link, loadReports, loadAge, buffered, bufferLimit,
-           memoryRefusals, connections, requests, responses, events, log, idleClosed,
-           unreadClosed](Micros time, const RelayGauges &gauges) {
-              handling.Observe(std::chrono::duration<double>(time).count());
-              active->Set(static_cast<double>(gauges.active_));
-              instances->Set(static_cast<double>(gauges.instances_));
-              version->Set(static_cast<double>(gauges.config_.value_));
-              daemons->Set(gauges.daemons_);
-              available->Set(static_cast<double>(gauges.tokensAvailable_.count_));
-              limited->Set(static_cast<double>(gauges.limitedInstances_));
-              evacuated->Set(static_cast<double>(gauges.evacuatedZones_));
-              skips->Increment(static_cast<double>(gauges.evacuationSkips_) - skips->Value());
-              cold->Set(static_cast<double>(gauges.coldInstances_));
-              dropped->Set(static_cast<double>(gauges.droppedLogLines_));
-              delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
-              link->Set(gauges.linkUse_);
-              loadReports->Set(gauges.loadReports_);
-              loadAge->Set(std::chrono::duration<double>(gauges.loadAge_).count());
-              buffered->Set(static_cast<double>(gauges.buffers_.bytes_));
-              bufferLimit->Set(static_cast<double>(gauges.buffers_.limitBytes_));
-              memoryRefusals->Set(static_cast<double>(gauges.buffers_.refusals_));
-              connections->Set(static_cast<double>(gauges.buffers_.connectionBytes_));
-              requests->Set(static_cast<double>(gauges.buffers_.requestBytes_));
-              responses->Set(static_cast<double>(gauges.buffers_.responseBytes_));
-              events->Set(static_cast<double>(gauges.eventBytes_));
-              log->Set(static_cast<double>(gauges.logBytes_));
-              idleClosed->Set(static_cast<double>(gauges.buffers_.idleClosed_));
-              unreadClosed->Set(static_cast<double>(gauges.buffers_.unreadClosed_));
-          };
+    port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
+                            limited, evacuated, skips, resumedKnown, resumedUnknown, versionGone,
+                            cold, dropped, delay, link, loadReports, loadAge, buffered, bufferLimit,
+                            memoryRefusals, connections, requests, responses, events, log,
+                            idleClosed, unreadClosed](Micros time, const RelayGauges &gauges) {
+        handling.Observe(std::chrono::duration<double>(time).count());
+        active->Set(static_cast<double>(gauges.active_));
+        instances->Set(static_cast<double>(gauges.instances_));
+        version->Set(static_cast<double>(gauges.config_.value_));
+        daemons->Set(gauges.daemons_);
+        available->Set(static_cast<double>(gauges.tokensAvailable_.count_));
+        limited->Set(static_cast<double>(gauges.limitedInstances_));
+        evacuated->Set(static_cast<double>(gauges.evacuatedZones_));
+        skips->Increment(static_cast<double>(gauges.evacuationSkips_) - skips->Value());
+        const ResumedStreamCounts &streams = gauges.resumedStreams_;
+        resumedKnown->Increment(static_cast<double>(streams.known_) - resumedKnown->Value());
+        resumedUnknown->Increment(static_cast<double>(streams.unknown_) - resumedUnknown->Value());
+        versionGone->Increment(static_cast<double>(streams.gone_) - versionGone->Value());
+        cold->Set(static_cast<double>(gauges.coldInstances_));
+        dropped->Set(static_cast<double>(gauges.droppedLogLines_));
+        delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
+        link->Set(gauges.linkUse_);
+        loadReports->Set(gauges.loadReports_);
+        loadAge->Set(std::chrono::duration<double>(gauges.loadAge_).count());
+        buffered->Set(static_cast<double>(gauges.buffers_.bytes_));
+        bufferLimit->Set(static_cast<double>(gauges.buffers_.limitBytes_));
+        memoryRefusals->Set(static_cast<double>(gauges.buffers_.refusals_));
+        connections->Set(static_cast<double>(gauges.buffers_.connectionBytes_));
+        requests->Set(static_cast<double>(gauges.buffers_.requestBytes_));
+        responses->Set(static_cast<double>(gauges.buffers_.responseBytes_));
+        events->Set(static_cast<double>(gauges.eventBytes_));
+        log->Set(static_cast<double>(gauges.logBytes_));
+        idleClosed->Set(static_cast<double>(gauges.buffers_.idleClosed_));
+        unreadClosed->Set(static_cast<double>(gauges.buffers_.unreadClosed_));
+    };
     return port;
 }
 
--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -40,13 +40,15 @@
     if (it == state.exchanges_.end() || it->second.abandoned_)
         return;
     ClientExchange &exchange = it->second;
-    if (mayRestartResponse(exchange)) {
+    const bool superseded = beganElsewhere(exchange, command);
+    if (mayRestartResponse(exchange) && !superseded) {
         sendAttempt(state, exchange, command);
         return;
     }
     cancelAttempt(state, exchange);
     exchange.attempt_ = command;
-    reportAttemptEnd(state, exchange, AttemptEnd::ConnectionLost,
+    reportAttemptEnd(state, exchange,
+                     superseded ? AttemptEnd::Superseded : AttemptEnd::ConnectionLost,
                      "the response of the earlier attempt had begun");
 }
 
@@ -207,8 +209,10 @@
 {
     const std::chrono::nanoseconds suspended
         = bootTime() - std::chrono::steady_clock::now().time_since_epoch();
-    if (suspended - state.suspendedTime_ > suspensionThreshold)
+    if (suspended - state.suspendedTime_ > suspensionThreshold) {
         closeIdleUpstreams(state);
+        state.events_.post_(MachineResumed {});
+    }
     state.suspendedTime_ = suspended;
 }
 
--- a/src/adapters/relayhttp/frontendstate.h
+++ b/src/adapters/relayhttp/frontendstate.h
@@ -104,6 +104,8 @@
 {
     SocketChannel channel_;
     UpstreamId instance_;
+    /// Start time of the process that the connection was opened to, as far as it was known.
+    WallTime startedAt_ {};
     std::string address_;
     bool connecting_ = false;
     /// At least one byte of the current request was passed to the kernel.
@@ -167,6 +169,9 @@
     std::string lastEventId_;
     /// Number of events queued for the client, over all attempts.
     std::uint64_t eventCount_ = 0;
+    /// The attempt that brought the first of them, and the software version that it was sent to.
+    std::uint32_t begunBy_ = 0;
+    SoftwareVersion begunAt_ {};
 };
 
 struct CommandQueue
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -200,6 +200,10 @@
 /// @brief Returns whether the response of another attempt may follow what the client was sent.
 bool mayRestartResponse(const ClientExchange &exchange);
 
+/// @brief Returns whether the client was sent events of another software version than the one that
+/// an attempt is for.
+bool beganElsewhere(const ClientExchange &exchange, const SendAttempt &attempt);
+
 /// @brief Forwards the buffered response to the client.
 void forwardBufferedResponse(FrontendState &state, ClientExchange &exchange,
                              ClientConnection &client);
--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -176,6 +176,10 @@
         startUnsizedResponse(state, exchange, client);
         appendBody(exchange, client, event->bytes_);
         ++exchange.eventCount_;
+        if (exchange.begunBy_ == 0) {
+            exchange.begunBy_ = exchange.attempt_.attempt_;
+            exchange.begunAt_ = exchange.attempt_.version_;
+        }
         if (event->id_)
             exchange.lastEventId_ = *event->id_;
     }
@@ -348,6 +352,7 @@
     ended.status_ = end == AttemptEnd::Failed ? exchange.head_.status_ : 0;
     ended.events_ = exchange.eventCount_;
     ended.partiallyDelivered_ = exchange.headSent_;
+    ended.begunBy_ = exchange.begunBy_;
     ended.connectionsUsed_ = connectionsUsed;
     ended.detail_ = std::move(detail);
     state.events_.post_(std::move(ended));
@@ -375,6 +380,11 @@
     return !exchange.headSent_ || !exchange.lastEventId_.empty();
 }
 
+bool beganElsewhere(const ClientExchange &exchange, const SendAttempt &attempt)
+{
+    return exchange.begunBy_ > 0 && exchange.begunAt_ != attempt.version_;
+}
+
 void forwardBufferedResponse(FrontendState &state, ClientExchange &exchange,
                              ClientConnection &client)
 {
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -94,7 +94,8 @@
         const UpstreamConnection &upstream = state.upstreams_.at(id);
         const bool fresh = bootTime() - upstream.idleSince_
             <= maxReuseIdleTime(state.settings_, attempt, upstream);
-        const bool same = upstream.instance_ == attempt.instance_;
+        const bool same
+            = upstream.instance_ == attempt.instance_ && upstream.startedAt_ == attempt.startedAt_;
         if (fresh && same) {
             idle->second.pop_back();
             return id;
@@ -149,6 +150,7 @@
     upstream.channel_.id_ = id;
     upstream.channel_.socket_ = std::move(socket);
     upstream.instance_ = attempt.instance_;
+    upstream.startedAt_ = attempt.startedAt_;
     upstream.address_ = attempt.address_;
     upstream.connecting_ = true;
     ++state.connectionCounts_[attempt.address_];
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -17,6 +17,7 @@
 #include "core/relay/prepaid.h"
 #include "core/relay/request.h"
 #include "core/store.h"
+#include "core/streamorigin.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -47,6 +48,9 @@
     Malformed,
     /// The connection ended before the response did.
     ConnectionLost,
+    /// No byte of the request was sent, because an earlier attempt had begun the stream at another
+    /// software version.
+    Superseded,
     /// The client closed its connection.
     ClientDisconnected,
 };
@@ -80,6 +84,8 @@
     std::uint64_t events_ = 0;
     /// Part of the response was sent to the client.
     bool partiallyDelivered_ = false;
+    /// The attempt that brought the first event of a stream; 0 if there was no event.
+    std::uint32_t begunBy_ = 0;
     /// No connection was tried, because this daemon has as many to the upstream as it may.
     bool connectionsUsed_ = false;
     /// Error description for the log.
@@ -235,8 +241,35 @@
     /// Load that other daemons cause, and the number of these daemons; 0 if it is not known.
     std::vector<InstanceLoad> loads_ {};
     std::uint32_t loadReporters_ = 0;
+    /// Software versions that the store has confirmed to the peer.
+    ConfirmedVersions versions_ {};
 };
 
+/// @brief Another daemon tells where a stream began.
+struct StreamBeganReceived
+{
+    HostId from_;
+    StreamBegan began_;
+};
+
+/// @brief Another daemon asks where a stream began.
+struct StreamOriginRequestReceived
+{
+    HostId from_;
+    StreamOriginRequest request_;
+};
+
+/// @brief Another daemon replied where a stream began.
+struct StreamOriginReplyReceived
+{
+    HostId from_;
+    StreamOriginReply reply_;
+};
+
+/// @brief This machine was suspended for some time, which its steady clock has not counted.
+struct MachineResumed
+{ };
+
 /// @brief A feed of documents became available or unavailable.
 struct FeedAvailabilityChanged
 {
@@ -260,15 +293,15 @@
 struct ClientsClosed
 { };
 
-using RelayEvent
-    = std::variant<RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived,
-                   ClientDisconnected, ConfigReceived, InstancesListed, InstanceChanged,
-                   InstanceRemoved, EvacuationsListed, EvacuationChanged, EvacuationRemoved,
-                   FleetView, LoanRequestReceived, LoanReplyReceived, GrantReportReceived,
-                   QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
-                   PresenceRequestReceived, PresenceReplyReceived, DocumentsRequestReceived,
-                   DocumentsReplyReceived, FeedAvailabilityChanged, ConfigFeedReplied,
-                   StoreEraNoticed, StoreReplied, RelayStopRequested, ClientsClosed>;
+using RelayEvent = std::variant<
+    RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived, ClientDisconnected,
+    ConfigReceived, InstancesListed, InstanceChanged, InstanceRemoved, EvacuationsListed,
+    EvacuationChanged, EvacuationRemoved, FleetView, LoanRequestReceived, LoanReplyReceived,
+    GrantReportReceived, QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
+    PresenceRequestReceived, PresenceReplyReceived, DocumentsRequestReceived,
+    DocumentsReplyReceived, FeedAvailabilityChanged, ConfigFeedReplied, StoreEraNoticed,
+    StoreReplied, RelayStopRequested, ClientsClosed, StreamBeganReceived,
+    StreamOriginRequestReceived, StreamOriginReplyReceived, MachineResumed>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
@@ -288,6 +321,11 @@
     Millis connectTimeout_ {};
     /// Urgency at the engine from 0 to 9, where 0 is the most urgent; not stated if there is none.
     std::optional<int> priority_ {};
+    /// Start time of the expected process. A connection to an earlier one is not used.
+    WallTime startedAt_ {};
+    /// Software version of the expected process. A stream that another one began must not continue
+    /// there.
+    SoftwareVersion version_ {};
 };
 
 /// @brief Sends a response that this daemon generates.
@@ -334,6 +372,12 @@
     std::shared_ptr<const LoadOffer> offer_;
 };
 
+/// @brief Replaces the confirmed software versions that replies to other daemons tell.
+struct PublishVersions
+{
+    std::shared_ptr<const ConfirmedVersions> versions_;
+};
+
 /// @brief Starts or stops following the documents of the store.
 struct SetFollowsStore
 {
@@ -372,8 +416,8 @@
 
 using RelayCommand
     = std::variant<SendAttempt, RespondToClient, ForwardFailure, AbortResponse, ApplyLimits,
-                   RequestPeerDocuments, PublishLoads, SetFollowsStore, SetStoreContact, SetReady,
-                   SetKeepAlive, CloseIdleConnections, CloseClients, SendPeer, SubmitStoreCall,
-                   WriteLog, RelayStopCompleted>;
+                   RequestPeerDocuments, PublishLoads, PublishVersions, SetFollowsStore,
+                   SetStoreContact, SetReady, SetKeepAlive, CloseIdleConnections, CloseClients,
+                   SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
 
 } // namespace tamarack
--- a/src/core/relay/instancechoice.cpp
+++ b/src/core/relay/instancechoice.cpp
@@ -26,13 +26,19 @@
             && now >= *withdrawal.leavingSince_ + settings.leavingRetention_);
 }
 
+bool hasAllowedVersion(const Instance &instance, const ChoiceQuery &query)
+{
+    return !query.versions_ || query.versions_->contains(instance.version_);
+}
+
 bool isCandidate(const KnownInstance &known, const InstanceStats *record, const ChoiceQuery &query,
                  MonoTime now)
 {
     if (known.instance_.service_ != query.service_->id_
         || known.instance_.state_ != InstanceState::Ready
         || query.excluded_.contains(known.instance_.id_)
-        || query.excludedZones_.contains(known.instance_.zone_))
+        || query.excludedZones_.contains(known.instance_.zone_)
+        || !hasAllowedVersion(known.instance_, query))
         return false;
     if (!record)
         return true;
@@ -69,7 +75,8 @@
     for (const auto &[id, known] : directory.known_) {
         const Instance &instance = known.instance_;
         if (instance.service_ != query.service_->id_ || instance.state_ != InstanceState::Ready
-            || known.missingSince_ || !mayBePreferred(instance, query))
+            || known.missingSince_ || !mayBePreferred(instance, query)
+            || !hasAllowedVersion(instance, query))
             continue;
         const std::uint64_t weight = rendezvousWeight(part.id_, id.value_);
         if (best.isEmpty() || weight > bestWeight) {
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -155,6 +155,8 @@
     /// Load of the other daemons; nullptr if the daemons don't share it. Learned speeds, slots and
     /// memory of engines are considered only with it.
     const InstanceLoads *load_ = nullptr;
+    /// Software versions whose instances may be chosen; all if there is no value.
+    std::optional<std::set<SoftwareVersion>> versions_ {};
 };
 
 /// @brief The chosen instance and the prediction for it.
--- a/src/core/relay/instances.h
+++ b/src/core/relay/instances.h
@@ -31,7 +31,7 @@
     InstanceState state_ = InstanceState::Ready;
     /// Version of the software that the process runs. Processes of several versions may serve side
     /// by side.
-    SoftwareVersion version_;
+    SoftwareVersion version_ {};
     /// Start time of the process. An instance may restart under the same id.
     WallTime startedAt_ {};
     /// How long the instance stays cold, counted from the write of the entry.
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -25,6 +25,8 @@
         return "malformed";
     case AttemptEnd::ConnectionLost:
         return "cut";
+    case AttemptEnd::Superseded:
+        return "superseded";
     case AttemptEnd::ClientDisconnected:
         break;
     }
@@ -63,6 +65,7 @@
     case AttemptEnd::Malformed:
     case AttemptEnd::ConnectionLost:
         return InstanceOutcome::Failed;
+    case AttemptEnd::Superseded:
     case AttemptEnd::ClientDisconnected:
         break;
     }
@@ -73,7 +76,7 @@
 bool provesNotExecuted(AttemptEnd end)
 {
     return end == AttemptEnd::NotSent || end == AttemptEnd::NotExecuted
-        || end == AttemptEnd::WrongInstance;
+        || end == AttemptEnd::WrongInstance || end == AttemptEnd::Superseded;
 }
 
 /// Returns the ids of the prompt parts that other requests may share.
@@ -117,7 +120,8 @@
         return "attempts_used";
     if (active.deadline_ - now < state.settings_.minRetryTime_)
         return "no_time_left";
-    if (ended.end_ != AttemptEnd::NotSent && !consumeRetryIfAllowed(state, active, now))
+    const bool wasSent = ended.end_ != AttemptEnd::NotSent && ended.end_ != AttemptEnd::Superseded;
+    if (wasSent && !consumeRetryIfAllowed(state, active, now))
         return "retry_budget";
     return std::nullopt;
 }
@@ -187,6 +191,7 @@
 {
     active.attemptRunning_ = false;
     active.events_ = std::max(active.events_, ended.events_);
+    recordStreamBegan(state, active, ended.begunBy_, now, out);
     if (!provesNotExecuted(ended.end_))
         active.mayHaveRun_ = true;
     recordInstanceOutcome(state, active, outcomeOf(ended), now);
@@ -239,6 +244,10 @@
 void onTimer(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
     const bool expired = now >= active.deadline_;
+    if (active.stage_ == RelayStage::AwaitingOrigin) {
+        onOriginTimeout(state, active, now, out);
+        return;
+    }
     if (active.stage_ == RelayStage::AwaitingTokens) {
         refuse(state, active, statusServiceUnavailable, "budget_unconfirmed", now, out);
         return;
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -45,8 +45,7 @@
 
 void creditRetryBudget(RelayState &state, const RelayedRequest &active, MonoTime now)
 {
-    const std::vector<ServiceId> services
-        = servicesInOrder(*active.route_, active.request_.request_);
+    const std::vector<ServiceId> services = servicesInOrder(*active.route_, splitId(active));
     if (!services.empty())
         creditRequest(state.retries_[services.front()], retrySettings(state), now);
 }
@@ -110,6 +109,7 @@
         active.firstOutputAt_ = event.at_;
     active.stageDeadline_.reset();
     rescheduleTimer(state, active);
+    recordStreamBegan(state, active, event.attempt_, now, out);
     recordFirstOutput(state.choice_, state.settings_.choice_, *active.choice_,
                       event.at_ - active.sentAt_, engineObjective(active), now);
     recordResponse(state.cold_, active.choice_->instance_, active.sentAt_, now);
@@ -179,9 +179,11 @@
     recordLoadReport(state.loads_, state.settings_.load_, event.from_, event.loads_, now);
 }
 
-void onEvent(RelayState &state, const DocumentsReplyReceived &event, MonoTime now, RelayCommands &)
+void onEvent(RelayState &state, const DocumentsReplyReceived &event, MonoTime now,
+             RelayCommands &out)
 {
-    recordReply(state, event, now);
+    if (recordReply(state, event, now))
+        resumeWaitingForInstance(state, now, out);
 }
 
 void onEvent(RelayState &state, const QuarantineReportReceived &event, MonoTime now,
@@ -211,6 +213,8 @@
 
 void onEvent(RelayState &state, const StoreReplied &event, MonoTime now, RelayCommands &out)
 {
+    if (onVersionReply(state, event, now, out))
+        return;
     if (event.reply_.status_ == StoreStatus::Unknown
         || event.reply_.status_ == StoreStatus::Unavailable)
         logLine(out, LogLevel::Warning, "ledger.call_failed",
@@ -404,6 +408,7 @@
     runColdInstances(state, now, out);
     advanceStop(state, now, out);
     startCalls(state, now, out);
+    runVersions(state, now, out);
     sendLoanMessages(state, out);
     return out;
 }
@@ -421,6 +426,8 @@
     takeEarlier(next, nextEvacuationTime(state.evacuations_));
     takeEarlier(next, nextColdTime(state));
     takeEarlier(next, nextFleetTime(state.members_));
+    takeEarlier(next,
+                nextVersionCall(state.versions_, state.settings_.versions_, state.followsStore_));
     if (state.stopRequestedAt_ && !state.stopCompleted_) {
         if (!state.idleConnectionsClosed_)
             takeEarlier(next, *state.stopRequestedAt_ + state.settings_.stopAcceptPeriod_);
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -17,6 +17,8 @@
 #include "core/relay/prepaid.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/request.h"
+#include "core/relay/servedversions.h"
+#include "core/relay/streamorigins.h"
 #include "core/retrybudget.h"
 #include "core/time.h"
 
@@ -60,6 +62,17 @@
     /// instances, and balance by it; 0 if they never do.
     std::uint32_t shareLoadFrom_ = 0;
     ColdPermitSettings cold_;
+    StreamOriginSettings origins_;
+    ServedVersionSettings versions_;
+    /// An instance whose entry is older than the newest one by more than this may have ended: it
+    /// has missed a renewal. Its software version is not certain then.
+    Millis maxEntryAge_ {2400};
+    /// How long the write of an entry may take to be known here.
+    Millis maxEntryDelay_ {1000};
+    /// How long a stream of unknown origin waits for the record of the versions.
+    Millis recordWait_ {400};
+    /// Interval at which the served versions are noted if no entry changes.
+    Millis versionNoteInterval_ {2000};
     /// Permits that are requested from other daemons for one request. After that, it uses only
     /// instances without a limit.
     std::uint32_t maxPermitRequests_ = 3;
@@ -116,6 +129,8 @@
 };
 
 enum class RelayStage {
+    /// Other daemons, or the store, were asked where the stream began that the request continues.
+    AwaitingOrigin,
     AwaitingTokens,
     AwaitingInstance,
     /// The chosen instance has a request limit, and its coordinator was asked for a permit.
@@ -164,6 +179,15 @@
     /// Set in stage AwaitingPermit.
     std::optional<AwaitedPermit> awaitedPermit_;
     std::uint32_t permitRequests_ = 0;
+    /// Where the stream of this request began; it continues only there.
+    std::optional<ServedVersion> origin_;
+    /// The version that each attempt was sent to.
+    std::map<std::uint32_t, ServedVersion> attemptVersions_;
+    /// Set in stage AwaitingOrigin: the daemons that have not replied, or else the record of the
+    /// versions is awaited.
+    std::set<HostId> originAsked_;
+    /// Other daemons were told where the stream began.
+    bool streamTold_ = false;
     MonoTime sentAt_ {};
     /// When the process that the request was sent to had started.
     WallTime instanceStartedAt_ {};
@@ -184,6 +208,25 @@
     std::optional<MonoTime> timer_;
 };
 
+/// @brief When the entries of the instances were written, as far as this daemon knows.
+struct EntryTimes
+{
+    std::map<UpstreamId, MonoTime> writtenAt_;
+    /// The latest of all.
+    MonoTime newest_ {};
+};
+
+/// @brief Counts of streams since the start.
+struct ResumedStreamCounts
+{
+    /// Taken up by a client, and the version that began them is known.
+    std::uint64_t known_ = 0;
+    /// Taken up by a client, and refused because that version is not known.
+    std::uint64_t unknown_ = 0;
+    /// Ended because no instance of the version was left.
+    std::uint64_t gone_ = 0;
+};
+
 /// @brief Complete control state of a relay daemon.
 ///
 /// Invariants: timers_ holds exactly the timers of active_; the configuration's version never
@@ -209,6 +252,13 @@
     std::uint64_t evacuationSkips_ = 0;
     ColdInstances cold_;
     ColdPermits coldPermits_;
+    StreamOrigins origins_;
+    ServedVersions versions_;
+    MonoTime versionsNotedAt_ {};
+    /// What other daemons were last told.
+    ConfirmedVersions publishedVersions_;
+    EntryTimes entries_;
+    ResumedStreamCounts resumedStreams_;
     InstanceLoads loads_;
     /// This daemon shares its load, as it was last logged.
     bool sharesLoad_ = false;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -67,11 +67,12 @@
         dispatch(state, state.active_.at(id), now, out);
 }
 
-void recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now)
+bool recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now)
 {
     recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_, now);
     recordReceivedLoads(state.loads_, state.settings_.load_, event.from_, event.loads_,
                         event.loadReporters_, now);
+    return noteConfirmedByPeer(state.versions_, event.versions_);
 }
 
 void requestDocuments(RelayState &state, MonoTime now, RelayCommands &out)
@@ -125,6 +126,7 @@
     state.priorities_ = prioritiesOf(*state.config_);
     applyFunding(state.prepaid_, state.settings_.prepaid_, *state.config_, now);
     scheduleFirstGrants(state.prepaid_, state.settings_.prepaid_, now);
+    noteStreamServices(state, now);
     out.emplace_back(ApplyLimits {state.config_->limits_});
     logLine(out, LogLevel::Info, "config.applied",
             {{"version", std::to_string(state.config_->version_.value_)},
@@ -136,11 +138,14 @@
 
 void onEvent(RelayState &state, const InstancesListed &event, MonoTime now, RelayCommands &out)
 {
+    for (const ListedInstance &listed : event.instances_)
+        noteEntry(state, listed, now, out);
     const std::vector<UpstreamId> missing
         = applyListing(state.directory_, event.instances_, event.position_,
                        earliestRemoval(state, event.source_, now));
     for (const ListedInstance &listed : event.instances_)
         recordEntry(state.cold_, listed, !state.instancesListed_, now);
+    noteServedVersions(state, now);
     state.instancesListed_ = true;
     logLine(out, LogLevel::Info, "instances.listed",
             {{"count", std::to_string(event.instances_.size())},
@@ -154,8 +159,12 @@
 
 void onEvent(RelayState &state, const InstanceChanged &event, MonoTime now, RelayCommands &out)
 {
+    noteEntry(state, event.listed_, now, out);
     if (!upsertInstance(state.directory_, event.listed_))
         return;
+    const Instance &instance = event.listed_.instance_;
+    if (!state.versions_.seenAt_.contains({instance.service_, instance.version_}))
+        noteServedVersions(state, now);
     recordEntry(state.cold_, event.listed_, false, now);
     logInstance(out, event.listed_.instance_, event.listed_.position_, event.source_);
     resumeWaitingForInstance(state, now, out);
@@ -201,6 +210,7 @@
              {"previous", std::to_string(state.storeEra_.value_)}});
     state.storeEra_ = event.era_;
     noticeStoreEra(state.prepaid_, state.settings_.prepaid_, event.era_, now);
+    noteVersionEra(state.versions_, event.era_);
 }
 
 } // namespace tamarack::relaydetail
--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -149,6 +149,9 @@
             || zones.contains(instance.zone_) || !usesService(active, instance.service_)
             || isLeaving(state.choice_, process))
             continue;
+        const auto versions = allowedVersions(state, active, instance.service_);
+        if (versions && !versions->contains(instance.version_))
+            continue;
         // The later of the two, if there are both.
         const std::optional<MonoTime> until
             = std::max({deniedUntil(state.limits_, process, now),
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -79,12 +79,15 @@
                                               const std::set<ZoneId> &zones, bool acceptsLongWait,
                                               MonoTime now)
 {
-    const std::set<UpstreamId> excluded = excludedInstances(state, active, now);
-    for (const ServiceId &id : servicesInOrder(*active.route_, active.request_.request_)) {
+    std::set<UpstreamId> excluded = excludedInstances(state, active, now);
+    if (isResumable(active))
+        addOutdatedEntries(state, excluded);
+    for (const ServiceId &id : servicesInOrder(*active.route_, splitId(active))) {
         const RelayService *service = serviceOf(active, id);
         if (!service)
             continue;
         ChoiceQuery query;
+        query.versions_ = allowedVersions(state, active, id);
         query.request_ = &active.request_;
         query.service_ = service;
         query.zone_ = state.settings_.zone_;
@@ -114,7 +117,7 @@
         rescheduleTimer(state, active);
         return;
     }
-    if (refuseWithoutZone(state, active, now, out))
+    if (refuseWithoutZone(state, active, now, out) || endWithoutOrigin(state, active, now, out))
         return;
     const PreciseMicros wait
         = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
@@ -156,8 +159,10 @@
     active.stage_ = RelayStage::Sent;
     active.choice_ = choice;
     active.service_ = placement.service_->id_;
+    const Instance &instance = state.directory_.known_.at(choice.instance_).instance_;
     active.tried_.insert(choice.instance_);
     ++active.attempts_;
+    active.attemptVersions_[active.attempts_] = ServedVersion {active.service_, instance.version_};
     active.sentAt_ = now;
     active.outputStarted_ = false;
     active.attemptRunning_ = true;
@@ -171,7 +176,6 @@
             * state.settings_.silenceTimeoutObjectives_;
         active.stageDeadline_ = now + std::chrono::duration_cast<Micros>(silenceLimit);
     }
-    const Instance &instance = state.directory_.known_.at(choice.instance_).instance_;
     active.instanceStartedAt_ = instance.startedAt_;
     recordSent(state.choice_, state.settings_.choice_, choice, active.request_, instance.startedAt_,
                now);
@@ -190,11 +194,11 @@
     const std::optional<int> priority = placement.service_->engine_
         ? enginePriority(state.priorities_, active.urgency_)
         : std::nullopt;
-    out.emplace_back(SendAttempt {active.request_.id_, active.attempts_, choice.instance_,
-                                  choice.address_, active.account_, active.deadline_,
-                                  active.route_->retryPolicy_, active.route_->streaming_,
-                                  connectionsPerInstance(state, *placement.service_),
-                                  state.settings_.connectTimeout_, priority});
+    out.emplace_back(SendAttempt {
+        active.request_.id_, active.attempts_, choice.instance_, choice.address_, active.account_,
+        active.deadline_, active.route_->retryPolicy_, active.route_->streaming_,
+        connectionsPerInstance(state, *placement.service_), state.settings_.connectTimeout_,
+        priority, instance.startedAt_, instance.version_});
 }
 
 Millis engineObjective(const RelayedRequest &active)
@@ -238,6 +242,14 @@
     finish(state, active, fmt::format("{} {}", status, reason), now, out);
 }
 
+void refuseForGood(RelayState &state, RelayedRequest &active, const std::string &reason,
+                   MonoTime now, RelayCommands &out)
+{
+    out.emplace_back(RespondToClient {active.request_.id_, statusServiceUnavailable, std::nullopt,
+                                      reason, active.urgency_});
+    finish(state, active, fmt::format("{} {}", statusServiceUnavailable, reason), now, out);
+}
+
 void failWithoutInstance(RelayState &state, RelayedRequest &active, const std::string &reason,
                          std::optional<Millis> notBefore, MonoTime now, RelayCommands &out)
 {
@@ -285,8 +297,8 @@
     if (refuseIfQuarantined(state, active, now, out))
         return;
     active.awaitedPermit_.reset();
-    // Work was already done for a request that is sent again.
-    const bool acceptsLongWait = active.attempts_ > 0;
+    // Work was already done for a request that is sent again, and for a stream that has begun.
+    const bool acceptsLongWait = active.attempts_ > 0 || active.origin_;
     countEvacuationSkip(state, active, now);
     while (true) {
         const std::optional<Placement> placement = chooseAcrossServices(
--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -177,8 +177,14 @@
 void admit(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
     // Before it waits for tokens.
-    if (refuseIfQuarantined(state, active, now, out) || refuseWithoutZone(state, active, now, out))
+    if (refuseIfQuarantined(state, active, now, out) || refuseWithoutZone(state, active, now, out)
+        || !findStreamOrigin(state, active, now, out))
         return;
+    reserveAndDispatch(state, active, now, out);
+}
+
+void reserveAndDispatch(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
+{
     if (!isPrepaid(active)) {
         dispatch(state, active, now, out);
         return;
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -56,6 +56,7 @@
     /// Requests since the start whose best instance was in an evacuated zone.
     std::uint64_t evacuationSkips_ = 0;
     std::size_t coldInstances_ = 0;
+    ResumedStreamCounts resumedStreams_ {};
     std::uint64_t droppedLogLines_ = 0;
     /// Smoothed time that events wait for the control thread.
     PreciseMicros eventDelay_ {};
--- a/src/relayd/documentcache.h
+++ b/src/relayd/documentcache.h
@@ -57,6 +57,8 @@
     std::map<StoreKey, UnconfirmedDocument> unconfirmed_;
     /// Load that replies to other daemons tell; nullptr if this daemon tells none.
     std::shared_ptr<const LoadOffer> loads_;
+    /// Confirmed software versions that replies to other daemons tell; nullptr if there are none.
+    std::shared_ptr<const ConfirmedVersions> versions_;
 };
 
 /// @brief Stores a document in the cache.
--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -360,6 +360,8 @@
     removeUnconfirmed(reader.cache_, now);
     DocumentsReply reply;
     reply.contactAge_ = contactAge(reader.cache_, reader.maxContactAge_, now);
+    if (reader.cache_.versions_)
+        reply.versions_ = *reader.cache_.versions_;
     for (const FeedPosition &position : request.positions_) {
         const auto feed = reader.cache_.feeds_.find(position.feed_);
         if (feed == reader.cache_.feeds_.end())
@@ -377,6 +379,12 @@
     reader.cache_.loads_ = std::move(offer);
 }
 
+void publishVersions(DocumentReader &reader, std::shared_ptr<const ConfirmedVersions> versions)
+{
+    const std::lock_guard lock(reader.cache_.mutex_);
+    reader.cache_.versions_ = std::move(versions);
+}
+
 void addLoads(DocumentReader &reader, const HostId &receiver, const DocumentsRequest &request,
               DocumentsReply &reply)
 {
--- a/src/relayd/documents.h
+++ b/src/relayd/documents.h
@@ -56,6 +56,9 @@
 /// @brief Replaces the load that replies to other daemons tell.
 void publishLoads(DocumentReader &reader, std::shared_ptr<const LoadOffer> offer);
 
+/// @brief Replaces the confirmed software versions that replies to other daemons tell.
+void publishVersions(DocumentReader &reader, std::shared_ptr<const ConfirmedVersions> versions);
+
 /// @brief Adds the load that other daemons than the receiver cause to a reply, if the receiver
 /// shares its own.
 void addLoads(DocumentReader &reader, const HostId &receiver, const DocumentsRequest &request,
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -250,9 +250,9 @@
     } else if (const auto *documentsReply = std::get_if<DocumentsReply>(&received->message_)) {
         applyDocumentsReply(*relay.documents_, *documentsReply);
         post(relay.queue_,
-             RelayEvent {DocumentsReplyReceived {received->from_, documentsReply->contactAge_,
-                                                 documentsReply->loads_,
-                                                 documentsReply->loadReporters_}});
+             RelayEvent {DocumentsReplyReceived {
+                 received->from_, documentsReply->contactAge_, documentsReply->loads_,
+                 documentsReply->loadReporters_, documentsReply->versions_}});
     } else if (const auto *report = std::get_if<QuarantineReport>(&received->message_)) {
         post(relay.queue_, RelayEvent {QuarantineReportReceived {received->from_, *report}});
     } else if (const auto *loanRequest = std::get_if<LoanRequest>(&received->message_))
@@ -268,6 +268,13 @@
     else if (const auto *presenceRequest = std::get_if<PresenceRequest>(&received->message_))
         post(relay.queue_,
              RelayEvent {PresenceRequestReceived {received->from_, *presenceRequest}});
+    else if (const auto *began = std::get_if<StreamBegan>(&received->message_))
+        post(relay.queue_, RelayEvent {StreamBeganReceived {received->from_, *began}});
+    else if (const auto *originRequest = std::get_if<StreamOriginRequest>(&received->message_))
+        post(relay.queue_,
+             RelayEvent {StreamOriginRequestReceived {received->from_, *originRequest}});
+    else if (const auto *originReply = std::get_if<StreamOriginReply>(&received->message_))
+        post(relay.queue_, RelayEvent {StreamOriginReplyReceived {received->from_, *originReply}});
     else if (const auto *presenceReply = std::get_if<PresenceReply>(&received->message_))
         post(relay.queue_, RelayEvent {PresenceReplyReceived {received->from_, *presenceReply}});
 }
@@ -423,6 +430,9 @@
         [&relay](std::shared_ptr<const LoadOffer> offer) {
             publishLoads(*relay.documents_, std::move(offer));
         },
+        [&relay](std::shared_ptr<const ConfirmedVersions> versions) {
+            publishVersions(*relay.documents_, std::move(versions));
+        },
         [&relay](bool follows) {
             if (!follows)
                 clearStoreContact(*relay.documents_);
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -24,6 +24,7 @@
         loop_.requestPeerDocuments_(std::move(command));
     }
     void operator()(PublishLoads &command) const { loop_.publishLoads_(command.offer_); }
+    void operator()(PublishVersions &command) const { loop_.publishVersions_(command.versions_); }
     void operator()(SetFollowsStore &command) const { loop_.setFollowsStore_(command.follows_); }
     void operator()(SetStoreContact &command) const { loop_.setStoreContact_(command.contact_); }
     void operator()(RelayStopCompleted &) const { running_ = false; }
@@ -49,6 +50,7 @@
     gauges.evacuatedZones_ = state.evacuations_.zones_.size();
     gauges.evacuationSkips_ = state.evacuationSkips_;
     gauges.coldInstances_ = coldCount(state.cold_);
+    gauges.resumedStreams_ = state.resumedStreams_;
     gauges.droppedLogLines_ = loop.droppedLogLines_();
     gauges.eventDelay_ = state.overload_.delay_;
     gauges.linkUse_ = state.overload_.linkUse_;
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -24,6 +24,8 @@
     std::function<void(RequestPeerDocuments)> requestPeerDocuments_;
     /// Replaces the load that replies to other daemons tell.
     std::function<void(std::shared_ptr<const LoadOffer>)> publishLoads_;
+    /// Replaces the confirmed software versions that replies to other daemons tell.
+    std::function<void(std::shared_ptr<const ConfirmedVersions>)> publishVersions_;
     std::function<void(bool)> setFollowsStore_;
     std::function<void(bool)> setStoreContact_;
     std::function<void(SendPeer)> sendPeer_;
--- a/tests/contract-relaystreams.cpp
+++ b/tests/contract-relaystreams.cpp
@@ -132,6 +132,52 @@
     CHECK(waitForEvent<RelayAttemptEnded>(fixture).events_ == 2);
 }
 
+TEST_CASE("a stream that has begun is not continued at another software version")
+{
+    // The first attempt was given up as silent while its stream began.
+    Fixture fixture;
+    setUp(fixture);
+    Exchange exchange = startExchange(fixture, RetryPolicy::Retryable, true);
+    sendText(exchange.upstream_, responseTo("r1", "\r\n") + "id: 1\ndata: a\n\n");
+    std::string response = readUntil(exchange.client_, [](const std::string &text) {
+        return text.find("data: a") != std::string::npos;
+    });
+    SendAttempt other = exchange.attempt_;
+    other.attempt_ = 2;
+    other.version_ = SoftwareVersion {"v2"};
+    command(fixture, other);
+    const RelayAttemptEnded ended = waitForEvent<RelayAttemptEnded>(fixture);
+    CHECK(ended.attempt_ == 2);
+    CHECK(ended.end_ == AttemptEnd::Superseded);
+    CHECK(ended.begunBy_ == 1);
+    CHECK(ended.events_ == 1);
+    SendAttempt same = exchange.attempt_;
+    same.attempt_ = 3;
+    command(fixture, same);
+    StreamSocket second = fixture.upstream_.acceptConnection();
+    second.setReceiveTimeout(receiveTimeout);
+    CHECK(readHead(second).find("Last-Event-ID: 1\r\n") != std::string::npos);
+}
+
+TEST_CASE("a connection to an earlier process of an instance is not used for the next one")
+{
+    Fixture fixture;
+    setUp(fixture);
+    Exchange exchange = startExchange(fixture);
+    sendText(exchange.upstream_, responseTo("r1", "Content-Length: 2\r\n\r\nok"));
+    readUntil(exchange.client_, [](const std::string &text) { return text.ends_with("ok"); });
+    waitForEvent<RelayAttemptEnded>(fixture);
+    sendText(exchange.client_, getRequest);
+    SendAttempt next
+        = attemptFor(fixture, waitForEvent<RequestRead>(fixture), RetryPolicy::AtMostOnce, false);
+    next.startedAt_ = WallTime {Millis {5}};
+    command(fixture, next);
+    StreamSocket second = fixture.upstream_.acceptConnection();
+    second.setReceiveTimeout(receiveTimeout);
+    CHECK(readHead(second).starts_with("GET /a/b HTTP/1.1"));
+    CHECK(readToEnd(exchange.upstream_).empty());
+}
+
 TEST_CASE("an error of the next upstream does not become part of a stream that has begun")
 {
     const std::string body = "Content-Length: 9\r\n\r\nnot found";
--- a/tests/relayfixture.h
+++ b/tests/relayfixture.h
@@ -81,10 +81,23 @@
     instance.service_ = ServiceId {service};
     instance.address_ = id + ":80";
     instance.zone_ = ZoneId {zone};
+    instance.version_ = SoftwareVersion {"v1"};
     instance.slots_ = 6;
     return ListedInstance {instance, Revision {revision}};
 }
 
+/// Has the store confirm that streams may begin at all versions that are served.
+inline void confirmVersions(RelayFixture &fixture)
+{
+    VersionRecordCopy copy;
+    for (const auto &[id, known] : fixture.state_.directory_.known_)
+        copy.record_.versions_.insert({known.instance_.service_, known.instance_.version_});
+    copy.readAt_ = fixture.now_;
+    fixture.state_.versions_.copy_ = std::move(copy);
+    fixture.state_.versions_.call_.reset();
+    fixture.state_.versions_.unconfirmedSince_.clear();
+}
+
 /// Applies a configuration and two instances of each service.
 inline void setUp(RelayFixture &fixture)
 {
@@ -96,6 +109,7 @@
                            makeInstance("e1", "llm", 4), makeInstance("e2", "llm", 5)},
                           Revision {5},
                           ChangeSource::Store});
+    confirmVersions(fixture);
 }
 
 inline RelayRequest makeRequest(RelayFixture &fixture, const std::string &route)
