An instance whose entry is older than that of others counts as alive

Cause: an entry older than the newest of all by two renewals was taken for one of a process that may have ended.

Change: the check is gone. A stream does not continue at an instance to which a connect has failed within the last 5 s, and the streams that began within 5 s before an entry shows another version are uncertain.

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -74,10 +74,7 @@
         = readMillis(store, "settleMs", FieldPresence::Optional, timeRange, settings.settleTime_);
     settings.applyTime_
         = readMillis(store, "applyMs", FieldPresence::Optional, timeRange, settings.applyTime_);
-    settings.renewInterval_
-        = readMillis(store, "renewMs", FieldPresence::Optional, timeRange, settings.renewInterval_);
-    rejectUnknownFields(store,
-                        {"address", "prefix", "ledgerShards", "settleMs", "applyMs", "renewMs"});
+    rejectUnknownFields(store, {"address", "prefix", "ledgerShards", "settleMs", "applyMs"});
 }
 
 void readRetries(const JsonReader &root, RelayDaemonSettings &settings)
@@ -215,7 +212,6 @@
         std::min({settings.applyTime_, settings.drainTimeout_, evacuationTime}),
         settings.settleTime_);
     control.evacuationSettleTime_ = settings.settleTime_;
-    control.maxEntryAge_ = settings.renewInterval_ * 2;
     control.regions_ = settings.regions_;
     constexpr double bytesPerMegabit = 125'000.0;
     control.overload_.linkBytesPerSecond_ = settings.linkMbps_ * bytesPerMegabit;
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -35,8 +35,6 @@
     Millis settleTime_ {3000};
     /// Time within which a change takes effect, from its confirmation by the store.
     Millis applyTime_ {2000};
-    /// Interval at which instances renew their entries in the store.
-    Millis renewInterval_ {1200};
     std::size_t maxFileDescriptors_ = 1024;
     /// Processor cores that this host has for the daemon; 0 if unknown. Larger hosts are preferred
     /// for work on behalf of other daemons.
--- a/src/core/relay/instancechoice.h
+++ b/src/core/relay/instancechoice.h
@@ -109,6 +109,8 @@
     double failureRate_ = 0.0;
     std::uint32_t consecutiveFailures_ = 0;
     MonoTime ejectedUntil_ {};
+    /// The last time that no connection could be established.
+    std::optional<MonoTime> unreachableAt_;
     /// Another instance responded at this address.
     bool replaced_ = false;
     WallTime startedAt_ {};
--- a/src/core/relay/instancestats.cpp
+++ b/src/core/relay/instancestats.cpp
@@ -194,6 +194,7 @@
         break;
     case InstanceOutcome::Unreachable:
         learn(1.0);
+        record.unreachableAt_ = now;
         record.cachedParts_.clear();
         recordFailure(record, settings, true, now);
         break;
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -64,11 +64,9 @@
     ColdPermitSettings cold_;
     StreamOriginSettings origins_;
     ServedVersionSettings versions_;
-    /// An instance whose entry is older than the newest one by more than this may have ended: it
-    /// has missed a renewal. Its software version is not certain then.
-    Millis maxEntryAge_ {2400};
-    /// How long the write of an entry may take to be known here.
-    Millis maxEntryDelay_ {1000};
+    /// How long after the start of a process its entry may be known here, beside an outage of the
+    /// store. An entry lapses after three missed renewals, 3.6 s.
+    Millis maxEntryDelay_ {5000};
     /// How long a stream of unknown origin waits for the record of the versions.
     Millis recordWait_ {400};
     /// Interval at which the served versions are noted if no entry changes.
@@ -208,14 +206,6 @@
     std::optional<MonoTime> timer_;
 };
 
-/// @brief When the entries of the instances were written, as far as this daemon knows.
-struct EntryTimes
-{
-    std::map<UpstreamId, MonoTime> writtenAt_;
-    /// The latest of all.
-    MonoTime newest_ {};
-};
-
 /// @brief Counts of streams since the start.
 struct ResumedStreamCounts
 {
@@ -257,7 +247,6 @@
     MonoTime versionsNotedAt_ {};
     /// What other daemons were last told.
     ConfirmedVersions publishedVersions_;
-    EntryTimes entries_;
     ResumedStreamCounts resumedStreams_;
     InstanceLoads loads_;
     /// This daemon shares its load, as it was last logged.
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -62,9 +62,10 @@
 std::optional<std::set<SoftwareVersion>>
 allowedVersions(const RelayState &state, const RelayedRequest &active, const ServiceId &service);
 
-/// @brief Adds the instances that may have ended since their entry was written.
+/// @brief Adds the instances to which a connect has failed lately: another process may be there
+/// when they are reachable again, and its version may not be known yet.
 /// @note O(instances)
-void addOutdatedEntries(const RelayState &state, std::set<UpstreamId> &instances);
+void addPossiblyRestarted(const RelayState &state, std::set<UpstreamId> &instances, MonoTime now);
 
 /// @brief Returns the id by which a traffic split selects the service: that of the attempt that
 /// began the stream, so that a client that takes it up reaches the same service.
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -80,8 +80,8 @@
                                               MonoTime now)
 {
     std::set<UpstreamId> excluded = excludedInstances(state, active, now);
-    if (isResumable(active))
-        addOutdatedEntries(state, excluded);
+    if (active.origin_)
+        addPossiblyRestarted(state, excluded, now);
     for (const ServiceId &id : servicesInOrder(*active.route_, splitId(active))) {
         const RelayService *service = serviceOf(active, id);
         if (!service)
--- a/src/core/relay/relaystreams.cpp
+++ b/src/core/relay/relaystreams.cpp
@@ -188,10 +188,10 @@
     return std::set<SoftwareVersion> {active.origin_->version_};
 }
 
-void addOutdatedEntries(const RelayState &state, std::set<UpstreamId> &instances)
+void addPossiblyRestarted(const RelayState &state, std::set<UpstreamId> &instances, MonoTime now)
 {
-    for (const auto &[id, writtenAt] : state.entries_.writtenAt_) {
-        if (state.entries_.newest_ - writtenAt > state.settings_.maxEntryAge_)
+    for (const auto &[id, record] : state.choice_.instanceStats_) {
+        if (record.unreachableAt_ && now - *record.unreachableAt_ < state.settings_.maxEntryDelay_)
             instances.insert(id);
     }
 }
@@ -279,14 +279,10 @@
     const UpstreamId &id = listed.instance_.id_;
     const auto known = state.directory_.known_.find(id);
     const bool isKnown = known != state.directory_.known_.end();
-    if (isKnown && known->second.position_ >= listed.position_)
+    if (!isKnown || known->second.position_ >= listed.position_
+        || known->second.instance_.version_ == listed.instance_.version_)
         return;
-    if (isKnown && known->second.instance_.version_ != listed.instance_.version_) {
-        const MonoTime writtenAt = state.entries_.writtenAt_[id];
-        doubtOrigins(state, id, writtenAt - state.settings_.maxEntryDelay_, now, out);
-    }
-    state.entries_.writtenAt_[id] = now;
-    state.entries_.newest_ = now;
+    doubtOrigins(state, id, now - state.settings_.maxEntryDelay_, now, out);
 }
 
 void noteServedVersions(RelayState &state, MonoTime now)
@@ -298,9 +294,6 @@
             served.insert(ServedVersion {known.instance_.service_, known.instance_.version_});
     }
     noteServed(state.versions_, state.settings_.versions_, served, now);
-    std::erase_if(state.entries_.writtenAt_, [&state](const auto &entry) {
-        return !state.directory_.known_.contains(entry.first);
-    });
 }
 
 void noteStreamServices(RelayState &state, MonoTime now)
