Another daemon takes over the requests of one that reaches no instance

Cause: a failed connect counted as a property of the instance only, and a request could only be sent to an instance.

Change: connects that fail at three hosts within 3 s, with none that succeeds, show that this host is cut off.

Ruled out: leaving the rotation (open connections stay, and a zone that is mostly out of rotation is used whole); a silent instance or a lost connection as evidence (sound instances are silent, and all connections may be reset at once).

--- a/src/adapters/json/relaysettings.cpp
+++ b/src/adapters/json/relaysettings.cpp
@@ -58,7 +58,8 @@
     settings.localAddress_ = readAddress(listen, "local", FieldPresence::Required);
     settings.metricsAddress_ = readAddress(listen, "metrics", FieldPresence::Optional);
     settings.peerAddress_ = readAddress(listen, "peers", FieldPresence::Optional);
-    rejectUnknownFields(listen, {"clients", "local", "metrics", "peers"});
+    settings.handoverAddress_ = readAddress(listen, "handover", FieldPresence::Optional);
+    rejectUnknownFields(listen, {"clients", "local", "metrics", "peers", "handover"});
 }
 
 void readStore(const JsonReader &root, RelayDaemonSettings &settings)
--- a/src/adapters/json/relaysettings.h
+++ b/src/adapters/json/relaysettings.h
@@ -26,6 +26,9 @@
     std::string metricsAddress_;
     /// Listener for messages of other daemons; empty if the daemon uses the store only.
     std::string peerAddress_;
+    /// Listener for requests of daemons that reach no instance; empty if none are taken over. Only
+    /// daemons of this fleet may be able to reach it.
+    std::string handoverAddress_;
     /// Peer listeners of other daemons to contact before the store has listed any.
     std::vector<std::string> seeds_;
     std::string storeAddress_;
--- a/src/adapters/metrics/relaymetrics.cpp
+++ b/src/adapters/metrics/relaymetrics.cpp
@@ -195,6 +195,15 @@
                                    "software version was left")
                              .Register(*registry)
                              .Add({});
+    auto *cutOff = gauge("tamarack_relay_upstreams_unreachable",
+                         "1 while this host reaches no upstream instance, otherwise 0");
+    auto &takeovers = BuildCounter()
+                          .Name("tamarack_relay_takeovers_total")
+                          .Help("Requests that one daemon was given by another one that reaches no "
+                                "upstream instance")
+                          .Register(*registry);
+    auto *handedOver = &takeovers.Add({{"direction", "to_peer"}});
+    auto *takenOver = &takeovers.Add({{"direction", "from_peer"}});
     auto *cold = gauge("tamarack_relay_cold_instances",
                        "Upstream instances that get fewer requests because they may be cold");
     auto *dropped = gauge("tamarack_relay_log_lines_dropped", "Log lines dropped since the start");
@@ -240,9 +249,10 @@
     };
     port.onEventHandled_ = [families, &handling, active, instances, version, daemons, available,
                             limited, evacuated, skips, resumedKnown, resumedUnknown, versionGone,
-                            cold, dropped, delay, link, loadReports, loadAge, buffered, bufferLimit,
-                            memoryRefusals, connections, requests, responses, events, log,
-                            idleClosed, unreadClosed](Micros time, const RelayGauges &gauges) {
+                            cutOff, handedOver, takenOver, cold, dropped, delay, link, loadReports,
+                            loadAge, buffered, bufferLimit, memoryRefusals, connections, requests,
+                            responses, events, log, idleClosed,
+                            unreadClosed](Micros time, const RelayGauges &gauges) {
         handling.Observe(std::chrono::duration<double>(time).count());
         active->Set(static_cast<double>(gauges.active_));
         instances->Set(static_cast<double>(gauges.instances_));
@@ -256,6 +266,9 @@
         resumedKnown->Increment(static_cast<double>(streams.known_) - resumedKnown->Value());
         resumedUnknown->Increment(static_cast<double>(streams.unknown_) - resumedUnknown->Value());
         versionGone->Increment(static_cast<double>(streams.gone_) - versionGone->Value());
+        cutOff->Set(gauges.isCutOff_ ? 1.0 : 0.0);
+        handedOver->Increment(static_cast<double>(gauges.handedOver_) - handedOver->Value());
+        takenOver->Increment(static_cast<double>(gauges.takenOver_) - takenOver->Value());
         cold->Set(static_cast<double>(gauges.coldInstances_));
         dropped->Set(static_cast<double>(gauges.droppedLogLines_));
         delay->Set(std::chrono::duration<double>(gauges.eventDelay_).count());
--- a/src/adapters/peers/messagedecoder.cpp
+++ b/src/adapters/peers/messagedecoder.cpp
@@ -330,7 +330,8 @@
     case peer::Envelope::kPresenceConfirmed:
         return PeerMessage {
             PresenceReply {in.presence_confirmed().leaving(),
-                           std::min(in.presence_confirmed().daemons(), maxFleetSize)}};
+                           std::min(in.presence_confirmed().daemons(), maxFleetSize),
+                           in.presence_confirmed().unable()}};
     case peer::Envelope::kStreamBegan:
         return fromProto(in.stream_began());
     case peer::Envelope::kStreamOriginAsked:
--- a/src/adapters/peers/messageencoder.cpp
+++ b/src/adapters/peers/messageencoder.cpp
@@ -301,6 +301,7 @@
     peer::PresenceConfirmed &out = *envelope.mutable_presence_confirmed();
     out.set_leaving(message.leaving_);
     out.set_daemons(message.daemons_);
+    out.set_unable(message.unable_);
 }
 
 } // namespace
--- a/src/adapters/relayhttp/accepting.cpp
+++ b/src/adapters/relayhttp/accepting.cpp
@@ -74,9 +74,12 @@
     client.idleSince_.reset();
 }
 
-void acceptClients(FrontendState &state, bool local, std::size_t maxCount)
+void acceptClients(FrontendState &state, ListenerKind kind, std::size_t maxCount)
 {
-    const int listener = local ? state.localListener_.fd_ : state.clientListener_.fd_;
+    const bool local = kind == ListenerKind::Local;
+    const int listener = local           ? state.localListener_.fd_
+        : kind == ListenerKind::Handover ? state.handoverListener_.fd_
+                                         : state.clientListener_.fd_;
     for (std::size_t i = 0; i < maxCount; ++i) {
         if (!local && isClientLimitReached(state) && state.idleClients_.empty())
             return;
@@ -94,6 +97,7 @@
         client.channel_.id_ = id;
         client.channel_.socket_ = std::move(socket);
         client.local_ = local;
+        client.fromPeer_ = kind == ListenerKind::Handover;
         state.localClients_ += local ? 1 : 0;
         updateInterest(state, client.channel_, readInterest);
         setDeadline(state, client.channel_,
@@ -116,6 +120,10 @@
     event.events = listen ? std::uint32_t {EPOLLIN} : 0U;
     event.data.u64 = clientListenerEventId;
     ::epoll_ctl(state.epoll_.fd_, EPOLL_CTL_MOD, state.clientListener_.fd_, &event);
+    if (state.handoverListener_.fd_ < 0)
+        return;
+    event.data.u64 = handoverListenerEventId;
+    ::epoll_ctl(state.epoll_.fd_, EPOLL_CTL_MOD, state.handoverListener_.fd_, &event);
 }
 
 void closeIdleClients(FrontendState &state)
--- a/src/adapters/relayhttp/clients.cpp
+++ b/src/adapters/relayhttp/clients.cpp
@@ -128,6 +128,12 @@
     return equalsIgnoreCase(scheme, names.authScheme_) ? std::string(key) : std::string();
 }
 
+/// Larger than any limit of a route.
+constexpr std::int64_t maxAttemptsUsed = 1000;
+
+/// A request of another daemon has fields that its client did not send.
+constexpr std::size_t peerHeaderBytes = 512;
+
 /// Returns a hash of what an instance is asked to do, whoever asks.
 std::uint64_t contentHash(const HttpRequest &request)
 {
@@ -156,6 +162,12 @@
     relayed.key_ = parseKey(request, names);
     relayed.usage_ = parseUsage(request, names);
     relayed.resumed_ = parseResumedStream(request, names);
+    relayed.handedOver_ = client.fromPeer_;
+    if (client.fromPeer_) {
+        const auto used = findField(request.headers_, names.attemptsUsed_);
+        relayed.attemptsUsed_ = static_cast<std::uint32_t>(
+            std::min(parseNumber(used.value_or("")).value_or(0), maxAttemptsUsed));
+    }
     relayed.bodyBytes_ = request.body_.size();
     relayed.contentHash_ = contentHash(request);
     relayed.arrivedAt_ = exchange.arrivedAt_;
@@ -228,8 +240,10 @@
         client.requestStart_ = now;
         setDeadline(state, client.channel_, now + state.limits_.readTimeout_);
     }
-    const RequestProgress progress = readRequest(
-        client.reader_, RequestLimits {state.limits_.maxHeaderBytes_, state.limits_.maxBodyBytes_});
+    const std::size_t maxHeaderBytes
+        = state.limits_.maxHeaderBytes_ + (client.fromPeer_ ? peerHeaderBytes : 0);
+    const RequestProgress progress
+        = readRequest(client.reader_, RequestLimits {maxHeaderBytes, state.limits_.maxBodyBytes_});
     if (progress.expectsContinue_)
         sendToClient(state, client, "HTTP/1.1 100 Continue\r\n\r\n");
     if (progress.parseStatus_ == ParseStatus::Done)
@@ -458,7 +472,7 @@
 }
 
 void sendLocalResponse(FrontendState &state, ClientConnection &client, int status,
-                       const LocalResponse &response, std::optional<Millis> retryAfter)
+                       const LocalResponse &response, std::optional<Millis> retryAfter, bool unable)
 {
     client.stage_ = ClientStage::Busy;
     setDeadline(state, client.channel_, std::nullopt);
@@ -472,6 +486,8 @@
     if (retryAfter)
         text += fmt::format("Retry-After: {:.3f}\r\n",
                             std::chrono::duration<double>(*retryAfter).count());
+    if (unable && client.fromPeer_)
+        text += fmt::format("{}: 1\r\n", state.settings_.headers_.unable_);
     if (state.keepAliveDisabled_)
         client.closeAfterResponse_ = true;
     if (client.closeAfterResponse_)
--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -52,6 +52,11 @@
                      "the response of the earlier attempt had begun");
 }
 
+void execute(FrontendState &state, const ProbeInstance &command)
+{
+    probeInstance(state, command);
+}
+
 void execute(FrontendState &state, const RespondToClient &command)
 {
     endClientResponse(
@@ -61,7 +66,8 @@
             response.body_ = fmt::format(
                 R"({{"error":{{"code":"{}","request_id":"{}","execution":"{}"}}}})",
                 command.reason_, exchange.requestId_.value_, executionForStatus(command.status_));
-            sendLocalResponse(state, client, command.status_, response, command.retryAfter_);
+            sendLocalResponse(state, client, command.status_, response, command.retryAfter_,
+                              command.unable_);
         });
 }
 
@@ -98,8 +104,11 @@
 void execute(FrontendState &state, const CloseClients &)
 {
     // Connections that the kernel has accepted may hold a request.
-    acceptClients(state, false, std::numeric_limits<std::size_t>::max());
+    acceptClients(state, ListenerKind::Clients, std::numeric_limits<std::size_t>::max());
     state.clientListener_ = Descriptor();
+    if (state.handoverListener_.fd_ >= 0)
+        acceptClients(state, ListenerKind::Handover, std::numeric_limits<std::size_t>::max());
+    state.handoverListener_ = Descriptor();
     state.closingAllClients_ = true;
     state.closingIdleClients_ = true;
     closeIdleClients(state);
@@ -171,11 +180,15 @@
         clearWakeup(state);
         return;
     }
-    if (number == clientListenerEventId || number == localListenerEventId) {
+    if (number < firstConnectionId) {
         // Requests are read between the connections of a burst, so that none is taken for idle
         // before its request was read.
         constexpr std::size_t maxAccepted = 64;
-        acceptClients(state, number == localListenerEventId, maxAccepted);
+        acceptClients(state,
+                      number == localListenerEventId          ? ListenerKind::Local
+                          : number == handoverListenerEventId ? ListenerKind::Handover
+                                                              : ListenerKind::Clients,
+                      maxAccepted);
         return;
     }
     const ConnectionId id {number};
@@ -273,6 +286,11 @@
     BOOST_LEAF_ASSIGN(
         state->localListener_,
         frontend::openListener(state->settings_.localAddress_, state->settings_.listenBacklog_));
+    if (!state->settings_.handoverAddress_.empty()) {
+        BOOST_LEAF_ASSIGN(state->handoverListener_,
+                          frontend::openListener(state->settings_.handoverAddress_,
+                                                 state->settings_.listenBacklog_));
+    }
     state->epoll_ = Descriptor(::epoll_create1(EPOLL_CLOEXEC));
     state->wakeupEvent_ = Descriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
     state->suspendedTime_
@@ -281,6 +299,9 @@
     frontend::registerDescriptor(*state, state->clientListener_.fd_,
                                  frontend::clientListenerEventId);
     frontend::registerDescriptor(*state, state->localListener_.fd_, frontend::localListenerEventId);
+    if (state->handoverListener_.fd_ >= 0)
+        frontend::registerDescriptor(*state, state->handoverListener_.fd_,
+                                     frontend::handoverListenerEventId);
     state->thread_ = std::thread([state] { frontend::runEventLoop(*state); });
     return Frontend {std::move(state)};
 }
--- a/src/adapters/relayhttp/frontend.h
+++ b/src/adapters/relayhttp/frontend.h
@@ -30,6 +30,8 @@
     std::string clientAddress_;
     /// "IP:port" of the local listener, which serves readiness and metrics.
     std::string localAddress_;
+    /// "IP:port" of the listener for requests that other daemons hand over; empty if there is none.
+    std::string handoverAddress_ {};
     HeaderNames headers_;
     /// Client connections above this number stay in the listen queue, unless an idle one can be
     /// closed.
@@ -90,7 +92,7 @@
     std::shared_ptr<FrontendState> state_;
 };
 
-/// @brief Opens both listeners and starts the traffic thread.
+/// @brief Opens the listeners and starts the traffic thread.
 /// @return an error with id tamarack.front.101 if an address is invalid or can't be bound, or
 /// tamarack.front.102 if another process listens on it
 Result<Frontend> startFrontend(FrontendSettings settings, RelayEventPort events,
--- a/src/adapters/relayhttp/frontendstate.h
+++ b/src/adapters/relayhttp/frontendstate.h
@@ -77,6 +77,8 @@
     SocketChannel channel_;
     /// Accepted by the local listener: requests go to the local handler instead of an upstream.
     bool local_ = false;
+    /// Accepted by the handover listener: another daemon hands requests over.
+    bool fromPeer_ = false;
     ClientStage stage_ = ClientStage::Reading;
     RequestReader reader_;
     /// Time at which the first byte of the current request arrived.
@@ -108,6 +110,8 @@
     WallTime startedAt_ {};
     std::string address_;
     bool connecting_ = false;
+    /// Opened by ProbeInstance, which awaits its outcome.
+    bool probes_ = false;
     /// At least one byte of the current request was passed to the kernel.
     bool sendStarted_ = false;
     /// Bytes of the request's body that have not been queued for sending.
@@ -154,6 +158,10 @@
     MonoTime arrivedAt_ {};
     std::optional<Millis> clientTimeout_;
     SendAttempt attempt_;
+    /// The current attempt has a connection that was opened for it.
+    bool newConnection_ = false;
+    /// The daemon that the current attempt was handed to can serve no request.
+    bool peerUnable_ = false;
     /// The client disconnected, but the attempt continues, because the request may run only once.
     bool abandoned_ = false;
     ResponseClass responseClass_ = ResponseClass::Deliver;
@@ -191,6 +199,8 @@
     Descriptor wakeupEvent_;
     Descriptor clientListener_;
     Descriptor localListener_;
+    /// Empty if there is no listener for other daemons.
+    Descriptor handoverListener_;
     std::thread thread_;
     /// Bytes on client and upstream connections since the start; written by the traffic thread
     /// only.
--- a/src/adapters/relayhttp/headernames.h
+++ b/src/adapters/relayhttp/headernames.h
@@ -40,6 +40,11 @@
     std::string coldRemaining_ = "X-Cold-Ms";
     /// Urgency of a request at an engine, from 0 (most urgent) to 9, set by the relay.
     std::string priority_ = "X-Priority";
+    /// Number of attempts of a request that may have run before another daemon took it over. Only
+    /// daemons send it to each other.
+    std::string attemptsUsed_ = "X-Relay-Attempts-Used";
+    /// "1" in a response to another daemon if this one can serve no request now.
+    std::string unable_ = "X-Relay-Unable";
     /// Further fields that only the relay may set; they are removed from client requests.
     std::vector<std::string> reserved_;
 };
--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -15,6 +15,7 @@
 inline constexpr std::uint64_t wakeupEventId = 0;
 inline constexpr std::uint64_t clientListenerEventId = 1;
 inline constexpr std::uint64_t localListenerEventId = 2;
+inline constexpr std::uint64_t handoverListenerEventId = 3;
 
 // sockets.cpp
 
@@ -81,15 +82,25 @@
 void completeResponse(FrontendState &state, ClientConnection &client);
 
 /// @brief Queues a response that the relay generates itself, and ends the client's exchange.
+/// @param unable this daemon can serve no request now, which another daemon is told
 void sendLocalResponse(FrontendState &state, ClientConnection &client, int status,
-                       const LocalResponse &response, std::optional<Millis> retryAfter);
+                       const LocalResponse &response, std::optional<Millis> retryAfter,
+                       bool unable = false);
 
 // accepting.cpp
 
+enum class ListenerKind {
+    Clients,
+    /// Readiness and metrics.
+    Local,
+    /// Other daemons, which hand requests over.
+    Handover,
+};
+
 /// @brief Accepts connections. If the limit on client connections is reached, closes the longest
 /// idle one for each.
 /// @param maxCount maximum number of connections to accept
-void acceptClients(FrontendState &state, bool local, std::size_t maxCount);
+void acceptClients(FrontendState &state, ListenerKind kind, std::size_t maxCount);
 
 /// @brief Pauses accepting while memory is used up, or the limit on client connections is reached
 /// and none is idle.
@@ -150,6 +161,9 @@
 // upstreams.cpp
 
 void sendAttempt(FrontendState &state, ClientExchange &exchange, const SendAttempt &attempt);
+
+/// @brief Opens a connection to an instance without a request, and posts InstanceProbed.
+void probeInstance(FrontendState &state, const ProbeInstance &probe);
 void onUpstreamEvent(FrontendState &state, UpstreamConnection &upstream, std::uint32_t events);
 void onUpstreamDeadline(FrontendState &state, UpstreamConnection &upstream);
 void closeUpstream(FrontendState &state, ConnectionId id);
--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -97,8 +97,8 @@
     if (exchange.outputReported_)
         return;
     exchange.outputReported_ = true;
-    state.events_.post_(
-        OutputStarted {exchange.id_, exchange.attempt_.attempt_, std::chrono::steady_clock::now()});
+    state.events_.post_(OutputStarted {exchange.id_, exchange.attempt_.attempt_,
+                                       std::chrono::steady_clock::now(), exchange.newConnection_});
 }
 
 /// Returns the number in a header field, or nothing if it is missing, malformed or negative.
@@ -200,6 +200,7 @@
     RelayAttemptEnded ended;
     ended.id_ = exchange.id_;
     ended.attempt_ = exchange.attempt_.attempt_;
+    ended.connected_ = exchange.newConnection_;
     ended.end_ = AttemptEnd::Delivered;
     ended.status_ = exchange.head_.status_;
     ended.events_ = exchange.eventCount_;
@@ -261,14 +262,23 @@
     received.contentEncoded_ = findField(head.headers_, "Content-Encoding").has_value();
     // A skipped response to another request shows as well that the upstream repeats responses.
     received.connectionReused_ = upstream.reused_ || upstream.closeAfterResponse_;
-    const ResponseClass responseClass = classifyResponse(received, exchange.requestId_);
+    const bool fromPeer = exchange.attempt_.toPeer_;
+    const ResponseClass responseClass = fromPeer
+        ? classifyPeerResponse(received, exchange.requestId_)
+        : classifyResponse(received, exchange.requestId_);
     if (responseClass == ResponseClass::OtherRequest)
         return false;
     // A response of another instance, or one that may belong to another request, says nothing about
     // the instance that was asked.
-    if (responseClass != ResponseClass::WrongInstance && responseClass != ResponseClass::Malformed)
+    if (!fromPeer && responseClass != ResponseClass::WrongInstance
+        && responseClass != ResponseClass::Malformed)
         reportNotice(state, upstream.instance_, head);
     exchange.responseClass_ = responseClass;
+    exchange.peerUnable_ = fromPeer && findField(head.headers_, names.unable_) == "1";
+    if (fromPeer)
+        std::erase_if(head.headers_, [&names](const HeaderField &field) {
+            return equalsIgnoreCase(field.name_, names.unable_);
+        });
     // Only the rest of the stream may follow its beginning, not the body of an error.
     if (exchange.headSent_ && responseClass == ResponseClass::Deliver
         && head.status_ != exchange.head_.status_)
@@ -348,11 +358,13 @@
     RelayAttemptEnded ended;
     ended.id_ = exchange.id_;
     ended.attempt_ = exchange.attempt_.attempt_;
+    ended.connected_ = exchange.newConnection_ && end != AttemptEnd::NotSent;
     ended.end_ = end;
     ended.status_ = end == AttemptEnd::Failed ? exchange.head_.status_ : 0;
     ended.events_ = exchange.eventCount_;
     ended.partiallyDelivered_ = exchange.headSent_;
     ended.begunBy_ = exchange.begunBy_;
+    ended.peerUnable_ = end == AttemptEnd::Failed && exchange.peerUnable_;
     ended.connectionsUsed_ = connectionsUsed;
     ended.detail_ = std::move(detail);
     state.events_.post_(std::move(ended));
--- a/src/adapters/relayhttp/upstreams.cpp
+++ b/src/adapters/relayhttp/upstreams.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace tamarack::frontend {
 
@@ -17,10 +18,14 @@
 /// While memory is used up, the unfinished head of a response may take this much.
 constexpr std::size_t maxHeadBytesWhenFull = std::size_t {16} << 10U;
 
-bool isSetByRelay(const HeaderNames &names, std::string_view field)
+/// @param toPeer the request goes to another daemon, which authenticates the client itself
+bool isSetByRelay(const HeaderNames &names, std::string_view field, bool toPeer)
 {
-    const std::array<std::string_view, 5> relayFields {
-        names.account_, names.expectInstance_, names.deadline_, names.priority_, "Authorization"};
+    if (equalsIgnoreCase(field, "Authorization"))
+        return !toPeer;
+    const std::array<std::string_view, 5> relayFields {names.account_, names.expectInstance_,
+                                                       names.deadline_, names.priority_,
+                                                       names.attemptsUsed_};
     const auto same = [field](std::string_view name) {
         return equalsIgnoreCase(name, field);
     };
@@ -45,14 +50,21 @@
     const bool resumes = !exchange.lastEventId_.empty();
     std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method_, request.target_);
     for (const HeaderField &field : request.headers_) {
-        if (isSetByRelay(names, field.name_)
+        if (isSetByRelay(names, field.name_, exchange.attempt_.toPeer_)
             || (resumes && equalsIgnoreCase(field.name_, names.lastEventId_)))
             continue;
         text += fmt::format("{}: {}\r\n", field.name_, field.value_);
     }
     if (resumes)
         text += fmt::format("{}: {}\r\n", names.lastEventId_, exchange.lastEventId_);
-    text += fmt::format("{}: {}\r\n", names.expectInstance_, exchange.attempt_.instance_.value_);
+    if (exchange.attempt_.toPeer_)
+        text += fmt::format("{}: {}\r\n", names.attemptsUsed_, exchange.attempt_.attemptsUsed_);
+    else
+        text
+            += fmt::format("{}: {}\r\n", names.expectInstance_, exchange.attempt_.instance_.value_);
+    // The other daemon finds out where the stream began, as if the client took it up there.
+    if (exchange.attempt_.toPeer_ && resumes && !findField(request.headers_, names.resumes_))
+        text += fmt::format("{}: {}\r\n", names.resumes_, exchange.requestId_.value_);
     if (!exchange.attempt_.account_.isEmpty())
         text += fmt::format("{}: {}\r\n", names.account_, exchange.attempt_.account_.value_);
     if (exchange.attempt_.priority_)
@@ -184,6 +196,8 @@
 /// Handles a failed connection. The request may have run only if some of it was sent.
 void onConnectionLost(FrontendState &state, UpstreamConnection &upstream, const std::string &detail)
 {
+    if (upstream.probes_)
+        state.events_.post_(InstanceProbed {upstream.instance_, false});
     if (upstream.exchange_ == ExchangeId {}) {
         closeUpstream(state, upstream.channel_.id_);
         return;
@@ -237,6 +251,7 @@
     upstream.unsentBodyBytes_ = exchange.request_.body_.size();
     upstream.readPaused_ = false;
     exchange.upstream_ = upstream.channel_.id_;
+    exchange.newConnection_ = !upstream.reused_;
     startResponse(upstream.reader_, exchange.request_.method_);
     upstream.channel_.out_.bytes_ = formatRequestHead(state, exchange);
     if (upstream.connecting_)
@@ -364,6 +379,12 @@
     }
     upstream.connecting_ = false;
     setDeadline(state, upstream.channel_, std::nullopt);
+    if (std::exchange(upstream.probes_, false)) {
+        state.events_.post_(InstanceProbed {upstream.instance_, true});
+        updateInterest(state, upstream.channel_, readInterest);
+        poolOrClose(state, upstream, true);
+        return;
+    }
     const auto exchange = state.exchanges_.find(upstream.exchange_);
     if (exchange != state.exchanges_.end() && exchange->second.abandoned_)
         limitAbandonedAttempt(state, exchange->second);
@@ -394,6 +415,22 @@
     startRequest(state, state.upstreams_.at(*id), exchange);
 }
 
+void probeInstance(FrontendState &state, const ProbeInstance &probe)
+{
+    SendAttempt attempt;
+    attempt.instance_ = probe.instance_;
+    attempt.address_ = probe.address_;
+    attempt.startedAt_ = probe.startedAt_;
+    attempt.maxConnections_ = probe.maxConnections_;
+    attempt.connectTimeout_ = probe.connectTimeout_;
+    bool limited = false;
+    const std::optional<ConnectionId> id = openConnection(state, attempt, limited);
+    if (id)
+        state.upstreams_.at(*id).probes_ = true;
+    else
+        state.events_.post_(InstanceProbed {probe.instance_, false});
+}
+
 void onUpstreamEvent(FrontendState &state, UpstreamConnection &upstream, std::uint32_t events)
 {
     const ConnectionId id = upstream.channel_.id_;
--- a/src/adapters/shardcodec/storedvalue.cpp
+++ b/src/adapters/shardcodec/storedvalue.cpp
@@ -80,6 +80,7 @@
     message.set_peer_address(registration.peerAddress_);
     message.set_leaving(registration.leaving_);
     message.set_capacity(registration.capacity_);
+    message.set_handover_address(registration.handoverAddress_);
     return message.SerializeAsString();
 }
 
@@ -157,9 +158,10 @@
 
 Registration fromProto(const stored::Registration &message)
 {
-    return Registration {HostId {message.host()}, HolderId {message.holder()},
-                         ZoneId {message.zone()}, message.peer_address(),
-                         message.leaving(),       message.capacity()};
+    return Registration {HostId {message.host()},   HolderId {message.holder()},
+                         ZoneId {message.zone()},   message.peer_address(),
+                         message.leaving(),         message.capacity(),
+                         message.handover_address()};
 }
 
 PlacementLease fromProto(const stored::PlacementLease &message)
--- a/src/core/presence.h
+++ b/src/core/presence.h
@@ -20,6 +20,8 @@
     bool leaving_ = false;
     /// Number of daemons in the fleet, including the sender, as far as it knows.
     std::uint32_t daemons_ = 1;
+    /// The sender can serve no request now, for example because it reaches no instance.
+    bool unable_ = false;
 };
 
 } // namespace tamarack
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -70,6 +70,8 @@
     ExchangeId id_;
     std::uint32_t attempt_ = 0;
     MonoTime at_ {};
+    /// The attempt has opened a connection to the instance.
+    bool connected_ = false;
 };
 
 /// @brief An attempt ended without a command from the control thread.
@@ -88,6 +90,10 @@
     std::uint32_t begunBy_ = 0;
     /// No connection was tried, because this daemon has as many to the upstream as it may.
     bool connectionsUsed_ = false;
+    /// The attempt has opened a connection to the instance.
+    bool connected_ = false;
+    /// The daemon that the request was handed to can serve no request now.
+    bool peerUnable_ = false;
     /// Error description for the log.
     std::string detail_;
 };
@@ -266,6 +272,13 @@
     StreamOriginReply reply_;
 };
 
+/// @brief Outcome of ProbeInstance.
+struct InstanceProbed
+{
+    UpstreamId instance_;
+    bool connected_ = false;
+};
+
 /// @brief This machine was suspended for some time, which its steady clock has not counted.
 struct MachineResumed
 { };
@@ -301,7 +314,7 @@
     PresenceRequestReceived, PresenceReplyReceived, DocumentsRequestReceived,
     DocumentsReplyReceived, FeedAvailabilityChanged, ConfigFeedReplied, StoreEraNoticed,
     StoreReplied, RelayStopRequested, ClientsClosed, StreamBeganReceived,
-    StreamOriginRequestReceived, StreamOriginReplyReceived, MachineResumed>;
+    StreamOriginRequestReceived, StreamOriginReplyReceived, InstanceProbed, MachineResumed>;
 
 /// @brief Sends a request to an instance. Replaces the previous attempt of the request.
 struct SendAttempt
@@ -326,6 +339,21 @@
     /// Software version of the expected process. A stream that another one began must not continue
     /// there.
     SoftwareVersion version_ {};
+    /// The address is that of another daemon, which takes the request over. It gets what the client
+    /// sent.
+    bool toPeer_ = false;
+    /// Attempts that may have run, for the other daemon.
+    std::uint32_t attemptsUsed_ = 0;
+};
+
+/// @brief Opens a connection to an instance, which is kept for later requests.
+struct ProbeInstance
+{
+    UpstreamId instance_;
+    std::string address_;
+    WallTime startedAt_ {};
+    std::uint32_t maxConnections_ = 1;
+    Millis connectTimeout_ {};
 };
 
 /// @brief Sends a response that this daemon generates.
@@ -337,6 +365,8 @@
     std::string reason_;
     /// Urgency of the request, for the metrics.
     int urgency_ = 0;
+    /// This daemon can serve no request now. Told to a daemon that hands one over.
+    bool unable_ = false;
 };
 
 /// @brief Forwards the upstream's failure response that was held back.
@@ -415,9 +445,9 @@
 { };
 
 using RelayCommand
-    = std::variant<SendAttempt, RespondToClient, ForwardFailure, AbortResponse, ApplyLimits,
-                   RequestPeerDocuments, PublishLoads, PublishVersions, SetFollowsStore,
-                   SetStoreContact, SetReady, SetKeepAlive, CloseIdleConnections, CloseClients,
-                   SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
+    = std::variant<SendAttempt, ProbeInstance, RespondToClient, ForwardFailure, AbortResponse,
+                   ApplyLimits, RequestPeerDocuments, PublishLoads, PublishVersions,
+                   SetFollowsStore, SetStoreContact, SetReady, SetKeepAlive, CloseIdleConnections,
+                   CloseClients, SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
 
 } // namespace tamarack
--- a/src/core/relay/fleet.cpp
+++ b/src/core/relay/fleet.cpp
@@ -27,7 +27,8 @@
         if (host == self || registration.peerAddress_.empty())
             continue;
         counted.peers_.push_back(PeerAddress {host, registration.zone_, registration.peerAddress_,
-                                              registration.capacity_});
+                                              registration.capacity_,
+                                              registration.handoverAddress_});
         counted.holders_[host] = registration.holder_;
     }
     const auto own = newest.find(self);
--- a/src/core/relay/peerranking.h
+++ b/src/core/relay/peerranking.h
@@ -21,6 +21,8 @@
     std::string address_;
     /// Processing capacity in thousandths of a processor core; 0 if unknown.
     std::uint32_t capacity_ = 0;
+    /// "IP:port" at which it takes over requests; empty if it takes over none.
+    std::string handoverAddress_ {};
 };
 
 /// @brief Daemons that are left out of a choice, and when that ends.
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -116,7 +116,7 @@
     // An attempt that did not run doesn't count against the route's maximum, but it allows only one
     // additional attempt.
     const std::uint32_t allowed = active.route_->maxAttempts_ + (notRun ? 1 : 0);
-    if (active.attempts_ >= allowed)
+    if (active.attempts_ + active.request_.attemptsUsed_ >= allowed)
         return "attempts_used";
     if (active.deadline_ - now < state.settings_.minRetryTime_)
         return "no_time_left";
@@ -126,6 +126,28 @@
     return std::nullopt;
 }
 
+void recordInstanceOutcome(RelayState &state, RelayedRequest &active, InstanceOutcome outcome,
+                           MonoTime now)
+{
+    if (std::exchange(active.outcomeRecorded_, true))
+        return;
+    const bool givenUp = outcome == InstanceOutcome::Failed || outcome == InstanceOutcome::Neutral;
+    if (givenUp && !active.outputStarted_)
+        recordNoOutput(state.choice_, state.settings_.choice_, *active.choice_,
+                       now - active.sentAt_, engineObjective(active), now);
+    recordEnded(state.choice_, state.settings_.choice_, *active.choice_, outcome,
+                active.outputStarted_, now);
+}
+
+void retryOnOtherInstance(RelayState &state, RelayedRequest &active, MonoTime now,
+                          RelayCommands &out)
+{
+    active.stage_ = RelayStage::Sent;
+    dispatch(state, active, now, out);
+}
+
+} // namespace
+
 void failRequest(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
                  MonoTime now, RelayCommands &out)
 {
@@ -148,28 +170,22 @@
     refuse(state, active, statusBadGateway, "upstream_" + code, now, out);
 }
 
-void recordInstanceOutcome(RelayState &state, RelayedRequest &active, InstanceOutcome outcome,
-                           MonoTime now)
+std::optional<std::string> resendDenialReason(RelayState &state, const RelayedRequest &active,
+                                              MonoTime now)
 {
-    if (std::exchange(active.outcomeRecorded_, true))
-        return;
-    const bool givenUp = outcome == InstanceOutcome::Failed || outcome == InstanceOutcome::Neutral;
-    if (givenUp && !active.outputStarted_)
-        recordNoOutput(state.choice_, state.settings_.choice_, *active.choice_,
-                       now - active.sentAt_, engineObjective(active), now);
-    recordEnded(state.choice_, state.settings_.choice_, *active.choice_, outcome,
-                active.outputStarted_, now);
-}
-
-void retryOnOtherInstance(RelayState &state, RelayedRequest &active, MonoTime now,
-                          RelayCommands &out)
-{
-    active.stage_ = RelayStage::Sent;
-    dispatch(state, active, now, out);
+    if (active.route_->retryPolicy_ == RetryPolicy::AtMostOnce)
+        return "runs_once";
+    if (active.events_ > 0 && !active.route_->resumable_)
+        return "answer_began";
+    if (active.attemptsUsed_ + active.request_.attemptsUsed_ >= active.route_->maxAttempts_)
+        return "attempts_used";
+    if (active.deadline_ - now < state.settings_.minRetryTime_)
+        return "no_time_left";
+    if (!consumeRetryIfAllowed(state, active, now))
+        return "retry_budget";
+    return std::nullopt;
 }
 
-} // namespace
-
 RetrySettings retrySettings(const RelayState &state)
 {
     const SharedRetryLimit &limit = state.settings_.retries_;
@@ -191,9 +207,16 @@
 {
     active.attemptRunning_ = false;
     active.events_ = std::max(active.events_, ended.events_);
+    if (active.peer_) {
+        onPeerAttemptEnded(state, active, ended, now, out);
+        return;
+    }
+    recordReachability(state, active, ended, now, out);
     recordStreamBegan(state, active, ended.begunBy_, now, out);
-    if (!provesNotExecuted(ended.end_))
+    if (!provesNotExecuted(ended.end_)) {
         active.mayHaveRun_ = true;
+        ++active.attemptsUsed_;
+    }
     recordInstanceOutcome(state, active, outcomeOf(ended), now);
     recordAttemptForCold(state, active, ended, now);
     const bool mayCrash = recordAttemptForQuarantine(state, active, ended, now, out);
@@ -219,6 +242,12 @@
                        {"request_hash", fmt::format("{:016x}", active.identity_.value_)}});
     fields.push_back({"repeat", reason ? "no:" + *reason : "yes"});
     logLine(out, LogLevel::Warning, "request.attempt_failed", std::move(fields));
+    // A request that no instance has received may be handed over, also if it is not sent again
+    // here.
+    const bool handsOver = ended.end_ == AttemptEnd::NotSent && !ended.connectionsUsed_
+        && mayBeCutOff(state.reachability_, state.settings_.reachability_, now);
+    if (handsOver && handOver(state, active, now, out))
+        return;
     if (reason)
         failRequest(state, active, ended, now, out);
     else
@@ -231,8 +260,12 @@
     active.mayHaveRun_ = true;
     active.outputUnknown_ = active.outputStarted_;
     const bool failed = !active.outputStarted_ && now >= active.deadline_;
-    recordInstanceOutcome(state, active,
-                          failed ? InstanceOutcome::Failed : InstanceOutcome::Neutral, now);
+    if (active.peer_)
+        recordTakeoverEnd(state.takeovers_, state.settings_.takeovers_, *active.peer_,
+                          TakeoverOutcome::Unknown, now);
+    else
+        recordInstanceOutcome(state, active,
+                              failed ? InstanceOutcome::Failed : InstanceOutcome::Neutral, now);
     if (active.outputStarted_ || active.events_ > 0) {
         out.emplace_back(AbortResponse {active.request_.id_});
         finish(state, active, "cut " + reason, now, out);
@@ -277,6 +310,7 @@
     timedOut.detail_ = "silent";
     if (!active.outputStarted_ && !retryDenialReason(state, active, timedOut, false, now)) {
         active.mayHaveRun_ = true;
+        ++active.attemptsUsed_;
         recordInstanceOutcome(state, active, InstanceOutcome::Failed, now);
         retryOnOtherInstance(state, active, now, out);
     }
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -68,7 +68,7 @@
     active.deadline_
         = event.request_.arrivedAt_ + event.request_.clientTimeout_.value_or(Millis {Seconds {60}});
     if (!state.config_) {
-        refuse(state, active, statusServiceUnavailable, "no_configuration", now, out);
+        refuseUnable(state, active, "no_configuration", now, out);
         return;
     }
     if (const int status = checkAccess(active)) {
@@ -86,11 +86,15 @@
             = std::min(active.deadline_, event.request_.arrivedAt_ + active.route_->timeout_);
     if (mayOutlastStop(state, active)) {
         // It has not run, so another daemon can serve it.
-        refuse(state, active, statusServiceUnavailable, "stopping", now, out);
+        refuseUnable(state, active, "stopping", now, out);
         return;
     }
     active.identity_ = requestIdentity(active);
-    creditRetryBudget(state, active, now);
+    // The daemon that takes a request over credits it.
+    if (!state.reachability_.isCutOff_)
+        creditRetryBudget(state, active, now);
+    if (active.request_.handedOver_)
+        ++state.takeovers_.takenOver_;
     admit(state, active, now, out);
 }
 
@@ -109,6 +113,12 @@
         active.firstOutputAt_ = event.at_;
     active.stageDeadline_.reset();
     rescheduleTimer(state, active);
+    if (active.peer_) {
+        active.beganAtPeer_ = isResumable(active);
+        return;
+    }
+    if (event.connected_)
+        recordInstanceReached(state, active.sentAt_, now, out);
     recordStreamBegan(state, active, event.attempt_, now, out);
     recordFirstOutput(state.choice_, state.settings_.choice_, *active.choice_,
                       event.at_ - active.sentAt_, engineObjective(active), now);
@@ -128,7 +138,8 @@
         // The request waits for an instance or a permit to be sent again.
         if (it->second.attempts_ == event.attempt_) {
             it->second.attemptRunning_ = false;
-            recordAttemptForCold(state, it->second, event, now);
+            if (!it->second.peer_)
+                recordAttemptForCold(state, it->second, event, now);
         }
         return;
     }
@@ -409,6 +420,7 @@
     advanceStop(state, now, out);
     startCalls(state, now, out);
     runVersions(state, now, out);
+    runReachability(state, now, out);
     sendLoanMessages(state, out);
     return out;
 }
@@ -426,6 +438,7 @@
     takeEarlier(next, nextEvacuationTime(state.evacuations_));
     takeEarlier(next, nextColdTime(state));
     takeEarlier(next, nextFleetTime(state.members_));
+    takeEarlier(next, state.reachability_.nextProbeAt_);
     takeEarlier(next,
                 nextVersionCall(state.versions_, state.settings_.versions_, state.followsStore_));
     if (state.stopRequestedAt_ && !state.stopCompleted_) {
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -16,9 +16,11 @@
 #include "core/relay/overload.h"
 #include "core/relay/prepaid.h"
 #include "core/relay/quarantine.h"
+#include "core/relay/reachability.h"
 #include "core/relay/request.h"
 #include "core/relay/servedversions.h"
 #include "core/relay/streamorigins.h"
+#include "core/relay/takeovers.h"
 #include "core/retrybudget.h"
 #include "core/time.h"
 
@@ -62,6 +64,8 @@
     /// instances, and balance by it; 0 if they never do.
     std::uint32_t shareLoadFrom_ = 0;
     ColdPermitSettings cold_;
+    ReachabilitySettings reachability_;
+    TakeoverSettings takeovers_;
     StreamOriginSettings origins_;
     ServedVersionSettings versions_;
     /// How long after the start of a process its entry may be known here, beside an outage of the
@@ -186,6 +190,14 @@
     std::set<HostId> originAsked_;
     /// Other daemons were told where the stream began.
     bool streamTold_ = false;
+    /// The daemon that the last attempt was handed to.
+    std::optional<HostId> peer_;
+    std::set<HostId> triedPeers_;
+    /// The stream began at another daemon's instance, so only a daemon that finds out which one it
+    /// was may continue it.
+    bool beganAtPeer_ = false;
+    /// Attempts that may have run.
+    std::uint32_t attemptsUsed_ = 0;
     MonoTime sentAt_ {};
     /// When the process that the request was sent to had started.
     WallTime instanceStartedAt_ {};
@@ -242,6 +254,8 @@
     std::uint64_t evacuationSkips_ = 0;
     ColdInstances cold_;
     ColdPermits coldPermits_;
+    Reachability reachability_;
+    Takeovers takeovers_;
     StreamOrigins origins_;
     ServedVersions versions_;
     MonoTime versionsNotedAt_ {};
--- a/src/core/relay/relayfleet.cpp
+++ b/src/core/relay/relayfleet.cpp
@@ -83,14 +83,16 @@
 
 void onEvent(RelayState &state, const PresenceRequestReceived &event, MonoTime, RelayCommands &out)
 {
-    out.emplace_back(
-        SendPeer {event.from_, event.request_.replyAddress_,
-                  PresenceReply {state.stopRequestedAt_.has_value(), state.fleet_.daemons_}});
+    out.emplace_back(SendPeer {event.from_, event.request_.replyAddress_,
+                               PresenceReply {state.stopRequestedAt_.has_value(),
+                                              state.fleet_.daemons_, isUnable(state)}});
 }
 
 void onEvent(RelayState &state, const PresenceReplyReceived &event, MonoTime now,
              RelayCommands &out)
 {
+    recordAbility(state.takeovers_, state.settings_.takeovers_, event.from_, event.reply_.unable_,
+                  now);
     const std::uint32_t reported = state.members_.reportedDaemons_;
     const bool changed
         = recordPresence(state.members_, state.settings_.members_, event.from_, event.reply_, now);
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -52,6 +52,53 @@
 void refuseForGood(RelayState &state, RelayedRequest &active, const std::string &reason,
                    MonoTime now, RelayCommands &out);
 
+// Requests that other daemons take over, in relaytakeovers.cpp.
+
+/// @brief Returns true if this daemon can serve no request.
+bool isUnable(const RelayState &state);
+
+/// @brief Hands a request to another daemon.
+/// @return false if there is none that may take it over
+bool handOver(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
+
+/// @brief Hands a request over if this host is cut off from all instances, or refuses it at once if
+/// no other daemon takes it over.
+/// @return false if the request may be sent to an instance
+bool handOverIfCutOff(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
+
+/// @brief Handles the end of an attempt that was handed to another daemon.
+void onPeerAttemptEnded(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
+                        MonoTime now, RelayCommands &out);
+
+/// @brief Records what an attempt shows of the connections of this host to the instances.
+void recordReachability(RelayState &state, const RelayedRequest &active,
+                        const RelayAttemptEnded &ended, MonoTime now, RelayCommands &out);
+
+/// @brief Records that a connection to an instance was opened.
+/// @param since when it was begun
+void recordInstanceReached(RelayState &state, MonoTime since, MonoTime now, RelayCommands &out);
+
+/// @brief Refuses a request at once because this daemon can serve none.
+void refuseUnable(RelayState &state, RelayedRequest &active, const std::string &reason,
+                  MonoTime now, RelayCommands &out);
+
+/// @brief Probes instances while this host is cut off.
+void runReachability(RelayState &state, MonoTime now, RelayCommands &out);
+
+void onEvent(RelayState &state, const InstanceProbed &event, MonoTime now, RelayCommands &out);
+
+/// @brief Returns the number of connections that this daemon may open to an instance of a service.
+std::uint32_t connectionsPerInstance(const RelayState &state, const RelayService &service);
+
+/// @brief Returns the reason why a request is not sent again after an attempt that may have run, or
+/// std::nullopt if it may be. Consumes a retry then.
+std::optional<std::string> resendDenialReason(RelayState &state, const RelayedRequest &active,
+                                              MonoTime now);
+
+/// @brief Ends a request whose last attempt has failed.
+void failRequest(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
+                 MonoTime now, RelayCommands &out);
+
 // Streams that continue at another instance, in relaystreams.cpp.
 
 /// @brief Returns true if the response is a stream that may continue at another instance.
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -66,6 +66,8 @@
     return std::max(part(maxDelay, 1.0 - share), Millis {0});
 }
 
+} // namespace
+
 std::uint32_t connectionsPerInstance(const RelayState &state, const RelayService &service)
 {
     const double share = service.maxConnections_ * state.settings_.connectionShare_
@@ -73,8 +75,6 @@
     return std::max(static_cast<std::uint32_t>(share), 1U);
 }
 
-} // namespace
-
 std::optional<Placement> chooseAcrossServices(const RelayState &state, const RelayedRequest &active,
                                               const std::set<ZoneId> &zones, bool acceptsLongWait,
                                               MonoTime now)
@@ -119,6 +119,9 @@
     }
     if (refuseWithoutZone(state, active, now, out) || endWithoutOrigin(state, active, now, out))
         return;
+    if (mayBeCutOff(state.reachability_, state.settings_.reachability_, now)
+        && handOver(state, active, now, out))
+        return;
     const PreciseMicros wait
         = PreciseMicros {active.route_->latencyObjective_} * state.settings_.instanceWaitShare_;
     const MonoTime waitEnd = active.request_.arrivedAt_ + std::chrono::duration_cast<Micros>(wait);
@@ -157,6 +160,7 @@
 {
     const Choice &choice = placement.choice_;
     active.stage_ = RelayStage::Sent;
+    active.peer_.reset();
     active.choice_ = choice;
     active.service_ = placement.service_->id_;
     const Instance &instance = state.directory_.known_.at(choice.instance_).instance_;
@@ -242,6 +246,20 @@
     finish(state, active, fmt::format("{} {}", status, reason), now, out);
 }
 
+void refuseUnable(RelayState &state, RelayedRequest &active, const std::string &reason,
+                  MonoTime now, RelayCommands &out)
+{
+    if (active.mayHaveRun_ || active.events_ > 0) {
+        failWithoutInstance(state, active, reason, std::nullopt, now, out);
+        return;
+    }
+    RespondToClient response {active.request_.id_, statusServiceUnavailable,
+                              retryAfterDelay(state, active, false, now), reason, active.urgency_};
+    response.unable_ = true;
+    out.emplace_back(std::move(response));
+    finish(state, active, fmt::format("{} {}", statusServiceUnavailable, reason), now, out);
+}
+
 void refuseForGood(RelayState &state, RelayedRequest &active, const std::string &reason,
                    MonoTime now, RelayCommands &out)
 {
@@ -297,6 +315,8 @@
     if (refuseIfQuarantined(state, active, now, out))
         return;
     active.awaitedPermit_.reset();
+    if (handOverIfCutOff(state, active, now, out))
+        return;
     // Work was already done for a request that is sent again, and for a stream that has begun.
     const bool acceptsLongWait = active.attempts_ > 0 || active.origin_;
     countEvacuationSkip(state, active, now);
--- a/src/core/relay/relaystreams.cpp
+++ b/src/core/relay/relaystreams.cpp
@@ -155,8 +155,8 @@
                   RelayCommands &out)
 {
     for (auto &[exchange, active] : state.active_) {
-        const bool isConcerned = isResumable(active) && active.attemptRunning_ && active.choice_
-            && active.choice_->instance_ == id && active.sentAt_ >= since;
+        const bool isConcerned = isResumable(active) && active.attemptRunning_ && !active.peer_
+            && active.choice_ && active.choice_->instance_ == id && active.sentAt_ >= since;
         if (!isConcerned)
             continue;
         ServedVersion &sentTo = active.attemptVersions_[active.attempts_];
--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -178,7 +178,7 @@
 {
     // Before it waits for tokens.
     if (refuseIfQuarantined(state, active, now, out) || refuseWithoutZone(state, active, now, out)
-        || !findStreamOrigin(state, active, now, out))
+        || handOverIfCutOff(state, active, now, out) || !findStreamOrigin(state, active, now, out))
         return;
     reserveAndDispatch(state, active, now, out);
 }
--- a/src/core/relay/request.h
+++ b/src/core/relay/request.h
@@ -55,6 +55,10 @@
     std::size_t bodyBytes_ = 0;
     /// Hash of the method, host, path and body; the same at all daemons.
     std::uint64_t contentHash_ = 0;
+    /// Another daemon handed the request over, because it reaches no instance.
+    bool handedOver_ = false;
+    /// Attempts of that daemon that may have run.
+    std::uint32_t attemptsUsed_ = 0;
     /// When the first byte of the request arrived.
     MonoTime arrivedAt_ {};
     /// How long the client waits, counted from arrivedAt_.
--- a/src/core/relay/responseclass.cpp
+++ b/src/core/relay/responseclass.cpp
@@ -32,4 +32,18 @@
     return isOwnResponse && !isRefusal ? ResponseClass::Deliver : ResponseClass::UpstreamFailure;
 }
 
+ResponseClass classifyPeerResponse(const ResponseHead &head, const RequestId &request)
+{
+    if (head.echoedRequest_ && *head.echoedRequest_ != request)
+        return ResponseClass::OtherRequest;
+    if (!head.echoedRequest_ && head.connectionReused_)
+        return ResponseClass::Malformed;
+    const bool isSuccess = head.status_ >= 200 && head.status_ < 300;
+    if (isSuccess && (!head.signed_ || !head.echoedRequest_ || head.contentEncoded_))
+        return ResponseClass::Malformed;
+    const bool isRefusal = head.status_ == 408 || head.status_ == statusMisdirected
+        || head.status_ == 429 || head.status_ == 503;
+    return isRefusal ? ResponseClass::UpstreamFailure : ResponseClass::Deliver;
+}
+
 } // namespace tamarack
--- a/src/core/relay/responseclass.h
+++ b/src/core/relay/responseclass.h
@@ -41,4 +41,9 @@
 /// @brief Classifies the head of a response to @a request.
 ResponseClass classifyResponse(const ResponseHead &head, const RequestId &request);
 
+/// @brief Classifies the head of another daemon's response to a request that it was handed. What it
+/// says to a client is passed on, its own refusals only if no other daemon takes the request over.
+/// @return UpstreamFailure for a refusal by which the request has not run and never will
+ResponseClass classifyPeerResponse(const ResponseHead &head, const RequestId &request);
+
 } // namespace tamarack
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -42,6 +42,8 @@
     bool leaving_ = false;
     /// Processing capacity of the host in thousandths of a processor core; 0 if unknown.
     std::uint32_t capacity_ = 0;
+    /// "IP:port" at which the daemon takes over requests of others; empty if it takes over none.
+    std::string handoverAddress_ {};
 };
 
 /// @brief Names the holder that may send placement orders to upstreams. The creation revision of
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -57,6 +57,11 @@
     std::uint64_t evacuationSkips_ = 0;
     std::size_t coldInstances_ = 0;
     ResumedStreamCounts resumedStreams_ {};
+    /// This host reaches no instance.
+    bool isCutOff_ = false;
+    /// Requests since the start that other daemons were given, and that this one took over.
+    std::uint64_t handedOver_ = 0;
+    std::uint64_t takenOver_ = 0;
     std::uint64_t droppedLogLines_ = 0;
     /// Smoothed time that events wait for the control thread.
     PreciseMicros eventDelay_ {};
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -79,6 +79,7 @@
     FrontendSettings frontend;
     frontend.clientAddress_ = settings.clientAddress_;
     frontend.localAddress_ = settings.localAddress_;
+    frontend.handoverAddress_ = settings.handoverAddress_;
     frontend.headers_ = platform.headers_;
     // Every client that waits for a response has a connection to an upstream.
     frontend.maxClients_ = (settings.maxFileDescriptors_ - reservedDescriptors) / 2;
@@ -334,7 +335,8 @@
                                        relay.settings_.zone_,
                                        relay.settings_.peerAddress_,
                                        false,
-                                       relayControlSettings(relay.settings_).capacity_};
+                                       relayControlSettings(relay.settings_).capacity_,
+                                       relay.settings_.handoverAddress_};
     registration.store_ = relay.store_;
     registration.events_ = storeEvents(relay.queue_, relay.settings_);
     registration.log_ = relay.log_;
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -51,6 +51,9 @@
     gauges.evacuationSkips_ = state.evacuationSkips_;
     gauges.coldInstances_ = coldCount(state.cold_);
     gauges.resumedStreams_ = state.resumedStreams_;
+    gauges.isCutOff_ = state.reachability_.isCutOff_;
+    gauges.handedOver_ = state.takeovers_.handedOver_;
+    gauges.takenOver_ = state.takeovers_.takenOver_;
     gauges.droppedLogLines_ = loop.droppedLogLines_();
     gauges.eventDelay_ = state.overload_.delay_;
     gauges.linkUse_ = state.overload_.linkUse_;
--- a/tests/contract-peers.cpp
+++ b/tests/contract-peers.cpp
@@ -160,7 +160,7 @@
         StreamOriginReply {
             StreamKey {77}, OriginKnowledge::Known, {ServiceId {"s"}, SoftwareVersion {"v1"}}},
         PresenceRequest {"10.0.0.1:7340"},
-        PresenceReply {true, 8},
+        PresenceReply {true, 8, true},
         GrantReport {entry,
                      StoreEra {3},
                      {ReportedGrant {BudgetId {"b"}, Tokens {9}, Tokens {4}, Tokens {2}},
