TCP_KEEPCNT goes where TCP_USER_TIMEOUT decides when probes give up

The front end's connections and those of the JSON client set both, and comments said that three, or two, unanswered probes close a connection. The connections of adapters/httpclient set no TCP_USER_TIMEOUT and keep their count. ZeroMQ and POCO set none by themselves (zmq_setsockopt(3), ZMQ_TCP_MAXRT; POCO has no such call). No behaviour changes.

--- a/src/adapters/jsonhttp/jsonclient.cpp
+++ b/src/adapters/jsonhttp/jsonclient.cpp
@@ -23,11 +23,11 @@
 constexpr std::size_t maxIdleConnections = 8;
 constexpr std::size_t maxResponseBytes = std::size_t {64} << 20U;
 
-/// Keep-alive probes find a connection that lost its path within about 3 s, also while the service
-/// delays its response. Unacknowledged data fails it after the same time.
+/// Keep-alive probes find a connection that lost its path, also while the service delays its
+/// response. TCP_USER_TIMEOUT closes it, for unanswered probes and for unacknowledged data alike;
+/// TCP_KEEPCNT would have no effect beside it.
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbes = 2;
 constexpr int unacknowledgedMillis = 3000;
 
 void enableKeepAlive(Poco::Net::StreamSocket &socket)
@@ -35,7 +35,6 @@
     socket.setKeepAlive(true);
     socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
     socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMillis);
 }
 
--- a/src/adapters/relayhttp/sockets.cpp
+++ b/src/adapters/relayhttp/sockets.cpp
@@ -20,10 +20,10 @@
 
 constexpr std::size_t receiveBufferBytes = 16U << 10U;
 
-/// The kernel closes a silent connection after three unanswered keepalive probes, one per second.
+/// A silent connection is probed once per second. TCP_USER_TIMEOUT decides when unanswered probes
+/// close it, whatever their number, so TCP_KEEPCNT would have no effect.
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbes = 3;
 
 std::optional<sockaddr_in> parseAddress(const std::string &text)
 {
@@ -182,7 +182,6 @@
     setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
-    setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
 } // namespace tamarack::frontend
