All daemons together send an instance that may refuse only few requests no more than it has slots for

An instance may say in all its responses that it fails if it has to turn more than N requests away in a second (LIMIT). Nothing read this, so daemons filled its queue and had requests refused there until it failed.

Change: each daemon keeps to its share of the slots, and after a refusal sends nothing until its share of the next one is due. The limit that an instance states on requests per second is another one: it needs permits, because it bounds what is sent and not what is refused.

--- a/src/adapters/relayhttp/frontend.h
+++ b/src/adapters/relayhttp/frontend.h
@@ -68,7 +68,8 @@
     /// After the last response, input is read and discarded for this long: closing a socket with
     /// unread input sends a reset, which can destroy a response that the client has not read yet.
     Millis lingerTimeout_ {1000};
-    /// TCP_USER_TIMEOUT: time without acknowledgement after which the kernel closes a connection.
+    /// TCP_USER_TIMEOUT: time without acknowledgement, also of keep-alive probes, after which the
+    /// kernel closes a connection.
     Millis tcpUserTimeout_ {2500};
     /// A pooled connection is reused up to this fraction of the upstream's keep-alive timeout.
     double idleReuseFraction_ = 0.5;
--- a/src/adapters/relayhttp/headernames.h
+++ b/src/adapters/relayhttp/headernames.h
@@ -36,6 +36,8 @@
     std::string requestLimit_ = "X-Request-Limit";
     /// "1" if the instance is about to stop.
     std::string leaving_ = "X-Leaving";
+    /// Refusals per second for want of room above which an instance fails.
+    std::string maxRefusals_ = "X-Max-Refusals";
     /// Time in milliseconds for which an instance stays cold.
     std::string coldRemaining_ = "X-Cold-Ms";
     /// Urgency of a request at an engine, from 0 (most urgent) to 9, set by the relay.
--- a/src/adapters/relayhttp/responses.cpp
+++ b/src/adapters/relayhttp/responses.cpp
@@ -121,6 +121,7 @@
     constexpr double maxColdMs = 86'400'000.0;
     InstanceNotice notice;
     notice.requestLimit_ = decimalField(head, names.requestLimit_);
+    notice.maxRefusals_ = decimalField(head, names.maxRefusals_);
     notice.leaving_ = findField(head.headers_, names.leaving_) == "1";
     const double coldMs = decimalField(head, names.coldRemaining_).value_or(0.0);
     if (coldMs > 0.0)
--- a/src/core/relay/instancenotice.h
+++ b/src/core/relay/instancenotice.h
@@ -18,6 +18,10 @@
     std::optional<Millis> retryAfter_;
     /// The instance stays cold for this long.
     std::optional<Millis> coldRemaining_ {};
+    /// The instance fails if it has to refuse more than this many requests in a second, of all
+    /// daemons together, because it has no room. Applies until a response doesn't state it any
+    /// more.
+    std::optional<double> maxRefusals_ {};
 
     bool operator==(const InstanceNotice &) const = default;
 };
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -218,6 +218,8 @@
         ++active.attemptsUsed_;
     }
     recordInstanceOutcome(state, active, outcomeOf(ended), now);
+    if (ended.end_ == AttemptEnd::NotExecuted)
+        pauseBrittle(state, active.choice_->instance_, now);
     recordAttemptForCold(state, active, ended, now);
     const bool mayCrash = recordAttemptForQuarantine(state, active, ended, now, out);
     if (ended.end_ == AttemptEnd::Delivered) {
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -99,6 +99,9 @@
     /// Region of each availability zone.
     std::map<ZoneId, RegionId> regions_;
     Millis connectTimeout_ {300};
+    /// Longest time without requests to an instance that may refuse only few, after it has refused
+    /// one.
+    Millis maxBrittlePause_ {4000};
     /// Fraction of the latency objective for which a request waits for tokens while the ledger is
     /// available.
     double tokenWaitShare_ = 0.5;
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -270,6 +270,10 @@
 std::set<UpstreamId> excludedInstances(const RelayState &state, const RelayedRequest &active,
                                        MonoTime now);
 
+/// @brief Records that an instance refused a request for want of room. One that may refuse only few
+/// gets no request until this daemon's share of them is available again.
+void pauseBrittle(RelayState &state, const UpstreamId &id, MonoTime now);
+
 /// @brief Returns when the first instance accepts a request again, of those that have said when or
 /// for which a permit was denied.
 /// @note O(instances)
--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -1,5 +1,6 @@
 // Requests to instances that state something about themselves: permits for those with a request
 // limit.
+#include "core/hash.h"
 #include "core/relay/relayinternal.h"
 
 #include <fmt/format.h>
@@ -105,6 +106,36 @@
     });
 }
 
+/// Returns how many requests this daemon may have at an instance that fails if it has to refuse too
+/// many, so that all daemons together send it no more than it has slots for.
+std::uint32_t brittleShare(const RelayState &state, const Instance &instance)
+{
+    const std::uint32_t daemons = std::max(state.fleet_.daemons_, 1U);
+    if (instance.slots_ >= daemons)
+        return instance.slots_ / daemons;
+    // One request each for the daemons that come first in rank.
+    const std::uint64_t own = rendezvousWeight(instance.id_.value_, state.settings_.host_.value_);
+    const auto before = std::count_if(
+        state.fleet_.peers_.begin(), state.fleet_.peers_.end(), [&](const PeerAddress &peer) {
+            return rendezvousWeight(instance.id_.value_, peer.host_.value_) > own;
+        });
+    return before < static_cast<std::ptrdiff_t>(instance.slots_) ? 1 : 0;
+}
+
+/// Adds the instances that may refuse only few requests, and have as many of this daemon as they
+/// may.
+void addFullBrittle(const RelayState &state, std::set<UpstreamId> &instances)
+{
+    for (const auto &[id, record] : state.choice_.instanceStats_) {
+        if (!record.notice_.maxRefusals_)
+            continue;
+        const auto known = state.directory_.known_.find(id);
+        if (known != state.directory_.known_.end()
+            && record.running_ >= brittleShare(state, known->second.instance_))
+            instances.insert(id);
+    }
+}
+
 std::set<UpstreamId> excludedInstances(const RelayState &state, const RelayedRequest &active,
                                        MonoTime now)
 {
@@ -117,6 +148,7 @@
         if (until > now)
             excluded.insert(id);
     }
+    addFullBrittle(state, excluded);
     if (active.permitRequests_ < state.settings_.maxPermitRequests_)
         return excluded;
     for (const auto &[id, record] : state.cold_.records_) {
@@ -162,6 +194,22 @@
     return next;
 }
 
+void pauseBrittle(RelayState &state, const UpstreamId &id, MonoTime now)
+{
+    const auto record = state.choice_.instanceStats_.find(id);
+    if (record == state.choice_.instanceStats_.end() || !record->second.notice_.maxRefusals_)
+        return;
+    const double daemons = std::max(state.fleet_.daemons_, 1U);
+    const double perSecond = *record->second.notice_.maxRefusals_ / daemons;
+    const std::chrono::duration<double> longest = state.settings_.maxBrittlePause_;
+    const auto pause = perSecond > 0.0
+        ? std::min(std::chrono::duration<double>(1.0 / perSecond), longest)
+        : longest;
+    InstanceStats &stats = record->second;
+    stats.ejectedUntil_
+        = std::max(stats.ejectedUntil_, now + std::chrono::duration_cast<Micros>(pause));
+}
+
 PermitStatus obtainPermit(RelayState &state, RelayedRequest &active, const Placement &placement,
                           MonoTime now, RelayCommands &out)
 {
@@ -272,6 +320,8 @@
                 {{"upstream", event.instance_.value_},
                  {"request_limit",
                   notice.requestLimit_ ? fmt::format("{:.3f}", *notice.requestLimit_) : "none"},
+                 {"max_refusals",
+                  notice.maxRefusals_ ? fmt::format("{:.3f}", *notice.maxRefusals_) : "none"},
                  {"leaving", notice.leaving_ ? "yes" : "no"},
                  {"retry_after_ms",
                   notice.retryAfter_ ? std::to_string(notice.retryAfter_->count()) : "none"}});
--- a/tests/contract-relayfront.cpp
+++ b/tests/contract-relayfront.cpp
@@ -161,6 +161,10 @@
          std::nullopt},
         {"time to come back after a success", responseTo("r1", "Retry-After: 1\r\n" + complete),
          std::nullopt},
+        {"number of refusals", responseTo("r1", "X-Max-Refusals: 3\r\n" + complete),
+         InstanceNotice {std::nullopt, false, std::nullopt, std::nullopt, 3.0}},
+        {"negative number of refusals", responseTo("r1", "X-Max-Refusals: -3\r\n" + complete),
+         std::nullopt},
         {"another instance", "HTTP/1.1 421 M\r\nX-Leaving: 1\r\n" + complete, std::nullopt},
     };
     for (const Case &c : cases) {
