tamarackd resumes a stream only at engines of the software version that began it

Engines of one bundle may run several software versions, and the bundle didn't say so: by reading, a stream that was interrupted could resume at any engine of its model. An upstream may name its softwareVersion now, and a repeat after output goes to the same one only.

The new section of unit-control adopts a bundle with three engines of each version; without the change a stream resumes at the other version.

--- a/src/adapters/json/bundlejson.cpp
+++ b/src/adapters/json/bundlejson.cpp
@@ -105,10 +105,13 @@
         upstream.models_.emplace_back(model);
     upstream.service_ = ServiceId {readString(reader, "service", FieldPresence::Optional)};
     upstream.checksFencing_ = readBool(reader, "checksFencing", FieldPresence::Optional);
+    upstream.softwareVersion_
+        = SoftwareVersion {readString(reader, "softwareVersion", FieldPresence::Optional)};
     upstream.kind_
         = upstream.service_.isEmpty() ? UpstreamKind::ModelEngine : UpstreamKind::Service;
-    rejectUnknownFields(reader,
-                        {"id", "host", "zone", "address", "models", "service", "checksFencing"});
+    rejectUnknownFields(
+        reader,
+        {"id", "host", "zone", "address", "models", "service", "checksFencing", "softwareVersion"});
     if (upstream.models_.empty() == upstream.service_.isEmpty())
         addError(reader, "models", "exactly one of models and service must be set",
                  "list the models of an engine or name the service of a plain service");
--- a/src/core/bundle.h
+++ b/src/core/bundle.h
@@ -68,6 +68,9 @@
     ServiceId service_;
     /// True if the upstream rejects orders with an outdated fencing token.
     bool checksFencing_ = false;
+    /// Version of the engine's software. A stream that was interrupted resumes only at engines of
+    /// the same version; engines without a version count as one.
+    SoftwareVersion softwareVersion_ {};
 };
 
 /// @brief Settings for the calls to a service that match a method and a path prefix.
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -94,6 +94,11 @@
     std::vector<UpstreamId> tried_;
     AttemptId attempt_;
     UpstreamId upstream_;
+    /// Software version of that upstream when the request was sent to it.
+    SoftwareVersion sentVersion_ {};
+    /// Software version of the engine that brought the first output of a stream. The rest of the
+    /// stream comes from the same version.
+    std::optional<SoftwareVersion> streamVersion_ {};
     bool attemptOpen_ = false;
     MonoTime admittedAt_ {};
     /// The home daemon that reserved the tokens; empty if this daemon did.
--- a/src/core/controlrequests.cpp
+++ b/src/core/controlrequests.cpp
@@ -197,6 +197,10 @@
     const UpstreamId &chosen = step.choice_.upstream_;
     request.stage_ = RequestStage::Running;
     request.upstream_ = chosen;
+    const auto entry = state.bundle_->upstreams_.find(chosen);
+    request.sentVersion_ = entry == state.bundle_->upstreams_.end()
+        ? SoftwareVersion {}
+        : entry->second.softwareVersion_;
     request.attempt_ = AttemptId {fmt::format("{}.{}", admission.value_, request.tried_.size())};
     request.attemptOpen_ = true;
     request.tried_.push_back(chosen);
@@ -302,6 +306,8 @@
     closeAttempt(state, request, event, now);
     request.sent_ |= event.result_ != AttemptResult::NotSent;
     request.used_ = std::max(request.used_, event.used_);
+    if (event.outputTokens_ > 0 && request.params_.stream_ && !request.streamVersion_)
+        request.streamVersion_ = request.sentVersion_;
     log(out, LogLevel::Info, "request.attempt_ended",
         {{"request", request.params_.request_.value_},
          {"attempt", event.attempt_.value_},
--- a/src/core/controlrouting.cpp
+++ b/src/core/controlrouting.cpp
@@ -60,6 +60,7 @@
     query.tried_ = request.tried_;
     query.adapter_ = request.params_.adapter_;
     query.version_ = request.params_.version_;
+    query.softwareVersion_ = request.streamVersion_;
     query.promptTokens_ = promptTokens(request.params_);
     query.promptBlocks_ = request.params_.promptBlocks_;
     query.idempotent_ = request.params_.idempotent_;
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -19,6 +19,7 @@
     known.host_ = upstream.host_;
     known.zone_ = upstream.zone_;
     known.inBundle_ = true;
+    known.softwareVersion_ = upstream.softwareVersion_;
     if (upstream.kind_ == UpstreamKind::Service) {
         state.byService_[upstream.service_].members_.push_back(it->second);
         return;
@@ -82,6 +83,9 @@
 {
     const UpstreamState &upstream = search.state_.upstreams_[index.value_];
     ++search.considered_;
+    if (search.query_.softwareVersion_
+        && upstream.softwareVersion_ != *search.query_.softwareVersion_)
+        return;
     const Availability available = availability(search.state_, upstream, search.now_);
     if (available == Availability::Excluded)
         return;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -104,6 +104,8 @@
     std::vector<UpstreamId> tried_;
     AdapterId adapter_;
     ModelVersionId version_;
+    /// Only upstreams of this software version are considered, if it is set.
+    std::optional<SoftwareVersion> softwareVersion_ {};
     /// Estimated prompt length in tokens.
     std::uint32_t promptTokens_ = 0;
     /// Hashes of the prompt from its start to the end of each block.
@@ -169,6 +171,7 @@
     ZoneId zone_;
     /// False if the current bundle does not contain the upstream.
     bool inBundle_ = false;
+    SoftwareVersion softwareVersion_ {};
 
     std::uint32_t inFlight_ = 0;
     std::deque<InFlightChange> inFlightChanges_;
--- a/tests/controlfixture.h
+++ b/tests/controlfixture.h
@@ -180,6 +180,7 @@
     Millis timeLimit_ {Seconds {10}};
     BudgetId budget_ = budget;
     bool hasIdempotencyKey_ = true;
+    bool stream_ = false;
 };
 
 inline WaiterId admit(Fixture &fixture, std::int64_t worstCase, const std::string &request,
@@ -193,6 +194,7 @@
     submitted.event_.model_ = ModelId {"m"};
     submitted.event_.worstCase_ = Tokens {worstCase};
     submitted.event_.idempotent_ = options.idempotent_;
+    submitted.event_.stream_ = options.stream_;
     submitted.event_.hasIdempotencyKey_ = options.hasIdempotencyKey_;
     submitted.event_.deadline_ = fixture.now_.mono_ + options.timeLimit_;
     submitted.daemon_ = options.daemon_;
@@ -235,7 +237,9 @@
 }
 
 /// Ends an attempt with a failure; the traffic thread requests a retry.
-inline void failAttempt(Fixture &fixture, WaiterId waiter, AttemptResult result)
+/// @param outputTokens output of a stream before the failure
+inline void failAttempt(Fixture &fixture, WaiterId waiter, AttemptResult result,
+                        std::uint32_t outputTokens = 0)
 {
     SubmittedRequest &submitted = fixture.requests_.at(waiter);
     const Dispatch dispatch = submitted.dispatches_.back();
@@ -247,6 +251,7 @@
     ended.result_ = result;
     ended.used_ = submitted.spent_ ? submitted.actualCost_ : Tokens {};
     ended.retryWaiter_ = waiter;
+    ended.outputTokens_ = outputTokens;
     send(fixture, submitted.daemon_, ended);
 }
 
--- a/tests/unit-control.cpp
+++ b/tests/unit-control.cpp
@@ -22,6 +22,37 @@
         CHECK(record(fleet).charged_ == Tokens {40});
         CHECK(stateOf(fleet).active_.empty());
     }
+    SECTION("a stream that was interrupted resumes only at engines of the version that began it")
+    {
+        // What two software versions generate does not fit together.
+        auto bundle = std::make_shared<Bundle>(*makeBundle(2, 1000));
+        Upstream engine = bundle->upstreams_.begin()->second;
+        bundle->upstreams_.clear();
+        for (int i = 0; i < 6; ++i) {
+            engine.id_ = UpstreamId {"u" + std::to_string(i)};
+            engine.softwareVersion_ = SoftwareVersion {i < 3 ? "v1" : "v2"};
+            bundle->upstreams_[engine.id_] = engine;
+        }
+        adopt(fleet, 0, bundle);
+        const bool hasOutput = GENERATE(true, false);
+        std::set<SoftwareVersion> others;
+        for (int i = 0; i < 12; ++i) {
+            const WaiterId waiter
+                = admit(fleet, 10, "s" + std::to_string(i), {.actualCost_ = 1, .stream_ = true});
+            run(fleet, Millis {300});
+            REQUIRE(dispatched(fleet, waiter));
+            const UpstreamId first = dispatched(fleet, waiter)->upstream_;
+            failAttempt(fleet, waiter, AttemptResult::Truncated, hasOutput ? 3 : 0);
+            run(fleet, Millis {300});
+            const UpstreamId next = dispatched(fleet, waiter)->upstream_;
+            if (bundle->upstreams_.at(next).softwareVersion_
+                != bundle->upstreams_.at(first).softwareVersion_)
+                others.insert(bundle->upstreams_.at(next).softwareVersion_);
+            finish(fleet, waiter);
+            run(fleet, Seconds {5});
+        }
+        CHECK(others.empty() == hasOutput);
+    }
     SECTION("a retry right after a complete response is refused as already run")
     {
         const WaiterId first
