Split what grew: commands, request heads, internal headers of streams and takeovers

core/relay/commands.h holds the commands beside events.h; adapters/relayhttp/relayedrequest.cpp and requesthead.cpp what clients.cpp and upstreams.cpp had of reading and writing heads; relaystreams.h and relaytakeovers.h the declarations of these files. No behaviour changes.

--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -158,6 +158,25 @@
 /// @brief Updates the shares of the budget to what is buffered now.
 void countBuffers(FrontendState &state, const RelatedIds &related);
 
+// requesthead.cpp
+
+/// @brief Returns the head of an exchange's request for its current attempt.
+std::string formatRequestHead(const FrontendState &state, const ClientExchange &exchange);
+
+// relayedrequest.cpp
+
+/// @brief Returns what routing decisions use of a request.
+/// @param fromPeer another daemon handed the request over
+RelayRequest makeRelayRequest(const HttpRequest &request, const ClientExchange &exchange,
+                              const HeaderNames &names, bool fromPeer);
+
+/// @brief Returns the time for which the client waits, if the request says so.
+std::optional<Millis> clientTimeout(const HttpRequest &request, const HeaderNames &names);
+
+/// @brief Returns a field that occurs more than once although decisions are based on its value, or
+/// an empty string. The upstream could use another one of the values.
+std::string doubledField(const HttpRequest &request, const HeaderNames &names);
+
 // upstreams.cpp
 
 void sendAttempt(FrontendState &state, ClientExchange &exchange, const SendAttempt &attempt);
--- a/src/core/relay/relayattempts.cpp
+++ b/src/core/relay/relayattempts.cpp
@@ -1,5 +1,7 @@
 // Handles the end of an attempt: completes, retries or fails the request.
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaystreams.h"
+#include "core/relay/relaytakeovers.h"
 
 #include <fmt/format.h>
 
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -5,6 +5,8 @@
 #include "core/relay/homes.h"
 #include "core/relay/loans.h"
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaystreams.h"
+#include "core/relay/relaytakeovers.h"
 #include "core/relay/urgency.h"
 
 #include <fmt/format.h>
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "core/relay/coldinstances.h"
 #include "core/relay/coldpermits.h"
+#include "core/relay/commands.h"
 #include "core/relay/config.h"
 #include "core/relay/documentsync.h"
 #include "core/relay/evacuation.h"
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -1,5 +1,6 @@
 // Documents of the store: where they come from, and how the relay applies them.
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaystreams.h"
 #include "core/relay/urgency.h"
 
 #include <algorithm>
--- a/src/core/relay/relayfleet.cpp
+++ b/src/core/relay/relayfleet.cpp
@@ -1,5 +1,6 @@
 // The members of the fleet: tells them to the parts of the relay that depend on them.
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaytakeovers.h"
 
 #include <string>
 #include <utility>
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -25,6 +25,22 @@
 void refuse(RelayState &state, RelayedRequest &active, int status, const std::string &reason,
             MonoTime now, RelayCommands &out, std::optional<Millis> notBefore = std::nullopt);
 
+/// @brief Returns the number of connections that this daemon may open to an instance of a service.
+std::uint32_t connectionsPerInstance(const RelayState &state, const RelayService &service);
+
+/// @brief Returns the reason why a request is not sent again after an attempt that may have run, or
+/// std::nullopt if it may be. Consumes a retry then.
+std::optional<std::string> resendDenialReason(RelayState &state, const RelayedRequest &active,
+                                              MonoTime now);
+
+/// @brief Ends a request whose last attempt has failed.
+void failRequest(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
+                 MonoTime now, RelayCommands &out);
+
+/// @brief Refuses a request at once because this daemon can serve none.
+void refuseUnable(RelayState &state, RelayedRequest &active, const std::string &reason,
+                  MonoTime now, RelayCommands &out);
+
 /// @brief Ends a request that no instance can take: cuts a response that has begun, otherwise
 /// responds with an error.
 /// @param notBefore earliest Retry-After
@@ -52,114 +68,6 @@
 void refuseForGood(RelayState &state, RelayedRequest &active, const std::string &reason,
                    MonoTime now, RelayCommands &out);
 
-// Requests that other daemons take over, in relaytakeovers.cpp.
-
-/// @brief Returns true if this daemon can serve no request.
-bool isUnable(const RelayState &state);
-
-/// @brief Hands a request to another daemon.
-/// @return false if there is none that may take it over
-bool handOver(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
-
-/// @brief Hands a request over if this host is cut off from all instances, or refuses it at once if
-/// no other daemon takes it over.
-/// @return false if the request may be sent to an instance
-bool handOverIfCutOff(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
-
-/// @brief Handles the end of an attempt that was handed to another daemon.
-void onPeerAttemptEnded(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
-                        MonoTime now, RelayCommands &out);
-
-/// @brief Records what an attempt shows of the connections of this host to the instances.
-void recordReachability(RelayState &state, const RelayedRequest &active,
-                        const RelayAttemptEnded &ended, MonoTime now, RelayCommands &out);
-
-/// @brief Records that a connection to an instance was opened.
-/// @param since when it was begun
-void recordInstanceReached(RelayState &state, MonoTime since, MonoTime now, RelayCommands &out);
-
-/// @brief Refuses a request at once because this daemon can serve none.
-void refuseUnable(RelayState &state, RelayedRequest &active, const std::string &reason,
-                  MonoTime now, RelayCommands &out);
-
-/// @brief Probes instances while this host is cut off.
-void runReachability(RelayState &state, MonoTime now, RelayCommands &out);
-
-void onEvent(RelayState &state, const InstanceProbed &event, MonoTime now, RelayCommands &out);
-
-/// @brief Returns the number of connections that this daemon may open to an instance of a service.
-std::uint32_t connectionsPerInstance(const RelayState &state, const RelayService &service);
-
-/// @brief Returns the reason why a request is not sent again after an attempt that may have run, or
-/// std::nullopt if it may be. Consumes a retry then.
-std::optional<std::string> resendDenialReason(RelayState &state, const RelayedRequest &active,
-                                              MonoTime now);
-
-/// @brief Ends a request whose last attempt has failed.
-void failRequest(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
-                 MonoTime now, RelayCommands &out);
-
-// Streams that continue at another instance, in relaystreams.cpp.
-
-/// @brief Returns true if the response is a stream that may continue at another instance.
-bool isResumable(const RelayedRequest &active);
-
-/// @brief Returns the software versions of a service to which the request may be sent; nothing if
-/// all are allowed.
-std::optional<std::set<SoftwareVersion>>
-allowedVersions(const RelayState &state, const RelayedRequest &active, const ServiceId &service);
-
-/// @brief Adds the instances to which a connect has failed lately: another process may be there
-/// when they are reachable again, and its version may not be known yet.
-/// @note O(instances)
-void addPossiblyRestarted(const RelayState &state, std::set<UpstreamId> &instances, MonoTime now);
-
-/// @brief Returns the id by which a traffic split selects the service: that of the attempt that
-/// began the stream, so that a client that takes it up reaches the same service.
-const RequestId &splitId(const RelayedRequest &active);
-
-/// @brief Ends a request if no instance is left at which its stream can continue.
-/// @return false if there may be one
-bool endWithoutOrigin(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
-
-/// @brief Finds out where the stream of a new request began, if it continues one.
-/// @return false if the request waits for it or was refused
-bool findStreamOrigin(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
-
-/// @brief Handles an expired wait in stage AwaitingOrigin.
-void onOriginTimeout(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out);
-
-/// @brief Records which attempt brought the first event of a stream, and tells other daemons.
-/// @param attempt 0 if there was no event
-void recordStreamBegan(RelayState &state, RelayedRequest &active, std::uint32_t attempt,
-                       MonoTime now, RelayCommands &out);
-
-/// @brief Records an entry before it is applied. Streams that began at the instance lately are of
-/// uncertain origin if it is now another process of another version.
-void noteEntry(RelayState &state, const ListedInstance &listed, MonoTime now, RelayCommands &out);
-
-/// @brief Records the versions that are served now.
-/// @note O(instances)
-void noteServedVersions(RelayState &state, MonoTime now);
-
-/// @brief Records the services that have resumable streams.
-void noteStreamServices(RelayState &state, MonoTime now);
-
-/// @brief Starts a call to the record of the versions if one is due, and publishes what has been
-/// confirmed.
-void runVersions(RelayState &state, MonoTime now, RelayCommands &out);
-
-/// @brief Handles the reply to a call to the record of the versions.
-/// @return false if the reply belongs to another call
-bool onVersionReply(RelayState &state, const StoreReplied &event, MonoTime now, RelayCommands &out);
-
-void onEvent(RelayState &state, const StreamBeganReceived &event, MonoTime now, RelayCommands &out);
-void onEvent(RelayState &state, const StreamOriginRequestReceived &event, MonoTime now,
-             RelayCommands &out);
-void onEvent(RelayState &state, const StreamOriginReplyReceived &event, MonoTime now,
-             RelayCommands &out);
-void onEvent(RelayState &state, const MachineResumed &event, MonoTime now, RelayCommands &out);
-
 /// @brief Returns the maximum tokens that a request may use.
 Tokens worstCase(const PromptUsage &usage);
 
--- a/src/core/relay/relaylimits.cpp
+++ b/src/core/relay/relaylimits.cpp
@@ -2,6 +2,7 @@
 // limit.
 #include "core/hash.h"
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaystreams.h"
 
 #include <fmt/format.h>
 
@@ -96,16 +97,6 @@
         send(state, active, Placement {permit.choice_, service}, now, out);
 }
 
-} // namespace
-
-bool usesService(const RelayedRequest &active, const ServiceId &service)
-{
-    const std::vector<RelayTarget> &targets = active.route_->targets_;
-    return std::any_of(targets.begin(), targets.end(), [&service](const RelayTarget &target) {
-        return target.service_ == service;
-    });
-}
-
 /// Returns how many requests this daemon may have at an instance that fails if it has to refuse too
 /// many, so that all daemons together send it no more than it has slots for.
 std::uint32_t brittleShare(const RelayState &state, const Instance &instance)
@@ -136,6 +127,16 @@
     }
 }
 
+} // namespace
+
+bool usesService(const RelayedRequest &active, const ServiceId &service)
+{
+    const std::vector<RelayTarget> &targets = active.route_->targets_;
+    return std::any_of(targets.begin(), targets.end(), [&service](const RelayTarget &target) {
+        return target.service_ == service;
+    });
+}
+
 std::set<UpstreamId> excludedInstances(const RelayState &state, const RelayedRequest &active,
                                        MonoTime now)
 {
--- a/src/core/relay/relayrequests.cpp
+++ b/src/core/relay/relayrequests.cpp
@@ -1,6 +1,8 @@
 // Admission and dispatch of requests.
 #include "core/hash.h"
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaystreams.h"
+#include "core/relay/relaytakeovers.h"
 #include "core/relay/urgency.h"
 
 #include <fmt/format.h>
--- a/src/core/relay/relaystreams.cpp
+++ b/src/core/relay/relaystreams.cpp
@@ -1,5 +1,6 @@
 // Streams that continue at another instance: only at the software version that began them.
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaystreams.h"
 
 #include <algorithm>
 #include <string>
--- a/src/core/relay/relaytakeovers.cpp
+++ b/src/core/relay/relaytakeovers.cpp
@@ -1,5 +1,6 @@
 // Requests that other daemons take over while this host is cut off from all instances.
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaytakeovers.h"
 
 #include <fmt/format.h>
 
--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -1,6 +1,8 @@
 // Reservations of tokens for requests, and refusals for a lack of tokens.
 #include "core/relay/loans.h"
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaystreams.h"
+#include "core/relay/relaytakeovers.h"
 
 #include <algorithm>
 #include <tuple>
