Keepers are told of streams only while the record of the versions doesn't settle their origin

Each resumable stream cost three messages, also while one version serves and the record alone settles where a stream began.

Change: keepers are told while a second version is possible or the store is out of contact.

--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -261,6 +261,9 @@
     Reachability reachability_;
     Takeovers takeovers_;
     StreamOrigins origins_;
+    /// Services whose streams are told to keepers: the record of the versions would not settle
+    /// where they began.
+    std::set<ServiceId> keptServices_;
     ServedVersions versions_;
     MonoTime versionsNotedAt_ {};
     /// What other daemons were last told.
--- a/src/core/relay/relaystreams.cpp
+++ b/src/core/relay/relaystreams.cpp
@@ -1,6 +1,6 @@
 // Streams that continue at another instance: only at the software version that began them.
-#include "core/relay/relayinternal.h"
 #include "core/relay/relaystreams.h"
+#include "core/relay/relayinternal.h"
 
 #include <algorithm>
 #include <string>
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int statusServiceUnavailable = 503;
 constexpr const char *unknownOrigin = "stream_version_unknown";
 constexpr const char *versionGone = "stream_version_gone";
 
@@ -40,7 +41,7 @@
                          RelayCommands &out)
 {
     ++state.resumedStreams_.unknown_;
-    refuse(state, active, 503, unknownOrigin, now, out);
+    refuse(state, active, statusServiceUnavailable, unknownOrigin, now, out);
 }
 
 /// Takes what a daemon knows of a stream.
@@ -150,6 +151,25 @@
         out.emplace_back(SendPeer {keeper.host_, keeper.address_, began});
 }
 
+/// Tells the keepers of the streams of a service once they are needed: a second version is served,
+/// or the store can't be asked.
+void updateKeptServices(RelayState &state, MonoTime now, RelayCommands &out)
+{
+    std::set<ServiceId> kept;
+    for (const ServiceId &service : state.versions_.services_) {
+        if (!state.storeContact_
+            || hasSeveralVersions(state.versions_, state.settings_.versions_, service, now))
+            kept.insert(service);
+    }
+    for (const ServiceId &service : kept) {
+        if (state.keptServices_.contains(service))
+            continue;
+        for (const StreamBegan &began : ownStreams(state.origins_, service, now))
+            tellKeepers(state, began, out);
+    }
+    state.keptServices_ = std::move(kept);
+}
+
 /// Makes the streams uncertain that began lately at an instance, which turns out to be another
 /// process of another version.
 void doubtOrigins(RelayState &state, const UpstreamId &id, MonoTime since, MonoTime now,
@@ -272,7 +292,8 @@
     const StreamBegan began {streamKey(splitId(active)), *active.origin_, lifetime};
     const auto chosen = active.choice_ ? active.choice_->instance_ : UpstreamId {};
     rememberOwnStream(state.origins_, state.settings_.origins_, began, chosen, now);
-    tellKeepers(state, began, out);
+    if (state.keptServices_.contains(began.origin_.service_))
+        tellKeepers(state, began, out);
 }
 
 void noteEntry(RelayState &state, const ListedInstance &listed, MonoTime now, RelayCommands &out)
@@ -314,6 +335,7 @@
     const ServedVersionSettings &settings = state.settings_.versions_;
     if (now - state.versionsNotedAt_ >= state.settings_.versionNoteInterval_)
         noteServedVersions(state, now);
+    updateKeptServices(state, now, out);
     auto call = startVersionCall(state.versions_, settings, state.followsStore_, now);
     if (call) {
         const bool writes = std::holds_alternative<CompareAndSwapCall>(call->call_);
--- a/src/core/relay/servedversions.cpp
+++ b/src/core/relay/servedversions.cpp
@@ -141,6 +141,17 @@
     return isNew;
 }
 
+bool hasSeveralVersions(const ServedVersions &versions, const ServedVersionSettings &settings,
+                        const ServiceId &service, MonoTime now)
+{
+    return std::count_if(versions.seenAt_.begin(), versions.seenAt_.end(),
+                         [&](const auto &entry) {
+                             return entry.first.service_ == service
+                                 && now - entry.second <= settings.retention_;
+                         })
+        > 1;
+}
+
 void requestRead(ServedVersions &versions, MonoTime since)
 {
     versions.readWantedAt_ = std::max(versions.readWantedAt_.value_or(since), since);
--- a/src/core/relay/servedversions.h
+++ b/src/core/relay/servedversions.h
@@ -105,6 +105,12 @@
 /// @return true if one of them was not confirmed before
 bool noteConfirmedByPeer(ServedVersions &versions, const ConfirmedVersions &confirmed);
 
+/// @brief Returns true if streams of a service that are not remembered can have begun at more than
+/// one version, as far as this daemon knows.
+/// @note O(versions)
+bool hasSeveralVersions(const ServedVersions &versions, const ServedVersionSettings &settings,
+                        const ServiceId &service, MonoTime now);
+
 /// @brief Requests a copy of the record that is read after @a since.
 void requestRead(ServedVersions &versions, MonoTime since);
 
--- a/src/core/relay/streamorigins.cpp
+++ b/src/core/relay/streamorigins.cpp
@@ -88,6 +88,22 @@
     return doubted;
 }
 
+std::vector<StreamBegan> ownStreams(const StreamOrigins &origins, const ServiceId &service,
+                                    MonoTime now)
+{
+    std::vector<StreamBegan> own;
+    for (const auto &[key, stream] : origins.streams_) {
+        if (stream.instance_.isEmpty() || stream.origin_.service_ != service
+            || stream.until_ <= now)
+            continue;
+        ServedVersion origin = stream.origin_;
+        if (stream.contradictory_)
+            origin.version_ = {};
+        own.push_back(StreamBegan {key, origin, std::chrono::ceil<Millis>(stream.until_ - now)});
+    }
+    return own;
+}
+
 std::vector<PeerAddress> keepersOf(StreamKey stream, const HostId &self,
                                    std::vector<PeerAddress> peers, std::size_t copies)
 {
--- a/src/core/relay/streamorigins.h
+++ b/src/core/relay/streamorigins.h
@@ -1,7 +1,8 @@
 // Remembers where streams began, so that a client can take one up at another daemon than before.
 //
-// A daemon remembers its own streams and tells a few others, which rendezvous hashing selects for
-// each stream. The daemon at which a client takes a stream up asks these.
+// A daemon remembers its own streams. While the record of the versions doesn't settle their origin, it
+// also tells a few others, which rendezvous hashing selects for each stream. The daemon at which a
+// client takes a stream up asks these.
 #pragma once
 
 #include "core/ids.h"
@@ -73,6 +74,11 @@
 std::vector<StreamBegan> doubtStreams(StreamOrigins &origins, const UpstreamId &instance,
                                       MonoTime since, MonoTime now);
 
+/// @brief Returns the streams of a service that this daemon began, as they are told to others.
+/// @note O(streams)
+std::vector<StreamBegan> ownStreams(const StreamOrigins &origins, const ServiceId &service,
+                                    MonoTime now);
+
 /// @brief Returns the daemons that remember a stream, without @a self.
 /// @param peers all other daemons
 /// @note O(peers x log peers)
--- a/tests/unit-streamversions.cpp
+++ b/tests/unit-streamversions.cpp
@@ -289,6 +289,39 @@
     CHECK(told.size() >= 2);
 }
 
+TEST_CASE("while one version serves, the keepers are told only if the record can't be asked")
+{
+    RelayFixture fixture;
+    setUp(fixture);
+    addPeers(fixture, 7);
+    const RelayRequest request = makeRequest(fixture, "resume");
+    const auto first = start(fixture, request);
+    REQUIRE(first);
+    const auto told = [&request](const RelayCommands &commands) {
+        std::size_t count = 0;
+        for (const RelayCommand &command : commands) {
+            const auto *sent = std::get_if<SendPeer>(&command);
+            const auto *began = sent ? std::get_if<StreamBegan>(&sent->message_) : nullptr;
+            if (began && began->stream_ == streamKey(request.request_)
+                && began->origin_.version_ == v1.version_)
+                ++count;
+        }
+        return count;
+    };
+    CHECK(told(post(fixture, OutputStarted {first->id_, first->attempt_, fixture.now_})) == 0);
+    SECTION("a second version appears")
+    {
+        CHECK(told(post(fixture, InstanceChanged {engine("n1", "v2", 10), ChangeSource::Store}))
+              >= 2);
+    }
+    SECTION("the store is lost")
+    {
+        fixture.state_.storeContact_ = false;
+        fixture.state_.sync_.unavailableFeeds_.insert("store.config");
+        CHECK(told(advanceTime(fixture, Millis {1})) >= 2);
+    }
+}
+
 TEST_CASE("a stream that another daemon began continues at the version that its keepers know")
 {
     RelayFixture fixture;
