Failed connects to a few hosts are a suspicion that probes confirm

Cause: three failed connects with no newer success counted as lost links. With many instances down, three in a row are common, and a success that had begun before the last failure cleared nothing.

Change: three failures are a suspicion. A connection clears all failures before it was begun.

--- a/src/core/relay/reachability.cpp
+++ b/src/core/relay/reachability.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-std::string hostOf(const std::string &address)
-{
-    return address.substr(0, address.rfind(':'));
-}
-
 std::size_t recentFailures(const Reachability &reachability, const ReachabilitySettings &settings,
                            MonoTime now)
 {
@@ -23,24 +18,31 @@
 
 } // namespace
 
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
 bool recordConnectFailed(Reachability &reachability, const ReachabilitySettings &settings,
-                         const std::string &address, MonoTime now)
+                         const std::string &address, std::size_t knownHosts, MonoTime now)
 {
     reachability.failedAt_[hostOf(address)] = now;
-    if (reachability.isCutOff_ || recentFailures(reachability, settings, now) < settings.minHosts_)
+    const std::size_t failures = recentFailures(reachability, settings, now);
+    if (reachability.isCutOff_ || failures < std::min(settings.suspectHosts_, knownHosts))
         return false;
-    reachability.isCutOff_ = true;
-    reachability.nextProbeAt_ = now;
-    return true;
+    if (!reachability.nextProbeAt_)
+        reachability.nextProbeAt_ = std::max(now, reachability.probedAt_ + settings.probeInterval_);
+    reachability.isCutOff_
+        = failures >= std::max(std::min(settings.minHosts_, knownHosts), std::size_t {2});
+    return reachability.isCutOff_;
 }
 
 bool recordConnected(Reachability &reachability, MonoTime since)
 {
-    const bool isOlder = std::any_of(reachability.failedAt_.begin(), reachability.failedAt_.end(),
-                                     [since](const auto &entry) { return since < entry.second; });
-    if (isOlder)
+    std::erase_if(reachability.failedAt_,
+                  [since](const auto &entry) { return entry.second <= since; });
+    if (!reachability.failedAt_.empty())
         return false;
-    reachability.failedAt_.clear();
     reachability.nextProbeAt_.reset();
     return std::exchange(reachability.isCutOff_, false);
 }
@@ -49,15 +51,18 @@
                  MonoTime now)
 {
     return reachability.isCutOff_
-        || recentFailures(reachability, settings, now) >= settings.minHostsForRequest_;
+        || recentFailures(reachability, settings, now) >= settings.suspectHosts_;
 }
 
 bool takeDueProbe(Reachability &reachability, const ReachabilitySettings &settings, MonoTime now)
 {
     if (!reachability.nextProbeAt_ || now < *reachability.nextProbeAt_)
         return false;
-    reachability.nextProbeAt_ = now + settings.probeInterval_;
-    ++reachability.probes_;
+    reachability.probedAt_ = now;
+    if (mayBeCutOff(reachability, settings, now))
+        reachability.nextProbeAt_ = now + settings.probeInterval_;
+    else
+        reachability.nextProbeAt_.reset();
     return true;
 }
 
--- a/src/core/relay/relaytakeovers.cpp
+++ b/src/core/relay/relaytakeovers.cpp
@@ -1,6 +1,6 @@
 // Requests that other daemons take over while this host is cut off from all instances.
-#include "core/relay/relayinternal.h"
 #include "core/relay/relaytakeovers.h"
+#include "core/relay/relayinternal.h"
 
 #include <fmt/format.h>
 
@@ -13,8 +13,46 @@
 
 namespace {
 
-/// Instances that are probed at a time.
-constexpr std::size_t probesAtATime = 2;
+/// Instances that are probed at a time, each on another host.
+constexpr std::size_t probesAtATime = 6;
+
+/// Returns the instances that may be probed.
+std::vector<const Instance *> probedInstances(const RelayState &state)
+{
+    std::vector<const Instance *> instances;
+    for (const auto &[id, known] : state.directory_.known_) {
+        const bool isKnownService
+            = state.config_ && state.config_->services_.contains(known.instance_.service_);
+        if (isKnownService && known.instance_.state_ == InstanceState::Ready)
+            instances.push_back(&known.instance_);
+    }
+    return instances;
+}
+
+std::size_t countHosts(const std::vector<const Instance *> &instances)
+{
+    std::set<std::string> hosts;
+    for (const Instance *instance : instances)
+        hosts.insert(hostOf(instance->address_));
+    return hosts.size();
+}
+
+bool knowsTakeovers(const RelayState &state)
+{
+    return std::any_of(state.fleet_.peers_.begin(), state.fleet_.peers_.end(),
+                       [](const PeerAddress &peer) { return !peer.handoverAddress_.empty(); });
+}
+
+void noteConnectFailed(RelayState &state, const std::string &address, MonoTime now,
+                       RelayCommands &out)
+{
+    const bool isCutOff = recordConnectFailed(state.reachability_, state.settings_.reachability_,
+                                              address, countHosts(probedInstances(state)), now);
+    if (isCutOff)
+        logLine(out, LogLevel::Warning, "upstreams.unreachable",
+                {{"hosts", std::to_string(state.reachability_.failedAt_.size())},
+                 {"takeovers", knowsTakeovers(state) ? "yes" : "no"}});
+}
 
 /// Returns the daemons that a request must not be handed to: those that had it, and those in
 /// regions that its body may not reach.
@@ -38,12 +76,6 @@
     return excluded;
 }
 
-bool knowsTakeovers(const RelayState &state)
-{
-    return std::any_of(state.fleet_.peers_.begin(), state.fleet_.peers_.end(),
-                       [](const PeerAddress &peer) { return !peer.handoverAddress_.empty(); });
-}
-
 TakeoverOutcome outcomeOf(const RelayAttemptEnded &ended)
 {
     switch (ended.end_) {
@@ -215,12 +247,7 @@
     }
     if (ended.end_ != AttemptEnd::NotSent || ended.connectionsUsed_)
         return;
-    const bool isCutOff = recordConnectFailed(state.reachability_, state.settings_.reachability_,
-                                              active.choice_->address_, now);
-    if (isCutOff)
-        logLine(out, LogLevel::Warning, "upstreams.unreachable",
-                {{"hosts", std::to_string(state.reachability_.failedAt_.size())},
-                 {"takeovers", knowsTakeovers(state) ? "yes" : "no"}});
+    noteConnectFailed(state, active.choice_->address_, now, out);
 }
 
 void recordInstanceReached(RelayState &state, MonoTime since, MonoTime now, RelayCommands &out)
@@ -241,16 +268,13 @@
          daemonsToAsk(state.takeovers_, state.settings_.takeovers_, state.fleet_.peers_))
         out.emplace_back(
             SendPeer {daemon.host_, daemon.address_, PresenceRequest {state.limits_.address_}});
-    std::vector<const Instance *> instances;
-    for (const auto &[id, known] : state.directory_.known_) {
-        const bool isKnownService
-            = state.config_ && state.config_->services_.contains(known.instance_.service_);
-        if (isKnownService && known.instance_.state_ == InstanceState::Ready)
-            instances.push_back(&known.instance_);
-    }
-    for (std::size_t i = 0; i < std::min(probesAtATime, instances.size()); ++i) {
+    const std::vector<const Instance *> instances = probedInstances(state);
+    std::set<std::string> hosts;
+    for (std::size_t i = 0; i < instances.size() && hosts.size() < probesAtATime; ++i) {
         const Instance &instance
-            = *instances[(state.reachability_.probes_ * probesAtATime + i) % instances.size()];
+            = *instances[state.reachability_.nextInstance_++ % instances.size()];
+        if (!hosts.insert(hostOf(instance.address_)).second)
+            continue;
         out.emplace_back(ProbeInstance {
             instance.id_, instance.address_, instance.startedAt_,
             connectionsPerInstance(state, state.config_->services_.at(instance.service_)),
@@ -260,8 +284,13 @@
 
 void onEvent(RelayState &state, const InstanceProbed &event, MonoTime now, RelayCommands &out)
 {
-    if (event.connected_)
+    if (event.connected_) {
         recordInstanceReached(state, now, now, out);
+        return;
+    }
+    const auto known = state.directory_.known_.find(event.instance_);
+    if (known != state.directory_.known_.end())
+        noteConnectFailed(state, known->second.instance_.address_, now, out);
 }
 
 } // namespace tamarack::relaydetail
