A request that returns from another daemon to the instances has its tokens reserved again

Cause, by reading: the reservation is released when a request is handed over. If that daemon could not serve it and this host reached the instances again, the request was sent to one without a reservation. So it was not charged.

The new case of unit-takeovers fails before: the request is sent without a reservation.

--- a/src/core/relay/relaytakeovers.cpp
+++ b/src/core/relay/relaytakeovers.cpp
@@ -229,8 +229,9 @@
     }
     if (handOver(state, active, now, out))
         return;
+    // What was reserved was released when the request was handed over.
     if (!state.reachability_.isCutOff_ && !active.beganAtPeer_)
-        dispatch(state, active, now, out);
+        reserveAndDispatch(state, active, now, out);
     else if (ended.end_ == AttemptEnd::Failed)
         passRefusalOn(state, active, ended, now, out);
     else
--- a/src/core/relay/relaytokens.cpp
+++ b/src/core/relay/relaytokens.cpp
@@ -187,7 +187,7 @@
 
 void reserveAndDispatch(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
-    if (!isPrepaid(active)) {
+    if (!isPrepaid(active) || active.reserved_) {
         dispatch(state, active, now, out);
         return;
     }
--- a/tests/unit-takeovers.cpp
+++ b/tests/unit-takeovers.cpp
@@ -151,6 +151,28 @@
     CHECK(handedOver <= 2);
 }
 
+TEST_CASE("a request that returns to the instances has its tokens reserved again")
+{
+    RelayFixture fixture;
+    setUpFleet(fixture);
+    PrepaidBalance &balance = fixture.state_.prepaid_.balances_[AccountId {"acme"}];
+    balance.grant_.authorized_ = Tokens {10'000};
+    balance.funded_ = Tokens {100'000};
+    cutOff(fixture);
+    RelayRequest request = makeRequest(fixture, "safe");
+    request.usage_ = PromptUsage {Tokens {100}, Tokens {50}, {}};
+    auto attempt = start(fixture, request);
+    REQUIRE(attempt);
+    CHECK(attempt->toPeer_);
+    post(fixture, InstanceProbed {UpstreamId {"x0"}, true});
+    for (int i = 0; i < peerCount; ++i)
+        fixture.state_.takeovers_.excluded_[peer(i).host_] = fixture.now_ + Seconds {1};
+    attempt = findCommand<SendAttempt>(post(fixture, ended(*attempt, AttemptEnd::NotSent)));
+    REQUIRE(attempt);
+    CHECK(!attempt->toPeer_);
+    CHECK(fixture.state_.active_.begin()->second.reserved_);
+}
+
 TEST_CASE("failures of one host, old ones, and those before a connection say nothing of this host")
 {
     const ReachabilitySettings settings;
