--- a/src/core/relay/streamorigins.h
+++ b/src/core/relay/streamorigins.h
@@ -1,8 +1,8 @@
 // Remembers where streams began, so that a client can take one up at another daemon than before.
 //
-// A daemon remembers its own streams. While the record of the versions doesn't settle their origin, it
-// also tells a few others, which rendezvous hashing selects for each stream. The daemon at which a
-// client takes a stream up asks these.
+// A daemon remembers its own streams. While the record of the versions doesn't settle their origin,
+// it also tells a few others, which rendezvous hashing selects for each stream. The daemon at which
+// a client takes a stream up asks these.
 #pragma once
 
 #include "core/ids.h"
