--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -22,7 +22,6 @@
 
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
-constexpr int statusServiceUnavailable = 503;
 
 /// Maximum number of remembered removals. Far more instances than this would have to be removed
 /// before an outdated message could restore one.
