--- a/tests/unit-takeovers.cpp
+++ b/tests/unit-takeovers.cpp
@@ -33,9 +33,9 @@
 void setUpFleet(RelayFixture &fixture)
 {
     setUp(fixture);
-    for (int i = 0; i < 6; ++i) {
-        ListedInstance listed = makeInstance("x" + std::to_string(i), i < 3 ? "app" : "llm",
-                                             static_cast<std::uint64_t>(20 + i));
+    for (std::uint64_t i = 0; i < 6; ++i) {
+        ListedInstance listed
+            = makeInstance("x" + std::to_string(i), i < 3 ? "app" : "llm", 20 + i);
         listed.instance_.address_ = "10.0.0." + std::to_string(i) + ":80";
         post(fixture, InstanceChanged {listed, ChangeSource::Store});
     }
@@ -44,6 +44,7 @@
     advanceTime(fixture, Seconds {2});
     confirmVersions(fixture);
     std::vector<PeerAddress> peers;
+    peers.reserve(peerCount);
     for (int i = 0; i < peerCount; ++i)
         peers.push_back(peer(i));
     setPeers(fixture, peers);
@@ -120,9 +121,8 @@
     // A sixth of 95 instances crashed, and all daemons handed their requests to each other.
     RelayFixture fixture;
     setUpFleet(fixture);
-    for (int i = 0; i < 40; ++i) {
-        ListedInstance listed
-            = makeInstance("y" + std::to_string(i), "app", static_cast<std::uint64_t>(50 + i));
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        ListedInstance listed = makeInstance("y" + std::to_string(i), "app", 50 + i);
         listed.instance_.address_ = "10.0.1." + std::to_string(i) + ":80";
         post(fixture, InstanceChanged {listed, ChangeSource::Store});
     }
@@ -362,6 +362,7 @@
     setUpFleet(fixture);
     cutOff(fixture);
     std::vector<SendAttempt> attempts;
+    attempts.reserve(12);
     for (int i = 0; i < 12; ++i)
         attempts.push_back(*start(fixture, makeRequest(fixture, "once")));
     for (const SendAttempt &attempt : attempts)
