--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -32,13 +32,23 @@
         });
 }
 
+void recordDecode(DocumentUsage &usage, std::chrono::nanoseconds time)
+{
+    ++usage.decodes_;
+    const auto rounded = std::chrono::duration_cast<Micros>(time);
+    Micros longest = usage.longestDecode_;
+    while (rounded > longest && !usage.longestDecode_.compare_exchange_weak(longest, rounded)) { }
+}
+
 void readConfig(DocumentReader &reader, const PeerDocument &document, ChangeSource source)
 {
     if (!document.value_)
         return;
+    const MonoTime begin = std::chrono::steady_clock::now();
     std::optional<RelayConfig> config = decodeOrLog<RelayConfig>(reader.log_, document.key_, [&] {
         return reader.formats_.decodeConfig_(*document.value_);
     });
+    recordDecode(reader.usage_, std::chrono::steady_clock::now() - begin);
     if (!config)
         return;
     if (recordConfigVersion(reader.cache_, document, config->version_))
@@ -93,14 +103,32 @@
         post(reader.queue_, RelayEvent {EvacuationRemoved {listed, source}});
 }
 
+std::uint64_t valueBytes(const PeerDocument &document)
+{
+    return document.value_ ? document.value_->size() : 0;
+}
+
+std::uint64_t valueBytes(const FeedChanges &changes)
+{
+    std::uint64_t bytes = 0;
+    for (const PeerDocument &document : changes.documents_)
+        bytes += valueBytes(document);
+    return bytes;
+}
+
 void readDocument(DocumentReader &reader, const PeerDocument &document, ChangeSource source)
 {
     const bool evacuates = isEvacuation(reader.formats_, document.key_);
     // A feed may deliver other keys of its prefix.
     const bool known = evacuates || document.key_.value_ == reader.formats_.configKey_
         || document.key_.value_.starts_with(reader.formats_.instancePrefix_);
-    if (!known || !storeIfNewer(reader.cache_, document))
+    if (!known)
         return;
+    if (!storeIfNewer(reader.cache_, document)) {
+        if (source == ChangeSource::Peer)
+            reader.usage_.redundantBytes_ += valueBytes(document);
+        return;
+    }
     if (evacuates)
         readEvacuation(reader, document, source);
     else if (document.key_.value_ == reader.formats_.configKey_)
@@ -270,6 +298,8 @@
 void applyFeedChanges(DocumentReader &reader, const FeedChanges &changes)
 {
     noteEra(reader, changes.at_.era_);
+    const std::uint64_t bytes = valueBytes(changes);
+    reader.usage_.receivedBytes_ += bytes;
     const bool complete = changes.after_ == Revision {};
     {
         const std::lock_guard lock(reader.cache_.mutex_);
@@ -277,8 +307,10 @@
         const StorePosition after {changes.at_.era_, changes.after_};
         // A peer that knows less, or changes that don't continue what is known.
         if (feed == reader.cache_.feeds_.end() || changes.at_ <= feed->second.position_
-            || (!complete && after > feed->second.position_))
+            || (!complete && after > feed->second.position_)) {
+            reader.usage_.redundantBytes_ += bytes;
             return;
+        }
     }
     if (complete && changes.feed_ == instanceFeed) {
         readInstanceListing(reader, changes.documents_, changes.at_, ChangeSource::Peer);
@@ -344,10 +376,10 @@
 }
 
 DocumentsRequest makeDocumentsRequest(DocumentReader &reader, const std::string &replyAddress,
-                                      std::optional<std::vector<InstanceLoad>> loads)
+                                      const RequestPeerDocuments &command)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
-    DocumentsRequest request {replyAddress, {}, std::move(loads)};
+    DocumentsRequest request {replyAddress, {}, command.loads_};
     for (const auto &[name, feed] : reader.cache_.feeds_)
         request.positions_.push_back(FeedPosition {name, feed.position_});
     return request;
@@ -370,6 +402,8 @@
         if (feed->second.position_ > known)
             reply.changes_.push_back(changesAfter(reader.cache_, feed->first, feed->second, known));
     }
+    for (const FeedChanges &changes : reply.changes_)
+        reader.usage_.sentBytes_ += valueBytes(changes);
     return reply;
 }
 
@@ -419,6 +453,23 @@
     }
 }
 
+void receiveDocumentsReply(DocumentReader &reader, const HostId &from, const DocumentsReply &reply)
+{
+    applyDocumentsReply(reader, reply);
+    post(reader.queue_,
+         RelayEvent {DocumentsReplyReceived {from, reply.contactAge_, reply.loads_,
+                                             reply.loadReporters_, reply.versions_}});
+}
+
+std::vector<LogField> usageFields(const DocumentUsage &usage)
+{
+    return {{"sent_bytes", std::to_string(usage.sentBytes_)},
+            {"received_bytes", std::to_string(usage.receivedBytes_)},
+            {"redundant_bytes", std::to_string(usage.redundantBytes_)},
+            {"config_decodes", std::to_string(usage.decodes_)},
+            {"longest_decode_us", std::to_string(usage.longestDecode_.load().count())}};
+}
+
 void clearStoreContact(DocumentReader &reader)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
--- a/src/relayd/documents.h
+++ b/src/relayd/documents.h
@@ -12,10 +12,23 @@
 #include "relayd/relayd.h"
 #include "runtime/runtime.h"
 
+#include <atomic>
 #include <string>
+#include <vector>
 
 namespace tamarack {
 
+/// @brief Documents exchanged with other daemons, and decoded configurations, since the start.
+struct DocumentUsage
+{
+    std::atomic<std::uint64_t> sentBytes_ = 0;
+    std::atomic<std::uint64_t> receivedBytes_ = 0;
+    /// The part of receivedBytes_ that was known already.
+    std::atomic<std::uint64_t> redundantBytes_ = 0;
+    std::atomic<std::uint64_t> decodes_ = 0;
+    std::atomic<Micros> longestDecode_ = Micros {};
+};
+
 /// @brief Data for converting documents to events of the control thread.
 struct DocumentReader
 {
@@ -28,6 +41,7 @@
     /// longer told to peers.
     Millis settleTime_ {4000};
     DocumentCache cache_;
+    DocumentUsage usage_ {};
 
     DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue, LogPort log,
                    Millis maxContactAge);
@@ -45,9 +59,8 @@
 
 /// @brief Returns a request for the documents that changed after the known positions.
 /// @param replyAddress address to which the peer sends its reply
-/// @param loads load that this daemon causes, if it shares it
 DocumentsRequest makeDocumentsRequest(DocumentReader &reader, const std::string &replyAddress,
-                                      std::optional<std::vector<InstanceLoad>> loads = {});
+                                      const RequestPeerDocuments &command = {});
 
 /// @brief Returns the cached documents that changed after the positions in @a request.
 DocumentsReply makeDocumentsReply(DocumentReader &reader, const DocumentsRequest &request,
@@ -67,6 +80,12 @@
 /// @brief Stores the documents in a peer's reply and posts their changes.
 void applyDocumentsReply(DocumentReader &reader, const DocumentsReply &reply);
 
+/// @brief Applies a peer's reply and posts what it tells beside the documents.
+void receiveDocumentsReply(DocumentReader &reader, const HostId &from, const DocumentsReply &reply);
+
+/// @brief Returns the fields of a log line about the use since the start.
+std::vector<LogField> usageFields(const DocumentUsage &usage);
+
 /// @brief Records that this daemon no longer follows the store itself.
 void clearStoreContact(DocumentReader &reader);
 
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -249,11 +249,7 @@
     if (const auto *documentsRequest = std::get_if<DocumentsRequest>(&received->message_)) {
         onDocumentsRequest(relay, received->from_, *documentsRequest);
     } else if (const auto *documentsReply = std::get_if<DocumentsReply>(&received->message_)) {
-        applyDocumentsReply(*relay.documents_, *documentsReply);
-        post(relay.queue_,
-             RelayEvent {DocumentsReplyReceived {
-                 received->from_, documentsReply->contactAge_, documentsReply->loads_,
-                 documentsReply->loadReporters_, documentsReply->versions_}});
+        receiveDocumentsReply(*relay.documents_, received->from_, *documentsReply);
     } else if (const auto *report = std::get_if<QuarantineReport>(&received->message_)) {
         post(relay.queue_, RelayEvent {QuarantineReportReceived {received->from_, *report}});
     } else if (const auto *loanRequest = std::get_if<LoanRequest>(&received->message_))
@@ -280,12 +276,12 @@
         post(relay.queue_, RelayEvent {PresenceReplyReceived {received->from_, *presenceReply}});
 }
 
-void requestPeerDocuments(RelayDaemon &relay, RequestPeerDocuments command)
+void requestPeerDocuments(RelayDaemon &relay, const RequestPeerDocuments &command)
 {
     if (!relay.peers_)
         return;
-    const DocumentsRequest request = makeDocumentsRequest(
-        *relay.documents_, relay.settings_.peerAddress_, std::move(command.loads_));
+    const DocumentsRequest request
+        = makeDocumentsRequest(*relay.documents_, relay.settings_.peerAddress_, command);
     for (const PeerAddress &peer : command.peers_)
         peerPort(*relay.peers_).send_(SendPeer {peer.host_, peer.address_, request});
 }
@@ -428,7 +424,7 @@
         frontendPort(*relay.frontend_),
         relay.log_,
         relay.ready_,
-        [&relay](RequestPeerDocuments command) { requestPeerDocuments(relay, std::move(command)); },
+        [&relay](const RequestPeerDocuments &command) { requestPeerDocuments(relay, command); },
         [&relay](std::shared_ptr<const LoadOffer> offer) {
             publishLoads(*relay.documents_, std::move(offer));
         },
@@ -453,6 +449,8 @@
         [&relay] { return droppedLogLines(relay.sink_); },
         [&relay] {
             relay.log_.write_(LogEvent {LogLevel::Info, "store.usage", usageFields(relay.usage_)});
+            relay.log_.write_(LogEvent {LogLevel::Info, "documents.usage",
+                                        usageFields(relay.documents_->usage_)});
         },
         [mainThread] {
             signalStopped(mainThread);
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -92,7 +92,7 @@
         loop.metrics_.onEventHandled_(time, gaugesOf(loop, state));
         if (now - usageLoggedAt >= usageLogInterval) {
             usageLoggedAt = now;
-            loop.logStoreUsage_();
+            loop.logUsage_();
         }
     }
     loop.onStopped_();
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -35,8 +35,8 @@
     std::function<std::uint64_t()> logBytes_;
     RelayMetricsPort metrics_;
     std::function<std::uint64_t()> droppedLogLines_;
-    /// Logs the number of store calls; called at intervals.
-    std::function<void()> logStoreUsage_;
+    /// Logs the use of the store and of documents; called at intervals.
+    std::function<void()> logUsage_;
     /// Called once, when the daemon may exit.
     std::function<void()> onStopped_;
 };
--- a/tests/unit-relayload.cpp
+++ b/tests/unit-relayload.cpp
@@ -74,7 +74,7 @@
         const RelayCommands out = advanceTime(daemon.fixture_, Millis {300});
         run(daemon, out);
         if (auto command = findCommand<RequestPeerDocuments>(out))
-            return makeDocumentsRequest(daemon.reader_, "127.0.0.1:1", std::move(command->loads_));
+            return makeDocumentsRequest(daemon.reader_, "127.0.0.1:1", *command);
     }
     return std::nullopt;
 }
