Large documents are announced between daemons, transferred once and compressed

What callers saw: for up to 38 s after the configuration had grown to 4,250 routes, hosts with links of 10 Mbit/s took no new connections in time, and some of them refused requests as an older version of the configuration says, up to 11.4 s after the confirmation (3 s are allowed).

Cause: each poll of a peer was answered with the whole document until one had arrived, so a document that takes longer than the interval of the polls was sent again by the next peer. Class of fault: a request is repeated without regard to a reply that is on its way, at a cost that grows with the delay it causes.

Change: a reply announces the changes of a feed that contain a document of more than 32 KiB. The receiver requests them from one peer at a time, and from another one once they are overdue by their size. They are sent in the zlib format, which a daemon keeps for the next that asks.

Ruled out: decoding (33 ms of processor time for 4,200 routes, linear) doesn't explain the full links; the store was not slow. Compression alone would leave the repeated requests in place.

Evidence: unit-largedocuments failed before (up to 1,470,427 bytes on a small link, 8.25 s with the largest hosts down) and passes.

Daemons of the release before ignore the new field of the request and reply with whole documents; their requests lack it and get whole documents, uncompressed.

--- a/src/adapters/peers/messagedecoder.cpp
+++ b/src/adapters/peers/messagedecoder.cpp
@@ -82,6 +82,10 @@
     for (const peer::FeedPosition &position : in.positions())
         message.positions_.push_back(FeedPosition {
             position.feed(), {StoreEra {position.era()}, Revision {position.revision()}}});
+    if (in.large_documents() == peer::ANNOUNCE)
+        message.largeDocuments_ = LargeDocuments::Announce;
+    else if (in.large_documents() == peer::COMPRESS)
+        message.largeDocuments_ = LargeDocuments::Compress;
     return message;
 }
 
@@ -93,7 +97,8 @@
         PeerDocument decoded {StoreKey {document.key()},
                               {StoreEra {document.era()}, Revision {document.revision()}},
                               std::nullopt};
-        if (!document.removed())
+        decoded.compressed_ = document.compressed_value();
+        if (!document.removed() && decoded.compressed_.empty())
             decoded.value_ = document.value();
         changes.documents_.push_back(std::move(decoded));
     }
@@ -130,6 +135,13 @@
     for (const peer::ServedVersion &version : in.confirmed_versions())
         message.versions_.versions_.push_back(fromProto(version));
     message.versions_.era_ = StoreEra {in.confirmed_era()};
+    for (const peer::AnnouncedChanges &announced : in.announced())
+        message.announced_.push_back(
+            AnnouncedChanges {announced.feed(),
+                              {StoreEra {announced.era()}, Revision {announced.at()}},
+                              announced.bytes()});
+    message.address_ = in.address();
+    message.isTransfer_ = in.transfer();
     return message;
 }
 
--- a/src/adapters/peers/messageencoder.cpp
+++ b/src/adapters/peers/messageencoder.cpp
@@ -136,6 +136,29 @@
         for (const InstanceLoad &load : *message.loads_)
             encodeLoad(*out.add_loads(), load);
     }
+    switch (message.largeDocuments_) {
+    case LargeDocuments::Include:
+        out.set_large_documents(peer::INCLUDE);
+        break;
+    case LargeDocuments::Announce:
+        out.set_large_documents(peer::ANNOUNCE);
+        break;
+    case LargeDocuments::Compress:
+        out.set_large_documents(peer::COMPRESS);
+        break;
+    }
+}
+
+void encode(peer::Document &out, const PeerDocument &document)
+{
+    out.set_key(document.key_.value_);
+    out.set_revision(document.position_.revision_.value_);
+    out.set_era(document.position_.era_.value_);
+    out.set_removed(!document.value_ && document.compressed_.empty());
+    if (!document.compressed_.empty())
+        out.set_compressed_value(document.compressed_);
+    else
+        out.set_value(document.value_.value_or(""));
 }
 
 void encode(peer::ServedVersion &out, const ServedVersion &version)
@@ -153,15 +176,18 @@
         feed.set_after(changes.after_.value_);
         feed.set_at(changes.at_.revision_.value_);
         feed.set_era(changes.at_.era_.value_);
-        for (const PeerDocument &document : changes.documents_) {
-            peer::Document &entry = *feed.add_documents();
-            entry.set_key(document.key_.value_);
-            entry.set_revision(document.position_.revision_.value_);
-            entry.set_era(document.position_.era_.value_);
-            entry.set_removed(!document.value_);
-            entry.set_value(document.value_.value_or(""));
-        }
+        for (const PeerDocument &document : changes.documents_)
+            encode(*feed.add_documents(), document);
+    }
+    for (const AnnouncedChanges &announced : message.announced_) {
+        peer::AnnouncedChanges &entry = *out.add_announced();
+        entry.set_feed(announced.feed_);
+        entry.set_at(announced.at_.revision_.value_);
+        entry.set_era(announced.at_.era_.value_);
+        entry.set_bytes(announced.bytes_);
     }
+    out.set_address(message.address_);
+    out.set_transfer(message.isTransfer_);
     if (message.contactAge_)
         out.set_contact_age_ms(static_cast<std::uint64_t>(message.contactAge_->count()));
     for (const InstanceLoad &load : message.loads_)
--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -136,6 +136,9 @@
     StorePosition position_;
     /// Empty if the key was removed.
     std::optional<std::string> value_;
+    /// The value in compressed form; empty if it has not been compressed. In a message, it replaces
+    /// the value.
+    std::string compressed_ {};
 };
 
 /// @brief The position up to which a daemon knows all changes of a feed.
@@ -145,6 +148,16 @@
     StorePosition position_;
 };
 
+/// @brief What a reply does with large documents.
+enum class LargeDocuments {
+    /// It contains them as they are. Daemons of earlier releases ask for this.
+    Include,
+    /// It announces the changes of a feed that contain any, and leaves them out.
+    Announce,
+    /// It contains them in compressed form.
+    Compress,
+};
+
 /// @brief Requests newer versions of documents from a peer.
 struct DocumentsRequest
 {
@@ -153,6 +166,7 @@
     std::vector<FeedPosition> positions_;
     /// Load that the sender causes, if it shares its load.
     std::optional<std::vector<InstanceLoad>> loads_ {};
+    LargeDocuments largeDocuments_ = LargeDocuments::Include;
 };
 
 /// @brief The documents of a feed that changed after a position. All positions have the same era.
@@ -166,6 +180,16 @@
     std::vector<PeerDocument> documents_;
 };
 
+/// @brief Changes of a feed that a reply leaves out because they contain large documents.
+struct AnnouncedChanges
+{
+    std::string feed_;
+    /// The sender knows all changes up to this position.
+    StorePosition at_;
+    /// Size of the large documents as they are sent.
+    std::uint64_t bytes_ = 0;
+};
+
 /// @brief Response to DocumentsRequest.
 struct DocumentsReply
 {
@@ -177,6 +201,11 @@
     std::uint32_t loadReporters_ = 0;
     /// Versions that the store has confirmed to the sender.
     ConfirmedVersions versions_ {};
+    std::vector<AnnouncedChanges> announced_ {};
+    /// "IP:port" at which the sender can be asked for what it announces.
+    std::string address_ {};
+    /// The request asked for compressed documents.
+    bool isTransfer_ = false;
 };
 
 /// @brief Requests a loan of an account's tokens and reports the use of earlier loans. Totals are
--- a/src/core/relay/commands.h
+++ b/src/core/relay/commands.h
@@ -98,6 +98,7 @@
     std::vector<PeerAddress> peers_;
     /// Load that this daemon causes, if it shares it.
     std::optional<std::vector<InstanceLoad>> loads_ {};
+    LargeDocuments largeDocuments_ = LargeDocuments::Announce;
 };
 
 /// @brief Replaces the load that replies to other daemons tell; nothing is told without an offer.
--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -316,6 +316,25 @@
     }
 }
 
+bool startTransfer(DocumentSync &sync, const DocumentSyncSettings &settings, const HostId &from,
+                   std::uint64_t bytes, MonoTime now)
+{
+    if (sync.transfer_ && now < sync.transfer_->overdueAt_)
+        return false;
+    const std::chrono::duration<double> time {static_cast<double>(bytes)
+                                              / settings.minTransferBytesPerSecond_};
+    sync.transfer_ = DocumentTransfer {
+        from, now, bytes, now + settings.replyTimeout_ + std::chrono::duration_cast<Millis>(time)};
+    return true;
+}
+
+std::optional<DocumentTransfer> endTransfer(DocumentSync &sync, const HostId &from)
+{
+    if (!sync.transfer_ || sync.transfer_->from_ != from)
+        return std::nullopt;
+    return std::exchange(sync.transfer_, std::nullopt);
+}
+
 bool followsStore(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
 {
     if (isStarting(sync, settings, now))
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -56,6 +56,9 @@
     Millis startupWait_ {1500};
     /// A daemon that was asked for documents follows the store for this long.
     Millis observeOnRequest_ {3000};
+    /// A transfer of large documents is overdue after replyTimeout_ and the time for its bytes at
+    /// this rate, a tenth of the smallest link.
+    double minTransferBytesPerSecond_ = 128.0 * 1024.0;
     /// While peers reply but have no contact to the store, the daemons that are not observers start
     /// to follow it at different times up to this one, by hash, so that they don't call it at once.
     Millis maxFollowDelay_ {2000};
@@ -67,6 +70,16 @@
 /// @param settleTime time after a disturbance of the store within which all changes must be known
 DocumentSyncSettings documentSyncSettings(Millis applyTime, Millis settleTime);
 
+/// @brief A transfer of large documents from a peer.
+struct DocumentTransfer
+{
+    HostId from_;
+    MonoTime startedAt_ {};
+    std::uint64_t bytes_ = 0;
+    /// Another transfer may start from then on.
+    MonoTime overdueAt_ {};
+};
+
 /// Invariant: sameZone_ and otherZones_ are sorted by rank; sameZone_ contains this daemon if
 /// any other daemon is known.
 struct DocumentSync
@@ -106,6 +119,9 @@
     std::optional<MonoTime> requestedAt_;
     MonoTime nextRequestAt_ {};
     std::size_t requestCount_ = 0;
+    /// The transfer in progress. There is only one, because several would share the link, take
+    /// longer, and be started again as overdue.
+    std::optional<DocumentTransfer> transfer_;
 };
 
 /// @brief Updates the known daemons after a membership change.
@@ -137,6 +153,15 @@
 void recordDocumentsReply(DocumentSync &sync, const DocumentSyncSettings &settings,
                           const HostId &from, std::optional<Millis> contactAge, MonoTime now);
 
+/// @brief Starts a transfer of large documents that a peer has announced.
+/// @return false if another transfer is in progress
+bool startTransfer(DocumentSync &sync, const DocumentSyncSettings &settings, const HostId &from,
+                   std::uint64_t bytes, MonoTime now);
+
+/// @brief Records that a peer has replied to the request for large documents.
+/// @return the transfer, or nothing if another one was started meanwhile
+std::optional<DocumentTransfer> endTransfer(DocumentSync &sync, const HostId &from);
+
 /// @brief Returns true if this daemon follows the store itself.
 bool followsStore(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now);
 
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -249,6 +249,12 @@
     std::uint32_t loadReporters_ = 0;
     /// Software versions that the store has confirmed to the peer.
     ConfirmedVersions versions_ {};
+    /// Size of the large documents that the peer announces and this daemon lacks, and the address
+    /// at which the peer can be asked for them.
+    std::uint64_t announcedBytes_ = 0;
+    std::string address_ {};
+    /// The reply ends a transfer of large documents.
+    bool isTransfer_ = false;
 };
 
 /// @brief Another daemon tells where a stream began.
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -194,8 +194,13 @@
 void onEvent(RelayState &state, const DocumentsReplyReceived &event, MonoTime now,
              RelayCommands &out)
 {
+    if (event.isTransfer_) {
+        finishTransfer(state, event, now, out);
+        return;
+    }
     if (recordReply(state, event, now))
         resumeWaitingForInstance(state, now, out);
+    requestAnnounced(state, event, now, out);
 }
 
 void onEvent(RelayState &state, const QuarantineReportReceived &event, MonoTime now,
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -76,6 +76,34 @@
     return noteConfirmedByPeer(state.versions_, event.versions_);
 }
 
+void requestAnnounced(RelayState &state, const DocumentsReplyReceived &event, MonoTime now,
+                      RelayCommands &out)
+{
+    if (event.announcedBytes_ == 0)
+        return;
+    const std::optional<DocumentTransfer> overdue = state.sync_.transfer_;
+    if (!startTransfer(state.sync_, state.settings_.sync_, event.from_, event.announcedBytes_, now))
+        return;
+    if (overdue)
+        logLine(out, LogLevel::Warning, "documents.transfer_overdue",
+                {{"from", overdue->from_.value_}, {"bytes", std::to_string(overdue->bytes_)}});
+    out.emplace_back(RequestPeerDocuments {
+        {PeerAddress {event.from_, {}, event.address_, 0}}, {}, LargeDocuments::Compress});
+}
+
+void finishTransfer(RelayState &state, const DocumentsReplyReceived &event, MonoTime now,
+                    RelayCommands &out)
+{
+    const std::optional<DocumentTransfer> transfer = endTransfer(state.sync_, event.from_);
+    if (!transfer)
+        return;
+    const auto time = std::chrono::duration_cast<Millis>(now - transfer->startedAt_);
+    logLine(out, LogLevel::Info, "documents.transferred",
+            {{"from", transfer->from_.value_},
+             {"bytes", std::to_string(transfer->bytes_)},
+             {"time_ms", std::to_string(time.count())}});
+}
+
 void requestDocuments(RelayState &state, MonoTime now, RelayCommands &out)
 {
     std::vector<PeerAddress> peers = nextSyncPeers(state.sync_, state.settings_.sync_, now);
--- a/src/core/relay/relayinternal.h
+++ b/src/core/relay/relayinternal.h
@@ -269,6 +269,12 @@
 /// @brief Handles the reply of a peer to a request for documents.
 /// @return true if streams may begin at a version at which they could not before
 bool recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now);
+/// Requests the large documents that a reply announces, unless others are on their way.
+void requestAnnounced(RelayState &state, const DocumentsReplyReceived &event, MonoTime now,
+                      RelayCommands &out);
+/// Handles the reply to a request for large documents, which have been applied.
+void finishTransfer(RelayState &state, const DocumentsReplyReceived &event, MonoTime now,
+                    RelayCommands &out);
 
 /// @brief Requests documents from the peers whose turn it is.
 void requestDocuments(RelayState &state, MonoTime now, RelayCommands &out);
--- a/src/relayd/documentcache.cpp
+++ b/src/relayd/documentcache.cpp
@@ -26,8 +26,10 @@
         return true;
     }
     const auto cached = cache.documents_.find(document.key_);
-    if (cached != cache.documents_.end() && cached->second.position_ == document.position_)
+    if (cached != cache.documents_.end() && cached->second.position_ == document.position_) {
         cached->second.value_ = cache.newestConfig_;
+        cached->second.compressed_.clear();
+    }
     return false;
 }
 
--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -1,6 +1,8 @@
 // Reads the documents of a relay daemon from the store and from peers.
 #include "relayd/documents.h"
 
+#include "adapters/peers/peers.h"
+
 #include <algorithm>
 #include <memory>
 #include <set>
@@ -9,6 +11,11 @@
 
 namespace {
 
+/// Documents with longer values are announced to daemons that ask for that.
+constexpr std::size_t largeDocumentBytes = std::size_t {32} << 10U;
+/// The largest value of the store in bytes, with a margin.
+constexpr std::size_t maxDocumentBytes = std::size_t {4} << 20U;
+
 /// Decodes a document. Logs the error and returns nothing if that fails.
 template <typename Value>
 std::optional<Value> decodeOrLog(const LogPort &log, const StoreKey &key,
@@ -103,16 +110,18 @@
         post(reader.queue_, RelayEvent {EvacuationRemoved {listed, source}});
 }
 
-std::uint64_t valueBytes(const PeerDocument &document)
+/// Returns the size of a document as it is sent.
+std::uint64_t sentBytes(const PeerDocument &document)
 {
-    return document.value_ ? document.value_->size() : 0;
+    return document.compressed_.empty() ? document.value_.value_or("").size()
+                                        : document.compressed_.size();
 }
 
-std::uint64_t valueBytes(const FeedChanges &changes)
+std::uint64_t sentBytes(const FeedChanges &changes)
 {
     std::uint64_t bytes = 0;
     for (const PeerDocument &document : changes.documents_)
-        bytes += valueBytes(document);
+        bytes += sentBytes(document);
     return bytes;
 }
 
@@ -126,7 +135,7 @@
         return;
     if (!storeIfNewer(reader.cache_, document)) {
         if (source == ChangeSource::Peer)
-            reader.usage_.redundantBytes_ += valueBytes(document);
+            reader.usage_.redundantBytes_ += sentBytes(document);
         return;
     }
     if (evacuates)
@@ -278,27 +287,69 @@
     return position.era_ == StoreEra {} ? StorePosition {era, position.revision_} : position;
 }
 
-/// Returns the changes of a feed after a position. The caller holds the mutex of the cache.
-FeedChanges changesAfter(const DocumentCache &cache, const std::string &name, const FeedState &feed,
-                         StorePosition position)
+bool isLarge(const PeerDocument &document)
+{
+    return document.value_ && document.value_->size() > largeDocumentBytes;
+}
+
+/// Adds the changes of a feed after a position to a reply, or announces them. The caller holds the
+/// mutex of the cache.
+void addChanges(DocumentCache &cache, const std::string &name, const FeedState &feed,
+                StorePosition position, LargeDocuments largeDocuments, DocumentsReply &reply)
 {
     FeedChanges changes {
         name, position < feed.listedAt_ ? Revision {} : position.revision_, feed.position_, {}};
     const StorePosition after {feed.position_.era_, changes.after_};
     const bool complete = changes.after_ == Revision {};
-    for (const auto &[key, document] : cache.documents_) {
+    AnnouncedChanges announced {name, feed.position_, 0};
+    for (auto &[key, document] : cache.documents_) {
         const bool wanted = key.value_.starts_with(feed.prefix_)
             && (complete ? document.value_.has_value() : document.position_ > after);
-        if (wanted)
-            changes.documents_.push_back(document);
+        if (!wanted)
+            continue;
+        if (largeDocuments == LargeDocuments::Include || !isLarge(document)) {
+            changes.documents_.push_back(
+                PeerDocument {document.key_, document.position_, document.value_});
+            continue;
+        }
+        if (document.compressed_.empty())
+            document.compressed_ = compress(*document.value_);
+        if (largeDocuments == LargeDocuments::Announce)
+            announced.bytes_ += document.compressed_.size();
+        else
+            changes.documents_.push_back(PeerDocument {document.key_, document.position_,
+                                                       std::nullopt, document.compressed_});
     }
-    return changes;
+    if (announced.bytes_ > 0)
+        reply.announced_.push_back(std::move(announced));
+    else
+        reply.changes_.push_back(std::move(changes));
+}
+
+/// Restores the values of compressed documents.
+/// @return false if one is damaged; the error is logged
+bool decompressAll(const DocumentReader &reader, FeedChanges &changes)
+{
+    for (PeerDocument &document : changes.documents_) {
+        if (document.compressed_.empty())
+            continue;
+        document.value_ = decompress(document.compressed_, maxDocumentBytes);
+        if (document.value_)
+            continue;
+        reader.log_.write_(LogEvent {LogLevel::Warning,
+                                     "document.rejected",
+                                     {{"key", document.key_.value_},
+                                      {"error", "tamarack.relayd.101"},
+                                      {"problem", "the compressed value is damaged or too long"}}});
+        return false;
+    }
+    return true;
 }
 
 void applyFeedChanges(DocumentReader &reader, const FeedChanges &changes)
 {
     noteEra(reader, changes.at_.era_);
-    const std::uint64_t bytes = valueBytes(changes);
+    const std::uint64_t bytes = sentBytes(changes);
     reader.usage_.receivedBytes_ += bytes;
     const bool complete = changes.after_ == Revision {};
     {
@@ -328,6 +379,14 @@
     advancePosition(reader.cache_.feeds_.at(changes.feed_), changes.at_);
 }
 
+/// Returns true if this daemon does not know the announced changes, also from another peer.
+bool isMissing(DocumentReader &reader, const AnnouncedChanges &announced)
+{
+    const std::lock_guard lock(reader.cache_.mutex_);
+    const auto feed = reader.cache_.feeds_.find(announced.feed_);
+    return feed != reader.cache_.feeds_.end() && announced.at_ > feed->second.position_;
+}
+
 } // namespace
 
 DocumentReader::DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue,
@@ -379,7 +438,7 @@
                                       const RequestPeerDocuments &command)
 {
     const std::lock_guard lock(reader.cache_.mutex_);
-    DocumentsRequest request {replyAddress, {}, command.loads_};
+    DocumentsRequest request {replyAddress, {}, command.loads_, command.largeDocuments_};
     for (const auto &[name, feed] : reader.cache_.feeds_)
         request.positions_.push_back(FeedPosition {name, feed.position_});
     return request;
@@ -400,10 +459,14 @@
             continue;
         const StorePosition known = withEra(position.position_, feed->second.position_.era_);
         if (feed->second.position_ > known)
-            reply.changes_.push_back(changesAfter(reader.cache_, feed->first, feed->second, known));
+            addChanges(reader.cache_, feed->first, feed->second, known, request.largeDocuments_,
+                       reply);
     }
     for (const FeedChanges &changes : reply.changes_)
-        reader.usage_.sentBytes_ += valueBytes(changes);
+        reader.usage_.sentBytes_ += sentBytes(changes);
+    if (!reply.announced_.empty())
+        reply.address_ = reader.address_;
+    reply.isTransfer_ = request.largeDocuments_ == LargeDocuments::Compress;
     return reply;
 }
 
@@ -439,6 +502,8 @@
 void applyDocumentsReply(DocumentReader &reader, const DocumentsReply &reply)
 {
     for (FeedChanges changes : reply.changes_) {
+        if (!decompressAll(reader, changes))
+            continue;
         {
             const std::lock_guard lock(reader.cache_.mutex_);
             const auto feed = reader.cache_.feeds_.find(changes.feed_);
@@ -456,9 +521,14 @@
 void receiveDocumentsReply(DocumentReader &reader, const HostId &from, const DocumentsReply &reply)
 {
     applyDocumentsReply(reader, reply);
-    post(reader.queue_,
-         RelayEvent {DocumentsReplyReceived {from, reply.contactAge_, reply.loads_,
-                                             reply.loadReporters_, reply.versions_}});
+    DocumentsReplyReceived event {
+        from, reply.contactAge_, reply.loads_,     reply.loadReporters_, reply.versions_,
+        0,    reply.address_,    reply.isTransfer_};
+    for (const AnnouncedChanges &announced : reply.announced_) {
+        if (isMissing(reader, announced))
+            event.announcedBytes_ += announced.bytes_;
+    }
+    post(reader.queue_, RelayEvent {std::move(event)});
 }
 
 std::vector<LogField> usageFields(const DocumentUsage &usage)
--- a/src/relayd/documents.h
+++ b/src/relayd/documents.h
@@ -40,6 +40,8 @@
     /// Time after which an evacuation that the store has lost with its return from a copy is no
     /// longer told to peers.
     Millis settleTime_ {4000};
+    /// "IP:port" at which other daemons ask this one for documents.
+    std::string address_ {};
     DocumentCache cache_;
     DocumentUsage usage_ {};
 
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -225,6 +225,7 @@
               std::make_unique<DocumentReader>(formats_, queue_, log_, maxContactAge(settings)))
     {
         documents_->settleTime_ = settings.settleTime_;
+        documents_->address_ = settings.peerAddress_;
     }
 };
 
--- a/tests/documentfleet.h
+++ b/tests/documentfleet.h
@@ -215,6 +215,7 @@
         settings.sync_ = documentSyncSettings(applyTime, settleTime);
         host->state_.followsStore_ = false;
         host->state_.sync_.startedAt_ = fleet.now_;
+        host->daemon_.reader_.address_ = host->address_.address_;
         fleet.hosts_.push_back(std::move(host));
     }
 }
