A route or a key is refused for good only by a configuration that may be the newest

What callers saw: 404 for a route that had been added more than 3 s before.

Cause: a daemon answered 404 and 401 by the configuration that it had, whatever its age. It doesn't know then that there is no such route. Class of fault: a statement about the present is made from knowledge whose age nobody looks at.

Change: the time up to which all configurations are known is kept: of a reply of a peer the time of its request less the age that the peer tells, unless it announces a configuration; of a reply of the store its arrival, or its call if the reply came so late that the machine stood still meanwhile. Once it is older than a change may take to apply, 503 configuration_outdated is the answer. After a suspension, which the clock has not counted, nothing counts that was on its way, and other daemons are told of no contact until the next.

The case of unit-follower needs the new parameter. Routes and keys that are known are served as before, however old the configuration is.

--- a/src/adapters/relayhttp/internal.h
+++ b/src/adapters/relayhttp/internal.h
@@ -2,6 +2,7 @@
 // Internal to the front end.
 #pragma once
 
+#include "adapters/relayhttp/boottime.h"
 #include "adapters/relayhttp/frontendstate.h"
 
 #include <functional>
@@ -19,10 +20,6 @@
 
 // sockets.cpp
 
-/// @brief Returns the time of CLOCK_BOOTTIME, which also counts the time during which the machine
-/// was suspended.
-std::chrono::nanoseconds bootTime();
-
 /// @brief Registers a socket with epoll, or changes the events reported for it.
 void updateInterest(FrontendState &state, SocketChannel &channel, std::uint32_t interest);
 
--- a/src/adapters/relayhttp/relayhttp.h
+++ b/src/adapters/relayhttp/relayhttp.h
@@ -2,5 +2,6 @@
 // upstream instances, and their responses back, unchanged.
 #pragma once
 
+#include "adapters/relayhttp/boottime.h"
 #include "adapters/relayhttp/frontend.h"
 #include "adapters/relayhttp/headernames.h"
--- a/src/adapters/relayhttp/sockets.cpp
+++ b/src/adapters/relayhttp/sockets.cpp
@@ -51,13 +51,6 @@
 
 } // namespace
 
-std::chrono::nanoseconds bootTime()
-{
-    timespec time {};
-    ::clock_gettime(CLOCK_BOOTTIME, &time);
-    return Seconds {time.tv_sec} + std::chrono::nanoseconds {time.tv_nsec};
-}
-
 void updateInterest(FrontendState &state, SocketChannel &channel, std::uint32_t interest)
 {
     if (channel.registered_ && channel.interest_ == interest)
--- a/src/core/relay/commands.h
+++ b/src/core/relay/commands.h
@@ -119,6 +119,11 @@
     bool follows_ = true;
 };
 
+/// @brief The last contact to the store is older than it seems, so other daemons are told of none
+/// until the next.
+struct ForgetStoreContact
+{ };
+
 /// @brief The store became available or unavailable to this daemon and the peers that it queries.
 struct SetStoreContact
 {
@@ -152,7 +157,7 @@
 using RelayCommand
     = std::variant<SendAttempt, ProbeInstance, RespondToClient, ForwardFailure, AbortResponse,
                    ApplyLimits, RequestPeerDocuments, PublishLoads, PublishVersions,
-                   SetFollowsStore, SetStoreContact, SetReady, SetKeepAlive, CloseIdleConnections,
+                   SetFollowsStore, ForgetStoreContact, SetStoreContact, SetReady, SetKeepAlive, CloseIdleConnections,
                    CloseClients, SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
 
 } // namespace tamarack
--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -99,6 +99,11 @@
     return Millis {hash64(sync.self_.value_) % range};
 }
 
+void noteConfigKnown(DocumentSync &sync, MonoTime knownAt)
+{
+    sync.configAt_ = std::max(sync.configAt_.value_or(MonoTime {}), knownAt);
+}
+
 void excludeSilentPeers(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
 {
     std::erase_if(sync.unanswered_, [&](const auto &request) {
@@ -227,6 +232,7 @@
     const Millis maxAge = std::max(applyTime - applyMargin, Millis {});
     settings.freshLifetime_ = std::min(usualAge, maxAge);
     settings.maxFollowDelay_ = std::min(settings.maxFollowDelay_, maxAge - settings.freshLifetime_);
+    settings.maxConfigAge_ = applyTime;
     return settings;
 }
 
@@ -267,8 +273,10 @@
     sync.unavailableFeeds_.clear();
 }
 
-void recordStoreReply(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+void recordStoreReply(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime knownAt,
+                      MonoTime now)
 {
+    noteConfigKnown(sync, knownAt);
     // A watch that ends after following was stopped says nothing about the source in use.
     if (!sync.replyDueAt_)
         return;
@@ -276,6 +284,24 @@
     sync.replyDueAt_ = now + replyLimit(settings);
 }
 
+void recordSuspension(DocumentSync &sync, MonoTime now)
+{
+    if (sync.configAt_)
+        sync.configAt_ = MonoTime {};
+    sync.completeAt_.reset();
+    // The reply of a silent peer is not counted, and the peer is probed.
+    for (const auto &[host, askedAt] : sync.unanswered_)
+        sync.silent_[host] = now;
+    sync.unanswered_.clear();
+    sync.transfer_.reset();
+    sync.nextRequestAt_ = now;
+}
+
+bool isConfigCurrent(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    return !sync.configAt_ || now - *sync.configAt_ <= settings.maxConfigAge_;
+}
+
 bool isReplyOverdue(const DocumentSync &sync, MonoTime now)
 {
     return sync.replyDueAt_ && now >= *sync.replyDueAt_;
@@ -287,7 +313,8 @@
 }
 
 void recordDocumentsReply(DocumentSync &sync, const DocumentSyncSettings &settings,
-                          const HostId &from, std::optional<Millis> contactAge, MonoTime now)
+                          const HostId &from, std::optional<Millis> contactAge, bool announces,
+                          MonoTime now)
 {
     // A reply may have waited at a full link, so its request is the latest time that it is known to
     // follow. That of a reply after its timeout is forgotten.
@@ -301,9 +328,12 @@
     sync.repliedAt_ = now;
     if (contactAge)
         sync.freshAt_ = std::max(sync.freshAt_.value_or(MonoTime {}), now - *contactAge);
-    if (contactAge && requestedAt)
-        sync.completeAt_
-            = std::max(sync.completeAt_.value_or(MonoTime {}), *requestedAt - *contactAge);
+    if (contactAge && requestedAt) {
+        const MonoTime knownAt = *requestedAt - *contactAge;
+        sync.completeAt_ = std::max(sync.completeAt_.value_or(MonoTime {}), knownAt);
+        if (!announces)
+            noteConfigKnown(sync, knownAt);
+    }
     // A daemon whose own reply is overdue looks for a peer whose reply is not.
     const Millis maxAge = lacksStore(sync, settings, now)
         ? std::min(settings.freshLifetime_, replyLimit(settings))
@@ -328,10 +358,13 @@
     return true;
 }
 
-std::optional<DocumentTransfer> endTransfer(DocumentSync &sync, const HostId &from)
+std::optional<DocumentTransfer> endTransfer(DocumentSync &sync, const HostId &from,
+                                            std::optional<Millis> contactAge)
 {
     if (!sync.transfer_ || sync.transfer_->from_ != from)
         return std::nullopt;
+    if (contactAge)
+        noteConfigKnown(sync, sync.transfer_->startedAt_ - *contactAge);
     return std::exchange(sync.transfer_, std::nullopt);
 }
 
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -59,6 +59,8 @@
     /// A transfer of large documents is overdue after replyTimeout_ and the time for its bytes at
     /// this rate, a tenth of the smallest link.
     double minTransferBytesPerSecond_ = 128.0 * 1024.0;
+    /// A daemon whose knowledge of the configuration is older refuses no request for good.
+    Millis maxConfigAge_ {3000};
     /// While peers reply but have no contact to the store, the daemons that are not observers start
     /// to follow it at different times up to this one, by hash, so that they don't call it at once.
     Millis maxFollowDelay_ {2000};
@@ -109,6 +111,9 @@
     /// took. Whom to ask is decided by freshAt_. If that counted the time in transit as well,
     /// daemons whose links are full of documents would ask more peers for documents.
     std::optional<MonoTime> completeAt_;
+    /// All configurations up to this time are known; nothing if there was no reply yet. Like
+    /// completeAt_, but replies that announce a configuration don't count.
+    std::optional<MonoTime> configAt_;
     /// The peer that last replied with recent contact.
     HostId freshFrom_;
     /// Peers that replied without contact to the store, and until when they are asked last.
@@ -139,7 +144,16 @@
                   MonoTime now);
 
 /// @brief Records a reply of the store to the watch of the configuration.
-void recordStoreReply(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now);
+/// @param knownAt all changes up to this time are known by it
+void recordStoreReply(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime knownAt,
+                      MonoTime now);
+
+/// @brief Records that the machine was suspended for a time that the steady clock has not counted:
+/// what is known, and replies that are on their way, are older than they seem.
+void recordSuspension(DocumentSync &sync, MonoTime now);
+
+/// @brief Returns false if there may be a newer configuration for longer than it may take to apply.
+bool isConfigCurrent(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now);
 
 /// @brief Returns true if the store has not replied in time to this daemon, which follows it.
 bool isReplyOverdue(const DocumentSync &sync, MonoTime now);
@@ -150,8 +164,10 @@
 /// @brief Records the reply of a peer, whose documents have been applied.
 /// @param contactAge time since the peer's last contact to the store; std::nullopt if it has
 /// none
+/// @param announces the reply announces documents and does not contain them
 void recordDocumentsReply(DocumentSync &sync, const DocumentSyncSettings &settings,
-                          const HostId &from, std::optional<Millis> contactAge, MonoTime now);
+                          const HostId &from, std::optional<Millis> contactAge, bool announces,
+                          MonoTime now);
 
 /// @brief Starts a transfer of large documents that a peer has announced.
 /// @return false if another transfer is in progress
@@ -159,8 +175,10 @@
                    std::uint64_t bytes, MonoTime now);
 
 /// @brief Records that a peer has replied to the request for large documents.
+/// @param contactAge like that of recordDocumentsReply()
 /// @return the transfer, or nothing if another one was started meanwhile
-std::optional<DocumentTransfer> endTransfer(DocumentSync &sync, const HostId &from);
+std::optional<DocumentTransfer> endTransfer(DocumentSync &sync, const HostId &from,
+                                            std::optional<Millis> contactAge);
 
 /// @brief Returns true if this daemon follows the store itself.
 bool followsStore(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now);
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -297,9 +297,12 @@
     std::string detail_;
 };
 
-/// @brief The store replied to the watch of the configuration: its changes so far are known.
+/// @brief The store replied to the watch of the configuration.
 struct ConfigFeedReplied
-{ };
+{
+    /// All changes up to this time are known; nothing if that is now.
+    std::optional<MonoTime> knownAt_ {};
+};
 
 /// @brief The daemon was requested to stop.
 struct RelayStopRequested
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -22,6 +22,7 @@
 
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
+constexpr int statusServiceUnavailable = 503;
 
 /// Maximum number of remembered removals. Far more instances than this would have to be removed
 /// before an outdated message could restore one.
@@ -73,6 +74,11 @@
         return;
     }
     if (const int status = checkAccess(active)) {
+        if (!isConfigCurrent(state.sync_, state.settings_.sync_, now)) {
+            // A newer configuration may have the route or the key.
+            refuse(state, active, statusServiceUnavailable, "configuration_outdated", now, out);
+            return;
+        }
         refuse(state, active, status, status == statusNotFound ? "no_route" : "unknown_key", now,
                out);
         return;
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -70,7 +70,8 @@
 
 bool recordReply(RelayState &state, const DocumentsReplyReceived &event, MonoTime now)
 {
-    recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_, now);
+    recordDocumentsReply(state.sync_, state.settings_.sync_, event.from_, event.contactAge_,
+                         event.announcedBytes_ > 0, now);
     recordReceivedLoads(state.loads_, state.settings_.load_, event.from_, event.loads_,
                         event.loadReporters_, now);
     return noteConfirmedByPeer(state.versions_, event.versions_);
@@ -94,7 +95,8 @@
 void finishTransfer(RelayState &state, const DocumentsReplyReceived &event, MonoTime now,
                     RelayCommands &out)
 {
-    const std::optional<DocumentTransfer> transfer = endTransfer(state.sync_, event.from_);
+    const std::optional<DocumentTransfer> transfer
+        = endTransfer(state.sync_, event.from_, event.contactAge_);
     if (!transfer)
         return;
     const auto time = std::chrono::duration_cast<Millis>(now - transfer->startedAt_);
@@ -225,9 +227,9 @@
             {{"name", event.name_}, {"detail", event.detail_}});
 }
 
-void onEvent(RelayState &state, const ConfigFeedReplied &, MonoTime now, RelayCommands &)
+void onEvent(RelayState &state, const ConfigFeedReplied &event, MonoTime now, RelayCommands &)
 {
-    recordStoreReply(state.sync_, state.settings_.sync_, now);
+    recordStoreReply(state.sync_, state.settings_.sync_, event.knownAt_.value_or(now), now);
 }
 
 void onEvent(RelayState &state, const StoreEraNoticed &event, MonoTime now, RelayCommands &out)
--- a/src/core/relay/relaystreams.cpp
+++ b/src/core/relay/relaystreams.cpp
@@ -396,9 +396,11 @@
     }
 }
 
-void onEvent(RelayState &state, const MachineResumed &, MonoTime, RelayCommands &)
+void onEvent(RelayState &state, const MachineResumed &, MonoTime now, RelayCommands &out)
 {
     distrustConfirmations(state.versions_);
+    recordSuspension(state.sync_, now);
+    out.emplace_back(ForgetStoreContact {});
 }
 
 } // namespace tamarack::relaydetail
--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -252,12 +252,12 @@
     handlers.onChange_ = [&reader](const FeedEntry &entry, StoreEra era) {
         readDocument(reader, toDocument(entry, era), ChangeSource::Store);
     };
-    handlers.onProgress_ = [&reader, feed](StorePosition position) {
+    handlers.onProgress_ = [&reader, feed](StorePosition position, MonoTime knownAt) {
         noteEra(reader, position.era_);
         const std::lock_guard lock(reader.cache_.mutex_);
         FeedState &state = reader.cache_.feeds_.at(feed);
         advancePosition(state, position);
-        state.contactAt_ = std::chrono::steady_clock::now();
+        state.contactAt_ = knownAt;
     };
     handlers.knownPosition_ = [&reader, feed] {
         const std::lock_guard lock(reader.cache_.mutex_);
@@ -408,11 +408,11 @@
 FollowerHandlers configHandlers(DocumentReader &reader)
 {
     FollowerHandlers handlers = commonHandlers(reader, configFeed);
-    handlers.onProgress_
-        = [&reader, recordProgress = std::move(handlers.onProgress_)](StorePosition position) {
-              recordProgress(position);
-              post(reader.queue_, RelayEvent {ConfigFeedReplied {}});
-          };
+    handlers.onProgress_ = [&reader, recordProgress = std::move(handlers.onProgress_)](
+                               StorePosition position, MonoTime knownAt) {
+        recordProgress(position, knownAt);
+        post(reader.queue_, RelayEvent {ConfigFeedReplied {knownAt}});
+    };
     handlers.onListing_ = [&reader](const std::vector<FeedEntry> &entries, StorePosition position) {
         noteEra(reader, position.era_);
         readConfigListing(reader, toDocuments(entries, position.era_), position,
--- a/src/relayd/documents.h
+++ b/src/relayd/documents.h
@@ -88,7 +88,7 @@
 /// @brief Returns the fields of a log line about the use since the start.
 std::vector<LogField> usageFields(const DocumentUsage &usage);
 
-/// @brief Records that this daemon no longer follows the store itself.
+/// @brief Records that the last contact to the store says nothing any more.
 void clearStoreContact(DocumentReader &reader);
 
 } // namespace tamarack
--- a/src/relayd/follower.cpp
+++ b/src/relayd/follower.cpp
@@ -1,6 +1,8 @@
 // Follows the keys of a store prefix.
 #include "relayd/follower.h"
 
+#include "adapters/relayhttp/relayhttp.h"
+
 #include <algorithm>
 #include <optional>
 
@@ -22,6 +24,15 @@
     Millis retryDelay_ {};
 };
 
+/// Returns the time up to which a reply contains all changes.
+/// @param calledAt when the call began, by bootTime(): a suspension counts
+MonoTime knownAt(std::chrono::nanoseconds calledAt, Millis maxDuration)
+{
+    const MonoTime now = std::chrono::steady_clock::now();
+    const std::chrono::nanoseconds duration = bootTime() - calledAt;
+    return duration > maxDuration ? now - duration : now;
+}
+
 FeedReply listOrWatch(const FeedPort &feed, const FollowerSettings &settings,
                       const FollowerHandlers &handlers, FollowerState &state)
 {
@@ -136,6 +147,7 @@
     FollowerState state;
     state.retryDelay_ = settings.retryDelay_;
     while (awaitOpenGate(gate, settings, handlers, state)) {
+        const std::chrono::nanoseconds calledAt = bootTime();
         const FeedReply reply = listOrWatch(feed, settings, handlers, state);
         if (reply.status_ != FeedStatus::Unavailable)
             endProbing(gate, settings.prefix_);
@@ -145,7 +157,9 @@
             state.unconfirmed_ = false;
             const StorePosition reached {reply.era_, reply.revision_};
             state.position_ = state.position_ ? std::max(*state.position_, reached) : reached;
-            handlers.onProgress_(*state.position_);
+            handlers.onProgress_(
+                *state.position_,
+                knownAt(calledAt, settings.watchTimeout_ + settings.maxReplyDelay_));
             if (!reply.entries_.empty())
                 pause(gate, settings.changeBatchDelay_);
             continue;
--- a/src/relayd/follower.h
+++ b/src/relayd/follower.h
@@ -37,6 +37,9 @@
     Millis watchTimeout_ {4000};
     /// Delay after a change, so that the next call returns several changes.
     Millis changeBatchDelay_ {};
+    /// A reply that comes later than a watch ends by this was on its way while this machine stood
+    /// still.
+    Millis maxReplyDelay_ {400};
     /// Delay after a failed call, doubled after each further failure up to maxRetryDelay_.
     Millis retryDelay_ {500};
     Millis maxRetryDelay_ {2000};
@@ -47,8 +50,9 @@
 {
     std::function<void(const std::vector<FeedEntry> &, StorePosition position)> onListing_;
     std::function<void(const FeedEntry &, StoreEra era)> onChange_;
-    /// Called when all changes up to a position were handed to the other callbacks.
-    std::function<void(StorePosition position)> onProgress_;
+    /// Called when all changes up to a position were handed to the other callbacks. They are all
+    /// changes up to the time @a knownAt.
+    std::function<void(StorePosition position, MonoTime knownAt)> onProgress_;
     /// Returns the position up to which all changes are known from other sources. Called when
     /// following starts again.
     std::function<StorePosition()> knownPosition_;
--- a/src/relayd/relayd.cpp
+++ b/src/relayd/relayd.cpp
@@ -437,6 +437,7 @@
                 clearStoreContact(*relay.documents_);
             setOpen(relay.gate_, follows);
         },
+        [&relay] { clearStoreContact(*relay.documents_); },
         [&relay](bool contact) { setStoreContact(relay.registration_, contact); },
         [&relay](SendPeer message) {
             if (relay.peers_)
--- a/src/relayd/relayloop.cpp
+++ b/src/relayd/relayloop.cpp
@@ -26,6 +26,7 @@
     void operator()(PublishLoads &command) const { loop_.publishLoads_(command.offer_); }
     void operator()(PublishVersions &command) const { loop_.publishVersions_(command.versions_); }
     void operator()(SetFollowsStore &command) const { loop_.setFollowsStore_(command.follows_); }
+    void operator()(ForgetStoreContact &) const { loop_.forgetStoreContact_(); }
     void operator()(SetStoreContact &command) const { loop_.setStoreContact_(command.contact_); }
     void operator()(RelayStopCompleted &) const { running_ = false; }
     /// Forwards all other commands to the front end. The overloads above take non-const references
--- a/src/relayd/relayloop.h
+++ b/src/relayd/relayloop.h
@@ -27,6 +27,7 @@
     /// Replaces the confirmed software versions that replies to other daemons tell.
     std::function<void(std::shared_ptr<const ConfirmedVersions>)> publishVersions_;
     std::function<void(bool)> setFollowsStore_;
+    std::function<void()> forgetStoreContact_;
     std::function<void(bool)> setStoreContact_;
     std::function<void(SendPeer)> sendPeer_;
     std::function<TrafficTotals()> trafficTotals_;
--- a/tests/documentfleet.h
+++ b/tests/documentfleet.h
@@ -69,8 +69,9 @@
     std::string text = std::to_string(version) + ' ';
     for (std::size_t i = 0; i < routes; ++i) {
         const std::string name = std::to_string(hash64("route" + std::to_string(i)) % 100'000'000);
-        text += R"({"Name":"r-)" + name + R"(","Host":"shop.example","PathPrefix":"/)" + name
-            + R"(/","Type":"streaming","TimeoutMs":4000,"Priority":1,"Service":"app","MaxAttempts":2})";
+        text += R"({"id":"r-)" + name + R"(","host":"shop.example","prefix":"/)" + name
+            + R"(/","streaming":true,"resumable":false,"timeout":4000,"latencyObjective":500,)"
+              R"("gapObjective":300,"priority":1,"targets":["app"],"maxAttempts":2})";
     }
     return text;
 }
@@ -156,8 +157,8 @@
     if (knownRevision(host) < revision)
         host.daemon_.config_.onChange_(FeedEntry {StoreKey {"config"}, revision, fleet.config_},
                                        {});
-    host.daemon_.config_.onProgress_(revision);
-    host.daemon_.instances_.onProgress_(Revision {1});
+    host.daemon_.config_.onProgress_(revision, std::chrono::steady_clock::now());
+    host.daemon_.instances_.onProgress_(Revision {1}, std::chrono::steady_clock::now());
 }
 
 inline void deliver(Fleet &fleet, const Delivery &delivery)
--- a/tests/exchangefixture.h
+++ b/tests/exchangefixture.h
@@ -89,9 +89,9 @@
                  std::uint64_t revision)
 {
     daemon.instances_.onListing_(entries, Revision {revision});
-    daemon.instances_.onProgress_(Revision {revision});
+    daemon.instances_.onProgress_(Revision {revision}, std::chrono::steady_clock::now());
     daemon.config_.onListing_({entry("config", 1)}, Revision {revision});
-    daemon.config_.onProgress_(Revision {revision});
+    daemon.config_.onProgress_(Revision {revision}, std::chrono::steady_clock::now());
     applyEvents(daemon);
 }
 
@@ -101,9 +101,9 @@
 {
     const StorePosition position {era, Revision {revision}};
     daemon.instances_.onListing_(entries, position);
-    daemon.instances_.onProgress_(position);
+    daemon.instances_.onProgress_(position, std::chrono::steady_clock::now());
     daemon.config_.onListing_({entry("config", revision - 1, config)}, position);
-    daemon.config_.onProgress_(position);
+    daemon.config_.onProgress_(position, std::chrono::steady_clock::now());
 }
 
 /// Applies the posted events.
--- a/tests/syncfleet.h
+++ b/tests/syncfleet.h
@@ -83,7 +83,8 @@
         const bool contact = hasContact(fleet, *peer);
         const auto age = std::chrono::duration_cast<Millis>(fleet.now_ - peer->contactAt_);
         recordDocumentsReply(daemon.sync_, fleet.settings_, target.host_,
-                             contact ? std::optional<Millis>(age) : std::nullopt, fleet.now_);
+                             contact ? std::optional<Millis>(age) : std::nullopt, false,
+                             fleet.now_);
         if (contact)
             daemon.learnedAt_ = std::max(daemon.learnedAt_, peer->contactAt_);
     }
@@ -103,7 +104,7 @@
             if (follows)
                 setFeedAvailability(daemon.sync_, "feed", daemon.reachesStore_, fleet.now_);
             if (hasContact(fleet, daemon) && !daemon.watchHangs_) {
-                recordStoreReply(daemon.sync_, fleet.settings_, fleet.now_);
+                recordStoreReply(daemon.sync_, fleet.settings_, fleet.now_, fleet.now_);
                 daemon.contactAt_ = fleet.now_;
                 daemon.learnedAt_ = fleet.now_;
             }
--- a/tests/unit-documentexchange.cpp
+++ b/tests/unit-documentexchange.cpp
@@ -19,7 +19,7 @@
     observer.instances_.onChange_(entry("instances/c", 11), {});
     observer.instances_.onChange_(FeedEntry {StoreKey {"instances/a"}, Revision {12}, std::nullopt},
                                   {});
-    observer.instances_.onProgress_(Revision {12});
+    observer.instances_.onProgress_(Revision {12}, std::chrono::steady_clock::now());
     const DocumentsReply reply = ask(daemon, observer);
     REQUIRE(reply.changes_.size() == 1);
     CHECK(reply.changes_.front().documents_.size() == 2);
@@ -37,7 +37,7 @@
     list(observer, {entry("instances/a", 3)}, 10);
     ask(daemon, observer);
     observer.config_.onChange_(entry("config", 15, "2"), {});
-    observer.config_.onProgress_(Revision {15});
+    observer.config_.onProgress_(Revision {15}, std::chrono::steady_clock::now());
     CHECK(ask(daemon, observer).changes_.size() == 1);
     CHECK(ask(daemon, observer).changes_.empty());
 }
@@ -102,9 +102,10 @@
     // The copy lacks b, and the revisions up to 150 are assigned again.
     listInEra(observer, StoreEra {2}, {entry("instances/a", 100)}, "6", 118);
     observer.config_.onChange_(entry("config", 137, "9"), StoreEra {2});
-    observer.config_.onProgress_({StoreEra {2}, Revision {138}});
+    observer.config_.onProgress_({StoreEra {2}, Revision {138}}, std::chrono::steady_clock::now());
     observer.instances_.onChange_(entry("instances/c", 138), StoreEra {2});
-    observer.instances_.onProgress_({StoreEra {2}, Revision {138}});
+    observer.instances_.onProgress_({StoreEra {2}, Revision {138}},
+                                    std::chrono::steady_clock::now());
     ask(daemon, observer);
     CHECK(newestConfig(daemon) == ConfigVersion {9});
     CHECK(isKnown(daemon, "a"));
@@ -115,7 +116,8 @@
     {
         listInEra(observer, StoreEra {3}, {entry("instances/a", 100)}, "9", 110);
         observer.instances_.onChange_(entry("instances/d", 111), StoreEra {3});
-        observer.instances_.onProgress_({StoreEra {3}, Revision {111}});
+        observer.instances_.onProgress_({StoreEra {3}, Revision {111}},
+                                        std::chrono::steady_clock::now());
         ask(daemon, observer);
         applyEvents(daemon);
         CHECK(isKnown(daemon, "d"));
@@ -146,7 +148,7 @@
     // The operator writes the lost version again, and then a new one.
     observer.config_.onChange_(entry("config", 120, "7"), StoreEra {2});
     observer.config_.onChange_(entry("config", 130, "8"), StoreEra {2});
-    observer.config_.onProgress_({StoreEra {2}, Revision {130}});
+    observer.config_.onProgress_({StoreEra {2}, Revision {130}}, std::chrono::steady_clock::now());
     ask(started, observer);
     CHECK(newestConfig(started) == ConfigVersion {8});
 }
@@ -175,8 +177,8 @@
 {
     // Without it, a daemon takes the store for silent and asks its peers all the time.
     ExchangeDaemon daemon;
-    daemon.instances_.onProgress_(Revision {4});
-    daemon.config_.onProgress_(Revision {4});
+    daemon.instances_.onProgress_(Revision {4}, std::chrono::steady_clock::now());
+    daemon.config_.onProgress_(Revision {4}, std::chrono::steady_clock::now());
     std::size_t replies = 0;
     while (const auto event = takePosted(daemon.queue_, std::chrono::steady_clock::now()))
         replies += std::holds_alternative<ConfigFeedReplied>(event->item_) ? 1 : 0;
@@ -195,9 +197,9 @@
         observer.reader_.cache_.feeds_.at(feed).contactAt_ = time;
     };
     CHECK(!ageAt(now));
-    observer.config_.onProgress_(Revision {4});
+    observer.config_.onProgress_(Revision {4}, std::chrono::steady_clock::now());
     CHECK(!ageAt(now));
-    observer.instances_.onProgress_(Revision {4});
+    observer.instances_.onProgress_(Revision {4}, std::chrono::steady_clock::now());
     CHECK(ageAt(now));
     setContact("store.instances", now);
     setContact("store.config", now + Seconds {2});
--- a/tests/unit-documentsync.cpp
+++ b/tests/unit-documentsync.cpp
@@ -148,12 +148,12 @@
     DocumentSync sync;
     sync.unanswered_[peer] = sentAt;
     const MonoTime arrivedAt = sentAt + Millis {600};
-    recordDocumentsReply(sync, settings, peer, Millis {50}, arrivedAt);
+    recordDocumentsReply(sync, settings, peer, Millis {50}, false, arrivedAt);
     REQUIRE(sync.completeAt_);
     CHECK(*sync.completeAt_ == sentAt - Millis {50});
     // After its timeout nothing is known of the age of a reply.
     sync.silent_[peer] = arrivedAt + Seconds {1};
-    recordDocumentsReply(sync, settings, peer, Millis {50}, arrivedAt + Seconds {1});
+    recordDocumentsReply(sync, settings, peer, Millis {50}, false, arrivedAt + Seconds {1});
     CHECK(*sync.completeAt_ == sentAt - Millis {50});
 }
 
--- a/tests/unit-documenttransfer.cpp
+++ b/tests/unit-documenttransfer.cpp
@@ -20,7 +20,7 @@
 {
     daemon.reader_.address_ = "127.0.0.1:9";
     daemon.config_.onListing_({entry("config", version, largeConfig(version))}, Revision {version});
-    daemon.config_.onProgress_(Revision {version});
+    daemon.config_.onProgress_(Revision {version}, std::chrono::steady_clock::now());
     newestConfig(daemon);
 }
 
@@ -140,7 +140,7 @@
     askFor(receiver, sender, LargeDocuments::Compress);
     const StorePosition copy {StoreEra {2}, Revision {3}};
     sender.config_.onListing_({entry("config", 3, largeConfig(6))}, copy);
-    sender.config_.onProgress_(copy);
+    sender.config_.onProgress_(copy, std::chrono::steady_clock::now());
     receive(receiver, askFor(receiver, sender, LargeDocuments::Compress));
     CHECK(knownConfig(receiver) == ConfigVersion {7});
 }
@@ -154,7 +154,7 @@
     CHECK_FALSE(startTransfer(sync, settings, HostId {"b"}, 1000, now + settings.replyTimeout_));
     SECTION("a reply ends it")
     {
-        CHECK(endTransfer(sync, HostId {"a"}));
+        CHECK(endTransfer(sync, HostId {"a"}, Millis {9}));
         CHECK(startTransfer(sync, settings, HostId {"b"}, 1000, now));
     }
     SECTION("it is overdue later if it is larger")
@@ -166,7 +166,7 @@
     SECTION("the reply to an overdue one does not end the next")
     {
         REQUIRE(startTransfer(sync, settings, HostId {"b"}, 1000, now + Seconds {1}));
-        CHECK_FALSE(endTransfer(sync, HostId {"a"}));
+        CHECK_FALSE(endTransfer(sync, HostId {"a"}, Millis {9}));
         CHECK_FALSE(startTransfer(sync, settings, HostId {"c"}, 1000, now + Seconds {1}));
     }
 }
--- a/tests/unit-evacuationdocuments.cpp
+++ b/tests/unit-evacuationdocuments.cpp
@@ -38,14 +38,14 @@
                    StorePosition position)
 {
     daemon.config_.onListing_(entries, position);
-    daemon.config_.onProgress_(position);
+    daemon.config_.onProgress_(position, std::chrono::steady_clock::now());
     applyEvents(daemon);
 }
 
 void change(ExchangeDaemon &daemon, const FeedEntry &entry, StorePosition position)
 {
     daemon.config_.onChange_(entry, position.era_);
-    daemon.config_.onProgress_(position);
+    daemon.config_.onProgress_(position, std::chrono::steady_clock::now());
     applyEvents(daemon);
 }
 
--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -62,7 +63,7 @@
     };
     result.onChange_ = [](const FeedEntry &, StoreEra) {
     };
-    result.onProgress_ = [](StorePosition) {
+    result.onProgress_ = [](StorePosition, MonoTime) {
     };
     result.knownPosition_ = [known] {
         return known;
@@ -201,4 +202,34 @@
     follower.join();
 }
 
+TEST_CASE("a reply that comes later than a watch ends is as old as its call")
+{
+    // The reply was on its way while this machine stood still.
+    FakeFeed feed;
+    FollowGate gate;
+    FollowerSettings settings = fastSettings("a");
+    settings.watchTimeout_ = Millis {1};
+    settings.maxReplyDelay_ = Millis {0};
+    FeedPort port = portOf(feed);
+    port.watch_ = [watch = port.watch_](const std::string &prefix, Revision after, Millis limit) {
+        std::this_thread::sleep_for(Millis {5});
+        return watch(prefix, after, limit);
+    };
+    FollowerHandlers recorded = handlers();
+    std::atomic<int> replies = 0;
+    std::atomic<int> older = 0;
+    recorded.onProgress_ = [&](StorePosition, MonoTime knownAt) {
+        older += std::chrono::steady_clock::now() - knownAt >= Millis {5} ? 1 : 0;
+        ++replies;
+        replies.notify_all();
+    };
+    std::thread follower([&] { followPrefix(port, settings, recorded, gate); });
+    // The first reply is a listing, which the feed returns at once.
+    for (int seen = 0; seen < 3; seen = replies)
+        replies.wait(seen);
+    stopFollowing(gate);
+    follower.join();
+    CHECK(older >= 2);
+}
+
 } // namespace tamarack
