A stream that has begun at an instance is not handed over to another daemon

Cause: a stream without output for long was handed over by a host that took itself for cut off, while its first events were on their way to the control thread. The front end doesn't send an attempt for another version than that of the first event, and a hand-over has none, so it reported the attempt as superseded. The control thread tried two more daemons, with the same result, and cut the response.

Change: the control thread takes the version from the superseded attempt, as it does for attempts at instances, and goes on at an instance of that version.

Evidence: unit-takeoverfaults failed before.

--- a/src/core/relay/relaytakeovers.cpp
+++ b/src/core/relay/relaytakeovers.cpp
@@ -1,6 +1,7 @@
 // Requests that other daemons take over while this host is cut off from all instances.
 #include "core/relay/relaytakeovers.h"
 #include "core/relay/relayinternal.h"
+#include "core/relay/relaystreams.h"
 
 #include <fmt/format.h>
 
@@ -103,6 +104,13 @@
     }
 }
 
+/// Returns true if events of a stream came from an instance of this daemon. Another daemon would
+/// have to find out at which version, so the stream goes on here.
+bool beganHere(const RelayedRequest &active)
+{
+    return active.origin_ && active.events_ > 0 && !active.beganAtPeer_;
+}
+
 /// Passes what another daemon has refused on, or ends the request as one that may have run.
 void passRefusalOn(RelayState &state, RelayedRequest &active, const RelayAttemptEnded &ended,
                    MonoTime now, RelayCommands &out)
@@ -125,7 +133,8 @@
 bool handOver(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
     const TakeoverSettings &settings = state.settings_.takeovers_;
-    if (active.request_.handedOver_ || active.triedPeers_.size() >= settings.maxTries_
+    if (active.request_.handedOver_ || beganHere(active)
+        || active.triedPeers_.size() >= settings.maxTries_
         || active.deadline_ - now < state.settings_.minRetryTime_)
         return false;
     const PeerAddress *peer
@@ -174,7 +183,7 @@
 bool handOverIfCutOff(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
     const bool isCutOff = state.reachability_.isCutOff_;
-    if (!isCutOff && !active.beganAtPeer_)
+    if ((!isCutOff && !active.beganAtPeer_) || beganHere(active))
         return false;
     if (handOver(state, active, now, out))
         return true;
@@ -193,6 +202,7 @@
 {
     const HostId host = *active.peer_;
     recordTakeoverEnd(state.takeovers_, state.settings_.takeovers_, host, outcomeOf(ended), now);
+    recordStreamBegan(state, active, ended.begunBy_, now, out);
     if (ended.end_ == AttemptEnd::Delivered) {
         active.mayHaveRun_ = true;
         finish(state, active, fmt::format("handed over {}", ended.status_), now, out);
@@ -230,7 +240,7 @@
     if (handOver(state, active, now, out))
         return;
     // What was reserved was released when the request was handed over.
-    if (!state.reachability_.isCutOff_ && !active.beganAtPeer_)
+    if (beganHere(active) || (!state.reachability_.isCutOff_ && !active.beganAtPeer_))
         reserveAndDispatch(state, active, now, out);
     else if (ended.end_ == AttemptEnd::Failed)
         passRefusalOn(state, active, ended, now, out);
