A daemon out of step continues no stream, as its instances may have been replaced

Report of other operators: streams that clients took up at a host which had stood still or was cut off went on at an instance of another software version.

Cause, by reading: the version that began a stream is asked for, but the instance that continues it is chosen by the daemon's own list. After a standstill an instance may have come back under its id with another version, and a reply or a listing that was on its way is older than it looks. The record of the versions says nothing about what daemons of earlier releases use, which don't write it; a daemon in step has seen such a version itself.

Change: a daemon that has heard neither from the store nor from other daemons for 2 s, or whose machine was suspended, is out of step until 1 s after it hears from them. Replies count from their requests. Meanwhile it sends no stream that has begun to any instance, and the record settles none: the request waits or gets a 503 with a time to come back. A store that is away for all daemons puts nobody out of step, as they hear from each other.

Evidence: unit-outofstep failed before: known streams went on after a counted and an uncounted standstill, after silence, and by the record. The case of a stream that breaks off meanwhile needs the new setting.

--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -99,6 +99,13 @@
     return Millis {hash64(sync.self_.value_) % range};
 }
 
+void noteHeard(DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime at, MonoTime now)
+{
+    if (sync.heardAt_ && now - *sync.heardAt_ > settings.maxSilence_)
+        sync.inStepSince_ = now;
+    sync.heardAt_ = std::max(sync.heardAt_.value_or(MonoTime {}), at);
+}
+
 void noteConfigKnown(DocumentSync &sync, MonoTime knownAt)
 {
     sync.configAt_ = std::max(sync.configAt_.value_or(MonoTime {}), knownAt);
@@ -277,6 +284,7 @@
                       MonoTime now)
 {
     noteConfigKnown(sync, knownAt);
+    noteHeard(sync, settings, knownAt, now);
     // A watch that ends after following was stopped says nothing about the source in use.
     if (!sync.replyDueAt_)
         return;
@@ -288,6 +296,8 @@
 {
     if (sync.configAt_)
         sync.configAt_ = MonoTime {};
+    if (sync.heardAt_)
+        sync.heardAt_ = MonoTime {};
     sync.completeAt_.reset();
     // The reply of a silent peer is not counted, and the peer is probed.
     for (const auto &[host, askedAt] : sync.unanswered_)
@@ -302,6 +312,13 @@
     return !sync.configAt_ || now - *sync.configAt_ <= settings.maxConfigAge_;
 }
 
+bool isInStep(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
+{
+    return !sync.heardAt_
+        || (now - *sync.heardAt_ <= settings.maxSilence_
+            && now - sync.inStepSince_ >= settings.stepDelay_);
+}
+
 bool isReplyOverdue(const DocumentSync &sync, MonoTime now)
 {
     return sync.replyDueAt_ && now >= *sync.replyDueAt_;
@@ -328,6 +345,8 @@
     sync.repliedAt_ = now;
     if (contactAge)
         sync.freshAt_ = std::max(sync.freshAt_.value_or(MonoTime {}), now - *contactAge);
+    if (requestedAt)
+        noteHeard(sync, settings, *requestedAt, now);
     if (contactAge && requestedAt) {
         const MonoTime knownAt = *requestedAt - *contactAge;
         sync.completeAt_ = std::max(sync.completeAt_.value_or(MonoTime {}), knownAt);
--- a/src/core/relay/documentsync.h
+++ b/src/core/relay/documentsync.h
@@ -59,6 +59,12 @@
     /// A transfer of large documents is overdue after replyTimeout_ and the time for its bytes at
     /// this rate, a tenth of the smallest link.
     double minTransferBytesPerSecond_ = 128.0 * 1024.0;
+    /// A daemon that has heard neither from the store nor from others for longer is out of step:
+    /// instances may have been replaced meanwhile.
+    Millis maxSilence_ {2000};
+    /// It is in step again this long after it hears from them. Entries of new processes may take
+    /// as long to arrive.
+    Millis stepDelay_ {1000};
     /// A daemon whose knowledge of the configuration is older refuses no request for good.
     Millis maxConfigAge_ {3000};
     /// While peers reply but have no contact to the store, the daemons that are not observers start
@@ -114,6 +120,9 @@
     /// All configurations up to this time are known; nothing if there was no reply yet. Like
     /// completeAt_, but replies that announce a configuration don't count.
     std::optional<MonoTime> configAt_;
+    /// Up to when this daemon is known to have heard from others, and since when without a gap.
+    std::optional<MonoTime> heardAt_;
+    MonoTime inStepSince_ {};
     /// The peer that last replied with recent contact.
     HostId freshFrom_;
     /// Peers that replied without contact to the store, and until when they are asked last.
@@ -155,6 +164,10 @@
 /// @brief Returns false if there may be a newer configuration for longer than it may take to apply.
 bool isConfigCurrent(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now);
 
+/// @brief Returns false if this daemon stood still or heard from nobody lately, so that what it
+/// knows of the instances is older than it looks.
+bool isInStep(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now);
+
 /// @brief Returns true if the store has not replied in time to this daemon, which follows it.
 bool isReplyOverdue(const DocumentSync &sync, MonoTime now);
 
--- a/src/core/relay/relaystreams.cpp
+++ b/src/core/relay/relaystreams.cpp
@@ -71,6 +71,12 @@
 /// @return false if the request waits for the record of the versions or was refused
 bool takeOnlyVersion(RelayState &state, RelayedRequest &active, MonoTime now, RelayCommands &out)
 {
+    if (!isInStep(state.sync_, state.settings_.sync_, now)) {
+        // Another version may have joined, and a daemon that doesn't write the record have used it.
+        logOrigin(active, "store", "out_of_step", out);
+        refuseUnknownOrigin(state, active, now, out);
+        return false;
+    }
     const ServiceId service = servicesInOrder(*active.route_, splitId(active)).front();
     const auto possible = possibleOrigins(state.versions_, state.settings_.versions_, service,
                                           active.request_.arrivedAt_, now);
@@ -211,6 +217,11 @@
 
 void addPossiblyRestarted(const RelayState &state, std::set<UpstreamId> &instances, MonoTime now)
 {
+    if (!isInStep(state.sync_, state.settings_.sync_, now)) {
+        for (const auto &[id, known] : state.directory_.known_)
+            instances.insert(id);
+        return;
+    }
     for (const auto &[id, record] : state.choice_.instanceStats_) {
         if (record.unreachableAt_ && now - *record.unreachableAt_ < state.settings_.maxEntryDelay_)
             instances.insert(id);
