A daemon that accepts no connections for half a second is not ready

Report of users: a host said that it was ready and took none of the new connections.

Cause, by reading: the front end stops accepting when its limit on connections or on memory is reached, and readiness did not depend on that.

Change: the front end tells the control thread, which takes the daemon out of the rotation after 500 ms and closes connections after their responses, as it does for an overloaded host. daemon.readiness logs accepting=no.

Evidence: the cases of unit-overload and contract-relayclients need the new event, so they can't be run on the code before.

--- a/src/adapters/relayhttp/accepting.cpp
+++ b/src/adapters/relayhttp/accepting.cpp
@@ -116,6 +116,7 @@
     if (listen == state.accepting_)
         return;
     state.accepting_ = listen;
+    state.events_.post_(AcceptingChanged {listen});
     epoll_event event {};
     event.events = listen ? std::uint32_t {EPOLLIN} : 0U;
     event.data.u64 = clientListenerEventId;
--- a/src/core/relay/commands.h
+++ b/src/core/relay/commands.h
@@ -157,7 +157,8 @@
 using RelayCommand
     = std::variant<SendAttempt, ProbeInstance, RespondToClient, ForwardFailure, AbortResponse,
                    ApplyLimits, RequestPeerDocuments, PublishLoads, PublishVersions,
-                   SetFollowsStore, ForgetStoreContact, SetStoreContact, SetReady, SetKeepAlive, CloseIdleConnections,
-                   CloseClients, SendPeer, SubmitStoreCall, WriteLog, RelayStopCompleted>;
+                   SetFollowsStore, ForgetStoreContact, SetStoreContact, SetReady, SetKeepAlive,
+                   CloseIdleConnections, CloseClients, SendPeer, SubmitStoreCall, WriteLog,
+                   RelayStopCompleted>;
 
 } // namespace tamarack
--- a/src/core/relay/events.h
+++ b/src/core/relay/events.h
@@ -315,6 +315,13 @@
 struct ClientsClosed
 { };
 
+/// @brief The front end has begun or ceased to accept client connections, because its limit on
+/// them or on memory is reached.
+struct AcceptingChanged
+{
+    bool accepts_ = true;
+};
+
 using RelayEvent = std::variant<
     RequestRead, OutputStarted, RelayAttemptEnded, InstanceNoticeReceived, ClientDisconnected,
     ConfigReceived, InstancesListed, InstanceChanged, InstanceRemoved, EvacuationsListed,
@@ -322,7 +329,7 @@
     GrantReportReceived, QuarantineReportReceived, PermitRequestReceived, PermitReplyReceived,
     PresenceRequestReceived, PresenceReplyReceived, DocumentsRequestReceived,
     DocumentsReplyReceived, FeedAvailabilityChanged, ConfigFeedReplied, StoreEraNoticed,
-    StoreReplied, RelayStopRequested, ClientsClosed, StreamBeganReceived,
+    StoreReplied, RelayStopRequested, ClientsClosed, AcceptingChanged, StreamBeganReceived,
     StreamOriginRequestReceived, StreamOriginReplyReceived, InstanceProbed, MachineResumed>;
 
 } // namespace tamarack
--- a/src/core/relay/relaycontrol.cpp
+++ b/src/core/relay/relaycontrol.cpp
@@ -264,6 +264,14 @@
     updateReadiness(state, out);
 }
 
+void onEvent(RelayState &state, const AcceptingChanged &event, MonoTime now, RelayCommands &)
+{
+    if (event.accepts_)
+        state.notAcceptingSince_.reset();
+    else if (!state.notAcceptingSince_)
+        state.notAcceptingSince_ = now;
+}
+
 void onEvent(RelayState &state, const ClientsClosed &, MonoTime, RelayCommands &)
 {
     state.clientsClosed_ = true;
@@ -341,13 +349,13 @@
 void updateReadiness(RelayState &state, RelayCommands &out)
 {
     const bool overloaded = isOverloaded(state.overload_);
-    const bool keepsConnections = !state.stopRequestedAt_ && !overloaded;
+    const bool unready = state.stopRequestedAt_ || overloaded || state.refusesConnections_;
+    const bool keepsConnections = !unready;
     if (keepsConnections != state.keepsConnections_) {
         state.keepsConnections_ = keepsConnections;
         out.emplace_back(SetKeepAlive {keepsConnections});
     }
-    const bool ready
-        = state.config_ && state.instancesListed_ && !state.stopRequestedAt_ && !overloaded;
+    const bool ready = state.config_ && state.instancesListed_ && !unready;
     if (ready == state.ready_)
         return;
     state.ready_ = ready;
@@ -355,6 +363,7 @@
     logLine(out, LogLevel::Info, "daemon.readiness",
             {{"ready", ready ? "yes" : "no"},
              {"overloaded", overloaded ? "yes" : "no"},
+             {"accepting", state.refusesConnections_ ? "no" : "yes"},
              {"event_delay_ms", fmt::format("{:.0f}", state.overload_.delay_.count() / 1000.0)},
              {"link_use", fmt::format("{:.2f}", state.overload_.linkUse_)},
              {"active", std::to_string(state.active_.size())},
@@ -394,6 +403,8 @@
 {
     RelayCommands out;
     noteColdTime(state, now);
+    state.refusesConnections_ = state.notAcceptingSince_
+        && now - *state.notAcceptingSince_ >= state.settings_.maxAcceptPause_;
     updateReadiness(state, out);
     endLostEvacuations(state, now, out);
     while (!state.timers_.empty() && state.timers_.begin()->first <= now) {
@@ -443,6 +454,8 @@
     if (!state.timers_.empty())
         takeEarlier(next, state.timers_.begin()->first);
     takeEarlier(next, state.overload_.overloadedUntil_);
+    if (state.notAcceptingSince_ && !state.refusesConnections_)
+        takeEarlier(next, *state.notAcceptingSince_ + state.settings_.maxAcceptPause_);
     takeEarlier(next, nextExpiry(state.directory_, state.settings_.missingRetention_));
     takeEarlier(next, nextPrepaidTime(state.prepaid_));
     takeEarlier(next, nextSyncTime(state.sync_, state.settings_.sync_));
--- a/src/core/relay/relaycontrol.h
+++ b/src/core/relay/relaycontrol.h
@@ -74,6 +74,8 @@
     Millis maxEntryDelay_ {5000};
     /// How long a stream of unknown origin waits for the record of the versions.
     Millis recordWait_ {400};
+    /// How long this daemon may accept no connections and still say that it is ready.
+    Millis maxAcceptPause_ {500};
     /// Interval at which the served versions are noted if no entry changes.
     Millis versionNoteInterval_ {2000};
     /// Permits that are requested from other daemons for one request. After that, it uses only
@@ -290,6 +292,10 @@
     bool storeReplyOverdue_ = false;
     bool storeContact_ = true;
     Overload overload_;
+    /// Set while the front end accepts no connections.
+    std::optional<MonoTime> notAcceptingSince_;
+    /// That has lasted for too long to be ready.
+    bool refusesConnections_ = false;
     bool ready_ = false;
     bool keepsConnections_ = true;
     std::optional<MonoTime> stopRequestedAt_;
--- a/tests/contract-relayclients.cpp
+++ b/tests/contract-relayclients.cpp
@@ -40,6 +40,20 @@
     CHECK(readHead(busy).starts_with("HTTP/1.1 503 "));
 }
 
+TEST_CASE("the front end tells that it accepts no connections while all are busy")
+{
+    Fixture fixture;
+    FrontendSettings settings;
+    settings.maxClients_ = 1;
+    setUp(fixture, settings);
+    StreamSocket busy = connectClient(fixture);
+    sendText(busy, smallRequest);
+    const RequestRead read = waitForEvent<RequestRead>(fixture);
+    CHECK_FALSE(waitForEvent<AcceptingChanged>(fixture).accepts_);
+    refuse(fixture, read);
+    CHECK(waitForEvent<AcceptingChanged>(fixture).accepts_);
+}
+
 TEST_CASE("pipelined requests are read only as they are served")
 {
     Fixture fixture;
--- a/tests/unit-overload.cpp
+++ b/tests/unit-overload.cpp
@@ -1,5 +1,6 @@
-// Overload of a host. Guards against a daemon that keeps taking the requests of most clients of its
-// zone although its host can't handle them.
+// Readiness of a daemon whose host is overloaded or accepts no connections. Guards against a daemon
+// that keeps taking the requests of most clients of its zone although its host can't handle them,
+// and against one that says that it is ready while no client can connect to it.
 #include "relayfixture.h"
 
 namespace tamarack {
@@ -177,4 +178,40 @@
     CHECK(runWithDelay(fixture, Millis {}, Millis {8000}).empty());
 }
 
+namespace {
+
+std::optional<bool> announcedReadiness(const RelayCommands &commands)
+{
+    const auto ready = findCommand<SetReady>(commands);
+    return ready ? std::optional(ready->ready_) : std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("a daemon that accepts no connections is not ready")
+{
+    RelayFixture fixture;
+    setUp(fixture);
+    REQUIRE(fixture.state_.ready_);
+    const Millis pause = fixture.state_.settings_.maxAcceptPause_;
+    CHECK_FALSE(announcedReadiness(post(fixture, AcceptingChanged {false})));
+    CHECK(nextDueTime(fixture.state_) <= fixture.now_ + pause);
+    SECTION("but for a moment")
+    {
+        CHECK_FALSE(announcedReadiness(advanceTime(fixture, pause - Millis {1})));
+        CHECK_FALSE(announcedReadiness(post(fixture, AcceptingChanged {true})));
+        CHECK_FALSE(announcedReadiness(advanceTime(fixture, pause)));
+    }
+    SECTION("until it accepts them again")
+    {
+        const RelayCommands commands = advanceTime(fixture, pause);
+        CHECK(announcedReadiness(commands) == false);
+        // Connections that clients keep are closed after their responses, which makes room.
+        const auto keepAlive = findCommand<SetKeepAlive>(commands);
+        REQUIRE(keepAlive);
+        CHECK_FALSE(keepAlive->enabled_);
+        CHECK(announcedReadiness(post(fixture, AcceptingChanged {true})) == true);
+    }
+}
+
 } // namespace tamarack
