--- a/src/adapters/relayhttp/frontend.cpp
+++ b/src/adapters/relayhttp/frontend.cpp
@@ -293,8 +293,7 @@
     }
     state->epoll_ = Descriptor(::epoll_create1(EPOLL_CLOEXEC));
     state->wakeupEvent_ = Descriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
-    state->suspendedTime_
-        = bootTime() - std::chrono::steady_clock::now().time_since_epoch();
+    state->suspendedTime_ = bootTime() - std::chrono::steady_clock::now().time_since_epoch();
     frontend::registerDescriptor(*state, state->wakeupEvent_.fd_, frontend::wakeupEventId);
     frontend::registerDescriptor(*state, state->clientListener_.fd_,
                                  frontend::clientListenerEventId);
