A daemon that was starting when it was asked takes requests over once it has a configuration

What callers saw: the first requests at a host that had just lost its links to the instances got 503 upstream_not_sent, although another daemon could serve them (e2e-takeovers-one, known to fail in some runs).

Cause: daemons ask new members whether they run. One that has no configuration yet replies that it can serve no request, and was left out for 3 s; a daemon that doesn't take itself for cut off doesn't ask again.

Change: such a reply counts only while this daemon may be cut off, when it asks for that reason.

--- a/src/core/relay/relayfleet.cpp
+++ b/src/core/relay/relayfleet.cpp
@@ -92,8 +92,12 @@
 void onEvent(RelayState &state, const PresenceReplyReceived &event, MonoTime now,
              RelayCommands &out)
 {
-    recordAbility(state.takeovers_, state.settings_.takeovers_, event.from_, event.reply_.unable_,
-                  now);
+    // A daemon without a configuration is unable too. It would be left out for long after its
+    // start, because only a daemon that may be cut off asks again.
+    if (!event.reply_.unable_
+        || mayBeCutOff(state.reachability_, state.settings_.reachability_, now))
+        recordAbility(state.takeovers_, state.settings_.takeovers_, event.from_,
+                      event.reply_.unable_, now);
     const std::uint32_t reported = state.members_.reportedDaemons_;
     const bool changed
         = recordPresence(state.members_, state.settings_.members_, event.from_, event.reply_, now);
--- a/tests/unit-takeoverfaults.cpp
+++ b/tests/unit-takeoverfaults.cpp
@@ -35,4 +35,22 @@
     CHECK(third->version_ == first->version_);
 }
 
+TEST_CASE("daemons that were starting a moment ago take the first requests over")
+{
+    // A daemon says that it can serve no request until it has a configuration.
+    RelayFixture fixture;
+    setUpFleet(fixture);
+    for (int i = 0; i < peerCount; ++i) {
+        PresenceReply starting;
+        starting.unable_ = true;
+        post(fixture, PresenceReplyReceived {peer(i).host_, starting});
+    }
+    fixture.now_ += Seconds {1};
+    auto attempt = start(fixture, makeRequest(fixture, "safe"));
+    while (attempt && !attempt->toPeer_)
+        attempt = findCommand<SendAttempt>(post(fixture, ended(*attempt, AttemptEnd::NotSent)));
+    REQUIRE(attempt);
+    CHECK(attempt->toPeer_);
+}
+
 } // namespace tamarack
