--- a/src/core/relay/documentsync.cpp
+++ b/src/core/relay/documentsync.cpp
@@ -314,6 +314,9 @@
 
 bool isInStep(const DocumentSync &sync, const DocumentSyncSettings &settings, MonoTime now)
 {
+    // A daemon without others hears from nobody while the store is away.
+    if (isAlone(sync))
+        return true;
     return !sync.heardAt_
         || (now - *sync.heardAt_ <= settings.maxSilence_
             && now - sync.inStepSince_ >= settings.stepDelay_);
--- a/src/core/relay/relaydocuments.cpp
+++ b/src/core/relay/relaydocuments.cpp
@@ -80,7 +80,7 @@
 void requestAnnounced(RelayState &state, const DocumentsReplyReceived &event, MonoTime now,
                       RelayCommands &out)
 {
-    if (event.announcedBytes_ == 0)
+    if (event.announcedBytes_ == 0 || event.address_.empty())
         return;
     const std::optional<DocumentTransfer> overdue = state.sync_.transfer_;
     if (!startTransfer(state.sync_, state.settings_.sync_, event.from_, event.announcedBytes_, now))
--- a/src/relayd/documents.cpp
+++ b/src/relayd/documents.cpp
@@ -1,7 +1,7 @@
-// Reads the documents of a relay daemon from the store and from peers.
+// Reads the documents of a relay daemon, from whatever source they come, and follows the store.
 #include "relayd/documents.h"
 
-#include "adapters/peers/peers.h"
+#include "relayd/documentsinternal.h"
 
 #include <algorithm>
 #include <memory>
@@ -9,12 +9,9 @@
 
 namespace tamarack {
 
-namespace {
+using namespace relayddetail;
 
-/// Documents with longer values are announced to daemons that ask for that.
-constexpr std::size_t largeDocumentBytes = std::size_t {32} << 10U;
-/// The largest value of the store in bytes, with a margin.
-constexpr std::size_t maxDocumentBytes = std::size_t {4} << 20U;
+namespace {
 
 /// Decodes a document. Logs the error and returns nothing if that fails.
 template <typename Value>
@@ -110,11 +107,64 @@
         post(reader.queue_, RelayEvent {EvacuationRemoved {listed, source}});
 }
 
-/// Returns the size of a document as it is sent.
+PeerDocument toDocument(const FeedEntry &entry, StoreEra era)
+{
+    return PeerDocument {entry.key_, {era, entry.revision_}, entry.value_};
+}
+
+std::vector<PeerDocument> toDocuments(const std::vector<FeedEntry> &entries, StoreEra era)
+{
+    std::vector<PeerDocument> documents;
+    documents.reserve(entries.size());
+    for (const FeedEntry &entry : entries)
+        documents.push_back(toDocument(entry, era));
+    return documents;
+}
+
+/// Returns true if a listing contains the configuration, or none is known. The operator never
+/// removes it, so a listing without it is not complete.
+bool containsConfig(DocumentReader &reader, const std::vector<PeerDocument> &documents)
+{
+    for (const PeerDocument &document : documents) {
+        if (document.key_.value_ == reader.formats_.configKey_ && document.value_)
+            return true;
+    }
+    const std::lock_guard lock(reader.cache_.mutex_);
+    return !reader.cache_.newestConfig_;
+}
+
+/// Reads the evacuations of a listing of the operator's documents.
+void readEvacuationListing(DocumentReader &reader, const std::vector<PeerDocument> &documents,
+                           StorePosition position, ChangeSource source)
+{
+    EvacuationsListed listing {{}, position, source};
+    std::set<StoreKey> listed;
+    for (const PeerDocument &document : documents) {
+        if (!isEvacuation(reader.formats_, document.key_) || !document.value_)
+            continue;
+        listed.insert(document.key_);
+        storeIfNewer(reader.cache_, document);
+        listing.evacuations_.push_back(listedEvacuation(reader, document));
+    }
+    if (!containsConfig(reader, documents)) {
+        for (ListedEvacuation &evacuation : listing.evacuations_)
+            post(reader.queue_, RelayEvent {EvacuationChanged {std::move(evacuation), source}});
+        return;
+    }
+    markUnlistedUnconfirmed(reader.cache_, reader.formats_.evacuationPrefix_, listed, position,
+                            std::chrono::steady_clock::now() + reader.settleTime_);
+    post(reader.queue_, RelayEvent {std::move(listing)});
+}
+
+} // namespace
+
+namespace relayddetail {
+
 std::uint64_t sentBytes(const PeerDocument &document)
 {
-    return document.compressed_.empty() ? document.value_.value_or("").size()
-                                        : document.compressed_.size();
+    if (!document.compressed_.empty())
+        return document.compressed_.size();
+    return document.value_ ? document.value_->size() : 0;
 }
 
 std::uint64_t sentBytes(const FeedChanges &changes)
@@ -146,21 +196,6 @@
         readInstance(reader, document, source);
 }
 
-PeerDocument toDocument(const FeedEntry &entry, StoreEra era)
-{
-    return PeerDocument {entry.key_, {era, entry.revision_}, entry.value_};
-}
-
-std::vector<PeerDocument> toDocuments(const std::vector<FeedEntry> &entries, StoreEra era)
-{
-    std::vector<PeerDocument> documents;
-    documents.reserve(entries.size());
-    for (const FeedEntry &entry : entries)
-        documents.push_back(toDocument(entry, era));
-    return documents;
-}
-
-/// Posts the era of the store if it is newer than the known one.
 void noteEra(DocumentReader &reader, StoreEra era)
 {
     {
@@ -191,43 +226,6 @@
     post(reader.queue_, RelayEvent {std::move(listing)});
 }
 
-/// Returns true if a listing contains the configuration, or none is known. The operator never
-/// removes it, so a listing without it is not complete.
-bool containsConfig(DocumentReader &reader, const std::vector<PeerDocument> &documents)
-{
-    for (const PeerDocument &document : documents) {
-        if (document.key_.value_ == reader.formats_.configKey_ && document.value_)
-            return true;
-    }
-    const std::lock_guard lock(reader.cache_.mutex_);
-    return !reader.cache_.newestConfig_;
-}
-
-/// Reads the evacuations of a listing of the operator's documents.
-void readEvacuationListing(DocumentReader &reader, const std::vector<PeerDocument> &documents,
-                           StorePosition position, ChangeSource source)
-{
-    EvacuationsListed listing {{}, position, source};
-    std::set<StoreKey> listed;
-    for (const PeerDocument &document : documents) {
-        if (!isEvacuation(reader.formats_, document.key_) || !document.value_)
-            continue;
-        listed.insert(document.key_);
-        storeIfNewer(reader.cache_, document);
-        listing.evacuations_.push_back(listedEvacuation(reader, document));
-    }
-    if (!containsConfig(reader, documents)) {
-        for (ListedEvacuation &evacuation : listing.evacuations_)
-            post(reader.queue_, RelayEvent {EvacuationChanged {std::move(evacuation), source}});
-        return;
-    }
-    markUnlistedUnconfirmed(reader.cache_, reader.formats_.evacuationPrefix_, listed, position,
-                            std::chrono::steady_clock::now() + reader.settleTime_);
-    post(reader.queue_, RelayEvent {std::move(listing)});
-}
-
-/// Reads a listing of the feed of the configuration. The evacuations come first: with the
-/// configuration, the daemon may become ready.
 void readConfigListing(DocumentReader &reader, const std::vector<PeerDocument> &documents,
                        StorePosition position, ChangeSource source)
 {
@@ -237,15 +235,23 @@
         readDocument(reader, document, source);
 }
 
-constexpr const char *configFeed = "store.config";
-constexpr const char *instanceFeed = "store.instances";
-
-/// Advances the position of a feed, which never goes back.
 void advancePosition(FeedState &feed, StorePosition position)
 {
     feed.position_ = std::max(feed.position_, position);
 }
 
+void recordListing(DocumentReader &reader, const std::string &feed, StorePosition position)
+{
+    const std::lock_guard lock(reader.cache_.mutex_);
+    FeedState &state = reader.cache_.feeds_.at(feed);
+    state.listedAt_ = std::max(state.listedAt_, position);
+    advancePosition(state, position);
+}
+
+} // namespace relayddetail
+
+namespace {
+
 FollowerHandlers commonHandlers(DocumentReader &reader, const std::string &feed)
 {
     FollowerHandlers handlers;
@@ -273,120 +279,6 @@
     return handlers;
 }
 
-void recordListing(DocumentReader &reader, const std::string &feed, StorePosition position)
-{
-    const std::lock_guard lock(reader.cache_.mutex_);
-    FeedState &state = reader.cache_.feeds_.at(feed);
-    state.listedAt_ = std::max(state.listedAt_, position);
-    advancePosition(state, position);
-}
-
-/// Returns a position with the era of this daemon if its sender runs a version without eras.
-StorePosition withEra(StorePosition position, StoreEra era)
-{
-    return position.era_ == StoreEra {} ? StorePosition {era, position.revision_} : position;
-}
-
-bool isLarge(const PeerDocument &document)
-{
-    return document.value_ && document.value_->size() > largeDocumentBytes;
-}
-
-/// Adds the changes of a feed after a position to a reply, or announces them. The caller holds the
-/// mutex of the cache.
-void addChanges(DocumentCache &cache, const std::string &name, const FeedState &feed,
-                StorePosition position, LargeDocuments largeDocuments, DocumentsReply &reply)
-{
-    FeedChanges changes {
-        name, position < feed.listedAt_ ? Revision {} : position.revision_, feed.position_, {}};
-    const StorePosition after {feed.position_.era_, changes.after_};
-    const bool complete = changes.after_ == Revision {};
-    AnnouncedChanges announced {name, feed.position_, 0};
-    for (auto &[key, document] : cache.documents_) {
-        const bool wanted = key.value_.starts_with(feed.prefix_)
-            && (complete ? document.value_.has_value() : document.position_ > after);
-        if (!wanted)
-            continue;
-        if (largeDocuments == LargeDocuments::Include || !isLarge(document)) {
-            changes.documents_.push_back(
-                PeerDocument {document.key_, document.position_, document.value_});
-            continue;
-        }
-        if (document.compressed_.empty())
-            document.compressed_ = compress(*document.value_);
-        if (largeDocuments == LargeDocuments::Announce)
-            announced.bytes_ += document.compressed_.size();
-        else
-            changes.documents_.push_back(PeerDocument {document.key_, document.position_,
-                                                       std::nullopt, document.compressed_});
-    }
-    if (announced.bytes_ > 0)
-        reply.announced_.push_back(std::move(announced));
-    else
-        reply.changes_.push_back(std::move(changes));
-}
-
-/// Restores the values of compressed documents.
-/// @return false if one is damaged; the error is logged
-bool decompressAll(const DocumentReader &reader, FeedChanges &changes)
-{
-    for (PeerDocument &document : changes.documents_) {
-        if (document.compressed_.empty())
-            continue;
-        document.value_ = decompress(document.compressed_, maxDocumentBytes);
-        if (document.value_)
-            continue;
-        reader.log_.write_(LogEvent {LogLevel::Warning,
-                                     "document.rejected",
-                                     {{"key", document.key_.value_},
-                                      {"error", "tamarack.relayd.101"},
-                                      {"problem", "the compressed value is damaged or too long"}}});
-        return false;
-    }
-    return true;
-}
-
-void applyFeedChanges(DocumentReader &reader, const FeedChanges &changes)
-{
-    noteEra(reader, changes.at_.era_);
-    const std::uint64_t bytes = sentBytes(changes);
-    reader.usage_.receivedBytes_ += bytes;
-    const bool complete = changes.after_ == Revision {};
-    {
-        const std::lock_guard lock(reader.cache_.mutex_);
-        const auto feed = reader.cache_.feeds_.find(changes.feed_);
-        const StorePosition after {changes.at_.era_, changes.after_};
-        // A peer that knows less, or changes that don't continue what is known.
-        if (feed == reader.cache_.feeds_.end() || changes.at_ <= feed->second.position_
-            || (!complete && after > feed->second.position_)) {
-            reader.usage_.redundantBytes_ += bytes;
-            return;
-        }
-    }
-    if (complete && changes.feed_ == instanceFeed) {
-        readInstanceListing(reader, changes.documents_, changes.at_, ChangeSource::Peer);
-    } else if (complete) {
-        readConfigListing(reader, changes.documents_, changes.at_, ChangeSource::Peer);
-    } else {
-        for (const PeerDocument &document : changes.documents_)
-            readDocument(reader, document, ChangeSource::Peer);
-    }
-    if (complete) {
-        recordListing(reader, changes.feed_, changes.at_);
-        return;
-    }
-    const std::lock_guard lock(reader.cache_.mutex_);
-    advancePosition(reader.cache_.feeds_.at(changes.feed_), changes.at_);
-}
-
-/// Returns true if this daemon does not know the announced changes, also from another peer.
-bool isMissing(DocumentReader &reader, const AnnouncedChanges &announced)
-{
-    const std::lock_guard lock(reader.cache_.mutex_);
-    const auto feed = reader.cache_.feeds_.find(announced.feed_);
-    return feed != reader.cache_.feeds_.end() && announced.at_ > feed->second.position_;
-}
-
 } // namespace
 
 DocumentReader::DocumentReader(const RelayDocuments &formats, BlockingQueue<RelayEvent> &queue,
@@ -434,103 +326,6 @@
     return handlers;
 }
 
-DocumentsRequest makeDocumentsRequest(DocumentReader &reader, const std::string &replyAddress,
-                                      const RequestPeerDocuments &command)
-{
-    const std::lock_guard lock(reader.cache_.mutex_);
-    DocumentsRequest request {replyAddress, {}, command.loads_, command.largeDocuments_};
-    for (const auto &[name, feed] : reader.cache_.feeds_)
-        request.positions_.push_back(FeedPosition {name, feed.position_});
-    return request;
-}
-
-DocumentsReply makeDocumentsReply(DocumentReader &reader, const DocumentsRequest &request,
-                                  MonoTime now)
-{
-    const std::lock_guard lock(reader.cache_.mutex_);
-    removeUnconfirmed(reader.cache_, now);
-    DocumentsReply reply;
-    reply.contactAge_ = contactAge(reader.cache_, reader.maxContactAge_, now);
-    if (reader.cache_.versions_)
-        reply.versions_ = *reader.cache_.versions_;
-    for (const FeedPosition &position : request.positions_) {
-        const auto feed = reader.cache_.feeds_.find(position.feed_);
-        if (feed == reader.cache_.feeds_.end())
-            continue;
-        const StorePosition known = withEra(position.position_, feed->second.position_.era_);
-        if (feed->second.position_ > known)
-            addChanges(reader.cache_, feed->first, feed->second, known, request.largeDocuments_,
-                       reply);
-    }
-    for (const FeedChanges &changes : reply.changes_)
-        reader.usage_.sentBytes_ += sentBytes(changes);
-    if (!reply.announced_.empty())
-        reply.address_ = reader.address_;
-    reply.isTransfer_ = request.largeDocuments_ == LargeDocuments::Compress;
-    return reply;
-}
-
-void publishLoads(DocumentReader &reader, std::shared_ptr<const LoadOffer> offer)
-{
-    const std::lock_guard lock(reader.cache_.mutex_);
-    reader.cache_.loads_ = std::move(offer);
-}
-
-void publishVersions(DocumentReader &reader, std::shared_ptr<const ConfirmedVersions> versions)
-{
-    const std::lock_guard lock(reader.cache_.mutex_);
-    reader.cache_.versions_ = std::move(versions);
-}
-
-void addLoads(DocumentReader &reader, const HostId &receiver, const DocumentsRequest &request,
-              DocumentsReply &reply)
-{
-    if (!request.loads_)
-        return;
-    std::shared_ptr<const LoadOffer> offer;
-    {
-        const std::lock_guard lock(reader.cache_.mutex_);
-        offer = reader.cache_.loads_;
-    }
-    if (!offer)
-        return;
-    OfferedLoads offered = offeredLoads(*offer, receiver);
-    reply.loads_ = std::move(offered.loads_);
-    reply.loadReporters_ = offered.daemons_;
-}
-
-void applyDocumentsReply(DocumentReader &reader, const DocumentsReply &reply)
-{
-    for (FeedChanges changes : reply.changes_) {
-        if (!decompressAll(reader, changes))
-            continue;
-        {
-            const std::lock_guard lock(reader.cache_.mutex_);
-            const auto feed = reader.cache_.feeds_.find(changes.feed_);
-            if (feed == reader.cache_.feeds_.end())
-                continue;
-            const StoreEra era = feed->second.position_.era_;
-            changes.at_ = withEra(changes.at_, era);
-            for (PeerDocument &document : changes.documents_)
-                document.position_ = withEra(document.position_, era);
-        }
-        applyFeedChanges(reader, changes);
-    }
-}
-
-void receiveDocumentsReply(DocumentReader &reader, const HostId &from, const DocumentsReply &reply)
-{
-    applyDocumentsReply(reader, reply);
-    DocumentsReplyReceived event {
-        from, reply.contactAge_, reply.loads_,     reply.loadReporters_, reply.versions_,
-        0,    reply.address_,    reply.isTransfer_};
-    for (const AnnouncedChanges &announced : reply.announced_) {
-        if (isMissing(reader, announced))
-            event.announcedBytes_ += announced.bytes_;
-    }
-    post(reader.queue_, RelayEvent {std::move(event)});
-}
-
 std::vector<LogField> usageFields(const DocumentUsage &usage)
 {
     return {{"sent_bytes", std::to_string(usage.sentBytes_)},
--- a/tests/unit-outofstep.cpp
+++ b/tests/unit-outofstep.cpp
@@ -88,6 +88,15 @@
     CHECK_FALSE(takeUpKnown(fixture));
 }
 
+TEST_CASE("a daemon without others continues streams while the store is away")
+{
+    RelayFixture fixture;
+    setUpVersions(fixture);
+    post(fixture, ConfigFeedReplied {});
+    advanceTime(fixture, absence);
+    CHECK(takeUpKnown(fixture));
+}
+
 TEST_CASE("a stream that breaks off while a daemon stands still does not go on at once")
 {
     RelayFixture fixture = makeFixture();
