--- a/src/core/peermessage.h
+++ b/src/core/peermessage.h
@@ -148,11 +148,11 @@
     StorePosition position_;
 };
 
-/// @brief What a reply does with large documents.
+/// @brief What a reply does with large documents, and with many small ones.
 enum class LargeDocuments {
     /// It contains them as they are. Daemons of earlier releases ask for this.
     Include,
-    /// It announces the changes of a feed that contain any, and leaves them out.
+    /// It announces the changes of a feed if they are large, and leaves them out.
     Announce,
     /// It contains them in compressed form.
     Compress,
@@ -180,13 +180,13 @@
     std::vector<PeerDocument> documents_;
 };
 
-/// @brief Changes of a feed that a reply leaves out because they contain large documents.
+/// @brief Changes of a feed that a reply leaves out because they are large.
 struct AnnouncedChanges
 {
     std::string feed_;
     /// The sender knows all changes up to this position.
     StorePosition at_;
-    /// Size of the large documents as they are sent.
+    /// Size of the documents as they are sent.
     std::uint64_t bytes_ = 0;
 };
 
--- a/src/relayd/documentexchange.cpp
+++ b/src/relayd/documentexchange.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-/// Documents with longer values are announced to daemons that ask for that.
+/// Changes of more bytes are announced to daemons that ask for that, and longer values are sent
+/// compressed.
 constexpr std::size_t largeDocumentBytes = std::size_t {32} << 10U;
 /// The largest value of the store in bytes, with a margin.
 constexpr std::size_t maxDocumentBytes = std::size_t {4} << 20U;
@@ -37,7 +38,7 @@
         name, position < feed.listedAt_ ? Revision {} : position.revision_, feed.position_, {}};
     const StorePosition after {feed.position_.era_, changes.after_};
     const bool complete = changes.after_ == Revision {};
-    AnnouncedChanges announced {name, feed.position_, 0};
+    bool hasLargeDocument = false;
     for (auto &[key, document] : cache.documents_) {
         const bool wanted = key.value_.starts_with(feed.prefix_)
             && (complete ? document.value_.has_value() : document.position_ > after);
@@ -50,14 +51,14 @@
         }
         if (document.compressed_.empty())
             document.compressed_ = compress(*document.value_);
-        if (largeDocuments == LargeDocuments::Announce)
-            announced.bytes_ += document.compressed_.size();
-        else
-            changes.documents_.push_back(PeerDocument {document.key_, document.position_,
-                                                       std::nullopt, document.compressed_});
+        hasLargeDocument = true;
+        changes.documents_.push_back(
+            PeerDocument {document.key_, document.position_, std::nullopt, document.compressed_});
     }
-    if (announced.bytes_ > 0)
-        reply.announced_.push_back(std::move(announced));
+    const std::uint64_t bytes = sentBytes(changes);
+    const bool isLargeChange = hasLargeDocument || bytes > largeDocumentBytes;
+    if (largeDocuments == LargeDocuments::Announce && isLargeChange)
+        reply.announced_.push_back(AnnouncedChanges {name, feed.position_, bytes});
     else
         reply.changes_.push_back(std::move(changes));
 }
--- a/tests/unit-documenttransfer.cpp
+++ b/tests/unit-documenttransfer.cpp
@@ -91,6 +91,28 @@
     }
 }
 
+TEST_CASE("many small documents are announced like a large one")
+{
+    ExchangeDaemon sender;
+    ExchangeDaemon receiver;
+    sender.reader_.address_ = "127.0.0.1:9";
+    constexpr std::size_t instances = 1000;
+    const std::string value(100, 'x');
+    std::vector<FeedEntry> entries;
+    for (std::size_t i = 0; i < instances; ++i)
+        entries.push_back(entry("instances/" + std::to_string(i), 3, value));
+    list(sender, entries, 10);
+    const DocumentsReply poll = askFor(receiver, sender, LargeDocuments::Announce);
+    REQUIRE(poll.announced_.size() == 1);
+    CHECK(poll.announced_.front().bytes_ >= instances * value.size());
+    CHECK(encodePeerMessage({HostId {"sender"}, poll}).size() < instances);
+    receiveDocumentsReply(receiver.reader_, HostId {"sender"},
+                          askFor(receiver, sender, LargeDocuments::Compress));
+    applyEvents(receiver);
+    CHECK(receiver.directory_.known_.size() == instances);
+    CHECK(askFor(receiver, sender, LargeDocuments::Announce).announced_.empty());
+}
+
 TEST_CASE("daemons of earlier releases exchange large documents as they are")
 {
     ExchangeDaemon sender;
