--- a/tests/documentfleet.h
+++ b/tests/documentfleet.h
@@ -6,6 +6,8 @@
 
 #include "adapters/peers/messagecodec.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <map>
@@ -69,9 +71,11 @@
     std::string text = std::to_string(version) + ' ';
     for (std::size_t i = 0; i < routes; ++i) {
         const std::string name = std::to_string(hash64("route" + std::to_string(i)) % 100'000'000);
-        text += R"({"id":"r-)" + name + R"(","host":"shop.example","prefix":"/)" + name
-            + R"(/","streaming":true,"resumable":false,"timeout":4000,"latencyObjective":500,)"
-              R"("gapObjective":300,"priority":1,"targets":["app"],"maxAttempts":2})";
+        text += fmt::format(
+            R"({{"id":"r-{0}","host":"shop.example","prefix":"/{0}/","streaming":true,)"
+            R"("resumable":false,"timeout":4000,"latencyObjective":500,"gapObjective":300,)"
+            R"("priority":1,"targets":["app"],"maxAttempts":2}})",
+            name);
     }
     return text;
 }
